--- /dev/null
+++ b/crates/mimosagap-rules/src/lib.rs
@@ -0,0 +1,13 @@
+//! Parsing, checking and compiling the operators' rules file.
+//!
+//! Each line has the form `STATEMENT # ROLE: reason`. [`RuleSet::compile`] accepts a file as a
+//! whole or refuses it as a whole, with every bad line named.
+#![deny(unsafe_code, missing_docs)]
+
+pub mod line;
+pub mod set;
+pub mod statement;
+
+pub use line::{LineError, RuleLine, parse_file};
+pub use set::{MemoryCeiling, QueueLimit, RuleSet, StallWeights, TeamLimit};
+pub use statement::{Priority, RoutePolicy, Statement};
--- /dev/null
+++ b/crates/mimosagap-standins/src/lib.rs
@@ -0,0 +1,2 @@
+//! Stand-ins for the systems around mimosagap, for tests and experiments.
+#![deny(unsafe_code, missing_docs)]
--- /dev/null
+++ b/crates/mimosagap-types/src/prelude.rs
@@ -0,0 +1,9 @@
+//! The types that nearly every module needs.
+
+pub use crate::clock::{Clock, SystemClock};
+pub use crate::ids::{
+    ClassName, DaemonId, DeploymentName, Incarnation, ModelName, OrderKey, RegionName,
+    RequestDigest, RequestTicket, RulesRevision, TargetAddress, TeamName, ZoneName,
+};
+pub use crate::outcome::RunOutcome;
+pub use crate::refusal::{Refusal, RefusalCause, RuleReference};
