feat(store): client of the store and its records

Purpose: daemons and the command-line tool need reads, transactions, leases and a watch whose errors tell calls that were certainly not applied from calls of unknown fate, because a truthful `not run` depends on that difference.

Change: StoreClient (ureq, etcd v3 JSON subset) with records for rules, members, claims, suspects and lender slots. Conditional writes go out together; on a conflict the failure branch of the same transaction reads every record, and the writes that remain go out again together. The same rounds resolve lost answers. Ruled out: sending each claim of a conflicting batch alone, which takes N+1 calls where this takes 2; treating HTTP 5xx as not applied, which the gateway does not promise.

After a call without an answer all idle connections are dropped.

Tests run against a store in memory (tests/support).

--- /dev/null
+++ b/crates/mimosagap-store/src/nonce.rs
@@ -0,0 +1,29 @@
+//! Random marks by which a writer knows its own records.
+
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+
+/// 128 random bits in hexadecimal.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Nonce(String);
+
+impl Nonce {
+    /// A nonce that nobody else has.
+    ///
+    /// # Panics
+    /// If the operating system has no random source.
+    #[must_use]
+    pub fn random() -> Self {
+        let mut bytes = [0; 16];
+        getrandom::fill(&mut bytes).expect("the operating system provides random bytes");
+        Self(format!("{:032x}", u128::from_be_bytes(bytes)))
+    }
+}
+
+impl fmt::Display for Nonce {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
--- /dev/null
+++ b/crates/mimosagap-store/tests/support/mod.rs
@@ -0,0 +1,367 @@
+//! A store in memory with the subset of the etcd v3 JSON gateway that the client uses.
+#![allow(dead_code)]
+
+use std::collections::{BTreeMap, HashMap};
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
+use std::sync::{Arc, Condvar, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use base64::Engine as _;
+use base64::engine::general_purpose::STANDARD;
+use mimosagap_store::{Options, StoreClient};
+use serde_json::{Value, json};
+
+#[derive(Clone)]
+struct Entry {
+    value: String,
+    create: u64,
+    modified: u64,
+    lease: u64,
+}
+
+#[derive(Default)]
+struct State {
+    revision: u64,
+    entries: BTreeMap<Vec<u8>, Entry>,
+    leases: HashMap<u64, (Duration, Instant)>,
+    events: Vec<(u64, Value)>,
+}
+
+#[derive(Default)]
+struct Shared {
+    state: Mutex<State>,
+    changed: Condvar,
+    lose_answers: AtomicU32,
+    refuse: AtomicU32,
+    swallow: AtomicU32,
+    watch_generation: AtomicU64,
+    silent_watches: AtomicU64,
+}
+
+/// A running store.
+pub struct MemoryStore {
+    pub address: SocketAddr,
+    shared: Arc<Shared>,
+}
+
+impl MemoryStore {
+    pub fn start() -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let shared = Arc::new(Shared::default());
+        let accepted = Arc::clone(&shared);
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let shared = Arc::clone(&accepted);
+                thread::spawn(move || serve(&shared, stream));
+            }
+        });
+        Self { address, shared }
+    }
+
+    pub fn client(&self) -> StoreClient {
+        StoreClient::new(Options {
+            address: self.address,
+            timeout: Duration::from_millis(300),
+        })
+    }
+
+    /// The next `count` calls take effect, but their connections break before the answer.
+    pub fn lose_answers(&self, count: u32) {
+        self.shared.lose_answers.store(count, Ordering::SeqCst);
+    }
+
+    /// The next `count` calls are refused with 429.
+    pub fn refuse(&self, count: u32) {
+        self.shared.refuse.store(count, Ordering::SeqCst);
+    }
+
+    /// The next `count` calls have no effect and get no answer, while the connection stays open.
+    pub fn swallow(&self, count: u32) {
+        self.shared.swallow.store(count, Ordering::SeqCst);
+    }
+
+    /// Ends all open watches.
+    pub fn break_watches(&self) {
+        self.shared.watch_generation.fetch_add(1, Ordering::SeqCst);
+        self.shared.changed.notify_all();
+    }
+
+    /// Watches send nothing from now on.
+    pub fn silence_watches(&self, silent: bool) {
+        self.shared
+            .silent_watches
+            .store(u64::from(silent), Ordering::SeqCst);
+    }
+
+    pub fn lapse_all_leases(&self) {
+        let mut state = self.shared.state.lock().unwrap();
+        let leases: Vec<u64> = state.leases.keys().copied().collect();
+        for lease in leases {
+            state.revoke(lease);
+        }
+        self.shared.changed.notify_all();
+    }
+}
+
+impl State {
+    fn expire(&mut self) {
+        let now = Instant::now();
+        let lapsed = self.leases.iter().filter(|(_, (_, end))| *end < now);
+        let lapsed: Vec<u64> = lapsed.map(|(lease, _)| *lease).collect();
+        for lease in lapsed {
+            self.revoke(lease);
+        }
+    }
+
+    fn revoke(&mut self, lease: u64) {
+        self.leases.remove(&lease);
+        let keys: Vec<Vec<u8>> = self
+            .entries
+            .iter()
+            .filter(|(_, entry)| entry.lease == lease)
+            .map(|(key, _)| key.clone())
+            .collect();
+        if !keys.is_empty() {
+            self.revision += 1;
+        }
+        for key in keys {
+            self.remove(&key);
+        }
+    }
+
+    fn remove(&mut self, key: &[u8]) {
+        self.entries.remove(key);
+        let event = json!({"type": "DELETE", "kv": {"key": STANDARD.encode(key)}});
+        self.events.push((self.revision, event));
+    }
+
+    fn range(&self, request: &Value) -> Value {
+        let kvs: Vec<Value> = self
+            .select(request)
+            .iter()
+            .map(|key| self.kv(key))
+            .collect();
+        json!({"header": self.header(), "count": kvs.len().to_string(), "kvs": kvs})
+    }
+
+    fn select(&self, request: &Value) -> Vec<Vec<u8>> {
+        let key = bytes(&request["key"]);
+        let end = request.get("range_end").map(bytes);
+        let keys = self.entries.keys();
+        keys.filter(|found| match &end {
+            Some(end) => **found >= key && *found < end,
+            None => **found == key,
+        })
+        .cloned()
+        .collect()
+    }
+
+    fn kv(&self, key: &[u8]) -> Value {
+        let entry = &self.entries[key];
+        json!({
+            "key": STANDARD.encode(key), "value": entry.value, "lease": entry.lease.to_string(),
+            "create_revision": entry.create.to_string(), "mod_revision": entry.modified.to_string(),
+        })
+    }
+
+    fn header(&self) -> Value {
+        json!({"revision": self.revision.to_string()})
+    }
+
+    fn put(&mut self, request: &Value) -> Value {
+        let key = bytes(&request["key"]);
+        let create = self
+            .entries
+            .get(&key)
+            .map_or(self.revision, |entry| entry.create);
+        let entry = Entry {
+            value: request["value"].as_str().unwrap().to_owned(),
+            create,
+            modified: self.revision,
+            lease: request.get("lease").map_or(0, number),
+        };
+        self.entries.insert(key.clone(), entry);
+        let event = json!({"kv": self.kv(&key)});
+        self.events.push((self.revision, event));
+        json!({"header": self.header()})
+    }
+
+    fn delete(&mut self, request: &Value) -> Value {
+        let keys = self.select(request);
+        for key in &keys {
+            self.remove(key);
+        }
+        json!({"header": self.header(), "deleted": keys.len().to_string()})
+    }
+
+    fn holds(&self, compare: &Value) -> bool {
+        let entry = self.entries.get(&bytes(&compare["key"]));
+        match compare["target"].as_str().unwrap() {
+            "CREATE" => {
+                entry.map_or(0, |entry| entry.create) == number(&compare["create_revision"])
+            }
+            "MOD" => entry.map_or(0, |entry| entry.modified) == number(&compare["mod_revision"]),
+            other => panic!("unexpected compare target {other}"),
+        }
+    }
+
+    fn txn(&mut self, request: &Value) -> Value {
+        let compares = request["compare"].as_array().unwrap();
+        let succeeded = compares.iter().all(|compare| self.holds(compare));
+        let branch = if succeeded { "success" } else { "failure" };
+        let operations = request[branch].as_array().unwrap().clone();
+        if operations
+            .iter()
+            .any(|operation| operation.get("request_range").is_none())
+        {
+            self.revision += 1;
+        }
+        let mut responses = Vec::new();
+        for operation in operations {
+            let (kind, body) = operation.as_object().unwrap().iter().next().unwrap();
+            responses.push(match kind.as_str() {
+                "request_range" => json!({"response_range": self.range(body)}),
+                "request_put" => json!({"response_put": self.put(body)}),
+                "request_delete_range" => json!({"response_delete_range": self.delete(body)}),
+                other => panic!("unexpected operation {other}"),
+            });
+        }
+        json!({"header": self.header(), "succeeded": succeeded, "responses": responses})
+    }
+
+    fn call(&mut self, path: &str, request: &Value) -> Value {
+        self.expire();
+        match path {
+            "/v3/kv/range" => self.range(request),
+            "/v3/kv/put" => {
+                self.revision += 1;
+                self.put(request)
+            }
+            "/v3/kv/deleterange" => {
+                self.revision += 1;
+                self.delete(request)
+            }
+            "/v3/kv/txn" => self.txn(request),
+            "/v3/lease/grant" => {
+                let (id, ttl) = (self.leases.len() as u64 + 7_000, number(&request["TTL"]));
+                let life = Duration::from_secs(ttl);
+                self.leases.insert(id, (life, Instant::now() + life));
+                json!({"ID": id.to_string(), "TTL": ttl.to_string()})
+            }
+            "/v3/lease/keepalive" => {
+                let id = number(&request["ID"]);
+                let ttl = self.leases.get_mut(&id).map_or(0, |(life, end)| {
+                    *end = Instant::now() + *life;
+                    life.as_secs()
+                });
+                json!({"result": {"ID": id.to_string(), "TTL": ttl.to_string()}})
+            }
+            "/v3/lease/revoke" => {
+                self.revoke(number(&request["ID"]));
+                json!({})
+            }
+            other => panic!("unexpected path {other}"),
+        }
+    }
+}
+
+fn bytes(value: &Value) -> Vec<u8> {
+    STANDARD.decode(value.as_str().unwrap()).unwrap()
+}
+
+fn number(value: &Value) -> u64 {
+    value.as_str().unwrap().parse().unwrap()
+}
+
+fn serve(shared: &Shared, mut stream: TcpStream) {
+    let mut reader = BufReader::new(stream.try_clone().unwrap());
+    while let Some((path, request)) = read_request(&mut reader) {
+        if path == "/v3/watch" {
+            let _ = serve_watch(shared, &mut stream, &request);
+            return;
+        }
+        if take(&shared.refuse) {
+            write!(stream, "HTTP/1.1 429 Too Many\r\nContent-Length: 0\r\n\r\n").unwrap();
+            continue;
+        }
+        if take(&shared.swallow) {
+            thread::sleep(Duration::from_secs(2));
+            return;
+        }
+        let answer = shared
+            .state
+            .lock()
+            .unwrap()
+            .call(&path, &request)
+            .to_string();
+        shared.changed.notify_all();
+        if take(&shared.lose_answers) {
+            return;
+        }
+        let length = answer.len();
+        let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n");
+        if stream.write_all((head + &answer).as_bytes()).is_err() {
+            return;
+        }
+    }
+}
+
+fn take(counter: &AtomicU32) -> bool {
+    let less = |count: u32| count.checked_sub(1);
+    counter
+        .fetch_update(Ordering::SeqCst, Ordering::SeqCst, less)
+        .is_ok()
+}
+
+fn read_request(reader: &mut BufReader<TcpStream>) -> Option<(String, Value)> {
+    let mut line = String::new();
+    reader.read_line(&mut line).ok().filter(|read| *read > 0)?;
+    let path = line.split(' ').nth(1)?.to_owned();
+    let mut length = 0;
+    loop {
+        line.clear();
+        reader.read_line(&mut line).ok()?;
+        match line.trim().to_ascii_lowercase().split_once(": ") {
+            Some(("content-length", value)) => length = value.parse().ok()?,
+            Some(_) => {}
+            None => break,
+        }
+    }
+    let mut body = vec![0; length];
+    reader.read_exact(&mut body).ok()?;
+    Some((path, serde_json::from_slice(&body).ok()?))
+}
+
+fn serve_watch(shared: &Shared, stream: &mut TcpStream, request: &Value) -> std::io::Result<()> {
+    let request = &request["create_request"];
+    let (key, end) = (bytes(&request["key"]), bytes(&request["range_end"]));
+    let mut next = number(&request["start_revision"]);
+    let generation = shared.watch_generation.load(Ordering::SeqCst);
+    write!(stream, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n")?;
+    let mut state = shared.state.lock().unwrap();
+    loop {
+        state.expire();
+        if shared.watch_generation.load(Ordering::SeqCst) != generation {
+            return Ok(());
+        }
+        let events = state.events.iter().filter(|(revision, event)| {
+            let found = bytes(&event["kv"]["key"]);
+            *revision >= next && found >= key && found < end
+        });
+        let events: Vec<Value> = events.map(|(_, event)| event.clone()).collect();
+        next = next.max(state.revision + 1);
+        if shared.silent_watches.load(Ordering::SeqCst) == 0 {
+            let line = json!({"result": {"header": state.header(), "events": events}});
+            writeln!(stream, "{line}")?;
+        }
+        state = shared
+            .changed
+            .wait_timeout(state, Duration::from_millis(200))
+            .unwrap()
+            .0;
+    }
+}
