feat(peer): signed exchanges between daemons over h2

Purpose: digests, notices, rules and credit pass between daemons without the store, and must not be altered, replayed or forged on the way.

Change: one h2 stream per exchange with bincode bodies. Each connection starts with a hello that proves the listener's identity, so that every later message names its receiver. The HMAC covers direction, sender, receiver, time, nonce and body; a nonce is remembered for twice the 30 s window. A refused message or a malformed frame closes its connection and is counted once. Connections are pinged every second and closed after 3 s without a pong, or after 5 s unused: at 320 daemons kept connections would need 11 KB/s for pings alone (calculated).

Ruled out: binding messages to the peer's address instead of its identity, which lets a message to a restarted daemon be replayed within the window.

--- a/crates/mimosagap-peer/src/lib.rs
+++ b/crates/mimosagap-peer/src/lib.rs
@@ -1,2 +1,21 @@
-//! Daemon-to-daemon protocol of mimosagap.
+//! Daemon-to-daemon protocol of mimosagap: `h2` streams with `bincode` bodies.
+//!
+//! Each exchange is one stream with one [`Request`] and one [`Reply`]. Every message is signed
+//! with the fleet key together with its sender, its receiver, its time and a nonce, so that
+//! altered, replayed and foreign messages are refused. A message that is refused closes its
+//! connection and is counted once.
 #![deny(unsafe_code, missing_docs)]
+
+mod client;
+mod connection;
+mod counters;
+mod error;
+mod message;
+pub mod seal;
+mod server;
+
+pub use client::{ClientOptions, ExchangeOptions, ExchangeOutcome, PeerClient};
+pub use counters::{FaultCounts, PeerCounters, PeerCounts};
+pub use error::{ExchangeError, Fault};
+pub use message::{Digest, NoticeMessage, PeerMember, Reply, Request, RulesAnswer, RulesDelta};
+pub use server::{Incoming, ServerOptions, serve};
