--- a/crates/mimosagap-rules/src/lib.rs
+++ b/crates/mimosagap-rules/src/lib.rs
@@ -4,10 +4,12 @@
 //! whole or refuses it as a whole, with every bad line named.
 #![deny(unsafe_code, missing_docs)]
 
+pub mod delta;
 pub mod line;
 pub mod set;
 pub mod statement;
 
+pub use delta::{DeltaError, LineEdit, RulesDelta, unified_diff};
 pub use line::{LineError, RuleLine, parse_file};
 pub use set::{MemoryCeiling, QueueLimit, RuleSet, StallWeights, TeamLimit};
 pub use statement::{Priority, RoutePolicy, Statement};
