feat(standins): store, host list, service, weight store and fault proxy

Purpose: the daemon's tests need the outside systems with their faults, on loopback addresses. The store answers the subset of the etcd v3 JSON gateway that mimosagap uses, with transactions, leases, watches, call counters, rate limits and faults. The proxy cuts, delays, freezes or silences a link.

All stand-ins share one hyper server, as rouille cannot close a connection without an answer. Calls under the fault `slow` take effect late even if their caller has left, as on a real service.

--- a/crates/mimosagap-standins/src/lib.rs
+++ b/crates/mimosagap-standins/src/lib.rs
@@ -1,2 +1,11 @@
 //! Stand-ins for the systems around mimosagap, for tests and experiments.
+//!
+//! Each module is one subcommand of the binary `mimosagap-standins`.
 #![deny(unsafe_code, missing_docs)]
+
+pub mod hosts;
+pub mod http;
+pub mod proxy;
+pub mod service;
+pub mod store;
+pub mod weights;
--- /dev/null
+++ b/crates/mimosagap-standins/src/proxy.rs
@@ -0,0 +1,299 @@
+//! A TCP proxy that injects link faults.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use hyper::{Method, StatusCode};
+use pico_args::Arguments;
+use serde::{Deserialize, Serialize};
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{mpsc, watch};
+use tokio::time::Instant;
+
+use crate::http::{self, Answer, RunResult, WholeRequest};
+
+const CHUNK_BYTES: usize = 16 << 10;
+/// Chunks in transit per direction under `delay`; a full queue stops the reader.
+const QUEUE_CHUNKS: usize = 1_024;
+const REBIND_PAUSE: Duration = Duration::from_millis(10);
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum LinkMode {
+    Pass,
+    Cut,
+    Delay,
+    Freeze,
+    SilenceExisting,
+    OneWay,
+}
+
+#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
+struct LinkState {
+    mode: LinkMode,
+    #[serde(default)]
+    delay_ms: u64,
+    /// Counts the changes, so that a connection can tell whether it is older than the last one.
+    #[serde(skip)]
+    change: u64,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Direction {
+    ToTarget,
+    ToCaller,
+}
+
+/// Runs the proxy.
+///
+/// # Errors
+/// If an option is wrong or an address cannot be bound.
+pub fn run(mut arguments: Arguments) -> RunResult {
+    let listen = http::listen_option(&mut arguments)?;
+    let target: SocketAddr = arguments.value_from_str("--to")?;
+    let control: SocketAddr = arguments.value_from_str("--control")?;
+    http::finish_options(arguments)?;
+    http::run_until_terminated(async move {
+        let (sender, state) = watch::channel(LinkState {
+            mode: LinkMode::Pass,
+            delay_ms: 0,
+            change: 0,
+        });
+        let control = TcpListener::bind(control).await?;
+        let listener = TcpListener::bind(listen).await?;
+        let listen = listener.local_addr()?;
+        tokio::spawn(http::serve(control, move |request| {
+            let answer = set_mode(&sender, &request);
+            async move { answer }
+        }));
+        http::announce(listen)?;
+        accept_connections(listener, listen, target, state).await
+    })
+}
+
+fn set_mode(sender: &watch::Sender<LinkState>, request: &WholeRequest) -> Answer {
+    match (request.method(), request.uri().path()) {
+        (&Method::GET, "/control/mode") => http::json(StatusCode::OK, &*sender.borrow()),
+        (&Method::POST, "/control/mode") => http::with_json(request.body(), |wanted: LinkState| {
+            sender.send_modify(|state| {
+                let change = state.change + 1;
+                *state = LinkState { change, ..wanted };
+            });
+            http::done()
+        }),
+        _ => http::not_found(),
+    }
+}
+
+/// Accepts connections; closes the listener during `cut` so that the kernel refuses new ones.
+async fn accept_connections(
+    mut listener: TcpListener,
+    listen: SocketAddr,
+    target: SocketAddr,
+    mut state: watch::Receiver<LinkState>,
+) -> RunResult {
+    loop {
+        if state.borrow_and_update().mode == LinkMode::Cut {
+            drop(listener);
+            state.wait_for(|state| state.mode != LinkMode::Cut).await?;
+            listener = rebind(listen).await;
+        }
+        tokio::select! {
+            accepted = listener.accept() => {
+                if let Ok((stream, _)) = accepted {
+                    tokio::spawn(relay_connection(stream, target, state.clone()));
+                }
+            }
+            changed = state.changed() => changed?,
+        }
+    }
+}
+
+async fn rebind(listen: SocketAddr) -> TcpListener {
+    loop {
+        match TcpListener::bind(listen).await {
+            Ok(listener) => return listener,
+            Err(_) => tokio::time::sleep(REBIND_PAUSE).await,
+        }
+    }
+}
+
+async fn relay_connection(
+    caller: TcpStream,
+    target: SocketAddr,
+    mut state: watch::Receiver<LinkState>,
+) {
+    let born = state.borrow_and_update().change;
+    // A frozen link also holds the handshake with the target.
+    if state
+        .wait_for(|state| state.mode != LinkMode::Freeze)
+        .await
+        .is_err()
+    {
+        return;
+    }
+    let Ok(target) = TcpStream::connect(target).await else {
+        reset(&caller);
+        return;
+    };
+    if caller.set_nodelay(true).is_err() || target.set_nodelay(true).is_err() {
+        return;
+    }
+    let silenced = Arc::new(AtomicBool::new(false));
+    let (mut caller, mut target) = (caller, target);
+    let broken = {
+        let (caller_read, caller_write) = caller.split();
+        let (target_read, target_write) = target.split();
+        let forward = Pipe::new(Direction::ToTarget, born, &silenced, &state);
+        let back = Pipe::new(Direction::ToCaller, born, &silenced, &state);
+        tokio::select! {
+            result = async {
+                tokio::try_join!(
+                    forward.run(caller_read, target_write),
+                    back.run(target_read, caller_write),
+                )
+            } => result.is_err(),
+            _ = state.wait_for(|state| state.mode == LinkMode::Cut) => true,
+        }
+    };
+    if broken {
+        reset(&caller);
+        reset(&target);
+    }
+}
+
+/// Makes the kernel send a reset when the stream is dropped.
+fn reset(stream: &TcpStream) {
+    let _ = stream.set_zero_linger();
+}
+
+struct Pipe {
+    direction: Direction,
+    born: u64,
+    silenced: Arc<AtomicBool>,
+    state: watch::Receiver<LinkState>,
+}
+
+impl Pipe {
+    fn new(
+        direction: Direction,
+        born: u64,
+        silenced: &Arc<AtomicBool>,
+        state: &watch::Receiver<LinkState>,
+    ) -> Self {
+        Self {
+            direction,
+            born,
+            silenced: Arc::clone(silenced),
+            state: state.clone(),
+        }
+    }
+
+    /// Relays one direction until its end. The end of a swallowed direction is not passed on
+    /// either: the other side sees silence.
+    async fn run(
+        mut self,
+        mut reader: impl AsyncRead + Unpin,
+        writer: impl AsyncWrite + Unpin,
+    ) -> io::Result<()> {
+        let (sender, receiver) = mpsc::channel(QUEUE_CHUNKS);
+        let write = write_chunks(receiver, writer);
+        let read = async move {
+            let mut buffer = vec![0; CHUNK_BYTES];
+            loop {
+                let Some(count) = self.read_chunk(&mut reader, &mut buffer).await? else {
+                    return stay_silent(&mut reader, &mut buffer).await;
+                };
+                if !self.pass(buffer[..count].to_vec(), &sender).await {
+                    return stay_silent(&mut reader, &mut buffer).await;
+                }
+                if count == 0 {
+                    return Ok(());
+                }
+            }
+        };
+        tokio::try_join!(read, write).map(|_| ())
+    }
+
+    /// Reads, and returns `None` once the connection is silenced.
+    async fn read_chunk(
+        &mut self,
+        reader: &mut (impl AsyncRead + Unpin),
+        buffer: &mut [u8],
+    ) -> io::Result<Option<usize>> {
+        loop {
+            if self.is_silenced() {
+                return Ok(None);
+            }
+            tokio::select! {
+                result = reader.read(buffer) => match result {
+                    Ok(count) => return Ok(Some(count)),
+                    Err(error) => {
+                        self.wait_while_frozen().await;
+                        return Err(error);
+                    }
+                },
+                changed = self.state.changed() => changed.map_err(io::Error::other)?,
+            }
+        }
+    }
+
+    fn is_silenced(&mut self) -> bool {
+        let state = *self.state.borrow_and_update();
+        if state.mode == LinkMode::SilenceExisting && state.change > self.born {
+            self.silenced.store(true, Ordering::Relaxed);
+        }
+        self.silenced.load(Ordering::Relaxed)
+    }
+
+    async fn wait_while_frozen(&mut self) {
+        // The wait fails only when the proxy ends.
+        let _ = self
+            .state
+            .wait_for(|state| state.mode != LinkMode::Freeze)
+            .await;
+    }
+
+    /// Hands a chunk to the writer; `false` if the direction is swallowed from now on.
+    async fn pass(&mut self, chunk: Vec<u8>, sender: &mpsc::Sender<(Instant, Vec<u8>)>) -> bool {
+        self.wait_while_frozen().await;
+        let state = *self.state.borrow();
+        let one_way = state.mode == LinkMode::OneWay && self.direction == Direction::ToCaller;
+        if one_way || self.is_silenced() {
+            return false;
+        }
+        let delay = match state.mode {
+            LinkMode::Delay => Duration::from_millis(state.delay_ms),
+            _ => Duration::ZERO,
+        };
+        // A failed send means that the writer's side is closed; the reader ends by itself.
+        let _ = sender.send((Instant::now() + delay, chunk)).await;
+        true
+    }
+}
+
+/// Swallows everything until the connection is cut. A direction that lost bytes never passes any
+/// again, because TCP delivers no stream with a hole.
+async fn stay_silent(reader: &mut (impl AsyncRead + Unpin), buffer: &mut [u8]) -> io::Result<()> {
+    while !matches!(reader.read(buffer).await, Ok(0) | Err(_)) {}
+    std::future::pending().await
+}
+
+/// Writes chunks when they are due; an empty chunk ends the direction.
+async fn write_chunks(
+    mut chunks: mpsc::Receiver<(Instant, Vec<u8>)>,
+    mut writer: impl AsyncWrite + Unpin,
+) -> io::Result<()> {
+    while let Some((due, chunk)) = chunks.recv().await {
+        tokio::time::sleep_until(due).await;
+        if chunk.is_empty() {
+            return writer.shutdown().await;
+        }
+        writer.write_all(&chunk).await?;
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/mimosagap-standins/src/store/fault.rs
@@ -0,0 +1,72 @@
+//! Faults of the store.
+
+use std::time::Duration;
+
+use serde::Deserialize;
+
+use super::meter::CallKind;
+use super::wire;
+
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub(super) enum FaultKind {
+    #[default]
+    None,
+    Down,
+    Slow,
+    LoseAnswers,
+}
+
+/// The body of `POST /control/fault`.
+#[derive(Debug, Clone, Default, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(super) struct Fault {
+    pub(super) kind: FaultKind,
+    #[serde(default)]
+    delay_ms: u64,
+    /// How many calls are hit; absent: until the fault is changed.
+    #[serde(default)]
+    count: Option<u64>,
+    /// Hits only calls that name a key with this prefix; absent: all calls.
+    #[serde(default)]
+    key_prefix: Option<String>,
+}
+
+/// What happens to one call.
+#[derive(Debug, Clone, Copy)]
+pub(super) enum FaultAction {
+    None,
+    Refuse,
+    Delay(Duration),
+    LoseAnswer,
+}
+
+impl Fault {
+    pub(super) fn is_down(&self) -> bool {
+        self.kind == FaultKind::Down && self.key_prefix.is_none()
+    }
+
+    /// The fate of a call; counts it if it is hit.
+    pub(super) fn take(&mut self, kind: CallKind, body: &[u8]) -> FaultAction {
+        let action = match self.kind {
+            FaultKind::None => return FaultAction::None,
+            FaultKind::Down => FaultAction::Refuse,
+            FaultKind::Slow => FaultAction::Delay(Duration::from_millis(self.delay_ms)),
+            // Only the answer to a write leaves its caller in doubt.
+            FaultKind::LoseAnswers if !kind.is_write() => return FaultAction::None,
+            FaultKind::LoseAnswers => FaultAction::LoseAnswer,
+        };
+        if let Some(prefix) = &self.key_prefix
+            && !wire::names_key_with_prefix(body, prefix.as_bytes())
+        {
+            return FaultAction::None;
+        }
+        if let Some(count) = &mut self.count {
+            *count = count.saturating_sub(1);
+            if *count == 0 {
+                *self = Self::default();
+            }
+        }
+        action
+    }
+}
