feat(standins): model engine stand-in

The daemon, the scenario tests and the experiments need an engine whose memory can fill in mid-decode. The batch scheduler is a pure struct that is stepped; HTTP, pacing, cache events, late reports and statistics stand around it.

--- /dev/null
+++ b/crates/mimosagap-standins/src/engine/options.rs
@@ -0,0 +1,109 @@
+//! The engine's command line.
+
+use std::net::SocketAddr;
+use std::str::FromStr;
+use std::time::Duration;
+
+use crate::engine::EngineError;
+use crate::engine::batch::BatchOptions;
+
+/// Whether commands with an old fencing number are refused.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum FencingMode {
+    Check,
+    Ignore,
+}
+
+impl FromStr for FencingMode {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        match text {
+            "check" => Ok(Self::Check),
+            "ignore" => Ok(Self::Ignore),
+            _ => Err(format!("\"{text}\" is neither check nor ignore")),
+        }
+    }
+}
+
+/// How long a step takes.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct StepCost {
+    pub(crate) base: Duration,
+    pub(crate) per_stream: Duration,
+    pub(crate) per_prefill_token: Duration,
+}
+
+impl StepCost {
+    pub(crate) fn of(&self, streams: u32, prefill_tokens: u32) -> Duration {
+        self.base + self.per_stream * streams + self.per_prefill_token * prefill_tokens
+    }
+}
+
+/// All options.
+#[derive(Debug)]
+pub(crate) struct EngineOptions {
+    pub(crate) listen: SocketAddr,
+    pub(crate) models: Vec<String>,
+    pub(crate) batch: BatchOptions,
+    pub(crate) cost: StepCost,
+    pub(crate) fencing: FencingMode,
+    pub(crate) seed: u64,
+    pub(crate) linger: Duration,
+    pub(crate) keep: Duration,
+    pub(crate) cache_lag: Duration,
+}
+
+impl EngineOptions {
+    pub(crate) fn parse(mut arguments: pico_args::Arguments) -> Result<Self, EngineError> {
+        let options = Self {
+            listen: arguments.value_from_str("--listen")?,
+            models: arguments.values_from_str("--model")?,
+            batch: BatchOptions {
+                memory_tokens: number(&mut arguments, "--memory-tokens", 100_000)?,
+                max_streams: number(&mut arguments, "--max-streams", 256)?,
+                prefill_chunk: number(&mut arguments, "--prefill-chunk", 2_048)?,
+            },
+            cost: StepCost {
+                base: millis(&mut arguments, "--step-ms", 20)?,
+                per_stream: Duration::from_micros(number(&mut arguments, "--stream-us", 10)?),
+                per_prefill_token: Duration::from_micros(number(
+                    &mut arguments,
+                    "--prefill-us",
+                    20,
+                )?),
+            },
+            fencing: number(&mut arguments, "--fencing", FencingMode::Check)?,
+            seed: number(&mut arguments, "--seed", 1)?,
+            linger: millis(&mut arguments, "--linger-ms", 10_000)?,
+            keep: millis(&mut arguments, "--keep-ms", 300_000)?,
+            cache_lag: millis(&mut arguments, "--cache-lag-ms", 500)?,
+        };
+        match arguments.finish().first() {
+            None => Ok(options),
+            Some(rest) => Err(EngineError::UnknownOption(
+                rest.to_string_lossy().into_owned(),
+            )),
+        }
+    }
+}
+
+fn number<T>(
+    arguments: &mut pico_args::Arguments,
+    name: &'static str,
+    default: T,
+) -> Result<T, pico_args::Error>
+where
+    T: FromStr,
+    T::Err: std::fmt::Display,
+{
+    Ok(arguments.opt_value_from_str(name)?.unwrap_or(default))
+}
+
+fn millis(
+    arguments: &mut pico_args::Arguments,
+    name: &'static str,
+    default: u64,
+) -> Result<Duration, pico_args::Error> {
+    number(arguments, name, default).map(Duration::from_millis)
+}
--- /dev/null
+++ b/crates/mimosagap-standins/src/engine/stats.rs
@@ -0,0 +1,106 @@
+//! Counters for tests and experiments.
+
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use serde::Serialize;
+
+/// A gap between two tokens beyond this is a stall.
+const STALL_THRESHOLD: Duration = Duration::from_millis(250);
+
+/// Upper bounds of the stall histogram's buckets, in milliseconds of stall.
+const STALL_BOUNDS_MS: [u64; 6] = [250, 500, 1_000, 2_000, 5_000, 10_000];
+
+/// Generations listed; older ones are counted only.
+const LISTED_GENERATIONS: usize = 50_000;
+
+/// One generation that was started.
+#[derive(Debug, Clone, Serialize)]
+pub(crate) struct GenerationRecord {
+    pub(crate) id: String,
+    /// Wall-clock time in milliseconds since 1970.
+    pub(crate) started_ms: u64,
+    /// `metadata.request`, by which the load tool recognises its requests.
+    pub(crate) request: Option<String>,
+}
+
+/// A histogram of stalls; `counts` has one more entry than `bounds_ms`.
+#[derive(Debug, Clone, Serialize)]
+pub(crate) struct StallHistogram {
+    bounds_ms: [u64; STALL_BOUNDS_MS.len()],
+    counts: [u64; STALL_BOUNDS_MS.len() + 1],
+    total_ms: u64,
+}
+
+/// What happened since the process started.
+#[derive(Debug, Clone, Serialize)]
+pub(crate) struct EngineStats {
+    pub(crate) started: u64,
+    pub(crate) completed: u64,
+    pub(crate) cancelled: u64,
+    pub(crate) failed: u64,
+    pub(crate) tokens: u64,
+    pub(crate) prefilled_tokens: u64,
+    pub(crate) recomputed_tokens: u64,
+    pub(crate) preemptions: u64,
+    pub(crate) steps: u64,
+    pub(crate) memory_peak: u64,
+    pub(crate) stalls: StallHistogram,
+    pub(crate) left_at_ms: Option<u64>,
+    pub(crate) generations: Vec<GenerationRecord>,
+}
+
+impl EngineStats {
+    pub(crate) fn new() -> Self {
+        Self {
+            started: 0,
+            completed: 0,
+            cancelled: 0,
+            failed: 0,
+            tokens: 0,
+            prefilled_tokens: 0,
+            recomputed_tokens: 0,
+            preemptions: 0,
+            steps: 0,
+            memory_peak: 0,
+            stalls: StallHistogram {
+                bounds_ms: STALL_BOUNDS_MS,
+                counts: [0; STALL_BOUNDS_MS.len() + 1],
+                total_ms: 0,
+            },
+            left_at_ms: None,
+            generations: Vec::new(),
+        }
+    }
+
+    pub(crate) fn record_start(&mut self, id: &str, request: Option<String>) {
+        self.started += 1;
+        if self.generations.len() < LISTED_GENERATIONS {
+            self.generations.push(GenerationRecord {
+                id: id.to_owned(),
+                started_ms: wall_ms(),
+                request,
+            });
+        }
+    }
+
+    pub(crate) fn record_gap(&mut self, gap: Duration) {
+        let Some(stall) = gap.checked_sub(STALL_THRESHOLD).filter(|s| !s.is_zero()) else {
+            return;
+        };
+        let stall_ms = u64::try_from(stall.as_millis()).unwrap_or(u64::MAX);
+        let bucket = STALL_BOUNDS_MS
+            .iter()
+            .position(|bound| stall_ms <= *bound)
+            .unwrap_or(STALL_BOUNDS_MS.len());
+        self.stalls.counts[bucket] += 1;
+        self.stalls.total_ms += stall_ms;
+    }
+}
+
+/// The wall-clock time in milliseconds since 1970.
+pub(crate) fn wall_ms() -> u64 {
+    let since = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
+    u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
+}
