--- a/crates/mimosagap-standins/src/lib.rs
+++ b/crates/mimosagap-standins/src/lib.rs
@@ -3,6 +3,7 @@
 //! Each module is one subcommand of the binary `mimosagap-standins`.
 #![deny(unsafe_code, missing_docs)]
 
+pub mod engine;
 pub mod hosts;
 pub mod http;
 pub mod proxy;
--- a/crates/mimosagap-standins/src/main.rs
+++ b/crates/mimosagap-standins/src/main.rs
@@ -2,10 +2,10 @@
 
 use std::process::ExitCode;
 
-use mimosagap_standins::{hosts, proxy, service, store, weights};
+use mimosagap_standins::{engine, hosts, proxy, service, store, weights};
 use pico_args::Arguments;
 
-const USAGE: &str = "usage: mimosagap-standins store|hosts|service|weights|proxy --listen IP:PORT \
+const USAGE: &str = "usage: mimosagap-standins store|hosts|engine|service|weights|proxy --listen IP:PORT \
                      [options]; the options are listed in docs/design.md, section 10";
 
 fn main() -> ExitCode {
@@ -13,6 +13,7 @@
     let result = match arguments.subcommand() {
         Ok(Some(name)) => match name.as_str() {
             "store" => store::run(arguments),
+            "engine" => engine::run(arguments).map_err(Into::into),
             "hosts" => hosts::run(arguments),
             "service" => service::run(arguments),
             "weights" => weights::run(arguments),
