feat(store): typed rules deltas and health of the store

Purpose: the command-line tool and the daemons share one delta type, and control tasks have to know whether the store answers before they queue work for it.

Change: delta records hold RulesDelta of mimosagap-rules, as do the peers' answers to a rules pull; StoreClient::health tells the time of the last answer and the failures since.

--- a/crates/mimosagap-peer/src/lib.rs
+++ b/crates/mimosagap-peer/src/lib.rs
@@ -17,5 +17,5 @@
 pub use client::{ClientOptions, ExchangeOptions, ExchangeOutcome, PeerClient};
 pub use counters::{FaultCounts, PeerCounters, PeerCounts};
 pub use error::{ExchangeError, Fault};
-pub use message::{Digest, NoticeMessage, PeerMember, Reply, Request, RulesAnswer, RulesDelta};
+pub use message::{Digest, NoticeMessage, PeerMember, Reply, Request, RulesAnswer};
 pub use server::{Incoming, ServerOptions, serve};
--- a/crates/mimosagap-peer/src/message.rs
+++ b/crates/mimosagap-peer/src/message.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use mimosagap_core::{Member, Notice};
+use mimosagap_rules::RulesDelta;
 use mimosagap_types::prelude::*;
 use serde::{Deserialize, Serialize};
 
@@ -63,17 +64,6 @@
     pub notice: Notice,
 }
 
-/// The change between two revisions of the rules.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct RulesDelta {
-    /// The revision to which the delta applies.
-    pub base: RulesRevision,
-    /// The revision that results.
-    pub revision: RulesRevision,
-    /// The delta in the encoding of `mimosagap-rules`.
-    pub delta: String,
-}
-
 /// The first message of an exchange.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Request {
--- a/crates/mimosagap-store/src/client.rs
+++ b/crates/mimosagap-store/src/client.rs
@@ -2,8 +2,8 @@
 
 use std::io::BufReader;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, PoisonError};
-use std::time::Duration;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
 
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -39,6 +39,16 @@
     options: Options,
     agent: Mutex<Agent>,
     counters: CallCounters,
+    health: Mutex<StoreHealth>,
+}
+
+/// How the latest calls went.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct StoreHealth {
+    /// When the store answered last, whatever it said.
+    pub answered: Option<Instant>,
+    /// Calls since then that showed the store as unreachable.
+    pub failures: u32,
 }
 
 impl StoreClient {
@@ -50,6 +60,7 @@
                 options,
                 agent: Mutex::new(call_agent(&options)),
                 counters: CallCounters::default(),
+                health: Mutex::default(),
             }),
         }
     }
@@ -60,6 +71,33 @@
         self.shared.counters.snapshot()
     }
 
+    /// How the latest calls of all clones went.
+    #[must_use]
+    pub fn health(&self) -> StoreHealth {
+        *self.lock_health()
+    }
+
+    fn lock_health(&self) -> MutexGuard<'_, StoreHealth> {
+        let health = self.shared.health.lock();
+        health.unwrap_or_else(PoisonError::into_inner)
+    }
+
+    pub(crate) fn note_answer(&self) {
+        *self.lock_health() = StoreHealth {
+            answered: Some(Instant::now()),
+            failures: 0,
+        };
+    }
+
+    fn note_failure(&self, error: &CallError) {
+        if error.is_unreachable() {
+            let mut health = self.lock_health();
+            health.failures = health.failures.saturating_add(1);
+        } else {
+            self.note_answer();
+        }
+    }
+
     pub(crate) fn call<Q, A>(&self, kind: CallKind, request: &Q) -> Result<A, CallError>
     where
         Q: Serialize,
@@ -74,8 +112,10 @@
                     .read_json()
                     .map_err(|error| CallError::from_transport(&error))
             })
+            .inspect(|_| self.note_answer())
             .inspect_err(|error| {
                 self.shared.counters.failed(kind, error);
+                self.note_failure(error);
                 self.discard_connections(error);
             })
     }
@@ -91,7 +131,11 @@
         self.shared.counters.called(kind);
         self.send(&agent, kind, request)
             .map(|body| BufReader::new(body.into_with_config().limit(u64::MAX).reader()))
-            .inspect_err(|error| self.shared.counters.failed(kind, error))
+            .inspect(|_| self.note_answer())
+            .inspect_err(|error| {
+                self.shared.counters.failed(kind, error);
+                self.note_failure(error);
+            })
     }
 
     fn send<Q: Serialize>(
--- a/crates/mimosagap-store/src/rules.rs
+++ b/crates/mimosagap-store/src/rules.rs
@@ -4,6 +4,7 @@
 use std::thread;
 use std::time::Duration;
 
+use mimosagap_rules::RulesDelta;
 use mimosagap_types::prelude::*;
 use serde::{Deserialize, Serialize};
 
@@ -33,12 +34,8 @@
 /// The change from one revision to the next.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct DeltaRecord {
-    /// The revision to which the delta applies.
-    pub base: RulesRevision,
-    /// The revision that results.
-    pub revision: RulesRevision,
-    /// The delta in the encoding of `mimosagap-rules`.
-    pub delta: String,
+    /// The change.
+    pub delta: RulesDelta,
     /// The writer's mark, by which it knows its own write when the store's answer is lost.
     pub nonce: Nonce,
 }
@@ -58,12 +55,10 @@
 pub struct ApplyOptions {
     /// The mod revision of the record that the operator started from.
     pub base_mod_revision: u64,
-    /// The rules revision of that record.
-    pub base: RulesRevision,
     /// The new text.
     pub text: String,
-    /// The delta from the base to the new text, in the encoding of `mimosagap-rules`.
-    pub delta: String,
+    /// The delta from the base to the new text.
+    pub delta: RulesDelta,
 }
 
 /// What became of a change.
@@ -152,21 +147,20 @@
     /// # Panics
     /// Never: both records can be written as JSON.
     pub fn apply_rules(&self, options: &ApplyOptions) -> Result<ApplyOutcome, RulesError> {
-        let delta = DeltaRecord {
-            base: options.base,
-            revision: RulesRevision(options.base.0 + 1),
+        let record = DeltaRecord {
             delta: options.delta.clone(),
             nonce: Nonce::random(),
         };
-        let transaction = apply_transaction(options, &delta);
+        let revision = record.delta.revision;
+        let transaction = apply_transaction(options, &record);
         let mut pause = FIRST_PAUSE;
         let mut fate_unknown = false;
         for _ in 0..MAX_ATTEMPTS {
             match self.txn(transaction.clone()) {
                 Ok(outcome) if outcome.succeeded => {
-                    return Ok(ApplyOutcome::Applied(delta.revision));
+                    return Ok(ApplyOutcome::Applied(revision));
                 }
-                Ok(outcome) => return judge_conflict(&outcome.entries(), &delta),
+                Ok(outcome) => return judge_conflict(&outcome.entries(), &record),
                 Err(CallError::NotApplied(NotApplied::TooManyCalls)) => {}
                 Err(error @ CallError::NotApplied(_)) if !fate_unknown => return Err(error.into()),
                 Err(CallError::NotApplied(_)) => {}
@@ -183,19 +177,20 @@
     }
 }
 
-fn apply_transaction(options: &ApplyOptions, delta: &DeltaRecord) -> TxnOptions {
+fn apply_transaction(options: &ApplyOptions, record: &DeltaRecord) -> TxnOptions {
+    let revision = record.delta.revision;
     let text = RulesRecord {
-        revision: delta.revision,
+        revision,
         text: options.text.clone(),
     };
     let text = serde_json::to_vec(&text).expect("rules have only types that JSON can hold");
-    let value = serde_json::to_vec(delta).expect("a delta has only types that JSON can hold");
-    let delta_key = keys::rules_delta(delta.revision);
+    let value = serde_json::to_vec(record).expect("a delta has only types that JSON can hold");
+    let delta_key = keys::rules_delta(revision);
     let mut success = vec![
         Operation::Put(PutOptions::new(keys::RULES_TEXT, text)),
         Operation::Put(PutOptions::new(&delta_key, value)),
     ];
-    if let Some(oldest) = delta.revision.0.checked_sub(KEPT_DELTAS) {
+    if let Some(oldest) = revision.0.checked_sub(KEPT_DELTAS) {
         let first = keys::rules_delta(RulesRevision(0));
         let end = keys::rules_delta(RulesRevision(oldest + 1));
         success.push(Operation::Delete(DeleteOptions::with_end(&first, &end)));
@@ -211,12 +206,13 @@
 
 /// The compare failed: either an earlier attempt of this very change took effect, which its delta
 /// shows even if somebody applied the next change on top of it, or somebody else was first.
-fn judge_conflict(entries: &[KeyValue], delta: &DeltaRecord) -> Result<ApplyOutcome, RulesError> {
+fn judge_conflict(entries: &[KeyValue], record: &DeltaRecord) -> Result<ApplyOutcome, RulesError> {
+    let revision = record.delta.revision;
     let find = |key: &str| entries.iter().find(|entry| entry.key == key);
     let found =
-        find(&keys::rules_delta(delta.revision)).and_then(|entry| DeltaRecord::parse(&entry.value));
-    if found.is_some_and(|found| found.nonce == delta.nonce) {
-        return Ok(ApplyOutcome::Applied(delta.revision));
+        find(&keys::rules_delta(revision)).and_then(|entry| DeltaRecord::parse(&entry.value));
+    if found.is_some_and(|found| found.nonce == record.nonce) {
+        return Ok(ApplyOutcome::Applied(revision));
     }
     let current = StoredRules::from_entry(find(keys::RULES_TEXT))?;
     Ok(ApplyOutcome::Conflict(current))
--- a/crates/mimosagap-store/src/watch.rs
+++ b/crates/mimosagap-store/src/watch.rs
@@ -98,6 +98,7 @@
 
 /// An open watch.
 pub struct Watch {
+    client: StoreClient,
     reader: BufReader<ureq::BodyReader<'static>>,
     line: Vec<u8>,
 }
@@ -179,6 +180,7 @@
             .stream(&request, options.silence)
             .map_err(WatchError::Call)?;
         Ok(Watch {
+            client: self.clone(),
             reader,
             line: Vec::new(),
         })
@@ -204,6 +206,7 @@
         if line.result.canceled {
             return Err(WatchError::Cancelled);
         }
+        self.client.note_answer();
         Ok(WatchBatch {
             revision: line.result.header.revision.0,
             changes: line.result.events.into_iter().map(Change::from).collect(),
--- a/crates/mimosagap-store/tests/records.rs
+++ b/crates/mimosagap-store/tests/records.rs
@@ -4,6 +4,7 @@
 
 use std::time::Duration;
 
+use mimosagap_rules::RulesDelta;
 use mimosagap_store::claims::{
     ClaimOptions, ClaimOutcome, ClaimRecord, ClaimRequest, ClaimState, FinishOptions,
     FinishOutcome, FinishRequest, OrderResult, ResultBody,
@@ -185,9 +186,8 @@
 fn change(base: &mimosagap_store::rules::StoredRules, text: &str) -> ApplyOptions {
     ApplyOptions {
         base_mod_revision: base.mod_revision,
-        base: base.record.revision,
         text: text.to_owned(),
-        delta: format!("delta to {text}"),
+        delta: RulesDelta::between(base.record.revision, &base.record.text, text),
     }
 }
 
