feat(daemon): control tasks for store and peers

Purpose: keep a daemon in step with the store and its peers, and carry out the reducer's effects that concern them.

Change: membership under a lease, one watch on the control records with a fresh read after each break, rules from deltas, texts and peers, batched claims and results, suspicions and trials, lender slots, credit, digests and notices, with counters. Not tested yet beyond compiling; tests follow.

--- a/crates/mimosagap-daemon/src/control/mod.rs
+++ b/crates/mimosagap-daemon/src/control/mod.rs
@@ -4,13 +4,36 @@
 //! Its findings reach the reducer as events; the reducer's wishes come in through
 //! [`ControlHandle::carry_out`].
 
+mod backoff;
+mod bounded;
+mod claims;
+mod counters;
+mod credit;
+mod digests;
+mod fleet;
+mod lenders;
+mod membership;
+mod notices;
+mod peers;
+mod results;
+mod rules;
+mod shared;
+mod slots;
+mod store;
+mod suspects;
+mod watch;
+
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 
-use mimosagap_core::{Effect, Member};
+use mimosagap_core::{Effect, Member, Notice};
 use mimosagap_settings::Settings;
 use mimosagap_types::prelude::*;
 
 use crate::driver::EventSender;
+use shared::Control;
+
+pub use counters::ControlCounts;
 
 /// What the control tasks need.
 #[derive(Clone)]
@@ -39,45 +62,101 @@
 /// Access to the control tasks. Cheap to clone; no call blocks.
 #[derive(Clone)]
 pub struct ControlHandle {
-    options: Arc<ControlOptions>,
+    control: Arc<Control>,
 }
 
 impl ControlHandle {
     /// Starts the control tasks on the current runtime.
     #[must_use]
     pub fn start(options: ControlOptions) -> Self {
-        Self {
-            options: Arc::new(options),
-        }
+        let (control, jobs) = Control::new(options);
+        membership::start(&control);
+        watch::start(&control);
+        lenders::start(&control);
+        claims::start(&control, jobs.claims);
+        results::start(&control, jobs.results);
+        suspects::start(&control);
+        peers::start(&control);
+        digests::start(&control);
+        Self { control }
     }
 
     /// Carries out an effect which concerns the store or the peers: `Claim`, `RecordNotRun`,
     /// `RecordSuspicions`, `TakeTrial`, `EndTrial`, `Spread`, `AskCredit` and `AnswerCredit`.
-    pub fn carry_out(&self, _effect: Effect) {
-        let _ = &self.options;
+    pub fn carry_out(&self, effect: Effect) {
+        let control = &self.control;
+        match effect {
+            Effect::Claim {
+                ticket,
+                key,
+                digest,
+            } => claims::claim(control, ticket, key, digest),
+            Effect::RecordNotRun { key, .. } => results::record_not_run(control, key),
+            Effect::RecordSuspicions { suspects } => suspects::record(control, suspects),
+            Effect::TakeTrial {
+                ticket,
+                digest,
+                target,
+            } => suspects::take_trial(control, ticket, digest, target),
+            Effect::EndTrial { digest, state } => suspects::end_trial(control, digest, state),
+            Effect::Spread(notice) => notices::spread(control, notice),
+            Effect::AskCredit {
+                holder,
+                team,
+                wanted,
+            } => credit::ask(control, holder, team, wanted),
+            Effect::AnswerCredit {
+                question, granted, ..
+            } => credit::answer(control, question, granted),
+            _ => {}
+        }
     }
 
     /// Records the answer of an order in its claim.
-    pub fn record_result(&self, _key: OrderKey, _answer: RecordedAnswer) {}
+    pub fn record_result(&self, key: OrderKey, answer: RecordedAnswer) {
+        results::record_result(&self.control, key, answer);
+    }
 
     /// The recorded answer of an order for which `ClaimAnswer::Ran` was reported.
     #[must_use]
-    pub fn take_recorded(&self, _ticket: RequestTicket) -> Option<RecordedAnswer> {
-        None
+    pub fn take_recorded(&self, ticket: RequestTicket) -> Option<RecordedAnswer> {
+        self.control.claims.take_recorded(ticket)
     }
 
     /// The members known last.
     #[must_use]
     pub fn members(&self) -> Vec<Member> {
-        Vec::new()
+        self.control.fleet().members()
     }
 
     /// Marks this daemon as leaving in its membership record and tells the peers.
-    pub fn set_leaving(&self) {}
+    pub fn set_leaving(&self) {
+        if self.control.leaving.swap(true, Ordering::SeqCst) {
+            return;
+        }
+        self.control.membership_stale();
+        let daemon = self.control.options.daemon.clone();
+        notices::spread(&self.control, Notice::DaemonLeaving { daemon });
+    }
 
     /// Gives the peers' next digests the tokens placed lately on each engine.
-    pub fn set_placements(&self, _placements: Vec<(TargetAddress, u64)>) {}
+    pub fn set_placements(&self, placements: Vec<(TargetAddress, u64)>) {
+        self.control.set_placements(placements);
+    }
+
+    /// What the control tasks did so far.
+    #[must_use]
+    pub fn counters(&self) -> ControlCounts {
+        self.control.counts()
+    }
 
     /// Gives up the lease, so that the membership record goes at once. Called last.
-    pub fn stop(&self) {}
+    pub fn stop(&self) {
+        self.control.stop.send_replace(true);
+    }
+
+    /// Waits after [`Self::stop`] until the lease is given up, 1 s at most.
+    pub async fn stopped(&self) {
+        membership::stopped(&self.control).await;
+    }
 }
