fix(daemon): keep later slot holders when own changes arrive late

Cause: a slot taken or given up was written into the view after the store's answer, even if the watch had already shown a later holder.

Change: own changes apply only up to their fencing number. The members come from the records while the watch is up, and from peers while it is not. The store in memory of the tests can refuse connections.

--- a/crates/mimosagap-daemon/src/control/fleet.rs
+++ b/crates/mimosagap-daemon/src/control/fleet.rs
@@ -82,6 +82,8 @@
 
     pub(super) fn store_all(&mut self, members: impl Iterator<Item = Member>) {
         self.stored = members.map(|member| (member.id.clone(), member)).collect();
+        let stored = &self.stored;
+        self.heard.retain(|id, _| stored.contains_key(id));
     }
 
     pub(super) fn store(&mut self, member: Member) {
--- a/crates/mimosagap-daemon/src/control/lenders.rs
+++ b/crates/mimosagap-daemon/src/control/lenders.rs
@@ -105,7 +105,7 @@
             lease: Some(lease.id),
             fence,
         };
-        control.slots().set(slot, Some(holder), control.now());
+        control.slots().note_taken(slot, holder, control.now());
         control.counters.slots_taken.add(1);
         changed(control);
     }
@@ -137,12 +137,12 @@
             .store
             .call(move |client| client.release_slot(options))
             .await;
-        let mut slots = control.slots();
         if result.is_ok() {
-            slots.set(slot, None, control.now());
+            control.slots().note_released(slot, fence, control.now());
             control.counters.slots_released.add(1);
+        } else {
+            control.slots().abort_release(slot);
         }
-        slots.end_release(slot);
     }
     changed(control);
 }
--- a/crates/mimosagap-daemon/src/control/membership.rs
+++ b/crates/mimosagap-daemon/src/control/membership.rs
@@ -31,10 +31,17 @@
     tokio::spawn(run(Arc::clone(control)));
 }
 
-/// Waits until the lease is given up.
+/// Waits until the lease is given up and the last results are written.
 pub(super) async fn stopped(control: &Control) {
-    let mut gone = control.lease_gone.subscribe();
-    let _ = tokio::time::timeout(STOP_TIMEOUT, gone.wait_for(|gone| *gone)).await;
+    let (mut lease, mut results) = (
+        control.lease_gone.subscribe(),
+        control.results_gone.subscribe(),
+    );
+    let both = async {
+        let _ = lease.wait_for(|gone| *gone).await;
+        let _ = results.wait_for(|gone| *gone).await;
+    };
+    let _ = tokio::time::timeout(STOP_TIMEOUT, both).await;
 }
 
 async fn run(control: Arc<Control>) {
--- a/crates/mimosagap-daemon/src/control/mod.rs
+++ b/crates/mimosagap-daemon/src/control/mod.rs
@@ -155,7 +155,8 @@
         self.control.stop.send_replace(true);
     }
 
-    /// Waits after [`Self::stop`] until the lease is given up, 1 s at most.
+    /// Waits after [`Self::stop`] until the lease is given up and the last results are written,
+    /// 1 s at most.
     pub async fn stopped(&self) {
         membership::stopped(&self.control).await;
     }
--- a/crates/mimosagap-daemon/src/control/results.rs
+++ b/crates/mimosagap-daemon/src/control/results.rs
@@ -95,6 +95,7 @@
     }
     drain(&control, &mut jobs, &mut pending);
     while !pending.is_empty() && write_batch(&control, &mut pending).await {}
+    control.results_gone.send_replace(true);
 }
 
 fn drain(
--- a/crates/mimosagap-daemon/src/control/shared.rs
+++ b/crates/mimosagap-daemon/src/control/shared.rs
@@ -47,11 +47,14 @@
     pub(super) credit_room: Arc<Semaphore>,
     pub(super) leaving: AtomicBool,
     pub(super) pulling: AtomicBool,
+    /// Whether the watch shows the store's records as they are.
+    pub(super) is_watching: AtomicBool,
     /// Wakes the membership task before its next renewal.
     pub(super) member_wake: Notify,
     pub(super) member_dirty: AtomicBool,
     pub(super) stop: watch::Sender<bool>,
     pub(super) lease_gone: watch::Sender<bool>,
+    pub(super) results_gone: watch::Sender<bool>,
     fleet: Mutex<FleetView>,
     rules: Mutex<RulesKeeper>,
     slots: Mutex<SlotTable>,
@@ -101,10 +104,12 @@
             credit_room: Arc::new(Semaphore::new(MAX_CREDIT_ASKS)),
             leaving: AtomicBool::new(false),
             pulling: AtomicBool::new(false),
+            is_watching: AtomicBool::new(false),
             member_wake: Notify::new(),
             member_dirty: AtomicBool::new(false),
             stop: watch::Sender::new(false),
             lease_gone: watch::Sender::new(false),
+            results_gone: watch::Sender::new(false),
             fleet: Mutex::new(fleet),
             rules: Mutex::default(),
             slots: Mutex::default(),
@@ -169,7 +174,7 @@
 
     /// Reports the members if they differ from the last report.
     pub(super) fn members_changed(&self) {
-        let store_is_current = self.store.is_available();
+        let store_is_current = self.is_watching.load(Ordering::SeqCst);
         let changed = self
             .fleet()
             .refresh(self.member(), self.now(), store_is_current);
@@ -187,7 +192,7 @@
     /// out of reach, these include the addresses in the settings.
     pub(super) fn peer_addresses(&self) -> Vec<SocketAddr> {
         let own = self.options.settings.listen.peers;
-        let mut addresses = if self.store.is_available() {
+        let mut addresses = if self.is_watching.load(Ordering::SeqCst) {
             self.fleet().peer_addresses()
         } else {
             let mut known = self.fleet().known_addresses();
--- a/crates/mimosagap-daemon/src/control/slots.rs
+++ b/crates/mimosagap-daemon/src/control/slots.rs
@@ -50,6 +50,25 @@
         }
     }
 
+    /// Takes over a slot that this daemon took, unless the watch has shown a later holder.
+    pub(super) fn note_taken(&mut self, slot: u16, holder: SlotHolder, now: Instant) {
+        let known = self.slots.get(usize::from(slot));
+        let known_fence = known.and_then(|slot| slot.holder.as_ref());
+        if known_fence.is_none_or(|known| known.fence <= holder.fence) {
+            self.set(slot, Some(holder), now);
+        }
+    }
+
+    /// Takes over that a slot was given up, unless the watch has shown a later holder.
+    pub(super) fn note_released(&mut self, slot: u16, fence: u64, now: Instant) {
+        self.releasing.remove(&slot);
+        let known = self.slots.get(usize::from(slot));
+        let holder = known.and_then(|slot| slot.holder.as_ref());
+        if holder.is_some_and(|holder| holder.fence == fence) {
+            self.set(slot, None, now);
+        }
+    }
+
     /// Takes over all slots.
     pub(super) fn set_all(&mut self, holders: &[(u16, SlotHolder)], now: Instant) {
         for slot in 0..LENDER_SLOTS {
@@ -94,7 +113,8 @@
         Some(fence)
     }
 
-    pub(super) fn end_release(&mut self, slot: u16) {
+    /// Takes over that a slot could not be given up.
+    pub(super) fn abort_release(&mut self, slot: u16) {
         self.releasing.remove(&slot);
     }
 
--- a/crates/mimosagap-daemon/src/control/watch.rs
+++ b/crates/mimosagap-daemon/src/control/watch.rs
@@ -2,6 +2,7 @@
 //! break.
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -84,7 +85,6 @@
 }
 
 async fn apply_all(control: Arc<Control>, mut updates: mpsc::Receiver<Update>) {
-    let mut is_up = false;
     loop {
         let update = tokio::select! {
             update = updates.recv() => update,
@@ -96,12 +96,12 @@
         match update {
             Update::Read(read) => {
                 apply_read(&control, &read);
-                is_up = true;
+                control.is_watching.store(true, Ordering::SeqCst);
             }
             Update::Changes(batch) => apply_changes(&control, &batch),
             Update::Broken(error) => {
                 control.counters.watch_breaks.add(1);
-                if std::mem::take(&mut is_up) {
+                if control.is_watching.swap(false, Ordering::SeqCst) {
                     log::warn!("event=watch_broken cause={error:?}");
                 }
             }
--- a/crates/mimosagap-store/tests/support/mod.rs
+++ b/crates/mimosagap-store/tests/support/mod.rs
@@ -4,7 +4,7 @@
 use std::collections::{BTreeMap, HashMap};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -39,6 +39,8 @@
     swallow: AtomicU32,
     watch_generation: AtomicU64,
     silent_watches: AtomicU64,
+    down: AtomicBool,
+    calls: Mutex<HashMap<String, u64>>,
 }
 
 /// A running store.
@@ -53,12 +55,7 @@
         let address = listener.local_addr().unwrap();
         let shared = Arc::new(Shared::default());
         let accepted = Arc::clone(&shared);
-        thread::spawn(move || {
-            for stream in listener.incoming().flatten() {
-                let shared = Arc::clone(&accepted);
-                thread::spawn(move || serve(&shared, stream));
-            }
-        });
+        thread::spawn(move || accept_all(listener, address, &accepted));
         Self { address, shared }
     }
 
@@ -97,6 +94,20 @@
             .store(u64::from(silent), Ordering::SeqCst);
     }
 
+    /// Refuses connections and ends all open ones, or serves again.
+    pub fn set_down(&self, down: bool) {
+        self.shared.down.store(down, Ordering::SeqCst);
+        self.break_watches();
+        // The accepting thread looks every 5 ms.
+        thread::sleep(Duration::from_millis(30));
+    }
+
+    /// How often a path was called.
+    pub fn calls(&self, path: &str) -> u64 {
+        let calls = self.shared.calls.lock().unwrap();
+        calls.get(path).copied().unwrap_or(0)
+    }
+
     pub fn lapse_all_leases(&self) {
         let mut state = self.shared.state.lock().unwrap();
         let leases: Vec<u64> = state.leases.keys().copied().collect();
@@ -277,9 +288,39 @@
     value.as_str().unwrap().parse().unwrap()
 }
 
+fn accept_all(listener: TcpListener, address: SocketAddr, shared: &Arc<Shared>) {
+    let mut listener = Some(listener);
+    loop {
+        if shared.down.load(Ordering::SeqCst) {
+            listener = None;
+        } else if listener.is_none() {
+            listener = TcpListener::bind(address).ok();
+        }
+        if let Some(listener) = &listener {
+            listener.set_nonblocking(true).unwrap();
+            while let Ok((stream, _)) = listener.accept() {
+                stream.set_nonblocking(false).unwrap();
+                stream.set_nodelay(true).unwrap();
+                let shared = Arc::clone(shared);
+                thread::spawn(move || serve(&shared, stream));
+            }
+        }
+        thread::sleep(Duration::from_millis(5));
+    }
+}
+
 fn serve(shared: &Shared, mut stream: TcpStream) {
     let mut reader = BufReader::new(stream.try_clone().unwrap());
     while let Some((path, request)) = read_request(&mut reader) {
+        if shared.down.load(Ordering::SeqCst) {
+            return;
+        }
+        *shared
+            .calls
+            .lock()
+            .unwrap()
+            .entry(path.clone())
+            .or_default() += 1;
         if path == "/v3/watch" {
             let _ = serve_watch(shared, &mut stream, &request);
             return;
