feat(core): reducer for generations, calls and orders

The daemon needs decisions behind the Core interface before the relay and the control tasks can be tried together.

Adds the arenas of requests and targets, length histograms, the memory forecast, placement (forecast and three baselines), the admission queue with fair sharing, team credit, the retry budget, the order life cycle, the quarantine, contact and drain, plus read-only views for the administration API. A scan over all requests per event was ruled out: each engine keeps the summed expected change of its streams, updated with each progress report.

--- a/crates/mimosagap-core/src/core.rs
+++ b/crates/mimosagap-core/src/core.rs
@@ -1,11 +1,24 @@
 //! The reducer and its state.
 
+use std::sync::Arc;
 use std::time::Instant;
 
+use mimosagap_rules::RuleSet;
 use mimosagap_types::prelude::*;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
 
-use crate::effect::Effect;
-use crate::event::Event;
+use crate::contact::Contact;
+use crate::drain::DrainState;
+use crate::effect::{Effect, Notice, StateChange};
+use crate::event::{Event, Member};
+use crate::lending::Lending;
+use crate::lengths::Lengths;
+use crate::quarantine::Quarantine;
+use crate::queue::WaitOrder;
+use crate::requests::{RequestKey, Requests};
+use crate::retries::RetryBudget;
+use crate::targets::Targets;
 
 /// What a reducer knows from its daemon's settings.
 #[derive(Debug, Clone)]
@@ -23,18 +36,164 @@
 /// The decisions of one daemon.
 #[derive(Debug)]
 pub struct Core {
-    options: Options,
+    pub(crate) options: Options,
+    pub(crate) random: SmallRng,
+    pub(crate) rules: Arc<RuleSet>,
+    pub(crate) rules_found: bool,
+    pub(crate) requests: Requests,
+    pub(crate) targets: Targets,
+    pub(crate) lengths: Lengths,
+    pub(crate) lending: Lending,
+    pub(crate) budget: RetryBudget,
+    pub(crate) quarantine: Quarantine,
+    pub(crate) contact: Contact,
+    pub(crate) drain: DrainState,
+    pub(crate) members: Vec<Member>,
+    pub(crate) leaving_daemons: Vec<DaemonId>,
+    /// Requests in the admission queues of all groups.
+    pub(crate) waiting: usize,
+    pub(crate) wait_order: WaitOrder,
+    /// Suspects which wait for a trial.
+    pub(crate) trials: Vec<RequestKey>,
+    last: Option<Instant>,
 }
 
 impl Core {
     /// A reducer without rules, targets or members.
     #[must_use]
     pub fn new(options: Options) -> Self {
-        Self { options }
+        Self {
+            random: SmallRng::seed_from_u64(options.seed),
+            options,
+            rules: Arc::new(RuleSet::empty()),
+            rules_found: false,
+            requests: Requests::default(),
+            targets: Targets::default(),
+            lengths: Lengths::new(),
+            lending: Lending::default(),
+            budget: RetryBudget::new(),
+            quarantine: Quarantine::default(),
+            contact: Contact::default(),
+            drain: DrainState::default(),
+            members: Vec::new(),
+            leaving_daemons: Vec::new(),
+            waiting: 0,
+            wait_order: WaitOrder::default(),
+            trials: Vec::new(),
+            last: None,
+        }
     }
 
     /// Takes one event and appends what is to be done to `effects`.
-    pub fn reduce(&mut self, _now: Instant, _event: Event, _effects: &mut Vec<Effect>) {
-        let _ = &self.options;
+    ///
+    /// `now` never goes back: an earlier time than in the last call is taken as that time.
+    pub fn reduce(&mut self, now: Instant, event: Event, effects: &mut Vec<Effect>) {
+        let now = self.last.map_or(now, |last| last.max(now));
+        self.last = Some(now);
+        match event {
+            Event::StoreReached => self.contact.store_reached(now),
+            Event::PeerReached { .. } => self.contact.peer_reached(now),
+            _ => {}
+        }
+        self.refresh_contact(now, effects);
+        match event {
+            Event::Submitted { ticket, submission } => {
+                self.submitted(now, ticket, submission, effects);
+            }
+            Event::CallerLeft { ticket } => self.caller_left(now, ticket, effects),
+            Event::AttemptAccepted {
+                ticket,
+                attempt,
+                incarnation,
+            } => {
+                if let Some(key) = self.requests.key_of_attempt(ticket, attempt) {
+                    self.accepted(now, key, incarnation, effects);
+                }
+            }
+            Event::Progress {
+                ticket,
+                attempt,
+                tokens,
+            } => {
+                if let Some(key) = self.requests.key_of_attempt(ticket, attempt) {
+                    self.progress(now, key, tokens);
+                }
+            }
+            Event::AttemptEnded {
+                ticket,
+                attempt,
+                end,
+            } => self.attempt_ended(now, ticket, attempt, &end, effects),
+            Event::ClaimAnswered { ticket, answer } => {
+                self.claim_answered(now, ticket, &answer, effects);
+            }
+            Event::TrialAnswered { ticket, answer } => {
+                self.trial_answered(now, ticket, answer, effects);
+            }
+            Event::SuspicionRecorded { ticket } => self.suspicion_recorded(now, ticket, effects),
+            other => self.reduce_fleet(now, other, effects),
+        }
+    }
+
+    /// Takes an event that does not belong to one request.
+    fn reduce_fleet(&mut self, now: Instant, event: Event, effects: &mut Vec<Effect>) {
+        match event {
+            Event::TargetsListed(list) => self.targets_listed(now, &list, effects),
+            Event::TargetReported { address, report } => {
+                self.target_reported(now, &address, report, effects);
+            }
+            Event::TargetUnreachable { address, refused } => {
+                self.target_unreachable(now, &address, refused, effects);
+            }
+            Event::CacheChanged {
+                address,
+                stored,
+                removed,
+                gap,
+            } => self.cache_changed(&address, &stored, &removed, gap),
+            Event::RulesFound(rules) => self.rules_found(now, rules, effects),
+            Event::MembersChanged(members) => self.members_changed(members),
+            Event::PeerPlacements { daemon, placements } => {
+                self.targets.set_peer_placements(daemon, &placements, now);
+            }
+            Event::NoticeHeard(notice) => self.notice_heard(now, notice, effects),
+            Event::SuspectsChanged(changes) => self.suspects_changed(now, changes, effects),
+            Event::LendersChanged(holders) => self.lending.set_holders(holders),
+            Event::SlotsHeld { slots, until } => self.lending.hold(&slots, until, now),
+            Event::CreditAsked {
+                question,
+                team,
+                wanted,
+            } => self.credit_asked(now, question, team, wanted, effects),
+            Event::CreditGranted {
+                team,
+                granted,
+                asked_at,
+            } => self.credit_granted(now, &team, granted, asked_at, effects),
+            Event::CreditFailed { team } => self.credit_failed(&team, effects),
+            Event::DrainAsked => self.drain_asked(now, effects),
+            Event::Tick => self.tick(now, effects),
+            _ => {}
+        }
+    }
+
+    fn members_changed(&mut self, mut members: Vec<Member>) {
+        for member in &mut members {
+            member.leaving |= self.leaving_daemons.contains(&member.id);
+        }
+        // A daemon without a record is gone and does not come back under its id.
+        self.leaving_daemons
+            .retain(|daemon| members.iter().any(|member| member.id == *daemon));
+        self.members = members;
+    }
+
+    fn drain_asked(&mut self, now: Instant, effects: &mut Vec<Effect>) {
+        let Some(after) = self.drain.begin(now, self.rules.address_lifetime()) else {
+            return;
+        };
+        let daemon = self.options.daemon.clone();
+        effects.push(Effect::Log(StateChange::Draining));
+        effects.push(Effect::Spread(Notice::DaemonLeaving { daemon }));
+        effects.push(Effect::StopAccepting { after });
     }
 }
--- /dev/null
+++ b/crates/mimosagap-core/src/intake.rs
@@ -0,0 +1,216 @@
+//! New requests: the checks before a request may look for a target.
+
+use std::time::Instant;
+
+use mimosagap_types::prelude::*;
+
+use crate::core::Core;
+use crate::effect::Effect;
+use crate::event::{Submission, SuspectState, WorkKind};
+use crate::lending::{CreditAsk, CreditDecision};
+use crate::requests::{Phase, Request, RequestKey};
+use crate::targets::GroupIndex;
+
+impl Core {
+    pub(crate) fn submitted(
+        &mut self,
+        now: Instant,
+        ticket: RequestTicket,
+        submission: Submission,
+        effects: &mut Vec<Effect>,
+    ) {
+        if self.requests.key_of(ticket).is_some() {
+            return;
+        }
+        let refusal = self.objection(now, &submission);
+        let group = self.group_of(&submission.work);
+        let (refusal, group) = match (refusal, group) {
+            (None, Some(group)) => (None, group),
+            (refusal, group) => {
+                let refusal = refusal.unwrap_or_else(|| self.refusal(RefusalCause::NoTarget));
+                (Some(refusal), group.unwrap_or(GroupIndex(0)))
+            }
+        };
+        if let Some(refusal) = refusal {
+            effects.push(Effect::Refuse { ticket, refusal });
+            return;
+        }
+        let key = self.insert(ticket, submission, group);
+        self.ask_for_credit(now, key, effects);
+    }
+
+    fn group_of(&mut self, work: &WorkKind) -> Option<GroupIndex> {
+        match work {
+            WorkKind::Generation { model, .. } => self.targets.model_group(model),
+            WorkKind::RepeatableCall { service } | WorkKind::Order { service, .. } => {
+                self.targets.service_group(service)
+            }
+        }
+    }
+
+    /// Why a request cannot be taken at all.
+    fn objection(&mut self, now: Instant, submission: &Submission) -> Option<Refusal> {
+        if !self.rules_found || self.contact.is_isolated(now) {
+            return Some(self.refusal(RefusalCause::Isolated));
+        }
+        if !self.drain.accepts(now) {
+            return Some(self.refusal(RefusalCause::Leaving));
+        }
+        if let Some(rule) = self.rules.refused(&submission.team) {
+            let rule = Some(rule.clone());
+            return Some(self.refusal(RefusalCause::RefusedByRule).with_rule(rule));
+        }
+        if self.suspicion_of(now, submission) == Some(SuspectState::Condemned) {
+            return Some(self.quarantine_refusal(now, &submission.digest));
+        }
+        None
+    }
+
+    /// What the quarantine says about a request, unless a rule pardons it. Only generations are
+    /// quarantined: engines are what a request can kill by its input, and a plain call without a
+    /// body has the same digest as all others of its kind.
+    pub(crate) fn suspicion_of(
+        &self,
+        now: Instant,
+        submission: &Submission,
+    ) -> Option<SuspectState> {
+        if !matches!(submission.work, WorkKind::Generation { .. })
+            || self.rules.is_pardoned(&submission.digest)
+        {
+            return None;
+        }
+        self.quarantine.state(&submission.digest, now)
+    }
+
+    /// A refusal of a condemned request. Another try helps only when the quarantine is over.
+    pub(crate) fn quarantine_refusal(&mut self, now: Instant, digest: &RequestDigest) -> Refusal {
+        let left = self.quarantine.time_left(digest, now);
+        self.refusal(RefusalCause::Quarantined)
+            .with_retry_after(left)
+    }
+
+    fn insert(
+        &mut self,
+        ticket: RequestTicket,
+        submission: Submission,
+        group: GroupIndex,
+    ) -> RequestKey {
+        let priority = self.rules.priority(&submission.class);
+        let lengths = self.lengths.index_of(&submission.team, &submission.class);
+        self.requests.insert(Request {
+            ticket,
+            submission,
+            priority,
+            group,
+            lengths,
+            attempts: 0,
+            may_have_run: false,
+            caller_left: false,
+            avoid: Vec::new(),
+            retry_after: None,
+            phase: Phase::Idle,
+        })
+    }
+
+    fn ask_for_credit(&mut self, now: Instant, key: RequestKey, effects: &mut Vec<Effect>) {
+        let Some(request) = self.requests.get_mut(key) else {
+            return;
+        };
+        let team = request.submission.team.clone();
+        let Some(limit) = self.rules.limit(&team) else {
+            self.admitted(now, key, effects);
+            return;
+        };
+        let me = &self.options.daemon;
+        let (decision, ask) = self.lending.admit(&team, limit, key, me, now);
+        if decision == CreditDecision::Waits {
+            request.phase = Phase::AwaitingCredit;
+        }
+        push_ask(&team, ask, effects);
+        match decision {
+            CreditDecision::Admitted => self.admitted(now, key, effects),
+            CreditDecision::Waits => {}
+            CreditDecision::Refused => self.refuse_for_limit(key, effects),
+        }
+    }
+
+    /// Refuses a request for which its team's limit has no credit.
+    fn refuse_for_limit(&mut self, key: RequestKey, effects: &mut Vec<Effect>) {
+        let Some(request) = self.requests.get(key) else {
+            return;
+        };
+        let rule = self
+            .rules
+            .limit(&request.submission.team)
+            .map(|limit| limit.rule.clone());
+        let refusal = self.refusal(RefusalCause::LimitReached).with_rule(rule);
+        self.refuse(key, refusal, effects);
+    }
+
+    /// Lets a request within its team's limit look for a target.
+    fn admitted(&mut self, now: Instant, key: RequestKey, effects: &mut Vec<Effect>) {
+        let Some(request) = self.requests.get_mut(key) else {
+            return;
+        };
+        request.phase = Phase::Idle;
+        match request.submission.work {
+            WorkKind::Generation { .. } => self.seek_engine(now, key, effects),
+            WorkKind::RepeatableCall { .. } => self.seek_service(now, key, effects),
+            WorkKind::Order { .. } => self.claim_order(now, key, effects),
+        }
+    }
+
+    pub(crate) fn credit_granted(
+        &mut self,
+        now: Instant,
+        team: &TeamName,
+        granted: u32,
+        asked_at: Instant,
+        effects: &mut Vec<Effect>,
+    ) {
+        let limit = self.rules.limit(team);
+        let settlement = self.lending.receive(team, limit, granted, asked_at, now);
+        push_ask(team, settlement.ask, effects);
+        for key in settlement.admitted {
+            self.admitted(now, key, effects);
+        }
+        for key in settlement.refused {
+            self.refuse_for_limit(key, effects);
+        }
+    }
+
+    pub(crate) fn credit_failed(&mut self, team: &TeamName, effects: &mut Vec<Effect>) {
+        for key in self.lending.fail(team) {
+            self.refuse_for_limit(key, effects);
+        }
+    }
+
+    pub(crate) fn credit_asked(
+        &mut self,
+        now: Instant,
+        question: u64,
+        team: TeamName,
+        wanted: u32,
+        effects: &mut Vec<Effect>,
+    ) {
+        let granted = match self.rules.limit(&team) {
+            Some(limit) => self.lending.lend(&team, limit, wanted, now),
+            None => 0,
+        };
+        effects.push(Effect::AnswerCredit {
+            question,
+            team,
+            granted,
+        });
+    }
+}
+
+fn push_ask(team: &TeamName, ask: Option<CreditAsk>, effects: &mut Vec<Effect>) {
+    if let Some(CreditAsk { holder, wanted }) = ask {
+        effects.push(Effect::AskCredit {
+            holder,
+            team: team.clone(),
+            wanted,
+        });
+    }
+}
--- a/crates/mimosagap-core/src/lib.rs
+++ b/crates/mimosagap-core/src/lib.rs
@@ -4,13 +4,35 @@
 //! so that the daemon and the tests run the same decisions.
 #![deny(unsafe_code, missing_docs)]
 
+pub mod admin;
+pub mod cache;
+pub mod contact;
 pub mod core;
+mod dispatch;
+pub mod drain;
 pub mod effect;
+mod endings;
 pub mod event;
+pub mod forecast;
+mod intake;
+pub mod lending;
+pub mod lengths;
+mod membership;
+mod orders;
+pub mod placement;
+pub mod quarantine;
+pub mod queue;
+pub mod refusals;
+pub mod requests;
+pub mod retries;
+pub mod targets;
 
+pub use crate::admin::{LimitView, QueueView, TargetView};
 pub use crate::core::{Core, Options};
+pub use crate::drain::DrainState;
 pub use crate::effect::{Effect, Notice, StateChange};
 pub use crate::event::{
     AttemptEnd, ClaimAnswer, Event, ListedTarget, LoadReport, Member, Submission, SuspectState,
     TargetKind, TrialAnswer, WorkKind,
 };
+pub use crate::targets::TargetState;
--- /dev/null
+++ b/crates/mimosagap-core/src/orders.rs
@@ -0,0 +1,154 @@
+//! The life of an order: claim, at most one execution, record.
+
+use std::time::Instant;
+
+use mimosagap_types::prelude::*;
+
+use crate::core::Core;
+use crate::effect::Effect;
+use crate::event::{AttemptEnd, ClaimAnswer};
+use crate::requests::{Attempt, Phase, RequestKey};
+
+impl Core {
+    /// Asks the store for the claim, unless it is clear that the order cannot be carried out.
+    pub(crate) fn claim_order(&mut self, now: Instant, key: RequestKey, effects: &mut Vec<Effect>) {
+        if !self.contact.is_store_up(now) {
+            self.give_up(key, RefusalCause::StoreUnavailable, effects);
+            return;
+        }
+        if self.find_service(now, key).is_none() {
+            self.give_up(key, RefusalCause::NoTarget, effects);
+            return;
+        }
+        let Some(request) = self.requests.get_mut(key) else {
+            return;
+        };
+        let Some(order) = request.order_key().cloned() else {
+            return;
+        };
+        request.phase = Phase::Claiming;
+        effects.push(Effect::Claim {
+            ticket: request.ticket,
+            key: order,
+            digest: request.submission.digest,
+        });
+    }
+
+    pub(crate) fn claim_answered(
+        &mut self,
+        now: Instant,
+        ticket: RequestTicket,
+        answer: &ClaimAnswer,
+        effects: &mut Vec<Effect>,
+    ) {
+        let Some(key) = self.requests.key_of(ticket) else {
+            return;
+        };
+        let Some(request) = self.requests.get_mut(key) else {
+            return;
+        };
+        if !matches!(request.phase, Phase::Claiming) {
+            return;
+        }
+        request.phase = Phase::Idle;
+        match answer {
+            ClaimAnswer::Won => self.send_order(now, key, RefusalCause::NoTarget, effects),
+            ClaimAnswer::Ran => {
+                effects.push(Effect::AnswerFromRecord { ticket });
+                self.remove(key);
+            }
+            ClaimAnswer::InProgress => {
+                request.may_have_run = true;
+                self.give_up(key, RefusalCause::OrderInProgress, effects);
+            }
+            ClaimAnswer::OtherBody => self.give_up(key, RefusalCause::KeyReused, effects),
+            ClaimAnswer::Unavailable => {
+                self.give_up(key, RefusalCause::StoreUnavailable, effects);
+            }
+            ClaimAnswer::Uncertain => {
+                request.may_have_run = true;
+                self.give_up(key, RefusalCause::StoreUnavailable, effects);
+            }
+        }
+    }
+
+    /// Sends a claimed order, of which no byte has run, to a target, or ends it as not run.
+    fn send_order(
+        &mut self,
+        now: Instant,
+        key: RequestKey,
+        cause: RefusalCause,
+        effects: &mut Vec<Effect>,
+    ) {
+        let caller_left = self
+            .requests
+            .get(key)
+            .is_some_and(|request| request.caller_left);
+        if caller_left {
+            self.abandon_order(key, RefusalCause::Cancelled, effects);
+            return;
+        }
+        match self.find_service(now, key) {
+            Some(target) if self.may_start_attempt(key) => {
+                self.dispatch(now, key, target, false, effects);
+            }
+            Some(_) => self.abandon_order(key, RefusalCause::RetryBudgetSpent, effects),
+            None => self.abandon_order(key, cause, effects),
+        }
+    }
+
+    fn abandon_order(&mut self, key: RequestKey, cause: RefusalCause, effects: &mut Vec<Effect>) {
+        let Some(request) = self.requests.get(key) else {
+            return;
+        };
+        if let Some(order) = request.order_key().cloned() {
+            effects.push(Effect::RecordNotRun {
+                ticket: request.ticket,
+                key: order,
+            });
+        }
+        self.give_up(key, cause, effects);
+    }
+
+    /// Ends an order's attempt. Once the target accepted the order, nothing but a complete
+    /// answer says what happened to it.
+    pub(crate) fn order_ended(
+        &mut self,
+        now: Instant,
+        key: RequestKey,
+        attempt: &Attempt,
+        end: &AttemptEnd,
+        effects: &mut Vec<Effect>,
+    ) {
+        let Some(request) = self.requests.get_mut(key) else {
+            return;
+        };
+        match end {
+            AttemptEnd::Completed { .. } => {
+                let ticket = request.ticket;
+                if let Some(key) = request.order_key().cloned() {
+                    effects.push(Effect::RecordResult { ticket, key });
+                }
+                self.remove(key);
+            }
+            AttemptEnd::NotSent | AttemptEnd::Rejected { .. } if !attempt.accepted => {
+                request.avoid.push(attempt.target);
+                self.send_order(now, key, RefusalCause::NoTarget, effects);
+            }
+            AttemptEnd::Failed { .. } => {
+                self.end_unknown(key, RefusalCause::TargetFailed, effects);
+            }
+            AttemptEnd::Cancelled => self.end_unknown(key, RefusalCause::Cancelled, effects),
+            AttemptEnd::NotSent | AttemptEnd::Rejected { .. } | AttemptEnd::Lost { .. } => {
+                self.end_unknown(key, RefusalCause::TargetSilent, effects);
+            }
+        }
+    }
+
+    fn end_unknown(&mut self, key: RequestKey, cause: RefusalCause, effects: &mut Vec<Effect>) {
+        if let Some(request) = self.requests.get_mut(key) {
+            request.may_have_run = true;
+        }
+        self.give_up(key, cause, effects);
+    }
+}
--- /dev/null
+++ b/crates/mimosagap-core/src/quarantine.rs
@@ -0,0 +1,78 @@
+//! Requests suspected or found guilty of killing engines.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use mimosagap_types::prelude::*;
+
+use crate::event::SuspectState;
+
+/// Entries are forgotten after this time.
+pub const QUARANTINE_TIME: Duration = Duration::from_hours(1);
+
+#[derive(Debug, Clone, Copy)]
+struct Entry {
+    state: SuspectState,
+    since: Instant,
+}
+
+/// What this daemon knows of suspects.
+#[derive(Debug, Clone, Default)]
+pub struct Quarantine {
+    entries: BTreeMap<RequestDigest, Entry>,
+}
+
+impl Quarantine {
+    /// The state of a request; `None` if nothing speaks against it.
+    #[must_use]
+    pub fn state(&self, digest: &RequestDigest, now: Instant) -> Option<SuspectState> {
+        let entry = self.entries.get(digest)?;
+        (now.saturating_duration_since(entry.since) < QUARANTINE_TIME).then_some(entry.state)
+    }
+
+    /// Time until a request is forgotten.
+    #[must_use]
+    pub fn time_left(&self, digest: &RequestDigest, now: Instant) -> Duration {
+        self.entries.get(digest).map_or(Duration::ZERO, |entry| {
+            QUARANTINE_TIME.saturating_sub(now.saturating_duration_since(entry.since))
+        })
+    }
+
+    /// Takes over a state from the store's records, which are in order. Returns whether it is
+    /// news.
+    pub fn set(&mut self, digest: RequestDigest, state: SuspectState, now: Instant) -> bool {
+        if state == SuspectState::Cleared {
+            return self.entries.remove(&digest).is_some();
+        }
+        if self.state(&digest, now) == Some(state) {
+            return false;
+        }
+        self.entries.insert(digest, Entry { state, since: now });
+        true
+    }
+
+    /// Takes over a state from a peer or from this daemon's own observation. These may come late
+    /// or repeatedly, so they never lift a condemnation, and a suspicion does not end a trial.
+    pub fn hear(&mut self, digest: RequestDigest, state: SuspectState, now: Instant) -> bool {
+        let known = self.state(&digest, now);
+        let outdated = match known {
+            Some(SuspectState::Condemned) => true,
+            Some(SuspectState::OnTrial) => state == SuspectState::Suspect,
+            _ => false,
+        };
+        !outdated && self.set(digest, state, now)
+    }
+
+    /// Forgets old entries.
+    pub fn expire(&mut self, now: Instant) {
+        self.entries
+            .retain(|_, entry| now.saturating_duration_since(entry.since) < QUARANTINE_TIME);
+    }
+
+    /// All requests known, with their states.
+    pub fn iter(&self) -> impl Iterator<Item = (RequestDigest, SuspectState)> + '_ {
+        self.entries
+            .iter()
+            .map(|(digest, entry)| (*digest, entry.state))
+    }
+}
--- /dev/null
+++ b/crates/mimosagap-core/src/refusals.rs
@@ -0,0 +1,66 @@
+//! The refusals of the reducer: cause, remedy, rule and a randomized time for the next try.
+
+use std::time::Duration;
+
+use mimosagap_types::prelude::*;
+use rand::Rng;
+
+/// Wait after a refusal that a moment's congestion or a lost target explains.
+pub const SHORT_RETRY: Duration = Duration::from_millis(500);
+
+/// Wait after a refusal that needs the fleet to change, such as a store outage.
+pub const LONG_RETRY: Duration = Duration::from_secs(2);
+
+/// Spreads a wait over half to one and a half times its length, so that callers refused
+/// together do not come back together.
+pub fn spread(wait: Duration, random: &mut impl Rng) -> Duration {
+    wait.mul_f64(random.random_range(0.5..1.5))
+}
+
+/// The sentence for a cause.
+#[must_use]
+pub fn message(cause: RefusalCause) -> &'static str {
+    match cause {
+        RefusalCause::LimitReached => "the team's limit is used up; send the request again later",
+        RefusalCause::RefusedByRule => "a rule refuses this team; ask the operators",
+        RefusalCause::Overloaded => "the queue is full or the wait too long; try again later",
+        RefusalCause::NoTarget => "no target takes the request at present; try again later",
+        RefusalCause::RetryBudgetSpent => "the attempt failed and no retry is left; try again",
+        RefusalCause::Quarantined => {
+            "the request was running when an engine died and is quarantined; ask for a pardon rule"
+        }
+        RefusalCause::StoreUnavailable => "the store cannot be reached; try again later",
+        RefusalCause::Isolated => "the rules in force are not known; use another address",
+        RefusalCause::Leaving => "the daemon is shutting down; use another address",
+        RefusalCause::OrderInProgress => {
+            "the order was placed before and has no result yet; send it again with the same key"
+        }
+        RefusalCause::KeyReused => "the idempotency key belongs to another order; use a new key",
+        RefusalCause::TargetSilent => {
+            "the target did not answer in time; send it again with the same key"
+        }
+        RefusalCause::GenerationLost => "the engine lost the generation; send the request again",
+        RefusalCause::TargetFailed => "the target failed; check the request or try again",
+        RefusalCause::Cancelled => "the caller cancelled the request",
+        _ => "the request was refused",
+    }
+}
+
+/// The wait before another try; `None` where no try helps.
+pub fn retry_wait(cause: RefusalCause, random: &mut impl Rng) -> Option<Duration> {
+    let wait = match cause {
+        RefusalCause::LimitReached
+        | RefusalCause::RetryBudgetSpent
+        | RefusalCause::OrderInProgress
+        | RefusalCause::TargetSilent
+        | RefusalCause::GenerationLost
+        | RefusalCause::TargetFailed
+        | RefusalCause::Leaving => SHORT_RETRY,
+        RefusalCause::Overloaded
+        | RefusalCause::NoTarget
+        | RefusalCause::StoreUnavailable
+        | RefusalCause::Isolated => LONG_RETRY,
+        _ => return None,
+    };
+    Some(spread(wait, random))
+}
--- /dev/null
+++ b/crates/mimosagap-core/src/targets.rs
@@ -0,0 +1,688 @@
+//! The targets as this daemon sees them.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+use std::time::{Duration, Instant};
+
+use mimosagap_types::prelude::*;
+use slotmap::{SlotMap, new_key_type};
+
+use crate::cache::PrefixCache;
+use crate::event::{ListedTarget, LoadReport, TargetKind};
+use crate::forecast::{DEFAULT_RATE, MemoryChange};
+use crate::queue::GroupQueue;
+use crate::requests::RequestKey;
+
+new_key_type! {
+    /// Names a target in the arena.
+    pub struct TargetKey;
+}
+
+/// An engine whose last report is older gets no new work: six reports in a row are missing.
+pub const REPORT_LIFETIME: Duration = Duration::from_secs(3);
+
+/// A target which could not be connected to gets no new work for this long.
+pub const AVOID_TIME: Duration = Duration::from_secs(1);
+
+/// A placement reaches the engine's own figures after this time.
+const PLACEMENT_DELAY: Duration = Duration::from_millis(50);
+
+/// Placements that peers reported count for this long; the engine's reports, fetched every
+/// 500 ms, show them by then.
+const PEER_LIFETIME: Duration = Duration::from_secs(1);
+
+/// Ended or leaving lives that are remembered for each target.
+const MAX_LIVES: usize = 4;
+
+/// Weight of the newest measurement in the running mean of the token rate.
+const RATE_WEIGHT: f64 = 0.1;
+
+/// Names a group of interchangeable targets: the engines of a model, or a service.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct GroupIndex(pub(crate) usize);
+
+/// How far a target is from this daemon.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Distance {
+    /// In the same zone.
+    Zone,
+    /// In another zone of the region.
+    Region,
+    /// In another region.
+    Elsewhere,
+}
+
+/// What the host list says about a target.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Listing {
+    Live,
+    Leaving,
+    Absent,
+}
+
+/// The state of a target.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum TargetState {
+    /// Listed; no report has come yet.
+    Unknown,
+    /// Takes new work.
+    Up,
+    /// Runs its work to the end and gets no more.
+    Leaving,
+    /// Refuses connections or does not report.
+    Down,
+    /// No longer on the host list.
+    Unlisted,
+}
+
+/// What a report of an incarnation means for a target.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LifeChange {
+    /// The known life.
+    Same,
+    /// The first life seen.
+    First,
+    /// A new process; the named life has ended.
+    Replaced(Incarnation),
+    /// A life which ended before: the news is late.
+    Outdated,
+}
+
+/// The last report of a target.
+#[derive(Debug, Clone)]
+pub struct Load {
+    /// The report.
+    pub report: LoadReport,
+    /// When its figures were taken.
+    pub measured_at: Instant,
+    /// When it arrived.
+    pub received_at: Instant,
+}
+
+impl Load {
+    /// Memory in use, in tokens.
+    #[must_use]
+    pub fn used_tokens(&self) -> f64 {
+        self.report.memory_used * self.capacity()
+    }
+
+    /// The memory, in tokens.
+    #[must_use]
+    #[expect(
+        clippy::cast_precision_loss,
+        reason = "memories are far below 2^52 tokens"
+    )]
+    pub fn capacity(&self) -> f64 {
+        self.report.memory_tokens as f64
+    }
+}
+
+/// One target.
+#[derive(Debug)]
+pub struct Target {
+    /// Its address.
+    pub address: TargetAddress,
+    /// Its deployment.
+    pub deployment: DeploymentName,
+    /// What it is.
+    pub kind: TargetKind,
+    /// Its zone.
+    pub zone: ZoneName,
+    /// Its region.
+    pub region: RegionName,
+    /// How far it is.
+    pub distance: Distance,
+    /// Groups to which it belongs.
+    pub groups: Vec<GroupIndex>,
+    /// The last report.
+    pub load: Option<Load>,
+    /// The life of the process, if known.
+    pub incarnation: Option<Incarnation>,
+    /// Cached prefix blocks.
+    pub cache: PrefixCache,
+    /// Tokens per second of one stream.
+    pub rate: f64,
+    /// Expected change through this daemon's streams.
+    pub change: MemoryChange,
+    /// Requests of this daemon at the target.
+    pub requests: BTreeSet<RequestKey>,
+    /// The suspect whose trial runs here or is being taken.
+    pub trial: Option<RequestKey>,
+    /// The rule which drains it.
+    pub drained: Option<RuleReference>,
+    /// The state which was logged last.
+    pub logged: TargetState,
+    listing: Listing,
+    leaving_lives: Vec<Incarnation>,
+    leaving_unknown_life: bool,
+    ended_lives: Vec<Incarnation>,
+    refused: bool,
+    avoid_until: Option<Instant>,
+    placed: VecDeque<(Instant, u32)>,
+    placed_sum: u64,
+    peer_sum: u64,
+}
+
+fn remember(lives: &mut Vec<Incarnation>, life: Incarnation) -> bool {
+    if lives.contains(&life) {
+        return false;
+    }
+    if lives.len() == MAX_LIVES {
+        lives.remove(0);
+    }
+    lives.push(life);
+    true
+}
+
+impl Target {
+    fn new(listed: &ListedTarget) -> Self {
+        Self {
+            address: listed.address,
+            deployment: listed.deployment.clone(),
+            kind: listed.kind.clone(),
+            zone: listed.zone.clone(),
+            region: listed.region.clone(),
+            distance: Distance::Elsewhere,
+            groups: Vec::new(),
+            load: None,
+            incarnation: None,
+            cache: PrefixCache::default(),
+            rate: DEFAULT_RATE,
+            change: [0.0; 3],
+            requests: BTreeSet::new(),
+            trial: None,
+            drained: None,
+            logged: TargetState::Unknown,
+            listing: Listing::Live,
+            leaving_lives: Vec::new(),
+            leaving_unknown_life: false,
+            ended_lives: Vec::new(),
+            refused: false,
+            avoid_until: None,
+            placed: VecDeque::new(),
+            placed_sum: 0,
+            peer_sum: 0,
+        }
+    }
+
+    /// Whether it is an engine.
+    #[must_use]
+    pub fn is_engine(&self) -> bool {
+        matches!(self.kind, TargetKind::Engine { .. })
+    }
+
+    /// Whether it gets no new work because it, the list, a peer or a rule says so.
+    #[must_use]
+    pub fn is_leaving(&self) -> bool {
+        self.drained.is_some() || self.announces_leaving()
+    }
+
+    /// Whether it, the list or a peer says that it is leaving.
+    #[must_use]
+    pub fn announces_leaving(&self) -> bool {
+        self.listing == Listing::Leaving
+            || self.leaving_unknown_life
+            || self
+                .incarnation
+                .is_some_and(|life| self.leaving_lives.contains(&life))
+    }
+
+    /// The state at this time.
+    #[must_use]
+    pub fn state(&self, now: Instant) -> TargetState {
+        if self.listing == Listing::Absent {
+            return TargetState::Unlisted;
+        }
+        if self.is_leaving() {
+            return TargetState::Leaving;
+        }
+        if self.refused {
+            return TargetState::Down;
+        }
+        if !self.is_engine() {
+            return TargetState::Up;
+        }
+        match &self.load {
+            None => TargetState::Unknown,
+            Some(load) if now.saturating_duration_since(load.received_at) < REPORT_LIFETIME => {
+                TargetState::Up
+            }
+            Some(_) => TargetState::Down,
+        }
+    }
+
+    /// Whether it may get new work.
+    #[must_use]
+    pub fn is_usable(&self, now: Instant) -> bool {
+        self.avoid_until.is_none_or(|until| now >= until) && self.state(now) == TargetState::Up
+    }
+
+    /// Requests of this daemon at the target.
+    #[must_use]
+    #[expect(clippy::cast_possible_truncation, reason = "far below 2^32")]
+    pub fn outstanding(&self) -> u32 {
+        self.requests.len() as u32
+    }
+
+    /// Streams of all daemons at the engine, as far as known.
+    #[must_use]
+    pub fn streams(&self) -> u32 {
+        let reported = self.load.as_ref().map_or(0, |load| load.report.running);
+        reported.max(self.outstanding())
+    }
+
+    /// Tokens of this daemon's placements which the last report does not show.
+    #[must_use]
+    #[expect(clippy::cast_precision_loss, reason = "far below 2^52 tokens")]
+    pub fn placed_tokens(&self) -> f64 {
+        self.placed_sum as f64
+    }
+
+    /// The same as a whole number, for peers.
+    #[must_use]
+    pub fn placed_whole(&self) -> u64 {
+        self.placed_sum
+    }
+
+    /// Tokens of the peers' placements which the last report does not show.
+    #[must_use]
+    #[expect(clippy::cast_precision_loss, reason = "far below 2^52 tokens")]
+    pub fn peer_tokens(&self) -> f64 {
+        self.peer_sum as f64
+    }
+
+    /// Records a placement of this daemon.
+    pub fn place(&mut self, now: Instant, tokens: u32) {
+        self.placed.push_back((now, tokens));
+        self.placed_sum += u64::from(tokens);
+    }
+
+    /// Stops counting placements which an engine's figures of this time show.
+    fn settle_placements(&mut self, measured_at: Instant) {
+        while let Some((placed_at, tokens)) = self.placed.front().copied() {
+            if placed_at + PLACEMENT_DELAY > measured_at {
+                break;
+            }
+            self.placed.pop_front();
+            self.placed_sum -= u64::from(tokens);
+        }
+    }
+
+    /// Takes note of a life. Nothing changes if the news is late.
+    pub fn observe_life(&mut self, life: Incarnation) -> LifeChange {
+        if self.incarnation == Some(life) {
+            return LifeChange::Same;
+        }
+        if self.ended_lives.contains(&life) {
+            return LifeChange::Outdated;
+        }
+        if std::mem::take(&mut self.leaving_unknown_life) {
+            remember(&mut self.leaving_lives, life);
+        }
+        let Some(ended) = self.incarnation.replace(life) else {
+            return LifeChange::First;
+        };
+        remember(&mut self.ended_lives, ended);
+        self.cache.clear();
+        self.placed.clear();
+        self.placed_sum = 0;
+        self.refused = false;
+        self.load = None;
+        LifeChange::Replaced(ended)
+    }
+
+    /// Takes over a report of the current life.
+    pub fn report(&mut self, report: LoadReport, now: Instant) {
+        let measured_at = now.checked_sub(report.age).unwrap_or(now);
+        self.refused = false;
+        self.avoid_until = None;
+        if report.leaving {
+            self.leave(Some(report.incarnation));
+        }
+        self.settle_placements(measured_at);
+        self.load = Some(Load {
+            report,
+            measured_at,
+            received_at: now,
+        });
+    }
+
+    /// Marks a life as leaving; without a life, the current one. Returns whether the target
+    /// newly announces that it is leaving. A leaving life never becomes usable again.
+    pub fn leave(&mut self, life: Option<Incarnation>) -> bool {
+        let before = self.announces_leaving();
+        match life.or(self.incarnation) {
+            Some(life) if self.ended_lives.contains(&life) => {}
+            Some(life) => {
+                remember(&mut self.leaving_lives, life);
+            }
+            None => self.leaving_unknown_life = true,
+        }
+        !before && self.announces_leaving()
+    }
+
+    /// Marks the process as gone.
+    pub fn refuse_connections(&mut self) {
+        self.refused = true;
+    }
+
+    /// Gives the target no new work for a while.
+    pub fn avoid(&mut self, now: Instant, time: Duration) {
+        self.avoid_until = Some(now + time);
+    }
+
+    /// Updates the token rate from one stream's progress.
+    pub fn measure_rate(&mut self, tokens: u32, time: Duration) {
+        if time >= Duration::from_millis(100) {
+            let measured = f64::from(tokens) / time.as_secs_f64();
+            self.rate += RATE_WEIGHT * (measured - self.rate);
+        }
+    }
+}
+
+/// A group of interchangeable targets.
+#[derive(Debug)]
+pub struct Group {
+    /// The model or service, for people.
+    pub name: String,
+    /// The model, if it is a group of engines.
+    pub model: Option<ModelName>,
+    /// Its targets.
+    pub targets: Vec<TargetKey>,
+    /// Requests which wait for one of them.
+    pub queue: GroupQueue,
+    /// Expected change of memory of this daemon's streams, summed.
+    pub change: MemoryChange,
+    /// This daemon's streams.
+    pub streams: u32,
+    /// The next position of round robin.
+    pub turn: usize,
+}
+
+impl Group {
+    /// The mean change of memory of one stream.
+    #[must_use]
+    pub fn typical_change(&self) -> MemoryChange {
+        if self.streams == 0 {
+            return [0.0; 3];
+        }
+        self.change.map(|sum| sum / f64::from(self.streams))
+    }
+}
+
+/// All targets and groups.
+#[derive(Debug, Default)]
+pub struct Targets {
+    arena: SlotMap<TargetKey, Target>,
+    addresses: HashMap<TargetAddress, TargetKey>,
+    groups: Vec<Group>,
+    models: HashMap<ModelName, GroupIndex>,
+    services: HashMap<DeploymentName, GroupIndex>,
+    peers: BTreeMap<DaemonId, (Instant, Vec<(TargetKey, u64)>)>,
+    list_seen: bool,
+}
+
+impl Targets {
+    /// Whether a host list was ever seen.
+    #[must_use]
+    pub fn is_list_seen(&self) -> bool {
+        self.list_seen
+    }
+
+    /// A target.
+    #[must_use]
+    pub fn get(&self, key: TargetKey) -> Option<&Target> {
+        self.arena.get(key)
+    }
+
+    /// A target, to be changed.
+    pub fn get_mut(&mut self, key: TargetKey) -> Option<&mut Target> {
+        self.arena.get_mut(key)
+    }
+
+    /// The target at an address.
+    #[must_use]
+    pub fn key_of(&self, address: &TargetAddress) -> Option<TargetKey> {
+        self.addresses.get(address).copied()
+    }
+
+    /// All targets.
+    pub fn iter(&self) -> impl Iterator<Item = (TargetKey, &Target)> {
+        self.arena.iter()
+    }
+
+    /// All keys.
+    #[must_use]
+    pub fn keys(&self) -> Vec<TargetKey> {
+        self.arena.keys().collect()
+    }
+
+    /// A group.
+    #[must_use]
+    pub fn group(&self, index: GroupIndex) -> &Group {
+        &self.groups[index.0]
+    }
+
+    /// A group, to be changed.
+    pub fn group_mut(&mut self, index: GroupIndex) -> &mut Group {
+        &mut self.groups[index.0]
+    }
+
+    /// All groups.
+    pub fn groups(&self) -> impl Iterator<Item = (GroupIndex, &Group)> {
+        self.groups
+            .iter()
+            .enumerate()
+            .map(|(index, group)| (GroupIndex(index), group))
+    }
+
+    /// The group of a model's engines. Before the first host list any model gets one, because
+    /// its engines may still appear.
+    pub fn model_group(&mut self, model: &ModelName) -> Option<GroupIndex> {
+        if let Some(index) = self.models.get(model) {
+            return Some(*index);
+        }
+        (!self.list_seen).then(|| self.add_model(model))
+    }
+
+    /// The group of a service's targets.
+    #[must_use]
+    pub fn service_group(&self, service: &DeploymentName) -> Option<GroupIndex> {
+        self.services.get(service).copied()
+    }
+
+    fn add_model(&mut self, model: &ModelName) -> GroupIndex {
+        let index = self.add_group(model.to_string(), Some(model.clone()));
+        self.models.insert(model.clone(), index);
+        index
+    }
+
+    fn add_group(&mut self, name: String, model: Option<ModelName>) -> GroupIndex {
+        self.groups.push(Group {
+            name,
+            model,
+            targets: Vec::new(),
+            queue: GroupQueue::default(),
+            change: [0.0; 3],
+            streams: 0,
+            turn: 0,
+        });
+        GroupIndex(self.groups.len() - 1)
+    }
+
+    /// Takes over a host list. A list without any target is taken as a fault of the list and
+    /// ignored once targets are known. Returns the targets that the list newly shows as leaving.
+    pub fn list(
+        &mut self,
+        list: &[ListedTarget],
+        zone: &ZoneName,
+        region: &RegionName,
+    ) -> Vec<TargetKey> {
+        if list.is_empty() && !self.arena.is_empty() {
+            return Vec::new();
+        }
+        self.list_seen = true;
+        for target in self.arena.values_mut() {
+            target.listing = Listing::Absent;
+        }
+        let mut leaving = Vec::new();
+        for listed in list {
+            let key = self.enter(listed);
+            let target = &mut self.arena[key];
+            let before = target.announces_leaving();
+            target.listing = if listed.leaving {
+                Listing::Leaving
+            } else {
+                Listing::Live
+            };
+            target.distance = if target.zone == *zone {
+                Distance::Zone
+            } else if target.region == *region {
+                Distance::Region
+            } else {
+                Distance::Elsewhere
+            };
+            if listed.leaving {
+                if let Some(life) = target.incarnation {
+                    remember(&mut target.leaving_lives, life);
+                }
+                if !before {
+                    leaving.push(key);
+                }
+            }
+        }
+        self.remove_unlisted();
+        self.regroup();
+        leaving
+    }
+
+    fn enter(&mut self, listed: &ListedTarget) -> TargetKey {
+        if let Some(key) = self.key_of(&listed.address) {
+            let target = &mut self.arena[key];
+            target.deployment = listed.deployment.clone();
+            target.kind = listed.kind.clone();
+            target.zone = listed.zone.clone();
+            target.region = listed.region.clone();
+            return key;
+        }
+        let key = self.arena.insert(Target::new(listed));
+        self.addresses.insert(listed.address, key);
+        key
+    }
+
+    /// Forgets targets which left the list and have no request of this daemon.
+    fn remove_unlisted(&mut self) {
+        let addresses = &mut self.addresses;
+        self.arena.retain(|_, target| {
+            let kept = target.listing != Listing::Absent
+                || !target.requests.is_empty()
+                || target.trial.is_some();
+            if !kept {
+                addresses.remove(&target.address);
+            }
+            kept
+        });
+    }
+
+    fn regroup(&mut self) {
+        for group in &mut self.groups {
+            group.targets.clear();
+        }
+        for key in self.keys() {
+            let groups = match self.arena[key].kind.clone() {
+                TargetKind::Engine { models } => models
+                    .iter()
+                    .map(|model| match self.models.get(model) {
+                        Some(index) => *index,
+                        None => self.add_model(model),
+                    })
+                    .collect(),
+                TargetKind::Service => {
+                    let service = self.arena[key].deployment.clone();
+                    let index = self.services.get(&service).copied().unwrap_or_else(|| {
+                        let index = self.add_group(service.to_string(), None);
+                        self.services.insert(service, index);
+                        index
+                    });
+                    vec![index]
+                }
+            };
+            for index in &groups {
+                self.groups[index.0].targets.push(key);
+            }
+            self.arena[key].groups = groups;
+        }
+    }
+
+    /// Whether the group has a target which takes work now or may soon do so.
+    #[must_use]
+    pub fn has_hope(&self, index: GroupIndex, now: Instant) -> bool {
+        !self.list_seen
+            || self.group(index).targets.iter().any(|key| {
+                let state = self.arena[*key].state(now);
+                matches!(state, TargetState::Up | TargetState::Unknown)
+            })
+    }
+
+    /// Replaces what a peer says that it placed lately.
+    pub fn set_peer_placements(
+        &mut self,
+        peer: DaemonId,
+        placements: &[(TargetAddress, u64)],
+        now: Instant,
+    ) {
+        self.drop_peer(&peer);
+        let mut known = Vec::with_capacity(placements.len());
+        for (address, tokens) in placements {
+            if let Some(key) = self.key_of(address) {
+                let target = &mut self.arena[key];
+                target.peer_sum = target.peer_sum.saturating_add(*tokens);
+                known.push((key, *tokens));
+            }
+        }
+        self.peers.insert(peer, (now, known));
+    }
+
+    fn drop_peer(&mut self, peer: &DaemonId) {
+        let Some((_, placements)) = self.peers.remove(peer) else {
+            return;
+        };
+        for (key, tokens) in placements {
+            if let Some(target) = self.arena.get_mut(key) {
+                target.peer_sum = target.peer_sum.saturating_sub(tokens);
+            }
+        }
+    }
+
+    /// Forgets placements which the engines' reports show by now.
+    pub fn expire_peer_placements(&mut self, now: Instant) {
+        let old: Vec<DaemonId> = self
+            .peers
+            .iter()
+            .filter(|(_, (heard_at, _))| now.saturating_duration_since(*heard_at) >= PEER_LIFETIME)
+            .map(|(peer, _)| peer.clone())
+            .collect();
+        for peer in old {
+            self.drop_peer(&peer);
+        }
+    }
+
+    /// Changes the expected change of memory at an engine and in its group.
+    pub fn add_change(
+        &mut self,
+        key: TargetKey,
+        group: GroupIndex,
+        change: MemoryChange,
+        sign: f64,
+    ) {
+        if let Some(target) = self.arena.get_mut(key) {
+            add_scaled(&mut target.change, change, sign);
+        }
+        add_scaled(&mut self.groups[group.0].change, change, sign);
+    }
+}
+
+fn add_scaled(sum: &mut MemoryChange, change: MemoryChange, sign: f64) {
+    for (sum, value) in sum.iter_mut().zip(change) {
+        *sum += sign * value;
+    }
+}
--- /dev/null
+++ b/crates/mimosagap-core/tests/common/mod.rs
@@ -0,0 +1,220 @@
+//! A reducer with a clock that the test moves.
+#![allow(dead_code, reason = "each test file uses a part")]
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use mimosagap_core::*;
+use mimosagap_rules::RuleSet;
+use mimosagap_types::prelude::*;
+
+pub const MODEL: &str = "quotes";
+pub const SERVICE: &str = "agenda";
+
+pub struct Harness {
+    pub core: Core,
+    pub now: Instant,
+    tickets: u64,
+}
+
+pub fn engine(number: u8) -> SocketAddr {
+    SocketAddr::from(([127, 1, 0, number], 8000))
+}
+
+pub fn service(number: u8) -> SocketAddr {
+    SocketAddr::from(([127, 2, 0, number], 8000))
+}
+
+pub fn digest(seed: u8) -> RequestDigest {
+    RequestDigest([seed; 32])
+}
+
+pub fn rules(revision: u64, text: &str) -> Arc<RuleSet> {
+    Arc::new(RuleSet::compile(RulesRevision(revision), text).expect("test rules compile"))
+}
+
+pub fn options(daemon: &str) -> Options {
+    Options {
+        daemon: DaemonId::new(daemon),
+        zone: ZoneName::new("norte-a1"),
+        region: RegionName::new("norte-a"),
+        seed: 7,
+    }
+}
+
+pub fn listed(address: SocketAddr, leaving: bool) -> ListedTarget {
+    let is_engine = address.ip().to_string().starts_with("127.1.");
+    ListedTarget {
+        address,
+        deployment: DeploymentName::new(if is_engine { "assistant" } else { SERVICE }),
+        kind: if is_engine {
+            TargetKind::Engine {
+                models: vec![ModelName::new(MODEL)],
+            }
+        } else {
+            TargetKind::Service
+        },
+        zone: ZoneName::new("norte-a1"),
+        region: RegionName::new("norte-a"),
+        leaving,
+    }
+}
+
+pub fn load(incarnation: u64) -> LoadReport {
+    LoadReport {
+        incarnation: Incarnation(incarnation),
+        running: 0,
+        waiting: 0,
+        memory_used: 0.0,
+        memory_tokens: 100_000,
+        preemptions: 0,
+        leaving: false,
+        age: Duration::ZERO,
+    }
+}
+
+pub fn generation(seed: u8, whole: bool) -> Submission {
+    Submission {
+        team: TeamName::new("floors"),
+        class: ClassName::new("quote"),
+        digest: digest(seed),
+        work: WorkKind::Generation {
+            model: ModelName::new(MODEL),
+            prompt_tokens: 100,
+            max_tokens: None,
+            prefix: Vec::new(),
+            whole,
+        },
+    }
+}
+
+pub fn order(seed: u8) -> Submission {
+    Submission {
+        work: WorkKind::Order {
+            service: DeploymentName::new(SERVICE),
+            key: OrderKey {
+                team: TeamName::new("floors"),
+                key: digest(seed),
+            },
+        },
+        ..generation(seed, true)
+    }
+}
+
+pub fn call(seed: u8) -> Submission {
+    Submission {
+        work: WorkKind::RepeatableCall {
+            service: DeploymentName::new(SERVICE),
+        },
+        ..generation(seed, true)
+    }
+}
+
+impl Harness {
+    /// A reducer with rules and contact to the store, but without targets.
+    pub fn new(text: &str) -> Self {
+        let mut harness = Self {
+            core: Core::new(options("a")),
+            now: Instant::now(),
+            tickets: 0,
+        };
+        harness.step(Event::StoreReached);
+        harness.step(Event::RulesFound(rules(1, text)));
+        harness
+    }
+
+    /// The same with engines and service targets, numbered from 1, that take work.
+    pub fn with_targets(text: &str, engines: u8, services: u8) -> Self {
+        let mut harness = Self::new(text);
+        harness.list(engines, services);
+        for number in 1..=engines {
+            harness.report(number, load(u64::from(number)));
+        }
+        harness
+    }
+
+    pub fn list(&mut self, engines: u8, services: u8) -> Vec<Effect> {
+        let engines = (1..=engines).map(engine);
+        let all = engines.chain((1..=services).map(service));
+        let list = all.map(|address| listed(address, false)).collect();
+        self.step(Event::TargetsListed(list))
+    }
+
+    pub fn report(&mut self, number: u8, report: LoadReport) -> Vec<Effect> {
+        let address = engine(number);
+        self.step(Event::TargetReported { address, report })
+    }
+
+    pub fn step(&mut self, event: Event) -> Vec<Effect> {
+        let mut effects = Vec::new();
+        self.core.reduce(self.now, event, &mut effects);
+        effects
+    }
+
+    /// Moves the clock with the store in reach, then ticks.
+    pub fn pass(&mut self, time: Duration) -> Vec<Effect> {
+        self.now += time;
+        let mut effects = self.step(Event::StoreReached);
+        effects.extend(self.step(Event::Tick));
+        effects
+    }
+
+    pub fn submit(&mut self, submission: Submission) -> (RequestTicket, Vec<Effect>) {
+        self.tickets += 1;
+        let ticket = RequestTicket(self.tickets);
+        let effects = self.step(Event::Submitted { ticket, submission });
+        (ticket, effects)
+    }
+
+    pub fn accept(&mut self, ticket: RequestTicket, attempt: u32) -> Vec<Effect> {
+        self.step(Event::AttemptAccepted {
+            ticket,
+            attempt,
+            incarnation: None,
+        })
+    }
+
+    pub fn end(&mut self, ticket: RequestTicket, attempt: u32, end: AttemptEnd) -> Vec<Effect> {
+        self.step(Event::AttemptEnded {
+            ticket,
+            attempt,
+            end,
+        })
+    }
+
+    pub fn claim(&mut self, ticket: RequestTicket, answer: ClaimAnswer) -> Vec<Effect> {
+        self.step(Event::ClaimAnswered { ticket, answer })
+    }
+
+    /// Completes requests until the retry budget holds `attempts`.
+    pub fn fill_budget(&mut self, attempts: f64) {
+        while self.core.retry_budget() < attempts {
+            let (ticket, effects) = self.submit(generation(255, true));
+            assert!(dispatched(&effects).is_some(), "{effects:?}");
+            self.end(ticket, 1, AttemptEnd::Completed { tokens: 10 });
+        }
+    }
+}
+
+/// The first dispatch: attempt and target.
+pub fn dispatched(effects: &[Effect]) -> Option<(u32, SocketAddr)> {
+    effects.iter().find_map(|effect| match effect {
+        Effect::Dispatch {
+            attempt, target, ..
+        } => Some((*attempt, *target)),
+        _ => None,
+    })
+}
+
+/// The first refusal.
+pub fn refused(effects: &[Effect]) -> Option<&Refusal> {
+    effects.iter().find_map(|effect| match effect {
+        Effect::Refuse { refusal, .. } => Some(refusal),
+        _ => None,
+    })
+}
+
+pub fn lost(delivered: u32, died: bool) -> AttemptEnd {
+    AttemptEnd::Lost { delivered, died }
+}
