feat(daemon): caller side with streamed and whole generations, calls and refusals

Callers could not reach anything: the daemon had no listener. This adds the HTTP front, the relay to engines and services, the driver that owns the reducer, the watchers of the host list and the targets, the admin API and metrics.

A stream runs in the task of its caller's connection: the response body drives the relay and the engine's connection, so a token needs no hand-over between tasks. A channel from a task per stream was ruled out for its extra wake-ups.

--- /dev/null
+++ b/crates/mimosagap-daemon/src/admin/mod.rs
@@ -0,0 +1,74 @@
+//! The administration API. It only reads; behaviour changes through the rules file alone.
+
+mod pages;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::mpsc::Sender;
+
+use rouille::{Request, Response, Server};
+
+use crate::shared::Shared;
+
+/// Threads that answer operators.
+const THREADS: usize = 2;
+
+/// A running administration API; ends when dropped.
+pub struct AdminServer {
+    address: SocketAddr,
+    stop: Sender<()>,
+}
+
+impl AdminServer {
+    /// Binds the address and starts to answer.
+    ///
+    /// # Errors
+    /// If the address is in use or not of this host.
+    pub fn start(
+        shared: Arc<Shared>,
+        address: SocketAddr,
+    ) -> Result<Self, Box<dyn std::error::Error + Send + Sync>> {
+        let server = Server::new(address, move |request| answer(&shared, request))?;
+        let server = server.pool_size(THREADS);
+        let address = server.server_addr();
+        let (_thread, stop) = server.stoppable();
+        Ok(Self { address, stop })
+    }
+
+    /// Where it listens.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+}
+
+impl Drop for AdminServer {
+    fn drop(&mut self) {
+        // The thread looks for this once a second.
+        let _ = self.stop.send(());
+    }
+}
+
+fn answer(shared: &Shared, request: &Request) -> Response {
+    if request.method() != "GET" {
+        return Response::text("this API only reads; change the rules file instead\n")
+            .with_status_code(405);
+    }
+    match request.url().as_str() {
+        "/health" => Response::json(&pages::health(shared)),
+        "/daemons" => Response::json(&pages::daemons(shared)),
+        "/targets" => Response::json(&pages::targets(shared, |_| true)),
+        "/targets/leaving" => Response::json(&pages::targets(shared, |target| target.leaving)),
+        "/rules" => Response::json(&pages::rules(shared)),
+        "/limits" => Response::json(&pages::limits(shared)),
+        "/quarantine" => Response::json(&pages::quarantine(shared)),
+        "/metrics" => Response::from_data(
+            "text/plain; version=0.0.4; charset=utf-8",
+            pages::metrics(shared),
+        ),
+        _ => Response::text(
+            "pages: /health /daemons /targets /targets/leaving /rules /limits /quarantine /metrics\n",
+        )
+        .with_status_code(404),
+    }
+}
--- a/crates/mimosagap-daemon/src/driver.rs
+++ b/crates/mimosagap-daemon/src/driver.rs
@@ -1,7 +1,19 @@
 //! The task which owns the reducer.
 
-use mimosagap_core::Event;
-use tokio::sync::mpsc;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use mimosagap_core::{AttemptEnd, Effect, Event, StateChange};
+use mimosagap_types::prelude::*;
+use tokio::sync::{mpsc, watch};
+use tokio::time::MissedTickBehavior;
+
+use crate::control::ControlHandle;
+use crate::metrics::Metrics;
+use crate::requests::{Command, RequestTable};
+use crate::view::View;
+
+const TICK: Duration = Duration::from_millis(50);
 
 /// Sends events to the reducer. Cheap to clone; never blocks.
 #[derive(Debug, Clone)]
@@ -22,3 +34,146 @@
         let _ = self.sender.send(event);
     }
 }
+
+/// The reducer as the driver calls it.
+pub type Reduce = Box<dyn FnMut(Instant, Event, &mut Vec<Effect>) + Send>;
+
+/// Owns the reducer, stamps events with the time and carries out effects.
+pub struct Driver {
+    /// The reducer.
+    pub reduce: Reduce,
+    /// Where follow-up events go.
+    pub events: EventSender,
+    /// Time.
+    pub clock: Arc<dyn Clock>,
+    /// Store and peers.
+    pub control: ControlHandle,
+    /// The open requests.
+    pub requests: Arc<RequestTable>,
+    /// What is known.
+    pub view: Arc<View>,
+    /// Counters and histograms.
+    pub metrics: Arc<Metrics>,
+    /// Set once the reducer says when to stop accepting connections.
+    pub stop: watch::Sender<Option<Duration>>,
+}
+
+impl Driver {
+    /// Runs until the runtime ends.
+    pub async fn run(mut self, mut events: mpsc::UnboundedReceiver<Event>) {
+        let mut tick = tokio::time::interval(TICK);
+        tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut effects = Vec::new();
+        loop {
+            let event = tokio::select! {
+                event = events.recv() => match event {
+                    Some(event) => event,
+                    None => return,
+                },
+                _ = tick.tick() => Event::Tick,
+            };
+            self.step(event, &mut effects);
+        }
+    }
+
+    fn step(&mut self, event: Event, effects: &mut Vec<Effect>) {
+        self.view.note_event(&event);
+        let ended = match &event {
+            Event::AttemptEnded { ticket, .. } => Some(*ticket),
+            _ => None,
+        };
+        (self.reduce)(self.clock.now(), event, effects);
+        for effect in effects.drain(..) {
+            self.view.note_effect(&effect);
+            self.carry_out(effect);
+        }
+        if let Some(ticket) = ended {
+            // An answer that the reducer did not ask to record is not needed any more.
+            let _ = self.requests.take_answer(ticket);
+        }
+    }
+
+    fn carry_out(&mut self, effect: Effect) {
+        match effect {
+            Effect::Dispatch {
+                ticket,
+                attempt,
+                target,
+                priority,
+            } => {
+                let command = Command::Dispatch {
+                    attempt,
+                    target,
+                    priority,
+                };
+                if !self.requests.command(ticket, command) {
+                    // The caller left meanwhile, so nothing was sent.
+                    self.events.send(Event::AttemptEnded {
+                        ticket,
+                        attempt,
+                        end: AttemptEnd::NotSent,
+                    });
+                }
+            }
+            Effect::Refuse { ticket, refusal } => {
+                self.requests.command(ticket, Command::Refuse(refusal));
+            }
+            Effect::AnswerFromRecord { ticket } => {
+                let answer = self.control.take_recorded(ticket);
+                self.requests
+                    .command(ticket, Command::AnswerFromRecord(answer));
+            }
+            Effect::CancelAttempt { ticket, attempt } => {
+                self.requests.command(ticket, Command::Cancel { attempt });
+            }
+            Effect::RecordResult { ticket, key } => {
+                if let Some(answer) = self.requests.take_answer(ticket) {
+                    self.control.record_result(key, answer);
+                }
+            }
+            Effect::StopAccepting { after } => {
+                self.control.set_leaving();
+                self.stop.send_replace(Some(after));
+            }
+            Effect::Log(change) => log_change(&change),
+            Effect::ObserveQueueing { team, class, wait } => {
+                let labels = [team.as_str(), class.as_str()];
+                let histogram = self.metrics.queueing.with_label_values(&labels);
+                histogram.observe(wait.as_secs_f64());
+            }
+            Effect::Claim { .. }
+            | Effect::RecordNotRun { .. }
+            | Effect::RecordSuspicions { .. }
+            | Effect::TakeTrial { .. }
+            | Effect::EndTrial { .. }
+            | Effect::Spread(_)
+            | Effect::AskCredit { .. }
+            | Effect::AnswerCredit { .. } => self.control.carry_out(effect),
+        }
+    }
+}
+
+fn log_change(change: &StateChange) {
+    match change {
+        StateChange::RulesInForce { revision } => {
+            log::info!("event=rules_in_force revision={revision}");
+        }
+        StateChange::TargetUp { address } => log::info!("event=target_up target={address}"),
+        StateChange::TargetLeaving { address, rule } => match rule {
+            Some(rule) => log::info!(
+                "event=target_leaving target={address} revision={} line={} asked_by={:?}",
+                rule.revision,
+                rule.line,
+                rule.asked_by
+            ),
+            None => log::info!("event=target_leaving target={address}"),
+        },
+        StateChange::TargetDown { address } => log::warn!("event=target_down target={address}"),
+        StateChange::Quarantine { digest, state } => {
+            log::warn!("event=quarantine digest={digest} state={state:?}");
+        }
+        StateChange::Isolated { isolated } => log::warn!("event=isolated isolated={isolated}"),
+        StateChange::Store { reachable } => log::warn!("event=store reachable={reachable}"),
+        StateChange::Draining => log::info!("event=draining"),
+    }
+}
--- /dev/null
+++ b/crates/mimosagap-daemon/src/front/auth.rs
@@ -0,0 +1,75 @@
+//! Who a caller is.
+
+use std::time::Duration;
+
+use hyper::header::{AUTHORIZATION, HeaderMap};
+use mimosagap_rules::RuleSet;
+use mimosagap_types::prelude::*;
+use sha2::{Digest, Sha256};
+use subtle::ConstantTimeEq;
+
+use crate::shared::Shared;
+
+/// When a caller may try again that reached a daemon without rules.
+const NO_RULES_RETRY: Duration = Duration::from_secs(1);
+
+/// The class of requests that name none.
+const DEFAULT_CLASS: &str = "default";
+
+const MAX_CLASS_BYTES: usize = 64;
+
+/// The team whose token the request carries.
+///
+/// # Errors
+/// 401, or 503 while no rules are known.
+pub fn team(shared: &Shared, headers: &HeaderMap) -> Result<TeamName, Refusal> {
+    let rules = shared.view.rules();
+    if rules.revision == RulesRevision(0) {
+        let message = "no rules are known here yet; try again, or at another address";
+        return Err(Refusal::new(RefusalCause::Isolated, message).with_retry_after(NO_RULES_RETRY));
+    }
+    let message = "send a token of your team as \"Authorization: Bearer TOKEN\"";
+    bearer(headers)
+        .and_then(|token| find_team(&rules, token))
+        .ok_or_else(|| Refusal::new(RefusalCause::Unauthenticated, message))
+}
+
+fn bearer(headers: &HeaderMap) -> Option<&[u8]> {
+    let value = headers.get(AUTHORIZATION)?.as_bytes();
+    let (scheme, token) = value.split_at_checked(7)?;
+    scheme
+        .eq_ignore_ascii_case(b"bearer ")
+        .then(|| token.trim_ascii())
+}
+
+/// Compares with every digest, so that the time does not depend on which one matches.
+fn find_team(rules: &RuleSet, token: &[u8]) -> Option<TeamName> {
+    let digest: [u8; 32] = Sha256::digest(token).into();
+    let mut found = None;
+    for (known, team) in rules.tokens() {
+        if bool::from(known.ct_eq(&digest)) {
+            found = Some(team.clone());
+        }
+    }
+    found
+}
+
+/// The class of a request: its header, or its metadata.
+///
+/// # Errors
+/// If the name is empty, too long or has other characters than the rules allow.
+pub fn class(headers: &HeaderMap, metadata: Option<&str>) -> Result<ClassName, Refusal> {
+    let name = match headers.get("x-request-class") {
+        Some(value) => value.to_str().unwrap_or_default(),
+        None => metadata.unwrap_or(DEFAULT_CLASS),
+    };
+    let is_valid = (1..=MAX_CLASS_BYTES).contains(&name.len())
+        && name
+            .bytes()
+            .all(|byte| byte.is_ascii_alphanumeric() || b"-_.".contains(&byte));
+    if is_valid {
+        return Ok(ClassName::new(name));
+    }
+    let message = "a class has 1 to 64 letters, digits, '-', '_' or '.'";
+    Err(Refusal::new(RefusalCause::BadRequest, message))
+}
--- a/crates/mimosagap-daemon/src/main.rs
+++ b/crates/mimosagap-daemon/src/main.rs
@@ -1,4 +1,143 @@
 //! The mimosagap daemon for entry hosts.
 #![deny(unsafe_code, missing_docs)]
 
-fn main() {}
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::sync::Arc;
+
+use mimosagap_daemon::daemon::{Daemon, new_identity, reducer, termination};
+use mimosagap_daemon::logging;
+use mimosagap_settings::Settings;
+use pico_args::Arguments;
+
+const HELP: &str = "\
+mimosagapd: the mimosagap daemon for entry hosts
+
+Usage: mimosagapd --settings FILE [--check] [--log-level LEVEL]
+
+  --settings FILE    JSON settings; see docs/operators.md
+  --check            check the settings and end
+  --log-level LEVEL  error, warn, info (default), debug or trace
+  --help             print this text
+  --version          print the version
+
+SIGTERM drains the daemon. Exit codes: 0 drained or settings correct, 1 failure while running,
+2 wrong options or settings; nothing was started.
+";
+
+const EXIT_FAILED: u8 = 1;
+const EXIT_NOT_STARTED: u8 = 2;
+
+struct Options {
+    settings: PathBuf,
+    check: bool,
+    log_level: String,
+}
+
+fn main() -> ExitCode {
+    let mut arguments = Arguments::from_env();
+    if arguments.contains(["-h", "--help"]) {
+        print!("{HELP}");
+        return ExitCode::SUCCESS;
+    }
+    if arguments.contains(["-V", "--version"]) {
+        println!("mimosagapd {}", env!("CARGO_PKG_VERSION"));
+        return ExitCode::SUCCESS;
+    }
+    match read_options(arguments).and_then(|options| Ok((read_settings(&options)?, options))) {
+        Ok((_, options)) if options.check => {
+            println!("{}: the settings are correct", options.settings.display());
+            ExitCode::SUCCESS
+        }
+        Ok((settings, options)) => run(settings, &options),
+        Err(message) => {
+            eprintln!("{message}");
+            ExitCode::from(EXIT_NOT_STARTED)
+        }
+    }
+}
+
+fn read_options(mut arguments: Arguments) -> Result<Options, String> {
+    let wrong = |error: pico_args::Error| format!("mimosagapd: {error}; see mimosagapd --help");
+    let options = Options {
+        settings: arguments.value_from_str("--settings").map_err(wrong)?,
+        check: arguments.contains("--check"),
+        log_level: arguments
+            .opt_value_from_str("--log-level")
+            .map_err(wrong)?
+            .unwrap_or_else(|| "info".to_owned()),
+    };
+    let rest = arguments.finish();
+    if !rest.is_empty() {
+        return Err(format!(
+            "mimosagapd: unknown option {}; see mimosagapd --help",
+            rest[0].display()
+        ));
+    }
+    if options.log_level.parse::<log::LevelFilter>().is_err() {
+        return Err(format!(
+            "mimosagapd: \"{}\" is no log level; use error, warn, info, debug or trace",
+            options.log_level
+        ));
+    }
+    Ok(options)
+}
+
+fn read_settings(options: &Options) -> Result<Arc<Settings>, String> {
+    let path = options.settings.display();
+    let text = std::fs::read_to_string(&options.settings)
+        .map_err(|error| format!("{path}: {error}; name a readable settings file"))?;
+    Settings::parse(&text).map(Arc::new).map_err(|errors| {
+        let lines: Vec<String> = errors
+            .iter()
+            .map(|error| format!("{path}: {error}"))
+            .collect();
+        lines.join("\n")
+    })
+}
+
+fn run(settings: Arc<Settings>, options: &Options) -> ExitCode {
+    let _logger = match logging::start(&options.log_level) {
+        Ok(logger) => logger,
+        Err(error) => {
+            eprintln!("mimosagapd: cannot start logging: {error}; check --log-level");
+            return ExitCode::from(EXIT_NOT_STARTED);
+        }
+    };
+    let runtime = match tokio::runtime::Runtime::new() {
+        Ok(runtime) => runtime,
+        Err(error) => {
+            eprintln!("mimosagapd: cannot start threads: {error}; raise the limits of the process");
+            return ExitCode::from(EXIT_NOT_STARTED);
+        }
+    };
+    let code = runtime.block_on(serve(settings));
+    runtime.shutdown_background();
+    code
+}
+
+async fn serve(settings: Arc<Settings>) -> ExitCode {
+    let identity = new_identity(&settings);
+    let reduce = reducer(&settings, &identity);
+    let listen = settings.listen;
+    let daemon = match Daemon::start(settings, identity.clone(), reduce) {
+        Ok(daemon) => daemon,
+        Err(error) => {
+            eprintln!("mimosagapd: {error}");
+            return ExitCode::from(EXIT_NOT_STARTED);
+        }
+    };
+    log::info!(
+        "event=started daemon={identity} callers={} admin={}",
+        listen.callers,
+        listen.admin
+    );
+    if let Err(error) = termination().await {
+        log::error!("event=no_signal_handler cause={error:?}");
+        return ExitCode::from(EXIT_FAILED);
+    }
+    daemon.drain();
+    daemon.ended().await;
+    log::info!("event=stopped daemon={identity}");
+    ExitCode::SUCCESS
+}
--- /dev/null
+++ b/crates/mimosagap-daemon/src/relay/whole.rs
@@ -0,0 +1,69 @@
+//! Collects a generation for a caller that wants its answer whole.
+
+use std::borrow::Cow;
+
+use serde::Deserialize;
+use serde_json::{Value, json};
+
+use super::scanner::MalformedEvent;
+
+/// Longest text of a whole answer, in bytes.
+const MAX_TEXT_BYTES: usize = 8 << 20;
+
+#[derive(Deserialize)]
+struct DeltaEvent<'a> {
+    #[serde(borrow, default)]
+    delta: Cow<'a, str>,
+}
+
+#[derive(Deserialize)]
+struct FinalEvent {
+    response: Value,
+}
+
+/// The text so far and, at the end, the engine's response object.
+#[derive(Debug, Default)]
+pub struct WholeAnswer {
+    text: String,
+    response: Option<Value>,
+}
+
+impl WholeAnswer {
+    /// Appends the text of a delta event.
+    ///
+    /// # Errors
+    /// If it is malformed or the text becomes longer than 8 MiB.
+    pub fn add(&mut self, data: &[u8]) -> Result<(), MalformedEvent> {
+        let event: DeltaEvent = serde_json::from_slice(data).map_err(|_| MalformedEvent)?;
+        if self.text.len() + event.delta.len() > MAX_TEXT_BYTES {
+            return Err(MalformedEvent);
+        }
+        self.text.push_str(&event.delta);
+        Ok(())
+    }
+
+    /// Takes the response object of the last event.
+    ///
+    /// # Errors
+    /// If the event has none.
+    pub fn finish(&mut self, data: &[u8]) -> Result<(), MalformedEvent> {
+        let event: FinalEvent = serde_json::from_slice(data).map_err(|_| MalformedEvent)?;
+        self.response = Some(event.response);
+        Ok(())
+    }
+
+    /// The answer: the engine's response object with the caller's id and the collected text.
+    #[must_use]
+    pub fn into_json(self, id: &str) -> Value {
+        let mut response = self.response.unwrap_or_else(|| json!({}));
+        response["id"] = json!(id);
+        response["object"] = json!("response");
+        response["output"] = json!([{
+            "type": "message",
+            "role": "assistant",
+            "status": "completed",
+            "content": [{"type": "output_text", "text": self.text, "annotations": []}],
+        }]);
+        response
+    }
+}
--- /dev/null
+++ b/crates/mimosagap-daemon/src/targets/report.rs
@@ -0,0 +1,85 @@
+//! Load reports in the Prometheus text format, and cache events.
+
+use std::time::Duration;
+
+use mimosagap_core::LoadReport;
+use mimosagap_types::prelude::*;
+use serde::Deserialize;
+
+/// Reads a report; `None` if it names no incarnation. Values with several label sets are added.
+#[must_use]
+#[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)] // `as` saturates.
+pub fn parse(text: &str) -> Option<LoadReport> {
+    let mut report = LoadReport {
+        incarnation: Incarnation(0),
+        running: 0,
+        waiting: 0,
+        memory_used: 0.0,
+        memory_tokens: 0,
+        preemptions: 0,
+        leaving: false,
+        age: Duration::ZERO,
+    };
+    let mut has_incarnation = false;
+    for line in text.lines() {
+        let Some((name, labels, value)) = sample(line) else {
+            continue;
+        };
+        let number = value.parse().unwrap_or(0.0_f64);
+        match name {
+            "vllm:num_requests_running" => report.running += number as u32,
+            "vllm:num_requests_waiting" => report.waiting += number as u32,
+            "vllm:kv_cache_usage_perc" => report.memory_used = report.memory_used.max(number),
+            "vllm:num_preemptions_total" => report.preemptions += number as u64,
+            "engine_kv_capacity_tokens" => report.memory_tokens += number as u64,
+            "engine_state" if labels.contains("state=\"leaving\"") => {
+                report.leaving |= number > 0.0;
+            }
+            // An incarnation can be too large for a float, so its digits are read as they are.
+            "engine_incarnation" => {
+                let whole = value.parse().unwrap_or(number as u64);
+                report.incarnation = Incarnation(whole);
+                has_incarnation = true;
+            }
+            _ => {}
+        }
+    }
+    has_incarnation.then_some(report)
+}
+
+/// Name, labels and value of a line; `None` for comments.
+fn sample(line: &str) -> Option<(&str, &str, &str)> {
+    if line.starts_with('#') {
+        return None;
+    }
+    let (series, rest) = match line.split_once('}') {
+        Some((series, rest)) => (series, rest),
+        None => line.split_once(' ')?,
+    };
+    let (name, labels) = series.split_once('{').unwrap_or((series, ""));
+    let value = rest.split_whitespace().next()?;
+    Some((name.trim(), labels, value))
+}
+
+/// A change of an engine's prefix cache.
+#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
+pub struct CacheEvent {
+    /// Its number; one more than the last unless events are missing.
+    pub sequence: u64,
+    /// What happened.
+    #[serde(rename = "type")]
+    pub kind: CacheEventKind,
+    /// The blocks.
+    #[serde(default)]
+    pub block_hashes: Vec<u64>,
+}
+
+/// The kinds of cache events.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum CacheEventKind {
+    /// The blocks are now cached.
+    Stored,
+    /// The blocks were evicted.
+    Removed,
+}
--- /dev/null
+++ b/crates/mimosagap-daemon/src/targets/watcher.rs
@@ -0,0 +1,157 @@
+//! Watches one target.
+
+use std::collections::HashSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+use mimosagap_core::{Event, ListedTarget, LoadReport, TargetKind};
+use mimosagap_types::prelude::*;
+use tokio::time::{MissedTickBehavior, interval};
+
+use super::client::TargetClient;
+use super::report::{self, CacheEvent, CacheEventKind};
+use crate::relay::connection::{SendError, connect};
+use crate::shared::Shared;
+
+/// The interval of report fetches.
+const REPORT_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Watches a target for ever.
+pub async fn watch(shared: Arc<Shared>, target: ListedTarget) {
+    let mut watcher = TargetWatcher {
+        client: TargetClient::new(target.address),
+        address: target.address,
+        incarnation: None,
+        preemptions: 0,
+        cache_sequence: 0,
+        was_unreachable: false,
+        shared,
+    };
+    let mut ticks = interval(REPORT_INTERVAL);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        match target.kind {
+            TargetKind::Engine { .. } => watcher.fetch_report().await,
+            TargetKind::Service => watcher.probe().await,
+        }
+    }
+}
+
+struct TargetWatcher {
+    shared: Arc<Shared>,
+    client: TargetClient,
+    address: TargetAddress,
+    incarnation: Option<Incarnation>,
+    preemptions: u64,
+    cache_sequence: u64,
+    was_unreachable: bool,
+}
+
+impl TargetWatcher {
+    async fn fetch_report(&mut self) {
+        let answer = match self.client.get("/metrics").await {
+            Ok(answer) => answer,
+            Err(error) => return self.report_unreachable(error),
+        };
+        let text = std::str::from_utf8(&answer.body).unwrap_or_default();
+        let Some(report) = report::parse(text).filter(|_| answer.status.is_success()) else {
+            return self.report_unreachable(SendError::Broken);
+        };
+        self.note_life(&report);
+        let address = self.address;
+        self.shared
+            .events
+            .send(Event::TargetReported { address, report });
+        self.fetch_cache_events().await;
+    }
+
+    /// Services publish no report, so only a connection shows that they are there.
+    async fn probe(&mut self) {
+        match connect(self.address).await {
+            Ok(_) if self.was_unreachable => {
+                self.was_unreachable = false;
+                self.shared.events.send(Event::TargetReported {
+                    address: self.address,
+                    report: empty_report(),
+                });
+            }
+            Ok(_) => {}
+            Err(error) => self.report_unreachable(error),
+        }
+    }
+
+    fn report_unreachable(&mut self, error: SendError) {
+        self.was_unreachable = true;
+        self.shared.events.send(Event::TargetUnreachable {
+            address: self.address,
+            refused: error == SendError::NotConnected { refused: true },
+        });
+    }
+
+    fn note_life(&mut self, report: &LoadReport) {
+        if self.incarnation != Some(report.incarnation) {
+            self.incarnation = Some(report.incarnation);
+            self.preemptions = 0;
+            self.cache_sequence = 0;
+        }
+        let more = report.preemptions.saturating_sub(self.preemptions);
+        self.preemptions = report.preemptions;
+        let address = self.address.to_string();
+        let counter = &self.shared.metrics.preemptions;
+        counter.with_label_values(&[&address]).inc_by(more);
+    }
+
+    async fn fetch_cache_events(&mut self) {
+        let path = format!("/kv_events?since={}", self.cache_sequence);
+        let Ok(answer) = self.client.get(&path).await else {
+            return;
+        };
+        let Ok(events) = serde_json::from_slice::<Vec<CacheEvent>>(&answer.body) else {
+            return;
+        };
+        let Some(last) = events.last() else { return };
+        let last = last.sequence;
+        let event = self.summarize(&events);
+        self.cache_sequence = last;
+        self.shared.events.send(event);
+    }
+
+    /// The last event of a block decides whether it is cached.
+    fn summarize(&self, events: &[CacheEvent]) -> Event {
+        let (mut stored, mut removed) = (HashSet::new(), HashSet::new());
+        let mut expected = self.cache_sequence + 1;
+        let mut gap = false;
+        for event in events {
+            gap |= event.sequence != expected;
+            expected = event.sequence + 1;
+            let (into, out_of) = match event.kind {
+                CacheEventKind::Stored => (&mut stored, &mut removed),
+                CacheEventKind::Removed => (&mut removed, &mut stored),
+            };
+            for hash in &event.block_hashes {
+                into.insert(*hash);
+                out_of.remove(hash);
+            }
+        }
+        Event::CacheChanged {
+            address: self.address,
+            stored: stored.into_iter().collect(),
+            removed: removed.into_iter().collect(),
+            gap,
+        }
+    }
+}
+
+fn empty_report() -> LoadReport {
+    LoadReport {
+        incarnation: Incarnation(0),
+        running: 0,
+        waiting: 0,
+        memory_used: 0.0,
+        memory_tokens: 0,
+        preemptions: 0,
+        leaving: false,
+        age: Duration::ZERO,
+    }
+}
