feat(cli): operators' tool: rules, status, settings check, token, queries

The revision on which a file is based stands in its first line, and apply refuses a file with another base. Taking the revision read at the time of apply was ruled out: it would drop the lines which another operator added between fetch and apply without anyone seeing it.

--- /dev/null
+++ b/crates/mimosagap-cli/src/arguments.rs
@@ -0,0 +1,217 @@
+//! The command line.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+use pico_args::Arguments;
+
+use crate::error::CommandError;
+use crate::query::QuerySubject;
+
+pub const HELP: &str = "\
+mimosagap: operate a mimosagap fleet
+
+USAGE: mimosagap COMMAND [OPTIONS]
+
+COMMANDS:
+  rules check FILE                     check a rules file
+  rules fetch FILE --store ADDR [--overwrite]
+                                       write the rules in force to FILE, with their revision
+  rules show --store ADDR              print the rules in force
+  rules diff FILE --store ADDR         show what applying FILE would change
+  rules apply FILE --store ADDR [--daemon ADDR]
+                                       put FILE in force; with --daemon, wait until every daemon has it
+  rules status --daemon ADDR [--revision N]
+                                       say which daemons have the newest (or the given) revision in force
+  settings check FILE                  check a daemon's settings file
+  token TEAM                           make a token for a team and print its rule line
+  daemons | targets | limits | quarantine | health --daemon ADDR
+                                       ask a daemon's administration API
+
+OPTIONS:
+  --store ADDR    address of the platform's key-value service, IP:PORT
+  --daemon ADDR   administration address of any daemon, IP:PORT
+  --json          print JSON instead of text
+  --help          print this, or the help of a command
+  --version       print the version
+
+EXIT CODES: 0 done, 1 refused or not yet in force everywhere, 2 bad input, 3 not reachable,
+4 the fate of a change is not known";
+
+const RULES_HELP: &str = "\
+USAGE: mimosagap rules check|fetch|diff|apply FILE | show | status [OPTIONS]
+
+\"fetch\" writes the rules in force to FILE, with the line \"# revision N\" first. Edit the file and
+\"apply\" it. If other rules came into force in between, nothing is changed and the difference is
+shown. A file without the revision line is taken only while no rules are in force.
+
+Each line has the form STATEMENT # ROLE: reason, with ROLE insurer, manager or crew lead.";
+
+/// A parsed command line.
+pub struct Invocation {
+    /// What to do.
+    pub command: Command,
+    /// Whether to print JSON.
+    pub json: bool,
+}
+
+/// What to do.
+pub enum Command {
+    Help(&'static str),
+    Version,
+    RulesCheck {
+        file: PathBuf,
+    },
+    RulesFetch {
+        store: SocketAddr,
+        file: PathBuf,
+        overwrite: bool,
+    },
+    RulesShow {
+        store: SocketAddr,
+    },
+    RulesDiff {
+        store: SocketAddr,
+        file: PathBuf,
+    },
+    RulesApply {
+        store: SocketAddr,
+        file: PathBuf,
+        daemon: Option<SocketAddr>,
+    },
+    RulesStatus {
+        daemon: SocketAddr,
+        revision: Option<u64>,
+    },
+    SettingsCheck {
+        file: PathBuf,
+    },
+    Token {
+        team: String,
+    },
+    Query {
+        daemon: SocketAddr,
+        subject: QuerySubject,
+    },
+}
+
+/// Parses the command line.
+pub fn parse(mut arguments: Arguments) -> Result<Invocation, CommandError> {
+    let json = arguments.contains("--json");
+    let help = arguments.contains(["-h", "--help"]);
+    let version = arguments.contains("--version");
+    let word = arguments.subcommand().map_err(usage)?;
+    let command = match word.as_deref() {
+        _ if version => Command::Version,
+        Some("rules") if help => Command::Help(RULES_HELP),
+        None if !help => return Err(CommandError::Usage("no command given".to_owned())),
+        _ if help => Command::Help(HELP),
+        Some("rules") => parse_rules(&mut arguments)?,
+        Some("settings") => parse_settings(&mut arguments)?,
+        Some("token") => Command::Token {
+            team: free_text(&mut arguments, "TEAM")?,
+        },
+        Some(other) => {
+            let subject = QuerySubject::parse(other)
+                .ok_or_else(|| CommandError::Usage(format!("unknown command \"{other}\"")))?;
+            Command::Query {
+                daemon: address(&mut arguments, "--daemon")?,
+                subject,
+            }
+        }
+        None => Command::Help(HELP),
+    };
+    let rest = arguments.finish();
+    if rest.is_empty() || help || version {
+        Ok(Invocation { command, json })
+    } else {
+        let rest: Vec<_> = rest.iter().map(|text| text.to_string_lossy()).collect();
+        Err(CommandError::Usage(format!(
+            "not understood: {}",
+            rest.join(" ")
+        )))
+    }
+}
+
+fn parse_rules(arguments: &mut Arguments) -> Result<Command, CommandError> {
+    let word = arguments.subcommand().map_err(usage)?;
+    match word.as_deref() {
+        Some("check") => Ok(Command::RulesCheck {
+            file: file(arguments)?,
+        }),
+        Some("fetch") => {
+            let store = address(arguments, "--store")?;
+            let overwrite = arguments.contains("--overwrite");
+            Ok(Command::RulesFetch {
+                store,
+                file: file(arguments)?,
+                overwrite,
+            })
+        }
+        Some("show") => Ok(Command::RulesShow {
+            store: address(arguments, "--store")?,
+        }),
+        Some("diff") => {
+            let store = address(arguments, "--store")?;
+            Ok(Command::RulesDiff {
+                store,
+                file: file(arguments)?,
+            })
+        }
+        Some("apply") => {
+            let store = address(arguments, "--store")?;
+            let daemon = arguments.opt_value_from_str("--daemon").map_err(usage)?;
+            Ok(Command::RulesApply {
+                store,
+                file: file(arguments)?,
+                daemon,
+            })
+        }
+        Some("status") => {
+            let daemon = address(arguments, "--daemon")?;
+            let revision = arguments.opt_value_from_str("--revision").map_err(usage)?;
+            Ok(Command::RulesStatus { daemon, revision })
+        }
+        other => {
+            let cause = format!("unknown rules command \"{}\"", other.unwrap_or_default());
+            Err(CommandError::Usage(cause))
+        }
+    }
+}
+
+fn parse_settings(arguments: &mut Arguments) -> Result<Command, CommandError> {
+    match arguments.subcommand().map_err(usage)?.as_deref() {
+        Some("check") => Ok(Command::SettingsCheck {
+            file: file(arguments)?,
+        }),
+        other => {
+            let cause = format!("unknown settings command \"{}\"", other.unwrap_or_default());
+            Err(CommandError::Usage(cause))
+        }
+    }
+}
+
+fn address(arguments: &mut Arguments, option: &'static str) -> Result<SocketAddr, CommandError> {
+    arguments.value_from_str(option).map_err(usage)
+}
+
+fn file(arguments: &mut Arguments) -> Result<PathBuf, CommandError> {
+    free_text(arguments, "FILE").map(PathBuf::from)
+}
+
+fn free_text(arguments: &mut Arguments, name: &str) -> Result<String, CommandError> {
+    let text: Option<String> = arguments.opt_free_from_str().map_err(usage)?;
+    match text {
+        Some(text) if !text.starts_with('-') => Ok(text),
+        Some(text) => Err(CommandError::Usage(format!("not understood: {text}"))),
+        None => Err(CommandError::Usage(format!("{name} is missing"))),
+    }
+}
+
+#[expect(
+    clippy::needless_pass_by_value,
+    reason = "used as a function for map_err"
+)]
+fn usage(error: pico_args::Error) -> CommandError {
+    CommandError::Usage(error.to_string())
+}
--- /dev/null
+++ b/crates/mimosagap-cli/tests/offline.rs
@@ -0,0 +1,88 @@
+//! Commands that need no other process: bad input must be refused with its cause and change
+//! nothing.
+
+use std::path::PathBuf;
+use std::process::{Command, Output};
+
+use rstest::rstest;
+
+fn run(arguments: &[&str]) -> Output {
+    Command::new(env!("CARGO_BIN_EXE_mimosagap"))
+        .args(arguments)
+        .output()
+        .expect("it starts")
+}
+
+fn file(name: &str, content: &str) -> PathBuf {
+    let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
+    std::fs::write(&path, content).expect("the directory is writable");
+    path
+}
+
+#[rstest]
+#[case::nothing(&[])]
+#[case::unknown(&["frobnicate"])]
+#[case::missing_file(&["rules", "check"])]
+#[case::missing_store(&["rules", "show"])]
+#[case::bad_address(&["targets", "--daemon", "entry-1:7002"])]
+#[case::unknown_option(&["rules", "check", "x", "--frobnicate"])]
+fn bad_command_lines_exit_with_2(#[case] arguments: &[&str]) {
+    let output = run(arguments);
+    assert_eq!(output.status.code(), Some(2), "{output:?}");
+    assert!(!output.stderr.is_empty());
+}
+
+#[rstest]
+#[case(&["--help"])]
+#[case(&["rules", "--help"])]
+#[case(&["rules", "apply", "--help"])]
+#[case(&["--version"])]
+fn help_exits_with_0(#[case] arguments: &[&str]) {
+    let output = run(arguments);
+    assert_eq!(output.status.code(), Some(0), "{output:?}");
+    assert!(!output.stdout.is_empty());
+}
+
+#[test]
+fn a_bad_rule_is_named_with_its_line() {
+    let path = file(
+        "bad.txt",
+        "# revision 3\nshare team a 1 # manager: x\nshare team b # y\n",
+    );
+    let output = run(&["rules", "check", path.to_str().unwrap()]);
+    assert_eq!(output.status.code(), Some(2));
+    let message = String::from_utf8(output.stderr).unwrap();
+    assert!(message.contains("line 3"), "{message}");
+    let output = run(&["rules", "check", path.to_str().unwrap(), "--json"]);
+    let json: serde_json::Value = serde_json::from_slice(&output.stdout).unwrap();
+    assert_eq!(json["faults"][0]["line"], 3);
+}
+
+#[test]
+fn a_store_that_is_down_changes_nothing() {
+    let path = file("good.txt", "share team a 1 # manager: x\n");
+    let name = path.to_str().unwrap();
+    let output = run(&["rules", "apply", name, "--store", "127.0.0.1:9"]);
+    assert_eq!(output.status.code(), Some(3), "{output:?}");
+    assert_eq!(
+        std::fs::read_to_string(&path).unwrap(),
+        "share team a 1 # manager: x\n"
+    );
+}
+
+#[test]
+fn a_token_and_its_rule_line_belong_together() {
+    let output = run(&["token", "porto", "--json"]);
+    let json: serde_json::Value = serde_json::from_slice(&output.stdout).unwrap();
+    let rule = json["rule"]
+        .as_str()
+        .unwrap()
+        .replace("# ROLE: reason", "# manager: test");
+    let path = file("token.txt", &rule);
+    assert_eq!(
+        run(&["rules", "check", path.to_str().unwrap()])
+            .status
+            .code(),
+        Some(0)
+    );
+}
