--- a/crates/mimosagap-daemon/src/control/watch.rs
+++ b/crates/mimosagap-daemon/src/control/watch.rs
@@ -233,7 +233,8 @@
     if !entry.key.starts_with(keys::RULES_DELTA_PREFIX) {
         return;
     }
-    if let Some(record) = DeltaRecord::parse(&entry.value) {
-        rules::adopt_delta(control, record.delta);
+    let record = DeltaRecord::parse(&entry.value);
+    if let Some(delta) = record.and_then(|record| record.to_delta()) {
+        rules::adopt_delta(control, delta);
     }
 }
--- a/crates/mimosagap-store/src/rules.rs
+++ b/crates/mimosagap-store/src/rules.rs
@@ -34,8 +34,12 @@
 /// The change from one revision to the next.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct DeltaRecord {
-    /// The change.
-    pub delta: RulesDelta,
+    /// The revision to which the delta applies.
+    pub base: RulesRevision,
+    /// The revision that results.
+    pub revision: RulesRevision,
+    /// A [`RulesDelta`] as JSON.
+    pub delta: String,
     /// The writer's mark, by which it knows its own write when the store's answer is lost.
     pub nonce: Nonce,
 }
@@ -55,10 +59,12 @@
 pub struct ApplyOptions {
     /// The mod revision of the record that the operator started from.
     pub base_mod_revision: u64,
+    /// The rules revision of that record.
+    pub base: RulesRevision,
     /// The new text.
     pub text: String,
-    /// The delta from the base to the new text.
-    pub delta: RulesDelta,
+    /// The [`RulesDelta`] from the base to the new text, as JSON.
+    pub delta: String,
 }
 
 /// What became of a change.
@@ -114,6 +120,13 @@
     pub fn parse(value: &[u8]) -> Option<Self> {
         serde_json::from_slice(value).ok()
     }
+
+    /// The change; `None` if it is malformed or names other revisions than the record.
+    #[must_use]
+    pub fn to_delta(&self) -> Option<RulesDelta> {
+        let delta: RulesDelta = serde_json::from_str(&self.delta).ok()?;
+        (delta.base == self.base && delta.revision == self.revision).then_some(delta)
+    }
 }
 
 impl StoredRules {
@@ -147,20 +160,21 @@
     /// # Panics
     /// Never: both records can be written as JSON.
     pub fn apply_rules(&self, options: &ApplyOptions) -> Result<ApplyOutcome, RulesError> {
-        let record = DeltaRecord {
+        let delta = DeltaRecord {
+            base: options.base,
+            revision: RulesRevision(options.base.0 + 1),
             delta: options.delta.clone(),
             nonce: Nonce::random(),
         };
-        let revision = record.delta.revision;
-        let transaction = apply_transaction(options, &record);
+        let transaction = apply_transaction(options, &delta);
         let mut pause = FIRST_PAUSE;
         let mut fate_unknown = false;
         for _ in 0..MAX_ATTEMPTS {
             match self.txn(transaction.clone()) {
                 Ok(outcome) if outcome.succeeded => {
-                    return Ok(ApplyOutcome::Applied(revision));
+                    return Ok(ApplyOutcome::Applied(delta.revision));
                 }
-                Ok(outcome) => return judge_conflict(&outcome.entries(), &record),
+                Ok(outcome) => return judge_conflict(&outcome.entries(), &delta),
                 Err(CallError::NotApplied(NotApplied::TooManyCalls)) => {}
                 Err(error @ CallError::NotApplied(_)) if !fate_unknown => return Err(error.into()),
                 Err(CallError::NotApplied(_)) => {}
@@ -177,20 +191,19 @@
     }
 }
 
-fn apply_transaction(options: &ApplyOptions, record: &DeltaRecord) -> TxnOptions {
-    let revision = record.delta.revision;
+fn apply_transaction(options: &ApplyOptions, delta: &DeltaRecord) -> TxnOptions {
     let text = RulesRecord {
-        revision,
+        revision: delta.revision,
         text: options.text.clone(),
     };
     let text = serde_json::to_vec(&text).expect("rules have only types that JSON can hold");
-    let value = serde_json::to_vec(record).expect("a delta has only types that JSON can hold");
-    let delta_key = keys::rules_delta(revision);
+    let value = serde_json::to_vec(delta).expect("a delta has only types that JSON can hold");
+    let delta_key = keys::rules_delta(delta.revision);
     let mut success = vec![
         Operation::Put(PutOptions::new(keys::RULES_TEXT, text)),
         Operation::Put(PutOptions::new(&delta_key, value)),
     ];
-    if let Some(oldest) = revision.0.checked_sub(KEPT_DELTAS) {
+    if let Some(oldest) = delta.revision.0.checked_sub(KEPT_DELTAS) {
         let first = keys::rules_delta(RulesRevision(0));
         let end = keys::rules_delta(RulesRevision(oldest + 1));
         success.push(Operation::Delete(DeleteOptions::with_end(&first, &end)));
@@ -206,13 +219,12 @@
 
 /// The compare failed: either an earlier attempt of this very change took effect, which its delta
 /// shows even if somebody applied the next change on top of it, or somebody else was first.
-fn judge_conflict(entries: &[KeyValue], record: &DeltaRecord) -> Result<ApplyOutcome, RulesError> {
-    let revision = record.delta.revision;
+fn judge_conflict(entries: &[KeyValue], delta: &DeltaRecord) -> Result<ApplyOutcome, RulesError> {
     let find = |key: &str| entries.iter().find(|entry| entry.key == key);
     let found =
-        find(&keys::rules_delta(revision)).and_then(|entry| DeltaRecord::parse(&entry.value));
-    if found.is_some_and(|found| found.nonce == record.nonce) {
-        return Ok(ApplyOutcome::Applied(revision));
+        find(&keys::rules_delta(delta.revision)).and_then(|entry| DeltaRecord::parse(&entry.value));
+    if found.is_some_and(|found| found.nonce == delta.nonce) {
+        return Ok(ApplyOutcome::Applied(delta.revision));
     }
     let current = StoredRules::from_entry(find(keys::RULES_TEXT))?;
     Ok(ApplyOutcome::Conflict(current))
--- a/crates/mimosagap-store/tests/records.rs
+++ b/crates/mimosagap-store/tests/records.rs
@@ -184,10 +184,12 @@
 }
 
 fn change(base: &mimosagap_store::rules::StoredRules, text: &str) -> ApplyOptions {
+    let delta = RulesDelta::between(base.record.revision, &base.record.text, text);
     ApplyOptions {
         base_mod_revision: base.mod_revision,
+        base: base.record.revision,
         text: text.to_owned(),
-        delta: RulesDelta::between(base.record.revision, &base.record.text, text),
+        delta: serde_json::to_string(&delta).unwrap(),
     }
 }
 
