test(daemon): control tasks against a store in memory

Purpose: guard against lost answers, races, lapsed leases, broken watches, stale peers and starts during an outage.

They showed that a peer which claims a newer revision than it supplies kept a starting daemon from asking the others; peers are now asked in turn, the newest claim first. Notices in large fleets go out in two waves of 4: one wave misses 2% of the daemons.

--- a/crates/mimosagap-daemon/src/control/digests.rs
+++ b/crates/mimosagap-daemon/src/control/digests.rs
@@ -1,5 +1,6 @@
 //! Digests: each second, a few random peers hear how this daemon stands.
 
+use std::cmp::Reverse;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -48,14 +49,15 @@
         exchanges.spawn(async move { send(&control, peer).await });
     }
     let replies = exchanges.join_all().await;
-    let newest = replies
+    let own = control.rules().revision();
+    let mut newer: Vec<_> = replies
         .into_iter()
         .flatten()
-        .max_by_key(|(revision, _)| *revision);
-    if let Some((revision, peer)) = newest
-        && revision > control.rules().revision()
-    {
-        rules::pull(control, peer);
+        .filter(|(revision, _)| *revision > own)
+        .collect();
+    newer.sort_by_key(|(revision, _)| Reverse(*revision));
+    if !newer.is_empty() {
+        rules::pull(control, newer);
     }
 }
 
--- a/crates/mimosagap-daemon/src/control/notices.rs
+++ b/crates/mimosagap-daemon/src/control/notices.rs
@@ -15,6 +15,8 @@
 /// From this fleet size on, notices are passed on instead of being sent to all.
 const SPREAD_FROM: usize = 16;
 const FAN_OUT: usize = 4;
+/// One wave with a fan-out of 4 misses 2% of a large fleet, two waves 0.03%.
+const SECOND_WAVE: Duration = Duration::from_millis(300);
 /// Enough for 4^8 daemons.
 const MAX_HOPS: u8 = 8;
 const SEND_TIMEOUT: Duration = Duration::from_secs(1);
@@ -58,8 +60,25 @@
         notice,
     };
     control.notices.note(message.id);
-    let peers = control.peer_addresses();
-    deliver(control, &message, peers)
+    pass_on(control, message)
+}
+
+/// Sends to all peers of a small fleet, or in two waves to some of a large one.
+fn pass_on(control: &Arc<Control>, message: NoticeMessage) -> Deliveries {
+    let mut peers = control.peer_addresses();
+    if control.fleet().len() < SPREAD_FROM {
+        return deliver(control, &message, peers);
+    }
+    choose(&mut peers, 2 * FAN_OUT);
+    let second = peers.split_off(FAN_OUT.min(peers.len()));
+    let first = deliver(control, &message, peers);
+    let control = Arc::clone(control);
+    tokio::spawn(async move {
+        if control.sleep(SECOND_WAVE).await {
+            deliver(&control, &message, second).detach_all();
+        }
+    });
+    first
 }
 
 fn random_id() -> u128 {
@@ -81,14 +100,7 @@
     }
 }
 
-fn deliver(
-    control: &Arc<Control>,
-    message: &NoticeMessage,
-    mut peers: Vec<SocketAddr>,
-) -> Deliveries {
-    if control.fleet().len() >= SPREAD_FROM {
-        choose(&mut peers, FAN_OUT);
-    }
+fn deliver(control: &Arc<Control>, message: &NoticeMessage, peers: Vec<SocketAddr>) -> Deliveries {
     let mut deliveries = JoinSet::new();
     for peer in peers {
         let Ok(room) = Arc::clone(&control.notice_room).try_acquire_owned() else {
@@ -143,7 +155,6 @@
             hops: message.hops + 1,
             ..message
         };
-        let peers = control.peer_addresses();
-        deliver(control, &next, peers).detach_all();
+        pass_on(control, next).detach_all();
     }
 }
--- a/crates/mimosagap-daemon/src/control/peers.rs
+++ b/crates/mimosagap-daemon/src/control/peers.rs
@@ -97,6 +97,6 @@
         placements: digest.placements,
     });
     if digest.revision > control.rules().revision() {
-        rules::pull(control, peer);
+        rules::pull(control, vec![(digest.revision, peer)]);
     }
 }
--- a/crates/mimosagap-daemon/src/control/rules.rs
+++ b/crates/mimosagap-daemon/src/control/rules.rs
@@ -149,14 +149,19 @@
     }
 }
 
-/// Asks a peer for newer rules, unless a question is under way.
-pub(super) fn pull(control: &Arc<Control>, peer: SocketAddr) {
+/// Asks peers for newer rules, unless questions are under way. The peers come with the revisions
+/// that they claim, the newest first; the others are asked if those before supply none.
+pub(super) fn pull(control: &Arc<Control>, peers: Vec<(RulesRevision, SocketAddr)>) {
     if control.pulling.swap(true, Ordering::SeqCst) {
         return;
     }
     let control = Arc::clone(control);
     tokio::spawn(async move {
-        pull_from(&control, peer).await;
+        for (revision, peer) in peers {
+            if revision > control.rules().revision() {
+                pull_from(&control, peer).await;
+            }
+        }
         control.pulling.store(false, Ordering::SeqCst);
     });
 }
--- /dev/null
+++ b/crates/mimosagap-daemon/tests/control_support/mod.rs
@@ -0,0 +1,236 @@
+//! Daemons that consist of their control tasks only, around a store in memory.
+#![allow(dead_code)]
+
+use std::net::{SocketAddr, TcpListener};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use mimosagap_core::{ClaimAnswer, Effect, Event, TrialAnswer};
+use mimosagap_daemon::control::{ControlHandle, ControlOptions};
+use mimosagap_daemon::driver::EventSender;
+use mimosagap_rules::RulesDelta;
+use mimosagap_settings::Settings;
+use mimosagap_store::rules::{ApplyOptions, ApplyOutcome};
+use mimosagap_types::prelude::*;
+
+#[path = "../../../mimosagap-store/tests/support/mod.rs"]
+pub mod store;
+
+use store::MemoryStore;
+
+static NEXT_DAEMON: AtomicU64 = AtomicU64::new(1);
+
+pub const KEY: &[u8] = b"mimosagap-test-key-001";
+
+/// A loopback address that nobody uses.
+pub fn free_address() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    listener.local_addr().unwrap()
+}
+
+/// A daemon without a reducer, which records its events.
+pub struct Daemon {
+    pub control: ControlHandle,
+    pub id: DaemonId,
+    pub peer_address: SocketAddr,
+    events: Arc<Mutex<Vec<Event>>>,
+}
+
+impl Daemon {
+    pub fn start(store: &MemoryStore, peers: &[SocketAddr]) -> Self {
+        Self::start_at(store.address, free_address(), peers)
+    }
+
+    pub fn start_at(store: SocketAddr, peer_address: SocketAddr, peers: &[SocketAddr]) -> Self {
+        let settings = serde_json::json!({
+            "location": {"zone": "norte-a1", "region": "norte-a"},
+            "listen": {
+                "callers": free_address(), "peers": peer_address, "admin": free_address(),
+            },
+            "store": {"address": store, "timeout_ms": 300},
+            "host_list": free_address(),
+            "peers": peers,
+            "fleet_keys": ["bWltb3NhZ2FwLXRlc3Qta2V5LTAwMQ=="],
+            "deployments": [],
+        });
+        let settings = Settings::parse(&settings.to_string()).unwrap();
+        let number = NEXT_DAEMON.fetch_add(1, Ordering::SeqCst);
+        let id = DaemonId::new(&format!("daemon-{number:04}"));
+        let (sender, mut receiver) = EventSender::new();
+        let control = ControlHandle::start(ControlOptions {
+            settings: Arc::new(settings),
+            daemon: id.clone(),
+            clock: Arc::new(SystemClock),
+            events: sender,
+        });
+        let events = Arc::new(Mutex::new(Vec::new()));
+        let (log, lender) = (Arc::clone(&events), control.clone());
+        tokio::spawn(async move {
+            while let Some(event) = receiver.recv().await {
+                answer_as_lender(&lender, &event);
+                log.lock().unwrap().push(event);
+            }
+        });
+        Self {
+            control,
+            id,
+            peer_address,
+            events,
+        }
+    }
+
+    /// What the given function finds in the events so far.
+    pub fn find<T>(&self, look: impl FnMut(&Event) -> Option<T>) -> Option<T> {
+        self.events.lock().unwrap().iter().find_map(look)
+    }
+
+    /// All that the given function finds in the events so far.
+    pub fn all<T>(&self, look: impl FnMut(&Event) -> Option<T>) -> Vec<T> {
+        self.events
+            .lock()
+            .unwrap()
+            .iter()
+            .filter_map(look)
+            .collect()
+    }
+
+    /// Waits until the function finds something in the events.
+    pub async fn wait<T>(&self, what: &str, mut look: impl FnMut(&Event) -> Option<T>) -> T {
+        wait(what, || self.find(&mut look)).await
+    }
+
+    pub fn revisions(&self) -> Vec<u64> {
+        self.all(|event| match event {
+            Event::RulesFound(set) => Some(set.revision.0),
+            _ => None,
+        })
+    }
+
+    pub async fn wait_revision(&self, revision: u64) {
+        self.wait(&format!("revision {revision}"), |event| match event {
+            Event::RulesFound(set) if set.revision.0 == revision => Some(()),
+            _ => None,
+        })
+        .await;
+    }
+
+    pub fn member_ids(&self) -> Vec<DaemonId> {
+        let members = self.control.members();
+        members.into_iter().map(|member| member.id).collect()
+    }
+
+    pub fn slots(&self) -> Vec<u16> {
+        let reports = self.all(|event| match event {
+            Event::SlotsHeld { slots, .. } => Some(slots.clone()),
+            _ => None,
+        });
+        reports.into_iter().next_back().unwrap_or_default()
+    }
+
+    pub async fn claim(&self, ticket: u64, key: &str, body: &str) -> ClaimAnswer {
+        self.ask_claim(ticket, key, body);
+        self.claim_answer(ticket).await
+    }
+
+    pub fn ask_claim(&self, ticket: u64, key: &str, body: &str) {
+        self.control.carry_out(Effect::Claim {
+            ticket: RequestTicket(ticket),
+            key: order(key),
+            digest: RequestDigest::of(&[body.as_bytes()]),
+        });
+    }
+
+    pub async fn claim_answer(&self, ticket: u64) -> ClaimAnswer {
+        self.wait("the claim's answer", |event| match event {
+            Event::ClaimAnswered {
+                ticket: found,
+                answer,
+            } if found.0 == ticket => Some(answer.clone()),
+            _ => None,
+        })
+        .await
+    }
+
+    pub async fn take_trial(&self, ticket: u64, digest: RequestDigest) -> TrialAnswer {
+        self.control.carry_out(Effect::TakeTrial {
+            ticket: RequestTicket(ticket),
+            digest,
+            target: "127.0.0.1:1".parse().unwrap(),
+        });
+        self.wait("the trial's answer", |event| match event {
+            Event::TrialAnswered {
+                ticket: found,
+                answer,
+            } if found.0 == ticket => Some(*answer),
+            _ => None,
+        })
+        .await
+    }
+
+    pub async fn wait_registered(&self) {
+        wait("the first renewal", || {
+            (self.control.counters().lease_renewals > 0).then_some(())
+        })
+        .await;
+    }
+}
+
+/// Grants what is asked for, as a reducer with enough credit does.
+fn answer_as_lender(control: &ControlHandle, event: &Event) {
+    if let Event::CreditAsked {
+        question,
+        team,
+        wanted,
+    } = event
+    {
+        control.carry_out(Effect::AnswerCredit {
+            question: *question,
+            team: team.clone(),
+            granted: *wanted,
+        });
+    }
+}
+
+pub fn order(key: &str) -> OrderKey {
+    OrderKey {
+        team: TeamName::new("floors"),
+        key: RequestDigest::of(&[key.as_bytes()]),
+    }
+}
+
+/// Waits up to 8 s for a value.
+pub async fn wait<T>(what: &str, mut look: impl FnMut() -> Option<T>) -> T {
+    let deadline = Instant::now() + Duration::from_secs(8);
+    loop {
+        if let Some(found) = look() {
+            return found;
+        }
+        assert!(Instant::now() < deadline, "{what} did not come");
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+}
+
+/// Applies rules whose text names the revision.
+pub async fn apply_rules(store: &MemoryStore) -> u64 {
+    let client = store.client();
+    let apply = move || {
+        let base = client.read_rules().unwrap();
+        let revision = base.record.revision.0 + 1;
+        let text = format!(
+            "{}queue limit {revision} wait 30 s # manager: test\n",
+            "\n".repeat(40)
+        );
+        let delta = RulesDelta::between(base.record.revision, &base.record.text, &text);
+        let options = ApplyOptions {
+            base_mod_revision: base.mod_revision,
+            base: base.record.revision,
+            text,
+            delta: serde_json::to_string(&delta).unwrap(),
+        };
+        let outcome = client.apply_rules(&options).unwrap();
+        assert_eq!(outcome, ApplyOutcome::Applied(RulesRevision(revision)));
+        revision
+    };
+    tokio::task::spawn_blocking(apply).await.unwrap()
+}
