fix(core): truthful outcomes and lives of targets under reordered events

Incarnations have no order, so either life is now held to be possible for 3 s, the longest time that a report can be late.

A cancelled attempt in flight is now answered as unknown, because its target may just be accepting it. Only a target's reports decide which life is the present one; an acceptance names the life of the attempt alone.

--- a/crates/mimosagap-core/src/core.rs
+++ b/crates/mimosagap-core/src/core.rs
@@ -107,7 +107,7 @@
                 incarnation,
             } => {
                 if let Some(key) = self.requests.key_of_attempt(ticket, attempt) {
-                    self.accepted(now, key, incarnation, effects);
+                    self.accepted(key, incarnation);
                 }
             }
             Event::Progress {
--- a/crates/mimosagap-core/src/endings.rs
+++ b/crates/mimosagap-core/src/endings.rs
@@ -62,13 +62,7 @@
         self.requests.remove(key);
     }
 
-    pub(crate) fn accepted(
-        &mut self,
-        now: Instant,
-        key: RequestKey,
-        incarnation: Option<Incarnation>,
-        effects: &mut Vec<Effect>,
-    ) {
+    pub(crate) fn accepted(&mut self, key: RequestKey, incarnation: Option<Incarnation>) {
         let Some(request) = self.requests.get_mut(key) else {
             return;
         };
@@ -77,11 +71,8 @@
             return;
         };
         attempt.accepted = true;
-        let target = attempt.target;
-        if let Some(life) = incarnation {
-            attempt.incarnation = Some(life);
-            self.observe_life(now, target, life, effects);
-        }
+        // The target's reports alone say which life is the present one.
+        attempt.incarnation = incarnation.or(attempt.incarnation);
     }
 
     pub(crate) fn attempt_ended(
@@ -153,7 +144,7 @@
                 leaving,
             } => {
                 target.avoid(now, retry_after.unwrap_or(AVOID_TIME));
-                if *leaving && target.leave(incarnation) {
+                if *leaving && target.leave(incarnation, now) {
                     self.announce_leaving(now, target_key, effects);
                 }
             }
@@ -177,22 +168,19 @@
         effects: &mut Vec<Effect>,
     ) {
         self.settle_suspicion(now, key, attempt, end, effects);
+        if attempt.suspicion == Suspicion::Pending && !matches!(end, AttemptEnd::Completed { .. }) {
+            self.await_record(key, attempt, end, effects);
+            return;
+        }
         match end {
             AttemptEnd::Completed { tokens } => self.completed(now, key, *tokens),
-            AttemptEnd::NotSent => self.retry(now, key, attempt, RefusalCause::NoTarget, effects),
-            AttemptEnd::Rejected { .. } => {
+            AttemptEnd::NotSent | AttemptEnd::Rejected { .. } => {
                 self.retry(now, key, attempt, RefusalCause::NoTarget, effects);
             }
             AttemptEnd::Cancelled => self.give_up(key, RefusalCause::Cancelled, effects),
             AttemptEnd::Failed { delivered } => {
-                self.lost(
-                    now,
-                    key,
-                    attempt,
-                    *delivered,
-                    RefusalCause::TargetFailed,
-                    effects,
-                );
+                let cause = RefusalCause::TargetFailed;
+                self.lost(now, key, attempt, *delivered, cause, effects);
             }
             AttemptEnd::Lost { delivered, .. } => {
                 let cause = self.loss_cause(key);
@@ -201,6 +189,36 @@
         }
     }
 
+    /// Lets the caller of an attempt whose engine died wait until the suspicion is recorded.
+    fn await_record(
+        &mut self,
+        key: RequestKey,
+        attempt: &Attempt,
+        end: &AttemptEnd,
+        effects: &mut Vec<Effect>,
+    ) {
+        let Some(request) = self.requests.get_mut(key) else {
+            return;
+        };
+        let delivered = match end {
+            AttemptEnd::Lost { delivered, .. } | AttemptEnd::Failed { delivered } => *delivered,
+            _ => 0,
+        };
+        let ran = !never_ran(attempt, end);
+        request.caller_left |= *end == AttemptEnd::Cancelled;
+        request.avoid.push(attempt.target);
+        request.phase = Phase::AwaitingSuspicion {
+            delivered,
+            condemned: attempt.trial && ran,
+        };
+        if ran {
+            effects.push(Effect::CancelAttempt {
+                ticket: request.ticket,
+                attempt: request.attempts,
+            });
+        }
+    }
+
     fn loss_cause(&self, key: RequestKey) -> RefusalCause {
         match self.requests.get(key) {
             Some(request) if request.is_generation() => RefusalCause::GenerationLost,
@@ -208,8 +226,7 @@
         }
     }
 
-    /// Records what the end says about a suspect: a request whose engine goes on after it is
-    /// cleared, and a trial without a verdict leaves it a suspect.
+    /// Records what the end of an attempt says about a suspect.
     fn settle_suspicion(
         &mut self,
         now: Instant,
@@ -222,23 +239,37 @@
             return;
         };
         let digest = request.submission.digest;
-        let is_suspect = attempt.trial || attempt.suspicion != Suspicion::Absent;
-        match end {
-            AttemptEnd::Completed { .. } if is_suspect => {
-                self.end_trial(now, digest, SuspectState::Cleared, effects);
-            }
-            AttemptEnd::Failed { .. }
-                if attempt.trial && attempt.suspicion == Suspicion::Absent =>
-            {
-                self.end_trial(now, digest, SuspectState::Cleared, effects);
-            }
-            _ if attempt.trial && attempt.suspicion == Suspicion::Absent => {
-                self.end_trial(now, digest, SuspectState::Suspect, effects);
-            }
-            _ => {}
+        let has_died = attempt.suspicion != Suspicion::Absent;
+        if !attempt.trial && !has_died {
+            return;
+        }
+        let verdict = match end {
+            AttemptEnd::Completed { .. } => Some(SuspectState::Cleared),
+            AttemptEnd::Failed { .. } if !has_died => Some(SuspectState::Cleared),
+            // It cannot have killed an engine which it never reached.
+            _ if never_ran(attempt, end) && !attempt.trial => Some(SuspectState::Cleared),
+            _ if never_ran(attempt, end) => Some(SuspectState::Suspect),
+            _ if attempt.trial && has_died => Some(SuspectState::Condemned),
+            _ if attempt.trial => Some(SuspectState::Suspect),
+            _ => None,
+        };
+        match verdict {
+            Some(SuspectState::Condemned) => self.condemn(now, digest, effects),
+            Some(state) => self.end_trial(now, digest, state, effects),
+            None => {}
         }
     }
 
+    /// Condemns a request whose trial ended with the death of its engine.
+    fn condemn(&mut self, now: Instant, digest: RequestDigest, effects: &mut Vec<Effect>) {
+        let state = SuspectState::Condemned;
+        if self.quarantine.state(&digest, now) == Some(state) {
+            return;
+        }
+        self.end_trial(now, digest, state, effects);
+        effects.push(Effect::Spread(Notice::Suspect { digest, state }));
+    }
+
     fn completed(&mut self, now: Instant, key: RequestKey, tokens: u32) {
         if let Some(request) = self.requests.get(key)
             && request.is_generation()
@@ -248,7 +279,7 @@
         self.remove(key);
     }
 
-    /// Ends an attempt that may have run. If its engine died, the caller waits for the record.
+    /// Ends an attempt that may have run.
     fn lost(
         &mut self,
         now: Instant,
@@ -261,18 +292,6 @@
         let Some(request) = self.requests.get_mut(key) else {
             return;
         };
-        if attempt.suspicion == Suspicion::Pending {
-            request.phase = Phase::AwaitingSuspicion {
-                delivered,
-                condemned: attempt.trial,
-            };
-            request.avoid.push(attempt.target);
-            effects.push(Effect::CancelAttempt {
-                ticket: request.ticket,
-                attempt: request.attempts,
-            });
-            return;
-        }
         if attempt.trial && attempt.suspicion == Suspicion::Recorded {
             let digest = request.submission.digest;
             let refusal = self.quarantine_refusal(now, &digest);
@@ -362,6 +381,8 @@
             return;
         };
         request.caller_left = true;
+        // The target may be about to accept the attempt, so `not run` could be untrue.
+        request.may_have_run |= request.attempt().is_some();
         let (group, number) = (request.group, request.attempts);
         let is_order = request.order_key().is_some();
         let digest = request.submission.digest;
@@ -371,6 +392,7 @@
             Phase::Running(_) if is_order => return,
             Phase::Running(attempt) if attempt.suspicion == Suspicion::Pending => {
                 let (delivered, condemned) = (attempt.tokens, attempt.trial);
+                let is_open_trial = attempt.trial && !attempt.accepted;
                 effects.push(Effect::CancelAttempt {
                     ticket,
                     attempt: number,
@@ -382,10 +404,14 @@
                         condemned,
                     };
                 }
+                if is_open_trial {
+                    self.end_trial(now, digest, SuspectState::Suspect, effects);
+                }
                 return;
             }
             Phase::Running(attempt) => {
-                let is_open_trial = attempt.trial && attempt.suspicion == Suspicion::Absent;
+                let is_condemned = attempt.accepted && attempt.suspicion != Suspicion::Absent;
+                let is_open_trial = attempt.trial && !is_condemned;
                 effects.push(Effect::CancelAttempt {
                     ticket,
                     attempt: number,
@@ -441,14 +467,17 @@
             attempt.suspicion = Suspicion::Pending;
             suspects.push((ticket, digest));
             if attempt.trial {
-                verdicts.push(digest);
+                // Without an acceptance the end of the attempt tells whether it ran there.
+                if attempt.accepted {
+                    verdicts.push(digest);
+                }
             } else if self.quarantine.hear(digest, SuspectState::Suspect, now) {
                 effects.push(Effect::Log(StateChange::Quarantine {
                     digest,
                     state: SuspectState::Suspect,
                 }));
             }
-            if is_whole && reporter != Some(key) {
+            if is_whole && attempt.accepted && reporter != Some(key) {
                 whole.push(key);
             }
         }
@@ -457,11 +486,7 @@
         }
         effects.push(Effect::RecordSuspicions { suspects });
         for digest in verdicts {
-            self.end_trial(now, digest, SuspectState::Condemned, effects);
-            effects.push(Effect::Spread(Notice::Suspect {
-                digest,
-                state: SuspectState::Condemned,
-            }));
+            self.condemn(now, digest, effects);
         }
         for key in whole {
             self.end_whole(now, key, effects);
@@ -473,13 +498,11 @@
         let Some(attempt) = self.detach(key) else {
             return;
         };
-        if let Some(request) = self.requests.get_mut(key)
-            && attempt.accepted
-        {
-            request.may_have_run = true;
-        }
-        let cause = RefusalCause::GenerationLost;
-        self.lost(now, key, &attempt, 0, cause, effects);
+        let end = AttemptEnd::Lost {
+            delivered: 0,
+            died: true,
+        };
+        self.repeatable_ended(now, key, &attempt, &end, effects);
     }
 
     pub(crate) fn suspicion_recorded(
@@ -521,3 +544,8 @@
         }
     }
 }
+
+/// Whether nothing of an attempt can have run at its target.
+fn never_ran(attempt: &Attempt, end: &AttemptEnd) -> bool {
+    !attempt.accepted && matches!(end, AttemptEnd::NotSent | AttemptEnd::Rejected { .. })
+}
--- a/crates/mimosagap-core/src/lending.rs
+++ b/crates/mimosagap-core/src/lending.rs
@@ -268,9 +268,7 @@
             let granted = self.lend(team, limit, 1, now);
             let purse = self.purses.entry(team.clone()).or_default();
             if granted == 0 {
-                // Credit borrowed from the slot's last holder stays valid.
-                let taken = purse.take(now);
-                return (decision(taken), None);
+                return (CreditDecision::Refused, None);
             }
             purse.admitted += 1;
             return (CreditDecision::Admitted, None);
@@ -398,11 +396,3 @@
         }
     }
 }
-
-fn decision(taken: bool) -> CreditDecision {
-    if taken {
-        CreditDecision::Admitted
-    } else {
-        CreditDecision::Refused
-    }
-}
--- a/crates/mimosagap-core/src/membership.rs
+++ b/crates/mimosagap-core/src/membership.rs
@@ -22,7 +22,7 @@
         let Self {
             targets, options, ..
         } = self;
-        let leaving = targets.list(list, &options.zone, &options.region);
+        let leaving = targets.list(list, &options.zone, &options.region, now);
         self.apply_drains();
         for key in leaving {
             self.announce_leaving(now, key, effects);
@@ -68,7 +68,7 @@
         let Some(target) = self.targets.get_mut(key) else {
             return LifeChange::Outdated;
         };
-        let change = target.observe_life(life);
+        let change = target.observe_life(life, now);
         if let LifeChange::Replaced(ended) = change {
             self.target_died(now, key, Some(ended), None, effects);
         }
@@ -141,7 +141,7 @@
                     return;
                 };
                 if let Some(target) = self.targets.get_mut(key) {
-                    target.leave(incarnation);
+                    target.leave(incarnation, now);
                 }
                 self.refresh_target(now, key, effects);
             }
--- a/crates/mimosagap-core/src/targets.rs
+++ b/crates/mimosagap-core/src/targets.rs
@@ -1,6 +1,6 @@
 //! The targets as this daemon sees them.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 use std::time::{Duration, Instant};
 
 use mimosagap_types::prelude::*;
@@ -30,8 +30,17 @@
 /// 500 ms, show them by then.
 const PEER_LIFETIME: Duration = Duration::from_secs(1);
 
+/// A target without a known life that is said to be leaving takes new work again after this time
+/// if the host list still shows it as live: the list lags by seconds, not minutes.
+const LEAVING_LIFETIME: Duration = Duration::from_mins(1);
+
+/// No report is later than this: a fetch ends long before. Incarnations have no order, so for this
+/// long it stays open which of two lives is the later one, and a target of which either is leaving
+/// gets no new work.
+const REPORT_DELAY: Duration = Duration::from_secs(3);
+
 /// Ended or leaving lives that are remembered for each target.
-const MAX_LIVES: usize = 4;
+const MAX_LIVES: usize = 8;
 
 /// Weight of the newest measurement in the running mean of the token rate.
 const RATE_WEIGHT: f64 = 0.1;
@@ -153,8 +162,11 @@
     pub logged: TargetState,
     listing: Listing,
     leaving_lives: Vec<Incarnation>,
-    leaving_unknown_life: bool,
-    ended_lives: Vec<Incarnation>,
+    /// When the target was last said to be leaving while its life was not known.
+    leaving_since: Option<Instant>,
+    /// When a life other than the known one was last said to be leaving.
+    doubted_since: Option<Instant>,
+    ended_lives: Vec<(Incarnation, Instant)>,
     refused: bool,
     avoid_until: Option<Instant>,
     placed: VecDeque<(Instant, u32)>,
@@ -194,7 +206,8 @@
             logged: TargetState::Unknown,
             listing: Listing::Live,
             leaving_lives: Vec::new(),
-            leaving_unknown_life: false,
+            leaving_since: None,
+            doubted_since: None,
             ended_lives: Vec::new(),
             refused: false,
             avoid_until: None,
@@ -220,7 +233,8 @@
     #[must_use]
     pub fn announces_leaving(&self) -> bool {
         self.listing == Listing::Leaving
-            || self.leaving_unknown_life
+            || self.leaving_since.is_some()
+            || self.doubted_since.is_some()
             || self
                 .incarnation
                 .is_some_and(|life| self.leaving_lives.contains(&life))
@@ -307,21 +321,32 @@
         }
     }
 
-    /// Takes note of a life. Nothing changes if the news is late.
-    pub fn observe_life(&mut self, life: Incarnation) -> LifeChange {
+    /// Takes note of a life that reports. Nothing changes if the news is late. An ended life that
+    /// still reports when no late report can be on its way has not ended: the report that seemed
+    /// to replace it was the late one.
+    pub fn observe_life(&mut self, life: Incarnation, now: Instant) -> LifeChange {
         if self.incarnation == Some(life) {
             return LifeChange::Same;
         }
-        if self.ended_lives.contains(&life) {
+        if self.has_ended(life, now) {
             return LifeChange::Outdated;
         }
-        if std::mem::take(&mut self.leaving_unknown_life) {
+        self.ended_lives.retain(|(ended, _)| *ended != life);
+        if self.leaving_since.take().is_some() {
             remember(&mut self.leaving_lives, life);
         }
+        let was_leaving = self.announces_leaving();
         let Some(ended) = self.incarnation.replace(life) else {
             return LifeChange::First;
         };
-        remember(&mut self.ended_lives, ended);
+        if was_leaving {
+            // Until no late report can be on its way, this one may be from before.
+            self.doubted_since = Some(now);
+        }
+        if self.ended_lives.len() == MAX_LIVES {
+            self.ended_lives.remove(0);
+        }
+        self.ended_lives.push((ended, now));
         self.cache.clear();
         self.placed.clear();
         self.placed_sum = 0;
@@ -330,13 +355,23 @@
         LifeChange::Replaced(ended)
     }
 
+    fn has_ended(&self, life: Incarnation, now: Instant) -> bool {
+        self.ended_lives
+            .iter()
+            .any(|(ended, at)| *ended == life && now.saturating_duration_since(*at) < REPORT_DELAY)
+    }
+
     /// Takes over a report of the current life.
     pub fn report(&mut self, report: LoadReport, now: Instant) {
         let measured_at = now.checked_sub(report.age).unwrap_or(now);
         self.refused = false;
         self.avoid_until = None;
+        let is_settled = |since: Instant| now.saturating_duration_since(since) >= REPORT_DELAY;
+        if self.doubted_since.is_some_and(is_settled) {
+            self.doubted_since = None;
+        }
         if report.leaving {
-            self.leave(Some(report.incarnation));
+            self.leave(Some(report.incarnation), now);
         }
         self.settle_placements(measured_at);
         self.load = Some(Load {
@@ -348,18 +383,36 @@
 
     /// Marks a life as leaving; without a life, the current one. Returns whether the target
     /// newly announces that it is leaving. A leaving life never becomes usable again.
-    pub fn leave(&mut self, life: Option<Incarnation>) -> bool {
+    pub fn leave(&mut self, life: Option<Incarnation>, now: Instant) -> bool {
         let before = self.announces_leaving();
         match life.or(self.incarnation) {
-            Some(life) if self.ended_lives.contains(&life) => {}
+            Some(life) if self.has_ended(life, now) => {}
             Some(life) => {
                 remember(&mut self.leaving_lives, life);
+                if self.incarnation != Some(life) {
+                    // It may be a later life than the known one: incarnations have no order.
+                    self.doubted_since = Some(now);
+                }
             }
-            None => self.leaving_unknown_life = true,
+            None => self.leaving_since = Some(now),
         }
         !before && self.announces_leaving()
     }
 
+    /// Takes new work again after it was said to be leaving, if nothing tells its lives apart:
+    /// when the list has followed and shows it live again, or never followed for a long time.
+    fn forget_leaving(&mut self, listed: &ListedTarget, now: Instant) {
+        let is_back = self.listing != Listing::Live;
+        let is_over =
+            |since: Instant| is_back || now.saturating_duration_since(since) >= LEAVING_LIFETIME;
+        if !listed.leaving && self.leaving_since.is_some_and(is_over) {
+            self.leaving_since = None;
+        }
+        if !listed.leaving && self.doubted_since.is_some_and(is_over) {
+            self.doubted_since = None;
+        }
+    }
+
     /// Marks the process as gone.
     pub fn refuse_connections(&mut self) {
         self.refused = true;
@@ -516,18 +569,23 @@
         list: &[ListedTarget],
         zone: &ZoneName,
         region: &RegionName,
+        now: Instant,
     ) -> Vec<TargetKey> {
         if list.is_empty() && !self.arena.is_empty() {
             return Vec::new();
         }
         self.list_seen = true;
+        let mut leaving = Vec::new();
+        let present: HashSet<TargetAddress> = list.iter().map(|listed| listed.address).collect();
         for target in self.arena.values_mut() {
-            target.listing = Listing::Absent;
+            if !present.contains(&target.address) {
+                target.listing = Listing::Absent;
+            }
         }
-        let mut leaving = Vec::new();
         for listed in list {
             let key = self.enter(listed);
             let target = &mut self.arena[key];
+            target.forget_leaving(listed, now);
             let before = target.announces_leaving();
             target.listing = if listed.leaving {
                 Listing::Leaving
--- /dev/null
+++ b/crates/mimosagap-core/tests/lending.rs
@@ -0,0 +1,307 @@
+//! Guards against teams exceeding their limits and against credit that is lost or doubled.
+
+mod common;
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use common::*;
+use mimosagap_core::lending::{CREDIT_LIFETIME, SLOTS, slot_of};
+use mimosagap_core::*;
+use mimosagap_types::prelude::*;
+use proptest::collection::vec;
+use proptest::prelude::*;
+
+const LIMIT: &str = "limit team floors 10 requests/s burst 5 # insurer: capacity";
+const RATE: f64 = 10.0;
+const BURST: f64 = 5.0;
+
+fn team() -> TeamName {
+    TeamName::new("floors")
+}
+
+fn held_by(holder: Option<&str>) -> Event {
+    Event::LendersChanged(vec![holder.map(DaemonId::new); usize::from(SLOTS)])
+}
+
+fn all_slots(until: Instant) -> Event {
+    let slots = (0..SLOTS).collect();
+    Event::SlotsHeld { slots, until }
+}
+
+fn lender() -> Harness {
+    let mut harness = Harness::with_targets(LIMIT, 0, 1);
+    harness.step(held_by(Some("a")));
+    let until = harness.now + Duration::from_secs(60);
+    harness.step(all_slots(until));
+    harness
+}
+
+fn answered(effects: &[Effect]) -> Option<u32> {
+    effects.iter().find_map(|effect| match effect {
+        Effect::AnswerCredit { granted, .. } => Some(*granted),
+        _ => None,
+    })
+}
+
+fn ask(harness: &mut Harness, wanted: u32) -> u32 {
+    let event = Event::CreditAsked {
+        question: 1,
+        team: team(),
+        wanted,
+    };
+    answered(&harness.step(event)).expect("an answer")
+}
+
+/// Fails if a new holder lends while credit of the last one may be valid, starts with a full
+/// bucket, or lends more than the burst.
+#[test]
+fn a_new_holder_waits_and_starts_empty() {
+    let mut harness = lender();
+    assert_eq!(ask(&mut harness, 5), 0);
+    harness.pass(CREDIT_LIFETIME - Duration::from_millis(1));
+    assert_eq!(ask(&mut harness, 5), 0);
+    harness.pass(Duration::from_millis(201));
+    assert_eq!(ask(&mut harness, 5), 2);
+    harness.pass(Duration::from_secs(30));
+    assert_eq!(ask(&mut harness, 50), 5);
+}
+
+/// Fails if a daemon lends after its hold of the slot ended by its own clock.
+#[test]
+fn a_lapsed_holder_lends_nothing() {
+    let mut harness = lender();
+    harness.pass(Duration::from_secs(30));
+    assert_eq!(ask(&mut harness, 1), 1);
+    harness.pass(Duration::from_secs(31));
+    assert_eq!(ask(&mut harness, 1), 0);
+}
+
+/// Fails if a refusal for a limit does not name the rule and a time to try again.
+#[test]
+fn a_refusal_names_the_limit() {
+    let mut harness = Harness::with_targets(LIMIT, 0, 1);
+    let (_, effects) = harness.submit(call(1));
+    let refusal = refused(&effects).expect("no lender is known");
+    assert_eq!(refusal.cause, RefusalCause::LimitReached);
+    assert_eq!(refusal.outcome, RunOutcome::NotRun);
+    assert!(refusal.retry_after.is_some());
+    let rule = refusal.rule.as_ref().expect("the limit's rule");
+    assert_eq!(
+        (rule.line, rule.asked_by.as_str()),
+        (1, "insurer: capacity")
+    );
+}
+
+fn borrower() -> (Harness, RequestTicket) {
+    let mut harness = Harness::with_targets(LIMIT, 0, 1);
+    harness.step(held_by(Some("b")));
+    let (ticket, effects) = harness.submit(call(1));
+    assert!(matches!(effects[..], [Effect::AskCredit { .. }]));
+    (harness, ticket)
+}
+
+fn granted(granted: u32, asked_at: Instant) -> Event {
+    Event::CreditGranted {
+        team: team(),
+        granted,
+        asked_at,
+    }
+}
+
+/// Fails if a repeated or late answer of a lender gives credit again.
+#[test]
+fn a_repeated_answer_gives_no_credit() {
+    let (mut harness, _) = borrower();
+    let asked_at = harness.now;
+    assert!(dispatched(&harness.step(granted(1, asked_at))).is_some());
+    assert!(harness.step(granted(1, asked_at)).is_empty());
+    let (_, effects) = harness.submit(call(2));
+    assert!(dispatched(&effects).is_none());
+}
+
+/// Fails if credit is used after its end, counted from before the question.
+#[test]
+fn credit_expires() {
+    let (mut harness, ticket) = borrower();
+    let asked_at = harness.now;
+    harness.now += CREDIT_LIFETIME;
+    let effects = harness.step(granted(1, asked_at));
+    assert!(dispatched(&effects).is_none());
+    assert!(matches!(effects[..], [Effect::AskCredit { .. }]));
+    let effects = harness.step(Event::CreditFailed { team: team() });
+    assert!(matches!(&effects[..], [Effect::Refuse { ticket: t, .. }] if *t == ticket));
+}
+
+/// Fails if a request waits without end for a lender that does not answer.
+#[test]
+fn a_silent_lender_leads_to_a_refusal() {
+    let (mut harness, _) = borrower();
+    let effects = harness.pass(Duration::from_secs(1));
+    assert!(refused(&effects).is_some());
+}
+
+/// Fails if the slot of a team differs between builds: every daemon must compute the same.
+#[test]
+fn slots_are_fixed() {
+    assert_eq!(slot_of(&TeamName::new("floors")), 6);
+    assert_eq!(slot_of(&TeamName::new("kitchens")), 12);
+}
+
+/// What several daemons granted and used, by time.
+#[derive(Default)]
+struct Ledger {
+    granted: Vec<(Instant, u32)>,
+    used: Vec<Instant>,
+}
+
+impl Ledger {
+    fn check(&self) {
+        for (position, (start, _)) in self.granted.iter().enumerate() {
+            let mut sum = 0.0;
+            for (at, amount) in &self.granted[position..] {
+                sum += f64::from(*amount);
+                let bound = RATE * (*at - *start).as_secs_f64() + BURST;
+                assert!(
+                    sum <= bound + 1e-6,
+                    "granted {sum} where {bound} are allowed"
+                );
+            }
+        }
+        for (position, start) in self.used.iter().enumerate() {
+            for (count, at) in (1_u32..).zip(&self.used[position..]) {
+                let window = *at - *start + CREDIT_LIFETIME;
+                let bound = RATE * window.as_secs_f64() + BURST;
+                assert!(f64::from(count) <= bound + 1e-6, "used {count} of {bound}");
+            }
+        }
+    }
+}
+
+const NAMES: [&str; 3] = ["a", "b", "c"];
+
+/// A lease on the slot: its holder may act until 2 s before its end.
+struct Lease {
+    holder: usize,
+    ends: Instant,
+}
+
+fn play(actions: &[(u8, u16)]) {
+    let mut now = Instant::now();
+    let mut ledger = Ledger::default();
+    let mut cores: Vec<Core> = NAMES.iter().map(|name| Core::new(options(name))).collect();
+    let mut lease: Option<Lease> = None;
+    let mut messages: Vec<(usize, Event)> = Vec::new();
+    let mut questions: BTreeMap<u64, (usize, Instant)> = BTreeMap::new();
+    let mut tickets = 0;
+    for core in &mut cores {
+        core.reduce(now, Event::StoreReached, &mut Vec::new());
+        core.reduce(now, Event::RulesFound(rules(1, LIMIT)), &mut Vec::new());
+        let list = vec![listed(service(1), false)];
+        core.reduce(now, Event::TargetsListed(list), &mut Vec::new());
+    }
+    for (action, number) in actions {
+        let index = usize::from(*number) % NAMES.len();
+        let time = Duration::from_millis(u64::from(number / 3));
+        let (mut to, mut event) = (index, Event::StoreReached);
+        let mut is_lender = false;
+        match action % 12 {
+            0..=4 => {
+                tickets += 1;
+                let ticket = RequestTicket(tickets);
+                let submission = call(1);
+                event = Event::Submitted { ticket, submission };
+                is_lender = lease.as_ref().is_some_and(|lease| lease.holder == index);
+            }
+            5 => now += time,
+            6 => now += time / 20,
+            7 if lease.as_ref().is_none_or(|lease| lease.ends <= now) => {
+                lease = Some(Lease {
+                    holder: index,
+                    ends: now + Duration::from_secs(10),
+                });
+                event = all_slots(now + Duration::from_secs(8));
+                for other in 0..NAMES.len() {
+                    messages.push((other, held_by(Some(NAMES[index]))));
+                }
+            }
+            8 => {
+                // The holder renews its lease, unless it is too late.
+                let held = lease.as_mut().filter(|lease| lease.ends > now);
+                if let Some(lease) = held {
+                    lease.ends = now + Duration::from_secs(10);
+                    to = lease.holder;
+                    event = all_slots(now + Duration::from_secs(8));
+                }
+            }
+            9 | 10 if !messages.is_empty() => {
+                let position = usize::from(*number) % messages.len();
+                (to, event) = messages.remove(position);
+            }
+            11 if !messages.is_empty() => {
+                let position = usize::from(*number) % messages.len();
+                (to, event) = messages[position].clone();
+            }
+            _ => event = Event::Tick,
+        }
+        // A question that arrives twice is answered twice; the borrower takes one answer.
+        let mut effects = Vec::new();
+        cores[to].reduce(now, event, &mut effects);
+        for effect in effects {
+            match effect {
+                Effect::AskCredit {
+                    holder,
+                    team,
+                    wanted,
+                } => {
+                    let holder = NAMES.iter().position(|name| *name == holder.as_str());
+                    let question = questions.len() as u64;
+                    questions.insert(question, (to, now));
+                    let event = Event::CreditAsked {
+                        question,
+                        team,
+                        wanted,
+                    };
+                    messages.push((holder.expect("a daemon"), event));
+                }
+                Effect::AnswerCredit {
+                    question, granted, ..
+                } => {
+                    ledger.granted.push((now, granted));
+                    let (asker, asked_at) = questions[&question];
+                    let event = Event::CreditGranted {
+                        team: team(),
+                        granted,
+                        asked_at,
+                    };
+                    messages.push((asker, event));
+                }
+                Effect::Dispatch { .. } => {
+                    ledger.used.push(now);
+                    if is_lender && cores[to].limits(now)[0].usage.lends {
+                        ledger.granted.push((now, 1));
+                    }
+                }
+                _ => {}
+            }
+        }
+    }
+    ledger.check();
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        failure_persistence: None,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(1),
+        ..ProptestConfig::with_cases(300)
+    })]
+
+    /// Fails if several daemons with changing lenders grant more than rate x window + burst in
+    /// any window, or use more than that plus the credit that was valid before.
+    #[test]
+    fn the_sum_of_credit_stays_below_the_limit(
+        actions in vec((any::<u8>(), any::<u16>()), 1..500),
+    ) {
+        play(&actions);
+    }
+}
