--- /dev/null
+++ b/crates/mimosagap-core/tests/placement.rs
@@ -0,0 +1,258 @@
+//! Guards against engines filled beyond the ceiling, traffic that leaves its region, and uneven
+//! load.
+
+mod common;
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use common::*;
+use mimosagap_core::forecast::AdmissionBound;
+use mimosagap_core::{AttemptEnd, Event, ListedTarget, LoadReport, Submission, WorkKind};
+use mimosagap_rules::set::StallWeights;
+use mimosagap_types::prelude::*;
+use rstest::rstest;
+
+/// Engines 1 to 3 in this zone, in another zone of the region, and in another region.
+fn spread_out(text: &str) -> Harness {
+    let mut harness = Harness::new(text);
+    let mut list: Vec<ListedTarget> = (1..=3).map(|n| listed(engine(n), false)).collect();
+    list[1].zone = ZoneName::new("norte-a2");
+    list[2].zone = ZoneName::new("lisboa-a1");
+    list[2].region = RegionName::new("lisboa-a");
+    harness.step(Event::TargetsListed(list));
+    for number in 1..=3 {
+        harness.report(number, load(1));
+    }
+    harness
+}
+
+fn used(part: f64) -> LoadReport {
+    LoadReport {
+        running: 10,
+        memory_used: part,
+        ..load(1)
+    }
+}
+
+fn target_of(harness: &mut Harness, submission: Submission) -> Option<SocketAddr> {
+    dispatched(&harness.submit(submission).1).map(|(_, target)| target)
+}
+
+/// Fails if a request leaves its zone without need, does not leave it when its zone is full, or
+/// crosses regions while its own has room.
+#[test]
+fn the_nearest_engine_with_room_is_chosen() {
+    let mut harness = spread_out("");
+    assert_eq!(
+        target_of(&mut harness, generation(1, true)),
+        Some(engine(1))
+    );
+    harness.report(1, used(0.95));
+    assert_eq!(
+        target_of(&mut harness, generation(1, true)),
+        Some(engine(2))
+    );
+    harness.report(2, used(0.8));
+    assert_eq!(
+        target_of(&mut harness, generation(1, true)),
+        Some(engine(2))
+    );
+    harness.report(2, used(0.95));
+    assert_eq!(
+        target_of(&mut harness, generation(1, true)),
+        Some(engine(3))
+    );
+}
+
+/// Fails if a request of a model that is kept in a region leaves it.
+#[rstest]
+#[case("forecast")]
+#[case("round-robin")]
+#[case("least-outstanding")]
+#[case("two-choices")]
+fn a_kept_model_never_leaves_its_region(#[case] policy: &str) {
+    let text = format!(
+        "keep region quotes norte-a # insurer: data\nroute quotes policy {policy} # manager: test"
+    );
+    let mut harness = spread_out(&text);
+    harness.step(Event::TargetUnreachable {
+        address: engine(1),
+        refused: true,
+    });
+    harness.step(Event::TargetUnreachable {
+        address: engine(2),
+        refused: true,
+    });
+    assert_eq!(target_of(&mut harness, generation(1, true)), None);
+}
+
+/// Fails if the forecast lets a request in above the ceiling of the rules, or keeps one out
+/// below it.
+#[rstest]
+#[case("", 0.80, true)]
+#[case("", 0.91, false)]
+#[case("memory ceiling 60% # manager: test", 0.65, false)]
+#[case("weigh preemptions 9 stall 1 # manager: test", 0.85, false)]
+#[case("weigh preemptions 1 stall 9 # manager: test", 0.85, true)]
+fn admission_ends_at_the_ceiling(#[case] text: &str, #[case] part: f64, #[case] admitted: bool) {
+    let mut harness = Harness::with_targets(text, 1, 0);
+    harness.report(1, used(part));
+    let target = target_of(&mut harness, generation(1, true));
+    assert_eq!(target.is_some(), admitted);
+}
+
+/// Fails if a burst between two reports overfills an engine: the daemon's own placements and
+/// its peers' must count before the report shows them.
+#[rstest]
+#[case(0, 15)]
+#[case(60_000, 10)]
+fn placements_count_before_reports_show_them(#[case] peer: u64, #[case] most: usize) {
+    let mut harness = Harness::with_targets("", 1, 0);
+    harness.report(1, used(0.1));
+    harness.step(Event::PeerPlacements {
+        daemon: DaemonId::new("b"),
+        placements: vec![(engine(1), peer)],
+    });
+    let large = |seed| Submission {
+        work: WorkKind::Generation {
+            model: ModelName::new(MODEL),
+            prompt_tokens: 5_000,
+            max_tokens: Some(100),
+            prefix: Vec::new(),
+            whole: true,
+        },
+        ..generation(seed, true)
+    };
+    let placed = (0..40).filter(|seed| target_of(&mut harness, large(*seed)).is_some());
+    let count = placed.count();
+    assert!((2..=most + 1).contains(&count), "{count}");
+    let placements = harness.core.placements();
+    assert_eq!(placements, [(engine(1), 5_000 * count as u64)]);
+}
+
+/// Fails if a request does not follow its cached prefix, or follows it to an engine that is much
+/// fuller.
+#[test]
+fn prefix_affinity_is_bounded() {
+    let mut harness = Harness::with_targets("", 2, 0);
+    let with_prefix = || Submission {
+        work: WorkKind::Generation {
+            model: ModelName::new(MODEL),
+            prompt_tokens: 100,
+            max_tokens: None,
+            prefix: vec![11, 12, 13],
+            whole: true,
+        },
+        ..generation(1, true)
+    };
+    let stored = |address| Event::CacheChanged {
+        address,
+        stored: vec![11, 12, 13],
+        removed: Vec::new(),
+        gap: false,
+    };
+    harness.step(stored(engine(2)));
+    harness.report(2, used(0.15));
+    assert_eq!(target_of(&mut harness, with_prefix()), Some(engine(2)));
+    harness.report(2, used(0.5));
+    assert_eq!(target_of(&mut harness, with_prefix()), Some(engine(1)));
+}
+
+/// Fails if a baseline does not spread requests as its name says.
+#[rstest]
+#[case("round-robin", 10, 10)]
+#[case("least-outstanding", 10, 10)]
+#[case("two-choices", 6, 14)]
+fn baselines_spread_requests(#[case] policy: &str, #[case] least: u32, #[case] most: u32) {
+    let text = format!("route quotes policy {policy} # manager: comparison");
+    let mut harness = Harness::with_targets(&text, 3, 0);
+    for number in 1..=3 {
+        harness.report(number, used(0.99));
+    }
+    let mut counts = BTreeMap::new();
+    for _ in 0..30 {
+        let target = target_of(&mut harness, generation(1, true));
+        *counts
+            .entry(target.expect("baselines queue in the engine"))
+            .or_insert(0) += 1;
+    }
+    assert_eq!(counts.len(), 3);
+    assert!(
+        counts.values().all(|count| (least..=most).contains(count)),
+        "{counts:?}"
+    );
+}
+
+/// Fails if a service call goes to a farther or busier target than needed.
+#[test]
+fn calls_go_to_the_nearest_least_busy_target() {
+    let mut harness = Harness::new("");
+    let mut list: Vec<ListedTarget> = (1..=3).map(|n| listed(service(n), false)).collect();
+    list[0].region = RegionName::new("lisboa-a");
+    list[0].zone = ZoneName::new("lisboa-a1");
+    harness.step(Event::TargetsListed(list));
+    let first = target_of(&mut harness, call(1)).expect("a target");
+    let second = target_of(&mut harness, call(1)).expect("a target");
+    assert_ne!(first, second);
+    assert!(first != service(1) && second != service(1));
+}
+
+/// Fails if a stream that grows between reports does not raise the forecast, or if its end does
+/// not lower it.
+#[test]
+fn the_forecast_follows_running_streams() {
+    let mut harness = Harness::with_targets("", 1, 0);
+    let forecast = |harness: &Harness| harness.core.target_views(harness.now)[0].forecast;
+    for _ in 0..20 {
+        let (ticket, _) = harness.submit(generation(1, true));
+        harness.end(ticket, 1, AttemptEnd::Completed { tokens: 3_000 });
+    }
+    harness.now += Duration::from_secs(1);
+    harness.report(1, load(1));
+    let idle = forecast(&harness);
+    let (ticket, _) = harness.submit(generation(1, true));
+    let placed = forecast(&harness);
+    assert!(placed[0] > idle[0]);
+    harness.now += Duration::from_millis(250);
+    harness.step(Event::Progress {
+        ticket,
+        attempt: 1,
+        tokens: 100,
+    });
+    harness.report(
+        1,
+        LoadReport {
+            running: 1,
+            ..used(0.05)
+        },
+    );
+    let long = forecast(&harness);
+    assert!(
+        long[1] > long[0],
+        "a stream of a long kind is expected to go on"
+    );
+    harness.end(ticket, 1, AttemptEnd::Completed { tokens: 3_000 });
+    harness.now += Duration::from_secs(1);
+    harness.report(1, load(1));
+    assert!(forecast(&harness).iter().all(|tokens| *tokens < 1e-6));
+}
+
+/// Fails if the weights of the rules raise the ceiling above the one written there.
+#[rstest]
+#[case(0.0, 0.0, 0.9, 4)]
+#[case(1.0, 0.0, 0.81, 4)]
+#[case(1.0, 1.0, 0.9, 4)]
+#[case(1.0, 2.0, 0.9, 3)]
+#[case(0.0, 1.0, 0.9, 2)]
+fn weights_bound_admission(
+    #[case] preemptions: f64,
+    #[case] stall: f64,
+    #[case] ceiling: f64,
+    #[case] entries: usize,
+) {
+    let bound = AdmissionBound::new(0.9, StallWeights { preemptions, stall });
+    assert!((bound.ceiling - ceiling).abs() < 1e-9);
+    assert_eq!(bound.entries, entries);
+}
--- /dev/null
+++ b/crates/mimosagap-core/tests/queue.rs
@@ -0,0 +1,173 @@
+//! Guards against unfair or unbounded waiting.
+
+mod common;
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use common::*;
+use mimosagap_core::*;
+use mimosagap_types::prelude::*;
+use rstest::rstest;
+
+const RULES: &str = "class urgent priority high # manager: test
+class idle priority low # manager: test
+share team large 3 # manager: test
+queue limit 200 wait 10 s # insurer: test";
+
+/// A harness whose only engine is full, so that requests wait.
+fn full() -> Harness {
+    let mut harness = Harness::with_targets(RULES, 1, 0);
+    harness.report(1, loaded(0.99));
+    harness
+}
+
+fn loaded(memory_used: f64) -> LoadReport {
+    LoadReport {
+        running: 20,
+        memory_used,
+        ..load(1)
+    }
+}
+
+fn of(team: &str, class: &str) -> Submission {
+    Submission {
+        team: TeamName::new(team),
+        class: ClassName::new(class),
+        ..generation(1, true)
+    }
+}
+
+/// Lets `count` waiting requests in, one at a time, and returns them in order.
+fn admit(harness: &mut Harness, count: usize) -> Vec<RequestTicket> {
+    let mut order = Vec::new();
+    while order.len() < count {
+        harness.now += Duration::from_millis(60);
+        // Room for one request: the report with room counts, the next one takes it away.
+        let effects = harness.report(1, loaded(0.897));
+        let tickets = effects.iter().filter_map(|effect| match effect {
+            Effect::Dispatch { ticket, .. } => Some(*ticket),
+            _ => None,
+        });
+        let before = order.len();
+        order.extend(tickets);
+        assert!(order.len() > before, "nothing was admitted");
+        for ticket in &order[before..] {
+            harness.end(*ticket, 1, AttemptEnd::Cancelled);
+        }
+        harness.report(1, loaded(0.99));
+    }
+    order
+}
+
+/// Fails if waiting requests of a higher priority do not go first, or if lower ones starve.
+#[test]
+fn priority_goes_first_and_none_starves() {
+    let mut harness = full();
+    let mut classes = BTreeMap::new();
+    for class in ["idle", "other", "urgent"] {
+        for _ in 0..40 {
+            classes.insert(harness.submit(of("floors", class)).0, class);
+            harness.now += Duration::from_millis(1);
+        }
+    }
+    let order = admit(&mut harness, 40);
+    let first: Vec<&str> = order[..40].iter().map(|ticket| classes[ticket]).collect();
+    let urgent = first.iter().filter(|class| **class == "urgent").count();
+    assert!((35..=37).contains(&urgent), "{first:?}");
+    assert!(first.contains(&"idle"), "{first:?}");
+}
+
+/// Fails if a team gets less than its share against a team that sends more.
+#[test]
+fn teams_share_by_weight() {
+    let mut harness = full();
+    let mut teams = BTreeMap::new();
+    for _ in 0..60 {
+        teams.insert(harness.submit(of("small", "other")).0, "small");
+    }
+    for _ in 0..60 {
+        teams.insert(harness.submit(of("large", "other")).0, "large");
+    }
+    let order = admit(&mut harness, 40);
+    let large = order[..40].iter().filter(|ticket| teams[ticket] == "large");
+    let count = large.count();
+    assert!(
+        (29..=31).contains(&count),
+        "{count} of 40 for a weight of 3 against 1"
+    );
+}
+
+/// Fails if a request over either limit of the queue is kept, or refused without rule, outcome
+/// and a randomized time.
+#[test]
+fn the_queue_is_bounded_in_length_and_time() {
+    let mut harness = full();
+    for _ in 0..200 {
+        assert!(harness.submit(of("floors", "other")).1.is_empty());
+    }
+    let (_, effects) = harness.submit(of("floors", "other"));
+    let mut refusals = vec![refused(&effects).expect("the queue is full").clone()];
+    assert_eq!(harness.core.queue_length(), 200);
+    for _ in 0..9 {
+        let effects = harness.pass(Duration::from_millis(1_100));
+        assert!(effects.is_empty(), "{effects:?}");
+        harness.report(1, loaded(0.99));
+    }
+    let effects = harness.pass(Duration::from_millis(100));
+    refusals.extend(effects.iter().filter_map(|effect| match effect {
+        Effect::Refuse { refusal, .. } => Some(refusal.clone()),
+        _ => None,
+    }));
+    assert_eq!(refusals.len(), 201);
+    assert_eq!(harness.core.queue_length(), 0);
+    for refusal in &refusals {
+        assert_eq!(refusal.cause, RefusalCause::Overloaded);
+        assert_eq!(refusal.outcome, RunOutcome::NotRun);
+        assert_eq!(refusal.rule.as_ref().map(|rule| rule.line), Some(4));
+    }
+    let mut waits: Vec<_> = refusals
+        .iter()
+        .filter_map(|refusal| refusal.retry_after)
+        .collect();
+    waits.sort();
+    waits.dedup();
+    assert!(waits.len() > 150, "callers would come back together");
+}
+
+/// Fails if a request leaves the queue but keeps its place in the count.
+#[rstest]
+#[case(false)]
+#[case(true)]
+fn waiting_requests_leave_the_queue(#[case] by_rule: bool) {
+    let mut harness = full();
+    let (ticket, _) = harness.submit(of("floors", "other"));
+    harness.submit(of("small", "other"));
+    let effects = if by_rule {
+        let text = format!("{RULES}\nrefuse team floors # insurer: unpaid");
+        harness.step(Event::RulesFound(rules(2, &text)))
+    } else {
+        harness.step(Event::CallerLeft { ticket })
+    };
+    let refusal = refused(&effects).expect("the request is refused");
+    assert_eq!(refusal.outcome, RunOutcome::NotRun);
+    assert_eq!(refusal.rule.is_some(), by_rule);
+    assert_eq!(harness.core.queue_length(), 1);
+    assert_eq!(harness.core.queues()[0].length, 1);
+}
+
+/// Fails if a waiting request is not sent when an engine gets room, or if its wait is not
+/// counted.
+#[test]
+fn a_waiting_request_goes_when_there_is_room() {
+    let mut harness = full();
+    harness.submit(of("floors", "other"));
+    harness.now += Duration::from_millis(300);
+    let effects = harness.report(1, loaded(0.1));
+    assert!(dispatched(&effects).is_some());
+    let wait = effects.iter().find_map(|effect| match effect {
+        Effect::ObserveQueueing { wait, .. } => Some(*wait),
+        _ => None,
+    });
+    assert_eq!(wait, Some(Duration::from_millis(300)));
+}
