--- a/crates/mimosagap-core/tests/lending.rs
+++ b/crates/mimosagap-core/tests/lending.rs
@@ -116,8 +116,13 @@
     let asked_at = harness.now;
     assert!(dispatched(&harness.step(granted(1, asked_at))).is_some());
     assert!(harness.step(granted(1, asked_at)).is_empty());
+    harness.now += Duration::from_millis(1);
     let (_, effects) = harness.submit(call(2));
-    assert!(dispatched(&effects).is_none());
+    assert!(matches!(effects[..], [Effect::AskCredit { .. }]));
+    // The repeated answer does not pass for the answer to the new question.
+    assert!(harness.step(granted(1, asked_at)).is_empty());
+    let asked_at = harness.now;
+    assert!(dispatched(&harness.step(granted(1, asked_at))).is_some());
 }
 
 /// Fails if credit is used after its end, counted from before the question.
--- a/crates/mimosagap-core/tests/quarantine.rs
+++ b/crates/mimosagap-core/tests/quarantine.rs
@@ -240,3 +240,19 @@
     assert_eq!(refusal.outcome, RunOutcome::NotRun);
     assert!(refusal.retry_after.is_some());
 }
+
+/// Fails if a caller that leaves while its trial is being taken leaves the record on trial, so
+/// that no daemon can run the request any more, or the request without an end.
+#[test]
+fn a_trial_taken_for_nobody_is_given_back() {
+    let mut harness = Harness::with_targets("", 1, 0);
+    harness.step(suspect(1));
+    let (ticket, _) = harness.submit(generation(1, true));
+    assert!(harness.step(Event::CallerLeft { ticket }).is_empty());
+    let answer = TrialAnswer::Taken;
+    let effects = harness.step(Event::TrialAnswered { ticket, answer });
+    assert_eq!(verdict(&effects), Some(SuspectState::Suspect));
+    let refusal = refused(&effects).expect("the final effect");
+    assert_eq!(refusal.outcome, RunOutcome::NotRun);
+    assert_eq!(harness.core.request_count(), 0);
+}
