--- a/crates/mimosagap-daemon/tests/common/mod.rs
+++ b/crates/mimosagap-daemon/tests/common/mod.rs
@@ -328,6 +328,8 @@
     pub repeat: bool,
     pub skip: Arc<Mutex<Vec<u64>>>,
     pub incarnation: Arc<Mutex<u64>>,
+    /// A cut is a restart: the incarnation changes.
+    pub restart_on_cut: bool,
     pub requests: Arc<Mutex<Vec<String>>>,
     /// The first answer to a new generation, if not the stream.
     pub first_answer: Option<&'static str>,
@@ -343,11 +345,21 @@
             repeat: false,
             skip: Arc::default(),
             incarnation: Arc::new(Mutex::new(7)),
+            restart_on_cut: false,
             requests: Arc::default(),
             first_answer: None,
         }
     }
 
+    /// Requests that begin with `prefix`.
+    pub fn count(&self, prefix: &str) -> usize {
+        let requests = self.requests.lock().unwrap();
+        requests
+            .iter()
+            .filter(|request| request.starts_with(prefix))
+            .count()
+    }
+
     pub async fn start(&self) -> SocketAddr {
         let address = address();
         let listener = TcpListener::bind(address).await.unwrap();
@@ -396,12 +408,15 @@
                 stream.write_all(chunk.as_bytes()).await?;
             }
             if take(&self.cut_after, number) {
+                *self.incarnation.lock().unwrap() += u64::from(self.restart_on_cut);
                 return Ok(());
             }
             if take(&self.silent_after, number) {
                 tokio::time::sleep(LIMIT).await;
             }
-            tokio::time::sleep(self.step).await;
+            if !self.step.is_zero() {
+                tokio::time::sleep(self.step).await;
+            }
         }
         stream.write_all(b"0\r\n\r\n").await
     }
