fix(daemon): forge a resume key that differs in the test of forged keys

The test replaced the last character of the key with an A, which left one key in sixteen as it was. It now changes a character in the middle.

--- a/crates/mimosagap-daemon/tests/generations.rs
+++ b/crates/mimosagap-daemon/tests/generations.rs
@@ -225,7 +225,8 @@
     let target = FakeEngine::new(5).start().await;
     let daemon = start(Placement::new(&[target])).await;
     let id = finished_id(&daemon).await;
-    let forged = format!("{}A", &id[..id.len() - 1]);
+    let replaced = if &id[20..21] == "A" { "B" } else { "A" };
+    let forged = format!("{}{replaced}{}", &id[..20], &id[21..]);
     for (id, token) in [(&id, OTHER_TOKEN), (&forged, TOKEN)] {
         for (method, rest) in [
             ("GET", "?stream=true&starting_after=1"),
