feat(daemon): admin pages from the reducer's own state

The pages were a copy kept from events, which could differ from what the reducer decides by. A target is also recognised as dead when another incarnation answers, so that a fast restart does not hide the request that killed it. The first token is reported to the reducer at once.

--- a/crates/mimosagap-daemon/src/admin/mod.rs
+++ b/crates/mimosagap-daemon/src/admin/mod.rs
@@ -13,6 +13,9 @@
 /// Threads that answer operators.
 const THREADS: usize = 2;
 
+const PAGES: &str = "pages: /admin/v1/ with health, daemons, targets, leaving, rules, limits or \
+                     quarantine; /metrics\n";
+
 /// A running administration API; ends when dropped.
 pub struct AdminServer {
     address: SocketAddr,
@@ -54,21 +57,26 @@
         return Response::text("this API only reads; change the rules file instead\n")
             .with_status_code(405);
     }
-    match request.url().as_str() {
-        "/health" => Response::json(&pages::health(shared)),
-        "/daemons" => Response::json(&pages::daemons(shared)),
-        "/targets" => Response::json(&pages::targets(shared, |_| true)),
-        "/targets/leaving" => Response::json(&pages::targets(shared, |target| target.leaving)),
-        "/rules" => Response::json(&pages::rules(shared)),
-        "/limits" => Response::json(&pages::limits(shared)),
-        "/quarantine" => Response::json(&pages::quarantine(shared)),
-        "/metrics" => Response::from_data(
-            "text/plain; version=0.0.4; charset=utf-8",
-            pages::metrics(shared),
-        ),
-        _ => Response::text(
-            "pages: /health /daemons /targets /targets/leaving /rules /limits /quarantine /metrics\n",
-        )
-        .with_status_code(404),
+    let url = request.url();
+    if url == "/metrics" {
+        let kind = "text/plain; version=0.0.4; charset=utf-8";
+        return Response::from_data(kind, pages::metrics(shared));
+    }
+    let page = url.strip_prefix("/admin/v1/").unwrap_or_default();
+    match page {
+        "daemons" => return Response::json(&pages::daemons(shared)),
+        "rules" => return Response::json(&pages::rules(shared)),
+        _ => {}
+    }
+    let Some(snapshot) = shared.snapshots.take() else {
+        return Response::text("the daemon is stopping\n").with_status_code(503);
+    };
+    match page {
+        "health" => Response::json(&pages::health(shared, &snapshot)),
+        "targets" => Response::json(&pages::targets(&snapshot, false)),
+        "leaving" => Response::json(&pages::targets(&snapshot, true)),
+        "limits" => Response::json(&pages::limits(&snapshot)),
+        "quarantine" => Response::json(&pages::quarantine(shared, &snapshot)),
+        _ => Response::text(PAGES).with_status_code(404),
     }
 }
--- a/crates/mimosagap-daemon/src/admin/pages.rs
+++ b/crates/mimosagap-daemon/src/admin/pages.rs
@@ -1,27 +1,29 @@
 //! The pages of the administration API.
 
-use mimosagap_core::TargetKind;
+use mimosagap_core::{LimitView, SuspectState, TargetState, TargetView};
 use mimosagap_types::prelude::*;
 use serde::Serialize;
 
 use crate::shared::Shared;
-use crate::view::{LimitUse, TargetView};
+use crate::snapshot::Snapshot;
 
 #[derive(Serialize)]
 pub(super) struct HealthPage {
-    daemon: DaemonId,
+    id: DaemonId,
     status: &'static str,
     rules_revision: RulesRevision,
-    store_reachable: Option<bool>,
+    store_reachable: bool,
     requests: usize,
+    queued: usize,
+    retry_budget: f64,
 }
 
 #[derive(Serialize)]
 pub(super) struct DaemonEntry {
     id: DaemonId,
-    callers: String,
-    peers: String,
-    admin: String,
+    caller_address: String,
+    peer_address: String,
+    admin_address: String,
     zone: ZoneName,
     region: RegionName,
     leaving: bool,
@@ -31,24 +33,19 @@
 pub(super) struct TargetEntry {
     address: String,
     deployment: DeploymentName,
-    kind: &'static str,
-    models: Vec<ModelName>,
     zone: ZoneName,
     region: RegionName,
-    reachable: bool,
-    leaving: bool,
+    state: &'static str,
     rule: Option<RuleReference>,
-    report: Option<ReportEntry>,
-}
-
-#[derive(Serialize)]
-struct ReportEntry {
-    incarnation: Incarnation,
+    incarnation: Option<Incarnation>,
+    outstanding: u32,
     running: u32,
     waiting: u32,
-    memory_used: f64,
-    memory_tokens: u64,
     preemptions: u64,
+    memory_tokens: u64,
+    report_age_ms: Option<u128>,
+    /// Tokens in memory now and in 2, 5 and 10 s.
+    forecast_tokens: Vec<f64>,
 }
 
 #[derive(Serialize)]
@@ -60,11 +57,15 @@
 #[derive(Serialize)]
 pub(super) struct LimitEntry {
     team: TeamName,
-    requests_per_second: Option<f64>,
-    burst: Option<u32>,
-    submitted: u64,
-    refused: u64,
-    rule: Option<RuleReference>,
+    requests_per_second: f64,
+    burst: u32,
+    rule: RuleReference,
+    slot: u16,
+    lender: Option<DaemonId>,
+    bucket: Option<f64>,
+    credit: u32,
+    waiting: usize,
+    admitted: u64,
 }
 
 #[derive(Serialize)]
@@ -74,22 +75,23 @@
     pardoned: bool,
 }
 
-pub(super) fn health(shared: &Shared) -> HealthPage {
-    let state = shared.view.snapshot();
+pub(super) fn health(shared: &Shared, snapshot: &Snapshot) -> HealthPage {
     let revision = shared.view.rules().revision;
     let status = if shared.view.is_draining() {
         "draining"
-    } else if state.isolated || revision == RulesRevision(0) {
+    } else if snapshot.isolated || revision == RulesRevision(0) {
         "isolated"
     } else {
         "ok"
     };
     HealthPage {
-        daemon: shared.daemon.clone(),
+        id: shared.daemon.clone(),
         status,
         rules_revision: revision,
-        store_reachable: state.store_reachable,
+        store_reachable: snapshot.store_reachable,
         requests: shared.requests.count(),
+        queued: snapshot.queues.iter().map(|queue| queue.length).sum(),
+        retry_budget: snapshot.retry_budget,
     }
 }
 
@@ -98,9 +100,9 @@
     members.sort_by(|one, other| one.id.cmp(&other.id));
     let entries = members.into_iter().map(|member| DaemonEntry {
         id: member.id,
-        callers: member.caller_address.to_string(),
-        peers: member.peer_address.to_string(),
-        admin: member.admin_address.to_string(),
+        caller_address: member.caller_address.to_string(),
+        peer_address: member.peer_address.to_string(),
+        admin_address: member.admin_address.to_string(),
         zone: member.zone,
         region: member.region,
         leaving: member.leaving,
@@ -108,37 +110,38 @@
     entries.collect()
 }
 
-pub(super) fn targets(shared: &Shared, filter: impl Fn(&TargetView) -> bool) -> Vec<TargetEntry> {
-    let state = shared.view.snapshot();
-    let mut targets: Vec<TargetView> = state.targets.into_values().filter(filter).collect();
-    targets.sort_by_key(|target| target.listed.address);
+pub(super) fn targets(snapshot: &Snapshot, only_leaving: bool) -> Vec<TargetEntry> {
+    let mut targets: Vec<&TargetView> = snapshot
+        .targets
+        .iter()
+        .filter(|target| !only_leaving || target.state == TargetState::Leaving)
+        .collect();
+    targets.sort_by_key(|target| target.address);
     targets.into_iter().map(target_entry).collect()
 }
 
-fn target_entry(target: TargetView) -> TargetEntry {
-    let listed = target.listed;
-    let (kind, models) = match listed.kind {
-        TargetKind::Engine { models } => ("engine", models),
-        TargetKind::Service => ("service", Vec::new()),
-    };
+fn target_entry(target: &TargetView) -> TargetEntry {
     TargetEntry {
-        address: listed.address.to_string(),
-        deployment: listed.deployment,
-        kind,
-        models,
-        zone: listed.zone,
-        region: listed.region,
-        reachable: target.reachable,
-        leaving: target.leaving,
-        rule: target.rule,
-        report: target.report.map(|report| ReportEntry {
-            incarnation: report.incarnation,
-            running: report.running,
-            waiting: report.waiting,
-            memory_used: report.memory_used,
-            memory_tokens: report.memory_tokens,
-            preemptions: report.preemptions,
-        }),
+        address: target.address.to_string(),
+        deployment: target.deployment.clone(),
+        zone: target.zone.clone(),
+        region: target.region.clone(),
+        state: match target.state {
+            TargetState::Unknown => "unknown",
+            TargetState::Up => "up",
+            TargetState::Leaving => "leaving",
+            TargetState::Down => "down",
+            TargetState::Unlisted => "unlisted",
+        },
+        rule: target.rule.clone(),
+        incarnation: target.incarnation,
+        outstanding: target.outstanding,
+        running: target.running,
+        waiting: target.waiting,
+        preemptions: target.preemptions,
+        memory_tokens: target.memory_tokens,
+        report_age_ms: target.report_age.map(|age| age.as_millis()),
+        forecast_tokens: target.forecast.to_vec(),
     }
 }
 
@@ -150,51 +153,39 @@
     }
 }
 
-/// All teams with a limit, and those without one that sent requests.
-pub(super) fn limits(shared: &Shared) -> Vec<LimitEntry> {
-    let rules = shared.view.rules();
-    let mut used = shared.view.snapshot().limits;
-    let mut entries: Vec<LimitEntry> = rules
-        .limits()
-        .map(|(team, limit)| {
-            let LimitUse { submitted, refused } = used.remove(team).unwrap_or_default();
-            LimitEntry {
-                team: team.clone(),
-                requests_per_second: Some(limit.rate),
-                burst: Some(limit.burst),
-                submitted,
-                refused,
-                rule: Some(limit.rule.clone()),
-            }
-        })
-        .collect();
-    entries.extend(used.into_iter().map(|(team, used)| LimitEntry {
-        team,
-        requests_per_second: None,
-        burst: None,
-        submitted: used.submitted,
-        refused: used.refused,
-        rule: None,
-    }));
-    entries.sort_by(|one, other| one.team.cmp(&other.team));
-    entries
+pub(super) fn limits(snapshot: &Snapshot) -> Vec<LimitEntry> {
+    snapshot.limits.iter().map(limit_entry).collect()
+}
+
+fn limit_entry(limit: &LimitView) -> LimitEntry {
+    LimitEntry {
+        team: limit.team.clone(),
+        requests_per_second: limit.rate,
+        burst: limit.burst,
+        rule: limit.rule.clone(),
+        slot: limit.usage.slot,
+        lender: limit.usage.holder.clone(),
+        bucket: limit.usage.bucket,
+        credit: limit.usage.credit,
+        waiting: limit.usage.waiting,
+        admitted: limit.usage.admitted,
+    }
 }
 
-pub(super) fn quarantine(shared: &Shared) -> Vec<QuarantineEntry> {
+pub(super) fn quarantine(shared: &Shared, snapshot: &Snapshot) -> Vec<QuarantineEntry> {
     let rules = shared.view.rules();
-    let state = shared.view.snapshot();
-    let mut entries: Vec<QuarantineEntry> = state
+    let mut entries: Vec<QuarantineEntry> = snapshot
         .quarantine
-        .into_iter()
+        .iter()
         .map(|(digest, state)| QuarantineEntry {
             digest: digest.to_string(),
             state: match state {
-                mimosagap_core::SuspectState::Suspect => "suspect",
-                mimosagap_core::SuspectState::OnTrial => "on_trial",
-                mimosagap_core::SuspectState::Condemned => "condemned",
-                mimosagap_core::SuspectState::Cleared => "cleared",
+                SuspectState::Suspect => "suspect",
+                SuspectState::OnTrial => "on_trial",
+                SuspectState::Condemned => "condemned",
+                SuspectState::Cleared => "cleared",
             },
-            pardoned: rules.is_pardoned(&digest),
+            pardoned: rules.is_pardoned(digest),
         })
         .collect();
     entries.sort_by(|one, other| one.digest.cmp(&other.digest));
--- a/crates/mimosagap-daemon/src/daemon.rs
+++ b/crates/mimosagap-daemon/src/daemon.rs
@@ -9,16 +9,17 @@
 use mimosagap_core::{Core, Event};
 use mimosagap_settings::Settings;
 use mimosagap_types::prelude::*;
-use tokio::sync::watch;
+use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::JoinHandle;
 
 use crate::admin::AdminServer;
 use crate::control::{ControlHandle, ControlOptions};
-use crate::driver::{Driver, EventSender, Reduce};
+use crate::driver::{Driver, EventSender};
 use crate::front::server;
 use crate::metrics::Metrics;
 use crate::requests::RequestTable;
 use crate::shared::Shared;
+use crate::snapshot::{Decide, Snapshot, SnapshotSource};
 use crate::targets;
 use crate::view::View;
 
@@ -59,14 +60,13 @@
 
 /// A reducer for these settings.
 #[must_use]
-pub fn reducer(settings: &Settings, daemon: &DaemonId) -> Reduce {
-    let mut core = Core::new(mimosagap_core::Options {
+pub fn new_core(settings: &Settings, daemon: &DaemonId) -> Core {
+    Core::new(mimosagap_core::Options {
         daemon: daemon.clone(),
         zone: settings.location.zone.clone(),
         region: settings.location.region.clone(),
         seed: random(),
-    });
-    Box::new(move |now, event, effects| core.reduce(now, event, effects))
+    })
 }
 
 /// An identity for a new process: its address and a random number.
@@ -88,13 +88,14 @@
     pub fn start(
         settings: Arc<Settings>,
         daemon: DaemonId,
-        reduce: Reduce,
+        core: Box<dyn Decide>,
     ) -> Result<Self, StartError> {
         let listen = settings.listen;
         let listener = server::bind(listen.callers)
             .map_err(|error| start_error("listen.callers", listen.callers, &error))?;
         let clock: Arc<dyn Clock> = Arc::new(SystemClock);
         let (events, receiver) = EventSender::new();
+        let (snapshots, questions) = SnapshotSource::new();
         let control = ControlHandle::start(ControlOptions {
             settings: Arc::clone(&settings),
             daemon: daemon.clone(),
@@ -110,12 +111,13 @@
             requests: Arc::default(),
             view: Arc::default(),
             metrics: Arc::new(Metrics::new()),
+            snapshots,
             control,
         });
         let admin = AdminServer::start(Arc::clone(&shared), listen.admin)
             .map_err(|error| start_error("listen.admin", listen.admin, &error))?;
         let (stop, stopping) = watch::channel(None);
-        let driver = new_driver(&shared, reduce, stop);
+        let driver = new_driver(&shared, core, questions, stop);
         let background = vec![
             tokio::spawn(driver.run(receiver)),
             tokio::spawn(targets::watch(Arc::clone(&shared))),
@@ -161,11 +163,13 @@
 
 fn new_driver(
     shared: &Arc<Shared>,
-    reduce: Reduce,
+    core: Box<dyn Decide>,
+    questions: mpsc::Receiver<oneshot::Sender<Snapshot>>,
     stop: watch::Sender<Option<Duration>>,
 ) -> Driver {
     Driver {
-        reduce,
+        core,
+        questions,
         events: shared.events.clone(),
         clock: Arc::clone(&shared.clock),
         control: shared.control.clone(),
--- a/crates/mimosagap-daemon/src/driver.rs
+++ b/crates/mimosagap-daemon/src/driver.rs
@@ -1,20 +1,24 @@
 //! The task which owns the reducer.
 
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use mimosagap_core::{AttemptEnd, Effect, Event, StateChange};
 use mimosagap_types::prelude::*;
-use tokio::sync::{mpsc, watch};
+use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::MissedTickBehavior;
 
 use crate::control::ControlHandle;
 use crate::metrics::Metrics;
 use crate::requests::{Command, RequestTable};
+use crate::snapshot::{Decide, Snapshot};
 use crate::view::View;
 
 const TICK: Duration = Duration::from_millis(50);
 
+/// How often the peers' digests get new placements.
+const PLACEMENTS_INTERVAL: Duration = Duration::from_millis(250);
+
 /// Sends events to the reducer. Cheap to clone; never blocks.
 #[derive(Debug, Clone)]
 pub struct EventSender {
@@ -35,13 +39,12 @@
     }
 }
 
-/// The reducer as the driver calls it.
-pub type Reduce = Box<dyn FnMut(Instant, Event, &mut Vec<Effect>) + Send>;
-
 /// Owns the reducer, stamps events with the time and carries out effects.
 pub struct Driver {
     /// The reducer.
-    pub reduce: Reduce,
+    pub core: Box<dyn Decide>,
+    /// Questions of operators.
+    pub questions: mpsc::Receiver<oneshot::Sender<Snapshot>>,
     /// Where follow-up events go.
     pub events: EventSender,
     /// Time.
@@ -63,6 +66,7 @@
     pub async fn run(mut self, mut events: mpsc::UnboundedReceiver<Event>) {
         let mut tick = tokio::time::interval(TICK);
         tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut shared_at = self.clock.now();
         let mut effects = Vec::new();
         loop {
             let event = tokio::select! {
@@ -70,21 +74,34 @@
                     Some(event) => event,
                     None => return,
                 },
+                Some(question) = self.questions.recv() => {
+                    // An operator who left does not take the answer.
+                    let _ = question.send(self.core.snapshot(self.clock.now()));
+                    continue;
+                }
                 _ = tick.tick() => Event::Tick,
             };
             self.step(event, &mut effects);
+            let now = self.clock.now();
+            if now - shared_at >= PLACEMENTS_INTERVAL {
+                shared_at = now;
+                self.control.set_placements(self.core.placements());
+            }
         }
     }
 
     fn step(&mut self, event: Event, effects: &mut Vec<Effect>) {
         self.view.note_event(&event);
+        let is_rules = matches!(event, Event::RulesFound(_));
         let ended = match &event {
             Event::AttemptEnded { ticket, .. } => Some(*ticket),
             _ => None,
         };
-        (self.reduce)(self.clock.now(), event, effects);
+        self.core.reduce(self.clock.now(), event, effects);
+        if is_rules {
+            self.view.adopt(&self.core.rules());
+        }
         for effect in effects.drain(..) {
-            self.view.note_effect(&effect);
             self.carry_out(effect);
         }
         if let Some(ticket) = ended {
--- a/crates/mimosagap-daemon/src/front/generations.rs
+++ b/crates/mimosagap-daemon/src/front/generations.rs
@@ -198,7 +198,7 @@
         submission,
     });
     generation.serve(&mut request, &body).await?;
-    let mut answer = json_answer(StatusCode::OK, &generation.into_answer());
+    let mut answer = json_answer(StatusCode::OK, &generation.into_answer()?);
     set_outcome(answer.headers_mut(), RunOutcome::Ran);
     Ok(answer)
 }
--- a/crates/mimosagap-daemon/src/lib.rs
+++ b/crates/mimosagap-daemon/src/lib.rs
@@ -15,5 +15,6 @@
 pub mod relay;
 pub mod requests;
 pub mod shared;
+pub mod snapshot;
 pub mod targets;
 pub mod view;
--- a/crates/mimosagap-daemon/src/main.rs
+++ b/crates/mimosagap-daemon/src/main.rs
@@ -5,7 +5,7 @@
 use std::process::ExitCode;
 use std::sync::Arc;
 
-use mimosagap_daemon::daemon::{Daemon, new_identity, reducer, termination};
+use mimosagap_daemon::daemon::{Daemon, new_core, new_identity, termination};
 use mimosagap_daemon::logging;
 use mimosagap_settings::Settings;
 use pico_args::Arguments;
@@ -118,9 +118,9 @@
 
 async fn serve(settings: Arc<Settings>) -> ExitCode {
     let identity = new_identity(&settings);
-    let reduce = reducer(&settings, &identity);
+    let core = Box::new(new_core(&settings, &identity));
     let listen = settings.listen;
-    let daemon = match Daemon::start(settings, identity.clone(), reduce) {
+    let daemon = match Daemon::start(settings, identity.clone(), core) {
         Ok(daemon) => daemon,
         Err(error) => {
             eprintln!("mimosagapd: {error}");
--- a/crates/mimosagap-daemon/src/relay/generation.rs
+++ b/crates/mimosagap-daemon/src/relay/generation.rs
@@ -14,7 +14,7 @@
 use tokio::time::{Instant, sleep};
 
 use super::SILENCE;
-use super::connection::{Link, ReadError, SendError, connect, header, send};
+use super::connection::{Link, ReadError, SendError, header, send};
 use super::idle::IdleTimer;
 use super::outbox::Outbox;
 use super::scanner::{EventHead, EventKind, EventScanner, MalformedEvent, event_data};
@@ -97,11 +97,12 @@
     last: Option<u64>,
     tokens: u32,
     last_token: Option<Instant>,
-    last_progress: Instant,
+    last_progress: Option<Instant>,
     held: Vec<u8>,
     incarnation: Option<Incarnation>,
     ticket: Option<RequestTicket>,
     attempt: Option<u32>,
+    is_cancelled: bool,
     finished: bool,
 }
 
@@ -121,11 +122,12 @@
             last: None,
             tokens: 0,
             last_token: None,
-            last_progress: now,
+            last_progress: None,
             held: Vec::new(),
             incarnation: None,
             ticket: None,
             attempt: None,
+            is_cancelled: false,
             finished: false,
         }
     }
@@ -230,7 +232,7 @@
     async fn run(&mut self, target: TargetAddress, body: Bytes) -> AttemptEnd {
         if self.delivered() > 0 {
             // Two generations are never joined.
-            return AttemptEnd::NotSent;
+            return self.lost(false);
         }
         self.reset();
         let request = engine_request(Method::POST, target, "/v1/responses", body);
@@ -256,18 +258,28 @@
                 AttemptEnd::NotSent
             }
             Err(SendError::Silent) => self.lost(false),
-            Err(SendError::Broken) => self.lost(self.is_gone(target).await),
+            Err(SendError::Broken) => {
+                let life = self.shared.view.incarnation(&target);
+                self.lost(self.is_gone(target, life).await)
+            }
         }
     }
 
-    /// Whether the target's host refuses connections, so that its process is gone.
-    async fn is_gone(&self, target: TargetAddress) -> bool {
-        let refused = SendError::NotConnected { refused: true };
-        let gone = connect(target).await.is_err_and(|error| error == refused);
-        if gone {
-            self.report_unreachable(target, true);
+    /// Whether the process of this life is gone: its host refuses connections, or another life
+    /// answers.
+    async fn is_gone(&self, target: TargetAddress, life: Option<Incarnation>) -> bool {
+        let request = engine_request(Method::GET, target, "/metrics", Bytes::new());
+        match send(target, request, SILENCE).await {
+            Ok(link) => {
+                let found = own_incarnation(&link.head);
+                life.is_some() && found.is_some() && found != life
+            }
+            Err(SendError::NotConnected { refused: true }) => {
+                self.report_unreachable(target, true);
+                true
+            }
+            Err(_) => false,
         }
-        gone
     }
 
     fn reset(&mut self) {
@@ -275,6 +287,7 @@
         self.last = None;
         self.tokens = 0;
         self.last_token = None;
+        self.last_progress = None;
         self.held.clear();
         if let Sink::Whole(answer) = &mut self.sink {
             *answer = WholeAnswer::default();
@@ -298,10 +311,7 @@
     }
 
     fn incarnation_of(&self, head: &Parts, target: TargetAddress) -> Option<Incarnation> {
-        header(&head.headers, "x-engine-incarnation")
-            .and_then(|text| text.parse().ok())
-            .map(Incarnation)
-            .or_else(|| self.shared.view.incarnation(&target))
+        own_incarnation(head).or_else(|| self.shared.view.incarnation(&target))
     }
 
     /// Tokens that the caller has or will get from the outbox.
@@ -454,10 +464,12 @@
             }
             None => {}
         }
-        if let (Some(ticket), Some(attempt)) = (self.ticket, self.attempt)
-            && now - self.last_progress >= PROGRESS_INTERVAL
-        {
-            self.last_progress = now;
+        // The first token is reported at once, because it decides whether the work may be repeated.
+        let is_due = self
+            .last_progress
+            .is_none_or(|last| now - last >= PROGRESS_INTERVAL);
+        if let (Some(ticket), Some(attempt), true) = (self.ticket, self.attempt, is_due) {
+            self.last_progress = Some(now);
             self.shared.events.send(Event::Progress {
                 ticket,
                 attempt,
@@ -475,6 +487,7 @@
         let side = self.engine.as_ref().ok_or(MalformedEvent)?;
         if let Sink::Whole(answer) = &mut self.sink {
             answer.finish(data)?;
+            self.is_cancelled = end == AttemptEnd::Cancelled;
             return Ok(Some(end));
         }
         let mut event: Value = serde_json::from_slice(data).map_err(|_| MalformedEvent)?;
@@ -510,7 +523,7 @@
         let side = self.engine.as_ref().ok_or(LostEngine { died: false })?;
         if side.response.is_empty() {
             // The link broke before the engine named the generation, so it cannot be found.
-            let died = self.is_gone(side.target).await;
+            let died = self.is_gone(side.target, side.incarnation).await;
             return Err(LostEngine { died });
         }
         let after = self
@@ -572,12 +585,19 @@
     }
 
     /// The whole answer of a completed generation.
-    #[must_use]
-    pub fn into_answer(mut self) -> Value {
+    ///
+    /// # Errors
+    /// If the caller cancelled it.
+    pub fn into_answer(mut self) -> Result<Value, Refusal> {
+        if self.is_cancelled {
+            let message = "the generation was cancelled";
+            let refusal = Refusal::new(RefusalCause::Cancelled, message);
+            return Err(refusal.with_outcome(RunOutcome::Unknown));
+        }
         let key = self.engine.as_ref().map_or("", |side| &side.key).to_owned();
         match std::mem::replace(&mut self.sink, Sink::Whole(WholeAnswer::default())) {
-            Sink::Whole(answer) => answer.into_json(&key),
-            Sink::Stream(_) => Value::Null,
+            Sink::Whole(answer) => Ok(answer.into_json(&key)),
+            Sink::Stream(_) => Ok(Value::Null),
         }
     }
 
@@ -608,6 +628,11 @@
     }
 }
 
+fn own_incarnation(head: &Parts) -> Option<Incarnation> {
+    let text = header(&head.headers, "x-engine-incarnation")?;
+    text.parse().ok().map(Incarnation)
+}
+
 /// How an attempt was left.
 enum AttemptRun {
     Ended(AttemptEnd),
--- a/crates/mimosagap-daemon/src/shared.rs
+++ b/crates/mimosagap-daemon/src/shared.rs
@@ -10,6 +10,7 @@
 use crate::driver::EventSender;
 use crate::metrics::Metrics;
 use crate::requests::RequestTable;
+use crate::snapshot::SnapshotSource;
 use crate::view::View;
 
 /// The parts of a running daemon.
@@ -30,6 +31,8 @@
     pub view: Arc<View>,
     /// Counters and histograms.
     pub metrics: Arc<Metrics>,
+    /// The reducer's state.
+    pub snapshots: SnapshotSource,
     /// Store and peers.
     pub control: ControlHandle,
 }
--- a/crates/mimosagap-daemon/src/targets/watcher.rs
+++ b/crates/mimosagap-daemon/src/targets/watcher.rs
@@ -24,7 +24,6 @@
         incarnation: None,
         preemptions: 0,
         cache_sequence: 0,
-        was_unreachable: false,
         shared,
     };
     let mut ticks = interval(REPORT_INTERVAL);
@@ -45,7 +44,6 @@
     incarnation: Option<Incarnation>,
     preemptions: u64,
     cache_sequence: u64,
-    was_unreachable: bool,
 }
 
 impl TargetWatcher {
@@ -67,22 +65,17 @@
     }
 
     /// Services publish no report, so only a connection shows that they are there.
-    async fn probe(&mut self) {
+    async fn probe(&self) {
         match connect(self.address).await {
-            Ok(_) if self.was_unreachable => {
-                self.was_unreachable = false;
-                self.shared.events.send(Event::TargetReported {
-                    address: self.address,
-                    report: empty_report(),
-                });
-            }
-            Ok(_) => {}
+            Ok(_) => self.shared.events.send(Event::TargetReported {
+                address: self.address,
+                report: empty_report(),
+            }),
             Err(error) => self.report_unreachable(error),
         }
     }
 
-    fn report_unreachable(&mut self, error: SendError) {
-        self.was_unreachable = true;
+    fn report_unreachable(&self, error: SendError) {
         self.shared.events.send(Event::TargetUnreachable {
             address: self.address,
             refused: error == SendError::NotConnected { refused: true },
--- /dev/null
+++ b/crates/mimosagap-daemon/tests/admin.rs
@@ -0,0 +1,134 @@
+//! The administration API, with the real reducer.
+
+mod common;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use common::*;
+use mimosagap_core::{Event, ListedTarget, LoadReport, SuspectState, TargetKind};
+use mimosagap_daemon::daemon::{Daemon, new_core, new_identity};
+use mimosagap_types::prelude::*;
+use rstest::rstest;
+
+fn target(leaving: bool) -> ListedTarget {
+    ListedTarget {
+        address: address(),
+        deployment: DeploymentName::new("assistant"),
+        kind: TargetKind::Engine {
+            models: vec![ModelName::new("quotes")],
+        },
+        zone: ZoneName::new("norte-a1"),
+        region: RegionName::new("norte-a"),
+        leaving,
+    }
+}
+
+/// Guards against pages that do not show what the reducer decides by.
+#[tokio::test]
+async fn pages_show_the_state_of_the_reducer() {
+    let settings = Arc::new(settings(""));
+    let identity = new_identity(&settings);
+    let core = Box::new(new_core(&settings, &identity));
+    let admin = settings.listen.admin;
+    let daemon = Daemon::start(settings, identity, core).unwrap();
+    let events = &daemon.shared().events;
+    let (live, leaving) = (target(false), target(true));
+    let digest = RequestDigest::of(&[b"poison"]);
+    events.send(Event::RulesFound(Arc::new(rules(41))));
+    events.send(Event::TargetsListed(vec![live.clone(), leaving.clone()]));
+    events.send(Event::TargetReported {
+        address: live.address,
+        report: LoadReport {
+            incarnation: Incarnation(7),
+            running: 3,
+            waiting: 1,
+            memory_used: 0.5,
+            memory_tokens: 1_000,
+            preemptions: 2,
+            leaving: false,
+            age: Duration::ZERO,
+        },
+    });
+    events.send(Event::SuspectsChanged(vec![(
+        digest,
+        SuspectState::Suspect,
+    )]));
+    let page = async |name: &str| {
+        let path = format!("/admin/v1/{name}");
+        raw(admin, &request("GET", &path, "", "", "")).await.json()
+    };
+    let rules_page = page("rules").await;
+    assert_eq!(rules_page["revision"], 41);
+    assert_eq!(rules_page["text"], rules(41).text.as_ref());
+    let targets = page("targets").await;
+    let find = |address: TargetAddress| {
+        let list = targets.as_array().unwrap().iter();
+        list.clone()
+            .find(|entry| entry["address"] == address.to_string())
+            .unwrap()
+    };
+    assert_eq!(find(live.address)["state"], "up");
+    assert_eq!(find(live.address)["memory_tokens"], 1_000);
+    assert_eq!(find(leaving.address)["state"], "leaving");
+    let list = page("leaving").await;
+    assert_eq!(list.as_array().unwrap().len(), 1);
+    assert_eq!(list[0]["address"], leaving.address.to_string());
+    let limits = page("limits").await;
+    assert_eq!(
+        (&limits[0]["team"], &limits[0]["burst"]),
+        (&"quotes".into(), &50.into())
+    );
+    assert_eq!(limits[0]["rule"]["asked_by"], "insurer: bounded load");
+    let quarantine = page("quarantine").await;
+    assert_eq!(quarantine[0]["digest"], digest.to_string());
+    assert_eq!(quarantine[0]["state"], "suspect");
+    let health = page("health").await;
+    assert_eq!(health["rules_revision"], 41);
+    assert!(page("daemons").await.is_array());
+}
+
+/// Guards against an administration API that changes behaviour.
+#[rstest]
+#[case("POST")]
+#[case("PUT")]
+#[case("DELETE")]
+#[tokio::test]
+async fn nothing_can_be_changed(#[case] method: &str) {
+    let daemon = start(Placement::new(&[])).await;
+    let reply = raw(
+        daemon.admin,
+        &request(method, "/admin/v1/rules", "", "", "x"),
+    )
+    .await;
+    assert_eq!(reply.status, 405);
+}
+
+/// Guards against histograms without the labels that the firms' insurers ask for.
+#[tokio::test]
+async fn streams_are_measured_by_team_and_class() {
+    let engine = FakeEngine::new(5);
+    engine.silent_after.lock().unwrap().push(3);
+    let target = engine.start().await;
+    let daemon = start(Placement::new(&[target])).await;
+    let bytes = request(
+        "POST",
+        "/v1/responses",
+        TOKEN,
+        "x-request-class: urgent\r\n",
+        &generation(true),
+    );
+    assert_eq!(raw(daemon.callers, &bytes).await.status, 200);
+    let text = raw(daemon.admin, &request("GET", "/metrics", "", "", ""))
+        .await
+        .body;
+    let labels = r#"{class="urgent",team="quotes"}"#;
+    for line in [
+        format!("mimosagap_first_token_seconds_count{labels} 1"),
+        format!("mimosagap_between_tokens_seconds_count{labels} 4"),
+        format!("mimosagap_stall_seconds_count{labels} 1"),
+        r#"mimosagap_stream_resumes_total{result="found"} 1"#.to_owned(),
+    ] {
+        assert!(text.contains(&line), "{line} is missing in {text}");
+    }
+}
