feat(load): experiment and bench over processes of their own

The experiment runs one workload against several route policies over several seeds and adds each run to a results file, so that a long series can be split into short invocations. The bench sends the same load directly and through one daemon, alternating requests in one run, and reads the daemon's processor time and memory from /proc through procfs; plots come from plotters.

--- a/crates/mimosagap-load/src/command.rs
+++ b/crates/mimosagap-load/src/command.rs
@@ -17,6 +17,11 @@
   mimosagap-load run --workload FILE [--variant NAME] [--seed N] [--json]
       [--daemon IP:PORT]... [--engine IP:PORT]...
     Without --daemon the load goes to the engines; with it the engines serve statistics and faults.
+  mimosagap-load experiment --workload FILE [--variant NAME] --binaries DIR --out DIR
+      [--policies forecast,round-robin,least-outstanding,two-choices,direct] [--seeds 1,2,3,4,5]
+    Runs are added to DIR/results.json; the table and the plot cover all runs in it.
+  mimosagap-load bench --binaries DIR --out DIR [--seconds N] [--seed N]
+      [--levels STREAMS:STEP_MS,...]
 ";
 
 /// Why a command failed.
--- a/crates/mimosagap-load/src/lib.rs
+++ b/crates/mimosagap-load/src/lib.rs
@@ -1,12 +1,17 @@
 //! Load and experiment tool for mimosagap.
 #![deny(unsafe_code, missing_docs)]
 
+pub mod bench;
 pub mod caller;
 pub mod check;
 pub mod command;
 pub mod engines;
+pub mod experiment;
+pub mod fleet;
 pub mod plan;
+pub mod plot;
 pub mod route;
 pub mod run;
 pub mod summary;
+pub mod usage;
 pub mod workload;
--- /dev/null
+++ b/crates/mimosagap-load/tests/experiment.rs
@@ -0,0 +1,82 @@
+//! Results must survive a second invocation and the table must show the spread over the seeds.
+
+use std::collections::BTreeMap;
+use std::path::Path;
+
+use mimosagap_load::engines::FleetFigures;
+use mimosagap_load::experiment::{ExperimentResults, ExperimentRun, SeedSpread};
+use mimosagap_load::fleet::rules_text;
+use mimosagap_load::plot;
+use mimosagap_load::summary::{GroupSummary, RunSummary};
+use mimosagap_load::workload::Workload;
+use rstest::rstest;
+
+fn experiment_run(policy: &str, seed: u64, preemptions: u64) -> ExperimentRun {
+    ExperimentRun {
+        policy: policy.to_owned(),
+        variant: None,
+        summary: RunSummary {
+            workload: "test".to_owned(),
+            seed,
+            total: GroupSummary::default(),
+            classes: BTreeMap::new(),
+            engines: Some(FleetFigures {
+                preemptions,
+                ..FleetFigures::default()
+            }),
+        },
+    }
+}
+
+fn results() -> ExperimentResults {
+    let mut results = ExperimentResults::default();
+    results.add(experiment_run("forecast", 1, 99));
+    results.add(experiment_run("forecast", 1, 2));
+    results.add(experiment_run("forecast", 2, 4));
+    results.add(experiment_run("two-choices", 1, 30));
+    results
+}
+
+#[test]
+fn a_repeated_run_replaces_the_earlier_one() {
+    let results = results();
+    assert_eq!(results.runs.len(), 3);
+    let preemptions = |run: &RunSummary| {
+        let figures = run.engines.clone().unwrap_or_default();
+        f64::from(u32::try_from(figures.preemptions).unwrap())
+    };
+    let expected = SeedSpread {
+        mean: 3.0,
+        min: 2.0,
+        max: 4.0,
+    };
+    assert_eq!(results.spread(preemptions)["forecast"], expected);
+}
+
+#[test]
+fn the_table_has_a_column_for_each_policy() {
+    let table = results().table();
+    assert!(table.starts_with("| figure | forecast | two-choices |"));
+    assert!(table.contains("| preemptions | 3.0 (2.0–4.0) | 30.0 (30.0–30.0) |"));
+}
+
+#[test]
+fn the_plot_is_a_picture_with_the_policies() {
+    let path = std::env::temp_dir().join(format!("mimosagap-plot-{}.svg", std::process::id()));
+    plot::draw(&results(), &path).unwrap();
+    let text = std::fs::read_to_string(&path).unwrap();
+    std::fs::remove_file(&path).unwrap();
+    assert!(text.starts_with("<svg"));
+    assert!(text.contains("two-choices"));
+}
+
+#[rstest]
+#[case("brandao.json")]
+#[case("port-of-spain.json")]
+fn the_rules_of_an_experiment_are_accepted(#[case] name: &str) {
+    let directory = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../workloads");
+    let workload = Workload::read(&directory.join(name), None).unwrap();
+    let text = rules_text(&workload, "least-outstanding");
+    let lines = mimosagap_rules::parse_file(&text).unwrap();
+    assert_eq!(lines.len(), 10 + 2 + 1 + 1);
+}
