--- a/crates/mimosagap-daemon/src/control/counters.rs
+++ b/crates/mimosagap-daemon/src/control/counters.rs
@@ -104,7 +104,9 @@
             entries.push((format!("store_not_applied_{name}"), count.not_applied));
             entries.push((format!("store_unknown_{name}"), count.unknown));
         }
-        let peers = [
+        let bytes = [
+            ("store_bytes_sent", self.store.bytes_sent),
+            ("store_bytes_received", self.store.bytes_received),
             ("peer_bytes_sent", self.peers.bytes_sent),
             ("peer_bytes_received", self.peers.bytes_received),
             ("peer_exchanges", self.peers.exchanges),
@@ -113,7 +115,7 @@
             ("peer_connections", self.peers.connections),
             ("peer_connections_silent", self.peers.silent_connections),
         ];
-        entries.extend(peers.map(|(name, count)| (name.to_owned(), count)));
+        entries.extend(bytes.map(|(name, count)| (name.to_owned(), count)));
         for fault in Fault::ALL {
             let name = format!("peer_messages_{}", fault.as_str());
             entries.push((name, self.peers.faults.of(fault)));
--- a/crates/mimosagap-store/src/client.rs
+++ b/crates/mimosagap-store/src/client.rs
@@ -106,12 +106,7 @@
         let agent = self.agent();
         self.shared.counters.called(kind);
         self.send(&agent, kind, request)
-            .and_then(|mut body| {
-                body.with_config()
-                    .limit(MAX_ANSWER_BYTES)
-                    .read_json()
-                    .map_err(|error| CallError::from_transport(&error))
-            })
+            .and_then(|body| self.parse(body))
             .inspect(|_| self.note_answer())
             .inspect_err(|error| {
                 self.shared.counters.failed(kind, error);
@@ -120,6 +115,20 @@
             })
     }
 
+    fn parse<A: DeserializeOwned>(&self, mut body: Body) -> Result<A, CallError> {
+        let bytes = body
+            .with_config()
+            .limit(MAX_ANSWER_BYTES)
+            .read_to_vec()
+            .map_err(|error| CallError::from_transport(&error))?;
+        self.note_received(bytes.len());
+        serde_json::from_slice(&bytes).map_err(|_| CallError::Unknown(UnknownFate::BadAnswer))
+    }
+
+    pub(crate) fn note_received(&self, bytes: usize) {
+        self.shared.counters.received(bytes);
+    }
+
     /// Starts a streamed answer in which every read may take `silence`.
     pub(crate) fn stream<Q: Serialize>(
         &self,
@@ -145,9 +154,12 @@
         request: &Q,
     ) -> Result<Body, CallError> {
         let url = format!("http://{}{}", self.shared.options.address, kind.path());
+        let bytes = serde_json::to_vec(request).expect("requests have only types of JSON");
+        self.shared.counters.sent(bytes.len());
         let response = agent
             .post(url)
-            .send_json(request)
+            .content_type("application/json")
+            .send(bytes)
             .map_err(|error| CallError::from_transport(&error))?;
         let status = response.status().as_u16();
         let mut body = response.into_body();
--- a/crates/mimosagap-store/src/counters.rs
+++ b/crates/mimosagap-store/src/counters.rs
@@ -80,18 +80,24 @@
 
 /// The counts of all kinds at one time.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub struct CallCounts([CallCount; 8]);
+pub struct CallCounts {
+    kinds: [CallCount; 8],
+    /// Bytes of requests sent, without HTTP headers.
+    pub bytes_sent: u64,
+    /// Bytes of answers and watch lines received, without HTTP headers.
+    pub bytes_received: u64,
+}
 
 impl CallCounts {
     /// The count of one kind.
     #[must_use]
     pub fn of(&self, kind: CallKind) -> CallCount {
-        self.0[kind as usize]
+        self.kinds[kind as usize]
     }
 
     /// All kinds with their counts.
     pub fn iter(&self) -> impl Iterator<Item = (CallKind, CallCount)> {
-        CallKind::ALL.into_iter().zip(self.0)
+        CallKind::ALL.into_iter().zip(self.kinds)
     }
 }
 
@@ -103,15 +109,29 @@
 }
 
 #[derive(Debug, Default)]
-pub(crate) struct CallCounters([CallCounter; 8]);
+pub(crate) struct CallCounters {
+    kinds: [CallCounter; 8],
+    bytes_sent: AtomicU64,
+    bytes_received: AtomicU64,
+}
 
 impl CallCounters {
     pub(crate) fn called(&self, kind: CallKind) {
-        self.0[kind as usize].calls.fetch_add(1, Ordering::Relaxed);
+        let counter = &self.kinds[kind as usize];
+        counter.calls.fetch_add(1, Ordering::Relaxed);
+    }
+
+    pub(crate) fn sent(&self, bytes: usize) {
+        self.bytes_sent.fetch_add(bytes as u64, Ordering::Relaxed);
+    }
+
+    pub(crate) fn received(&self, bytes: usize) {
+        self.bytes_received
+            .fetch_add(bytes as u64, Ordering::Relaxed);
     }
 
     pub(crate) fn failed(&self, kind: CallKind, error: &CallError) {
-        let counter = &self.0[kind as usize];
+        let counter = &self.kinds[kind as usize];
         match error {
             CallError::NotApplied(_) => &counter.not_applied,
             CallError::Unknown(_) => &counter.unknown,
@@ -120,8 +140,12 @@
     }
 
     pub(crate) fn snapshot(&self) -> CallCounts {
-        let mut counts = CallCounts::default();
-        for (count, counter) in counts.0.iter_mut().zip(&self.0) {
+        let mut counts = CallCounts {
+            bytes_sent: self.bytes_sent.load(Ordering::Relaxed),
+            bytes_received: self.bytes_received.load(Ordering::Relaxed),
+            ..CallCounts::default()
+        };
+        for (count, counter) in counts.kinds.iter_mut().zip(&self.kinds) {
             count.calls = counter.calls.load(Ordering::Relaxed);
             count.not_applied = counter.not_applied.load(Ordering::Relaxed);
             count.unknown = counter.unknown.load(Ordering::Relaxed);
--- a/crates/mimosagap-store/src/watch.rs
+++ b/crates/mimosagap-store/src/watch.rs
@@ -207,6 +207,7 @@
             return Err(WatchError::Cancelled);
         }
         self.client.note_answer();
+        self.client.note_received(self.line.len());
         Ok(WatchBatch {
             revision: line.result.header.revision.0,
             changes: line.result.events.into_iter().map(Change::from).collect(),
