fix(core): services come back, and only a trial clears a suspicion

A service that refused one connection stayed out of use for good when the daemon's probe had not seen the outage itself, because services report no load; it is now tried again after 2 s. A service's placeholder incarnation no longer binds a leaving state to it.

The completion of an attempt whose engine was thought dead no longer clears the suspicion locally: the store accepts an end only from the holder of a trial, so the daemons would have disagreed.

--- a/crates/mimosagap-core/src/endings.rs
+++ b/crates/mimosagap-core/src/endings.rs
@@ -150,7 +150,7 @@
             }
             AttemptEnd::Lost { died: true, .. } => {
                 if target.incarnation == incarnation {
-                    target.refuse_connections();
+                    target.refuse_connections(now);
                 }
                 self.target_died(now, target_key, incarnation, Some(key), effects);
             }
@@ -226,7 +226,8 @@
         }
     }
 
-    /// Records what the end of an attempt says about a suspect.
+    /// Records how a trial ended. A suspicion against another attempt stays, whatever its end:
+    /// only a trial clears it.
     fn settle_suspicion(
         &mut self,
         now: Instant,
@@ -240,23 +241,20 @@
         };
         let digest = request.submission.digest;
         let has_died = attempt.suspicion != Suspicion::Absent;
-        if !attempt.trial && !has_died {
+        if !attempt.trial {
             return;
         }
         let verdict = match end {
-            AttemptEnd::Completed { .. } => Some(SuspectState::Cleared),
-            AttemptEnd::Failed { .. } if !has_died => Some(SuspectState::Cleared),
+            AttemptEnd::Completed { .. } => SuspectState::Cleared,
+            AttemptEnd::Failed { .. } if !has_died => SuspectState::Cleared,
             // It cannot have killed an engine which it never reached.
-            _ if never_ran(attempt, end) && !attempt.trial => Some(SuspectState::Cleared),
-            _ if never_ran(attempt, end) => Some(SuspectState::Suspect),
-            _ if attempt.trial && has_died => Some(SuspectState::Condemned),
-            _ if attempt.trial => Some(SuspectState::Suspect),
-            _ => None,
+            _ if has_died && !never_ran(attempt, end) => SuspectState::Condemned,
+            _ => SuspectState::Suspect,
         };
-        match verdict {
-            Some(SuspectState::Condemned) => self.condemn(now, digest, effects),
-            Some(state) => self.end_trial(now, digest, state, effects),
-            None => {}
+        if verdict == SuspectState::Condemned {
+            self.condemn(now, digest, effects);
+        } else {
+            self.end_trial(now, digest, verdict, effects);
         }
     }
 
--- a/crates/mimosagap-core/src/membership.rs
+++ b/crates/mimosagap-core/src/membership.rs
@@ -10,7 +10,7 @@
 use crate::core::Core;
 use crate::effect::{Effect, Notice, StateChange};
 use crate::event::{ListedTarget, LoadReport, SuspectState};
-use crate::targets::{GroupIndex, LifeChange, TargetKey, TargetState};
+use crate::targets::{GroupIndex, LifeChange, Target, TargetKey, TargetState};
 
 impl Core {
     pub(crate) fn targets_listed(
@@ -42,7 +42,10 @@
         let Some(key) = self.targets.key_of(address) else {
             return;
         };
-        if self.observe_life(now, key, report.incarnation, effects) == LifeChange::Outdated {
+        let is_engine = self.targets.get(key).is_some_and(Target::is_engine);
+        if is_engine
+            && self.observe_life(now, key, report.incarnation, effects) == LifeChange::Outdated
+        {
             return;
         }
         let Some(target) = self.targets.get_mut(key) else {
@@ -90,7 +93,7 @@
         };
         if refused {
             let life = target.incarnation;
-            target.refuse_connections();
+            target.refuse_connections(now);
             self.target_died(now, key, life, None, effects);
         }
         self.refresh_target(now, key, effects);
--- a/crates/mimosagap-core/src/targets.rs
+++ b/crates/mimosagap-core/src/targets.rs
@@ -30,6 +30,10 @@
 /// 500 ms, show them by then.
 const PEER_LIFETIME: Duration = Duration::from_secs(1);
 
+/// A service which refused a connection is tried again after this time: services do not report,
+/// so no report says that it is back. It is probed every 500 ms.
+const SERVICE_DOWN_TIME: Duration = Duration::from_secs(2);
+
 /// A target without a known life that is said to be leaving takes new work again after this time
 /// if the host list still shows it as live: the list lags by seconds, not minutes.
 const LEAVING_LIFETIME: Duration = Duration::from_mins(1);
@@ -167,7 +171,7 @@
     /// When a life other than the known one was last said to be leaving.
     doubted_since: Option<Instant>,
     ended_lives: Vec<(Incarnation, Instant)>,
-    refused: bool,
+    refused_at: Option<Instant>,
     avoid_until: Option<Instant>,
     placed: VecDeque<(Instant, u32)>,
     placed_sum: u64,
@@ -209,7 +213,7 @@
             leaving_since: None,
             doubted_since: None,
             ended_lives: Vec::new(),
-            refused: false,
+            refused_at: None,
             avoid_until: None,
             placed: VecDeque::new(),
             placed_sum: 0,
@@ -249,7 +253,9 @@
         if self.is_leaving() {
             return TargetState::Leaving;
         }
-        if self.refused {
+        let is_refused =
+            |at: Instant| self.is_engine() || now.saturating_duration_since(at) < SERVICE_DOWN_TIME;
+        if self.refused_at.is_some_and(is_refused) {
             return TargetState::Down;
         }
         if !self.is_engine() {
@@ -350,7 +356,7 @@
         self.cache.clear();
         self.placed.clear();
         self.placed_sum = 0;
-        self.refused = false;
+        self.refused_at = None;
         self.load = None;
         LifeChange::Replaced(ended)
     }
@@ -364,7 +370,7 @@
     /// Takes over a report of the current life.
     pub fn report(&mut self, report: LoadReport, now: Instant) {
         let measured_at = now.checked_sub(report.age).unwrap_or(now);
-        self.refused = false;
+        self.refused_at = None;
         self.avoid_until = None;
         let is_settled = |since: Instant| now.saturating_duration_since(since) >= REPORT_DELAY;
         if self.doubted_since.is_some_and(is_settled) {
@@ -385,7 +391,9 @@
     /// newly announces that it is leaving. A leaving life never becomes usable again.
     pub fn leave(&mut self, life: Option<Incarnation>, now: Instant) -> bool {
         let before = self.announces_leaving();
-        match life.or(self.incarnation) {
+        // Services do not report their lives.
+        let life = life.or(self.incarnation).filter(|_| self.is_engine());
+        match life {
             Some(life) if self.has_ended(life, now) => {}
             Some(life) => {
                 remember(&mut self.leaving_lives, life);
@@ -414,8 +422,8 @@
     }
 
     /// Marks the process as gone.
-    pub fn refuse_connections(&mut self) {
-        self.refused = true;
+    pub fn refuse_connections(&mut self, now: Instant) {
+        self.refused_at = Some(now);
     }
 
     /// Gives the target no new work for a while.
--- a/crates/mimosagap-core/tests/targets.rs
+++ b/crates/mimosagap-core/tests/targets.rs
@@ -191,3 +191,28 @@
     harness.list(0, 1);
     assert!(call_found(&mut harness));
 }
+
+/// Fails if a service that refused one connection, or that was listed as leaving after it was
+/// probed, stays out of use for good.
+#[test]
+fn a_service_that_refused_a_connection_is_tried_again() {
+    let mut harness = Harness::with_targets("", 0, 1);
+    let call_found = |harness: &mut Harness| dispatched(&harness.submit(call(1)).1).is_some();
+    let address = service(1);
+    let refused = true;
+    harness.step(Event::TargetUnreachable { address, refused });
+    assert!(!call_found(&mut harness));
+    harness.pass(Duration::from_secs(2));
+    assert!(call_found(&mut harness));
+    harness.step(Event::TargetUnreachable { address, refused });
+    let report = LoadReport {
+        memory_tokens: 0,
+        ..load(0)
+    };
+    harness.step(Event::TargetReported { address, report });
+    assert!(call_found(&mut harness));
+    harness.step(Event::TargetsListed(vec![listed(address, true)]));
+    assert!(!call_found(&mut harness));
+    harness.list(0, 1);
+    assert!(call_found(&mut harness));
+}
