perf(daemon): keep wake-ups between the HTTP library's parts inside one poll

Body and connection of an engine link wake each other for each token. Both run in the caller's task, so each token ran the whole task twice. A wake-up during a poll now only repeats the poll of the link.

--- a/crates/mimosagap-daemon/src/relay/connection.rs
+++ b/crates/mimosagap-daemon/src/relay/connection.rs
@@ -17,6 +17,7 @@
 use tokio::time::{Instant, timeout};
 
 use super::idle::IdleTimer;
+use super::local_wake::LocalWake;
 
 /// The longest wait for a connection.
 pub const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
@@ -59,6 +60,7 @@
     pub head: Parts,
     body: Incoming,
     connection: Option<Connection>,
+    wake: LocalWake,
 }
 
 /// Connects to a target.
@@ -114,6 +116,7 @@
         head,
         body,
         connection,
+        wake: LocalWake::default(),
     })
 }
 
@@ -131,25 +134,19 @@
         &mut self,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Bytes, ReadError>>> {
-        if let Poll::Ready(data) = self.poll_body(context) {
-            return Poll::Ready(data);
-        }
-        drive(&mut self.connection, context);
-        self.poll_body(context)
-    }
-
-    fn poll_body(&mut self, context: &mut Context<'_>) -> Poll<Option<Result<Bytes, ReadError>>> {
-        loop {
-            return match Pin::new(&mut self.body).poll_frame(context) {
-                Poll::Ready(Some(Ok(frame))) => match frame.into_data() {
-                    Ok(data) => Poll::Ready(Some(Ok(data))),
-                    Err(_trailers) => continue,
-                },
-                Poll::Ready(Some(Err(_))) => Poll::Ready(Some(Err(ReadError::Broken))),
-                Poll::Ready(None) => Poll::Ready(None),
-                Poll::Pending => Poll::Pending,
-            };
-        }
+        let Self {
+            body,
+            connection,
+            wake,
+            ..
+        } = self;
+        wake.poll(context, |context| {
+            if let Poll::Ready(data) = poll_body(body, context) {
+                return Poll::Ready(data);
+            }
+            drive(connection, context);
+            poll_body(body, context)
+        })
     }
 
     /// Reads more of the body unless `idle` expires first; `None` at the body's end.
@@ -205,6 +202,23 @@
     }
 }
 
+fn poll_body(
+    body: &mut Incoming,
+    context: &mut Context<'_>,
+) -> Poll<Option<Result<Bytes, ReadError>>> {
+    loop {
+        return match Pin::new(&mut *body).poll_frame(context) {
+            Poll::Ready(Some(Ok(frame))) => match frame.into_data() {
+                Ok(data) => Poll::Ready(Some(Ok(data))),
+                Err(_trailers) => continue,
+            },
+            Poll::Ready(Some(Err(_))) => Poll::Ready(Some(Err(ReadError::Broken))),
+            Poll::Ready(None) => Poll::Ready(None),
+            Poll::Pending => Poll::Pending,
+        };
+    }
+}
+
 /// A header as text.
 #[must_use]
 pub fn header<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
--- a/crates/mimosagap-daemon/src/relay/mod.rs
+++ b/crates/mimosagap-daemon/src/relay/mod.rs
@@ -5,6 +5,7 @@
 pub mod connection;
 pub mod generation;
 pub mod idle;
+pub mod local_wake;
 pub mod outbox;
 pub mod scanner;
 pub mod whole;
