--- /dev/null
+++ b/crates/mimosagap-scenarios/src/cluster.rs
@@ -0,0 +1,803 @@
+//! The processes of a scenario: stand-ins, links, daemons and the operators' tool.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::fs;
+use std::io;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::Command;
+use std::time::{Duration, Instant};
+
+use serde_json::{Value, json};
+use sha2::{Digest, Sha256};
+
+use crate::address::HostAddress;
+use crate::caller::Endpoint;
+use crate::check::{Departure, Drain, Outage};
+use crate::control;
+use crate::observer::Observer;
+use crate::process::{ManagedProcess, binary_directory};
+
+const START_LIMIT: Duration = Duration::from_secs(5);
+const TARGET_PORT: u16 = 8_000;
+const LINK_CONTROL_PORT: u16 = 8_001;
+const CALLER_PORT: u16 = 7_000;
+const PEER_PORT: u16 = 7_001;
+const ADMIN_PORT: u16 = 7_002;
+const STORE_PORT: u16 = 2_379;
+const HOST_LIST_PORT: u16 = 2_380;
+const FLEET_KEY: &str = "bWltb3NhZ2FwLXRlc3Qta2V5LTAwMQ==";
+
+/// The deployment, the model and the service of all scenarios.
+pub const ENGINE_DEPLOYMENT: &str = "assistant";
+/// The model that all engines serve.
+pub const MODEL: &str = "quotes";
+/// The deployment of all plain services.
+pub const SERVICE_DEPLOYMENT: &str = "agenda";
+
+/// The result of a step.
+pub type StepResult<T = ()> = Result<T, String>;
+
+/// What a target is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum TargetKind {
+    /// A model engine.
+    Engine,
+    /// A plain service.
+    Service,
+}
+
+/// How a target is started.
+#[derive(Debug, Clone)]
+pub struct TargetOptions {
+    /// Its name in the script.
+    pub name: String,
+    /// What it is.
+    pub kind: TargetKind,
+    /// Its zone.
+    pub zone: String,
+    /// Further options of the stand-in.
+    pub options: Vec<String>,
+}
+
+struct Target {
+    options: TargetOptions,
+    host: HostAddress,
+    process: ManagedProcess,
+    link_host: HostAddress,
+    /// Kept for its end only.
+    _link: ManagedProcess,
+    is_leaving: bool,
+    /// Statistics of earlier processes of this target.
+    past: Vec<Value>,
+}
+
+impl Target {
+    /// The address by which daemons know the target: that of its link.
+    fn address(&self) -> SocketAddr {
+        self.link_host.port(TARGET_PORT)
+    }
+
+    fn own_address(&self) -> SocketAddr {
+        self.host.port(TARGET_PORT)
+    }
+}
+
+/// Why a daemon may break connections.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum DaemonFate {
+    Running,
+    Paused,
+    Draining,
+    Ended,
+}
+
+struct Daemon {
+    host: HostAddress,
+    zone: String,
+    process: ManagedProcess,
+    fate: DaemonFate,
+    incarnation: u32,
+}
+
+/// All processes of one scenario. They end with this value.
+pub struct Cluster {
+    directory: PathBuf,
+    seed: u64,
+    store: Option<(HostAddress, ManagedProcess)>,
+    host_list: Option<(HostAddress, ManagedProcess)>,
+    targets: BTreeMap<String, Target>,
+    daemons: BTreeMap<String, Daemon>,
+    rules: Vec<String>,
+    /// Reads the daemons' rules revisions.
+    pub observer: Observer,
+    /// Leave notices.
+    pub departures: Vec<Departure>,
+    /// Graceful shutdowns.
+    pub drains: Vec<Drain>,
+    /// Times during which a daemon may break connections.
+    pub outages: Vec<Outage>,
+    /// Times during which the store did not work.
+    pub store_outages: Vec<Outage>,
+}
+
+/// The bearer token of a team in all scenarios.
+#[must_use]
+pub fn team_token(team: &str) -> String {
+    format!("token-of-{team}")
+}
+
+/// The rule that lets a team in.
+#[must_use]
+pub fn team_rule(team: &str) -> String {
+    let digest = Sha256::digest(team_token(team).as_bytes());
+    format!("team {team} token sha256:{digest:x} # manager: team of the scenario")
+}
+
+fn region_of(zone: &str) -> &str {
+    zone.trim_end_matches(|c: char| c.is_ascii_digit())
+}
+
+fn text(error: &io::Error) -> String {
+    error.to_string()
+}
+
+impl Cluster {
+    /// No processes yet.
+    ///
+    /// # Errors
+    /// If the directory for logs cannot be created.
+    pub fn new(name: &str) -> StepResult<Self> {
+        let directory = binary_directory()
+            .join("scenario-logs")
+            .join(format!("{name}-{}", std::process::id()));
+        fs::create_dir_all(&directory).map_err(|error| text(&error))?;
+        Ok(Self {
+            directory,
+            seed: 1,
+            store: None,
+            host_list: None,
+            targets: BTreeMap::new(),
+            daemons: BTreeMap::new(),
+            rules: Vec::new(),
+            observer: Observer::default(),
+            departures: Vec::new(),
+            drains: Vec::new(),
+            outages: Vec::new(),
+            store_outages: Vec::new(),
+        })
+    }
+
+    /// Sets the seed of processes that are started later.
+    pub fn set_seed(&mut self, seed: u64) {
+        self.seed = seed;
+    }
+
+    /// The directory of logs and settings.
+    #[must_use]
+    pub fn directory(&self) -> &Path {
+        &self.directory
+    }
+
+    fn start(&self, name: &str, binary: &str, arguments: &[String]) -> StepResult<ManagedProcess> {
+        ManagedProcess::start(name, binary, arguments, &self.directory)
+            .map_err(|error| text(&error))
+    }
+
+    fn start_stand_in(
+        &self,
+        name: &str,
+        subcommand: &str,
+        listen: SocketAddr,
+        options: &[String],
+    ) -> StepResult<ManagedProcess> {
+        let mut arguments = vec![
+            subcommand.to_owned(),
+            "--listen".to_owned(),
+            listen.to_string(),
+        ];
+        arguments.extend_from_slice(options);
+        let mut process = self.start(name, "mimosagap-standins", &arguments)?;
+        process
+            .wait_for_log("listening on", START_LIMIT)
+            .map_err(|error| text(&error))?;
+        Ok(process)
+    }
+
+    /// Starts the store.
+    ///
+    /// # Errors
+    /// If it does not become ready.
+    pub fn start_store(&mut self, options: &[String]) -> StepResult {
+        let host = HostAddress::new().map_err(|error| text(&error))?;
+        let process = self.start_stand_in("store", "store", host.port(STORE_PORT), options)?;
+        self.store = Some((host, process));
+        Ok(())
+    }
+
+    /// Starts the host list.
+    ///
+    /// # Errors
+    /// If it does not become ready.
+    pub fn start_host_list(&mut self) -> StepResult {
+        let host = HostAddress::new().map_err(|error| text(&error))?;
+        let process = self.start_stand_in("hosts", "hosts", host.port(HOST_LIST_PORT), &[])?;
+        self.host_list = Some((host, process));
+        Ok(())
+    }
+
+    /// The store's address.
+    ///
+    /// # Errors
+    /// If it was not started.
+    pub fn store_address(&self) -> StepResult<SocketAddr> {
+        let (host, _) = self.store.as_ref().ok_or("start the store first")?;
+        Ok(host.port(STORE_PORT))
+    }
+
+    /// The host list's address.
+    ///
+    /// # Errors
+    /// If it was not started.
+    pub fn host_list_address(&self) -> StepResult<SocketAddr> {
+        let (host, _) = self.host_list.as_ref().ok_or("start the host list first")?;
+        Ok(host.port(HOST_LIST_PORT))
+    }
+
+    /// Starts a target behind a link of its own, and lists it.
+    ///
+    /// # Errors
+    /// If a process does not become ready.
+    pub fn start_target(&mut self, options: TargetOptions) -> StepResult {
+        let host = HostAddress::new().map_err(|error| text(&error))?;
+        let link_host = HostAddress::new().map_err(|error| text(&error))?;
+        let process = self.start_target_process(&options, &host)?;
+        let link_options = [
+            "--to".to_owned(),
+            host.port(TARGET_PORT).to_string(),
+            "--control".to_owned(),
+            link_host.port(LINK_CONTROL_PORT).to_string(),
+        ];
+        let link_name = format!("link-{}", options.name);
+        let listen = link_host.port(TARGET_PORT);
+        let link = self.start_stand_in(&link_name, "proxy", listen, &link_options)?;
+        let target = Target {
+            options,
+            host,
+            process,
+            link_host,
+            _link: link,
+            is_leaving: false,
+            past: Vec::new(),
+        };
+        self.targets.insert(target.options.name.clone(), target);
+        self.publish_hosts()
+    }
+
+    fn start_target_process(
+        &self,
+        options: &TargetOptions,
+        host: &HostAddress,
+    ) -> StepResult<ManagedProcess> {
+        let mut arguments = options.options.clone();
+        let subcommand = match options.kind {
+            TargetKind::Engine => {
+                let seed = self.seed.to_string();
+                arguments.extend(["--model", MODEL, "--seed", &seed].map(str::to_owned));
+                "engine"
+            }
+            TargetKind::Service => "service",
+        };
+        self.start_stand_in(
+            &options.name,
+            subcommand,
+            host.port(TARGET_PORT),
+            &arguments,
+        )
+    }
+
+    /// Brings the host list up to date.
+    fn publish_hosts(&self) -> StepResult {
+        let entries: Vec<Value> = self
+            .targets
+            .values()
+            .map(|target| {
+                let deployment = match target.options.kind {
+                    TargetKind::Engine => ENGINE_DEPLOYMENT,
+                    TargetKind::Service => SERVICE_DEPLOYMENT,
+                };
+                let state = if target.is_leaving { "leaving" } else { "live" };
+                json!({
+                    "targets": [target.address().to_string()],
+                    "labels": {
+                        "deployment": deployment,
+                        "zone": target.options.zone,
+                        "region": region_of(&target.options.zone),
+                        "state": state,
+                    },
+                })
+            })
+            .collect();
+        let address = self.host_list_address()?;
+        control::put(address, "/control/hosts", &Value::Array(entries))
+    }
+
+    /// Sets the lag of the host list.
+    ///
+    /// # Errors
+    /// If it does not answer.
+    pub fn set_host_list_lag(&self, ms: u64) -> StepResult {
+        let address = self.host_list_address()?;
+        control::post(address, "/control/lag", &json!({ "ms": ms }))
+    }
+
+    fn target(&self, name: &str) -> StepResult<&Target> {
+        self.targets
+            .get(name)
+            .ok_or_else(|| format!("no target {name}; start it first"))
+    }
+
+    fn target_mut(&mut self, name: &str) -> StepResult<&mut Target> {
+        self.targets
+            .get_mut(name)
+            .ok_or_else(|| format!("no target {name}; start it first"))
+    }
+
+    /// Sends a control message to a target.
+    ///
+    /// # Errors
+    /// If it does not answer.
+    pub fn control_target(&self, name: &str, path: &str, body: &Value) -> StepResult {
+        control::post(self.target(name)?.own_address(), path, body)
+    }
+
+    /// Sets the mode of the link to a target.
+    ///
+    /// # Errors
+    /// If the link does not answer.
+    pub fn set_link(&mut self, name: &str, mode: &str, delay_ms: u64) -> StepResult {
+        let address = self.target(name)?.link_host.port(LINK_CONTROL_PORT);
+        let body = json!({"mode": mode, "delay_ms": delay_ms});
+        // Excuses broken connections of callers that call the target itself.
+        end_outage(&mut self.outages, name);
+        if mode != "pass" {
+            self.outages.push(Outage::begin(name));
+        }
+        control::post(address, "/control/mode", &body)
+    }
+
+    /// Gives a target the leave notice. The host list shows it too.
+    ///
+    /// # Errors
+    /// If the target does not answer.
+    pub fn leave_target(&mut self, name: &str) -> StepResult {
+        self.control_target(name, "/control/leave", &json!({}))?;
+        let target = self.target_mut(name)?;
+        target.is_leaving = true;
+        let departure = Departure::new(name);
+        self.departures.push(departure);
+        self.publish_hosts()
+    }
+
+    /// The statistics of a target.
+    ///
+    /// # Errors
+    /// If it does not answer.
+    pub fn target_stats(&self, name: &str) -> StepResult<Value> {
+        let target = self.target(name)?;
+        let address = target.own_address();
+        let mut stats = control::get(address, "/control/stats")?;
+        if target.options.kind == TargetKind::Service {
+            stats["ledger"] = control::get(address, "/control/ledger")?;
+        }
+        Ok(stats)
+    }
+
+    /// Kills a target.
+    ///
+    /// # Errors
+    /// If the system refuses.
+    pub fn kill_target(&mut self, name: &str) -> StepResult {
+        let stats = self.target_stats(name);
+        let target = self.target_mut(name)?;
+        target.past.extend(stats);
+        target.process.kill().map_err(|error| text(&error))
+    }
+
+    /// Starts a target that has ended again, at its address.
+    ///
+    /// # Errors
+    /// If it runs or does not become ready.
+    pub fn restart_target(&mut self, name: &str) -> StepResult {
+        let target = self.target_mut(name)?;
+        if target.process.is_running() {
+            return Err(format!("{name} is running; kill it first"));
+        }
+        let target = self.target(name)?;
+        // An old log would show readiness too early.
+        fs::write(self.directory.join(format!("{name}.log")), "").map_err(|error| text(&error))?;
+        let process = self.start_target_process(&target.options, &target.host)?;
+        self.target_mut(name)?.process = process;
+        Ok(())
+    }
+
+    /// Waits until a target's process has ended by itself.
+    ///
+    /// # Errors
+    /// If it has not within `limit`.
+    pub fn wait_for_target_exit(&mut self, name: &str, limit: Duration) -> StepResult {
+        let target = self.target_mut(name)?;
+        let exit = target.process.wait_for_exit(limit);
+        exit.map(|_| ()).map_err(|error| text(&error))
+    }
+
+    /// How many targets of a kind run.
+    pub fn running_targets(&mut self, kind: TargetKind) -> usize {
+        let targets = self.targets.values_mut();
+        targets
+            .filter(|target| target.options.kind == kind)
+            .filter_map(|target| target.process.is_running().then_some(()))
+            .count()
+    }
+
+    /// Starts a daemon.
+    ///
+    /// # Errors
+    /// If it does not accept connections within 5 s.
+    pub fn start_daemon(&mut self, name: &str, zone: &str) -> StepResult {
+        let host = HostAddress::new().map_err(|error| text(&error))?;
+        let process = self.start_daemon_process(name, zone, &host, 1)?;
+        let daemon = Daemon {
+            host,
+            zone: zone.to_owned(),
+            process,
+            fate: DaemonFate::Running,
+            incarnation: 1,
+        };
+        self.daemons.insert(name.to_owned(), daemon);
+        self.observe(name)
+    }
+
+    fn observe(&mut self, name: &str) -> StepResult {
+        let daemon = self.daemon(name)?;
+        let label = format!("{name}#{}", daemon.incarnation);
+        let address = daemon.host.port(ADMIN_PORT);
+        self.observer.watch(&label, address);
+        Ok(())
+    }
+
+    fn start_daemon_process(
+        &self,
+        name: &str,
+        zone: &str,
+        host: &HostAddress,
+        incarnation: u32,
+    ) -> StepResult<ManagedProcess> {
+        let path = self.directory.join(format!("{name}.json"));
+        let settings = self.daemon_settings(name, zone, host)?;
+        fs::write(&path, settings.to_string()).map_err(|error| text(&error))?;
+        let arguments = ["--settings".to_owned(), path.display().to_string()];
+        let log = format!("{name}-{incarnation}");
+        let mut process = self.start(&log, "mimosagapd", &arguments)?;
+        wait_for_port(&mut process, host.port(CALLER_PORT))?;
+        Ok(process)
+    }
+
+    fn daemon_settings(&self, name: &str, zone: &str, host: &HostAddress) -> StepResult<Value> {
+        let peers: Vec<String> = self
+            .daemons
+            .iter()
+            .filter(|(other, _)| *other != name)
+            .map(|(_, daemon)| daemon.host.port(PEER_PORT).to_string())
+            .collect();
+        Ok(json!({
+            "location": {"zone": zone, "region": region_of(zone)},
+            "listen": {
+                "callers": host.port(CALLER_PORT),
+                "peers": host.port(PEER_PORT),
+                "admin": host.port(ADMIN_PORT),
+            },
+            "store": {"address": self.store_address()?, "timeout_ms": 500},
+            "host_list": self.host_list_address()?,
+            "peers": peers,
+            "fleet_keys": [FLEET_KEY],
+            "deployments": [
+                {"name": ENGINE_DEPLOYMENT, "kind": "engine", "models": [MODEL],
+                 "checks_fencing": true},
+                {"name": SERVICE_DEPLOYMENT, "kind": "service", "repeatable": ["GET /visits"],
+                 "first_byte_timeout_ms": 3_000},
+            ],
+        }))
+    }
+
+    fn daemon(&self, name: &str) -> StepResult<&Daemon> {
+        self.daemons
+            .get(name)
+            .ok_or_else(|| format!("no daemon {name}; start it first"))
+    }
+
+    fn daemon_mut(&mut self, name: &str) -> StepResult<&mut Daemon> {
+        self.daemons
+            .get_mut(name)
+            .ok_or_else(|| format!("no daemon {name}; start it first"))
+    }
+
+    /// The names of all daemons.
+    #[must_use]
+    pub fn daemon_names(&self) -> Vec<String> {
+        self.daemons.keys().cloned().collect()
+    }
+
+    /// Where callers reach a process: a daemon, or a target itself.
+    ///
+    /// # Errors
+    /// If there is no such process.
+    pub fn endpoint(&self, name: &str) -> StepResult<Endpoint> {
+        let address = match self.daemons.get(name) {
+            Some(daemon) => daemon.host.port(CALLER_PORT),
+            None => self.target(name)?.address(),
+        };
+        Ok(Endpoint {
+            name: name.to_owned(),
+            address,
+        })
+    }
+
+    /// Kills a daemon.
+    ///
+    /// # Errors
+    /// If the system refuses.
+    pub fn kill_daemon(&mut self, name: &str) -> StepResult {
+        self.outages.push(Outage::begin(name));
+        let daemon = self.daemon_mut(name)?;
+        daemon.fate = DaemonFate::Ended;
+        daemon.process.kill().map_err(|error| text(&error))?;
+        let label = format!("{name}#{}", daemon.incarnation);
+        self.observer.end(&label);
+        Ok(())
+    }
+
+    /// Starts a daemon again at its address, with a new identity.
+    ///
+    /// # Errors
+    /// If it runs, or does not accept connections within 5 s.
+    pub fn restart_daemon(&mut self, name: &str) -> StepResult {
+        let daemon = self.daemon_mut(name)?;
+        if daemon.process.is_running() {
+            return Err(format!("{name} is running; kill or terminate it first"));
+        }
+        daemon.incarnation += 1;
+        let daemon = self.daemon(name)?;
+        let process =
+            self.start_daemon_process(name, &daemon.zone, &daemon.host, daemon.incarnation)?;
+        let daemon = self.daemon_mut(name)?;
+        daemon.process = process;
+        daemon.fate = DaemonFate::Running;
+        end_outage(&mut self.outages, name);
+        self.observe(name)
+    }
+
+    /// Stops a daemon's execution.
+    ///
+    /// # Errors
+    /// If it is gone.
+    pub fn pause_daemon(&mut self, name: &str) -> StepResult {
+        self.outages.push(Outage::begin(name));
+        let daemon = self.daemon_mut(name)?;
+        daemon.fate = DaemonFate::Paused;
+        daemon.process.pause().map_err(|error| text(&error))
+    }
+
+    /// Continues a paused daemon.
+    ///
+    /// # Errors
+    /// If it is gone.
+    pub fn resume_daemon(&mut self, name: &str) -> StepResult {
+        let daemon = self.daemon_mut(name)?;
+        daemon.fate = DaemonFate::Running;
+        daemon.process.resume().map_err(|error| text(&error))?;
+        end_outage(&mut self.outages, name);
+        Ok(())
+    }
+
+    /// Asks a daemon to drain.
+    ///
+    /// # Errors
+    /// If it is gone.
+    pub fn terminate_daemon(&mut self, name: &str) -> StepResult {
+        let daemon = self.daemon_mut(name)?;
+        daemon.fate = DaemonFate::Draining;
+        daemon.process.terminate().map_err(|error| text(&error))?;
+        self.drains.push(Drain::begin(name));
+        Ok(())
+    }
+
+    /// Waits until a draining daemon has ended, and demands exit code 0.
+    ///
+    /// # Errors
+    /// If it has not ended within `limit` or reports a failure.
+    pub fn wait_for_daemon_exit(&mut self, name: &str, limit: Duration) -> StepResult {
+        let daemon = self.daemon_mut(name)?;
+        let exit = daemon.process.wait_for_exit(limit);
+        let status = exit.map_err(|error| text(&error))?;
+        daemon.fate = DaemonFate::Ended;
+        let label = format!("{name}#{}", daemon.incarnation);
+        self.observer.end(&label);
+        for drain in &mut self.drains {
+            if drain.daemon == name {
+                drain.end.get_or_insert_with(Instant::now);
+            }
+        }
+        if status.success() {
+            Ok(())
+        } else {
+            Err(format!("{name} ended with {status}"))
+        }
+    }
+
+    /// The daemons that must know the rules in force at the end.
+    #[must_use]
+    pub fn running_daemons(&self) -> BTreeSet<String> {
+        let running = self.daemons.iter();
+        running
+            .filter(|(_, daemon)| daemon.fate == DaemonFate::Running)
+            .map(|(name, daemon)| format!("{name}#{}", daemon.incarnation))
+            .collect()
+    }
+
+    /// Sets the store's fault.
+    ///
+    /// # Errors
+    /// If the store does not answer.
+    pub fn set_store_fault(&mut self, fault: &Value) -> StepResult {
+        control::post(self.store_address()?, "/control/fault", fault)?;
+        end_outage(&mut self.store_outages, "store");
+        if fault["kind"] != json!("none") {
+            self.store_outages.push(Outage::begin("store"));
+        }
+        Ok(())
+    }
+
+    /// Adds a line to the rules file.
+    pub fn add_rule(&mut self, line: &str) {
+        self.rules.push(line.to_owned());
+    }
+
+    /// Two operators apply the rules file with a different line each, at the same time.
+    #[must_use]
+    pub fn apply_at_once(&self, lines: [&str; 2]) -> Vec<StepResult> {
+        std::thread::scope(|scope| {
+            let operators: Vec<_> = (1..)
+                .zip(lines)
+                .map(|(number, line): (u32, _)| {
+                    let mut rules = self.rules.clone();
+                    rules.push(line.to_owned());
+                    scope.spawn(move || self.apply_file(&format!("operator-{number}.txt"), &rules))
+                })
+                .collect();
+            let joined = operators
+                .into_iter()
+                .map(std::thread::ScopedJoinHandle::join);
+            joined
+                .map(|result| result.unwrap_or_else(|_| Err("the tool's thread failed".to_owned())))
+                .collect()
+        })
+    }
+
+    /// Writes the rules file and applies it with the operators' tool.
+    ///
+    /// # Errors
+    /// The tool's message.
+    pub fn apply_rules(&self, file: &str) -> StepResult {
+        self.apply_file(file, &self.rules)
+    }
+
+    fn apply_file(&self, file: &str, rules: &[String]) -> StepResult {
+        let path = self.directory.join(file);
+        let rules = rules.join("\n") + "\n";
+        fs::write(&path, rules).map_err(|error| text(&error))?;
+        let store = self.store_address()?.to_string();
+        let path = path.display().to_string();
+        self.run_tool(&["rules", "apply", "--store", &store, &path])
+            .map(|_| ())
+    }
+
+    /// Runs the operators' tool and returns its output.
+    ///
+    /// # Errors
+    /// Its output, if it reports a failure.
+    pub fn run_tool(&self, arguments: &[&str]) -> StepResult<String> {
+        let path = binary_directory().join("mimosagap");
+        let output = Command::new(&path)
+            .args(arguments)
+            .output()
+            .map_err(|error| format!("{}: {error}; run ./test", path.display()))?;
+        let mut answer = String::from_utf8_lossy(&output.stdout).into_owned();
+        answer.push_str(&String::from_utf8_lossy(&output.stderr));
+        if output.status.success() {
+            Ok(answer)
+        } else {
+            Err(format!("mimosagap {}: {answer}", arguments.join(" ")))
+        }
+    }
+
+    /// The revision of the rules in the store; 0 if there are none.
+    ///
+    /// # Errors
+    /// If the store does not answer.
+    pub fn stored_revision(&self) -> StepResult<u64> {
+        let dump = control::get(self.store_address()?, "/control/dump")?;
+        let record = &dump["keys"]["mg/c/rules/text"];
+        Ok(record["mod_revision"].as_u64().unwrap_or_default())
+    }
+
+    /// The statistics of all targets, earlier processes included, and whether a service's ledger
+    /// is missing.
+    #[must_use]
+    pub fn collect_stats(&self) -> TargetEvidence {
+        let mut evidence = TargetEvidence::default();
+        for (name, target) in &self.targets {
+            let current = self.target_stats(name);
+            if current.is_err() && target.past.is_empty() {
+                evidence.missing.push(name.clone());
+            }
+            let all = target.past.iter().cloned().chain(current);
+            evidence
+                .stats
+                .insert(name.clone(), (target.options.kind, all.collect()));
+        }
+        evidence
+    }
+
+    /// The ends of all logs, for a failure report.
+    #[must_use]
+    pub fn log_tails(&self, lines: usize) -> String {
+        let mut report = String::new();
+        let Ok(entries) = fs::read_dir(&self.directory) else {
+            return report;
+        };
+        let mut paths: Vec<PathBuf> = entries.flatten().map(|entry| entry.path()).collect();
+        paths.sort();
+        for path in paths
+            .iter()
+            .filter(|path| path.extension().is_some_and(|e| e == "log"))
+        {
+            let log = fs::read_to_string(path).unwrap_or_default();
+            let all: Vec<&str> = log.lines().collect();
+            let tail = &all[all.len().saturating_sub(lines)..];
+            report.push_str("--- ");
+            report.push_str(&path.display().to_string());
+            report.push('\n');
+            report.push_str(&tail.join("\n"));
+            report.push('\n');
+        }
+        report
+    }
+}
+
+/// What the targets know at the end.
+#[derive(Debug, Default)]
+pub struct TargetEvidence {
+    /// Statistics by target, one value for each process.
+    pub stats: BTreeMap<String, (TargetKind, Vec<Value>)>,
+    /// Targets whose statistics are lost.
+    pub missing: Vec<String>,
+}
+
+fn end_outage(outages: &mut [Outage], name: &str) {
+    for outage in outages.iter_mut().filter(|outage| outage.name == name) {
+        outage.end.get_or_insert_with(Instant::now);
+    }
+}
+
+fn wait_for_port(process: &mut ManagedProcess, address: SocketAddr) -> StepResult {
+    let start = Instant::now();
+    while std::net::TcpStream::connect(address).is_err() {
+        if !process.is_running() || start.elapsed() > START_LIMIT {
+            let log = process.read_log();
+            return Err(format!("nothing listens on {address}; the log is:\n{log}"));
+        }
+        std::thread::sleep(Duration::from_millis(10));
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/mimosagap-scenarios/tests/scenarios.rs
@@ -0,0 +1,16 @@
+//! Runs every script in `scenarios/` against real processes.
+
+use std::path::PathBuf;
+
+use mimosagap_scenarios::script::run_scenario;
+use rstest::rstest;
+
+/// Guards against any broken invariant under the faults that the script injects.
+#[rstest]
+fn scenario(#[files("scenarios/*.txt")] path: PathBuf) {
+    let name = path.file_stem().expect("a file name").to_string_lossy();
+    let input = std::fs::read_to_string(&path).expect("the script is readable");
+    if let Err(report) = run_scenario(&name, &input) {
+        panic!("{report}");
+    }
+}
