--- a/crates/mimosagap-scenarios/src/cluster.rs
+++ b/crates/mimosagap-scenarios/src/cluster.rs
@@ -663,16 +663,22 @@
         self.rules.push(line.to_owned());
     }
 
-    /// Two operators apply the rules file with a different line each, at the same time.
-    #[must_use]
-    pub fn apply_at_once(&self, lines: [&str; 2]) -> Vec<StepResult> {
-        std::thread::scope(|scope| {
+    /// Two operators apply the rules file with a different line each, at the same time and on top
+    /// of the same revision. The accepted line stays in the rules.
+    ///
+    /// # Errors
+    /// If the store does not answer.
+    pub fn apply_at_once(&mut self, lines: [&str; 2]) -> StepResult<Vec<StepResult>> {
+        let base = self.stored_revision()?;
+        let cluster: &Self = self;
+        let results: Vec<StepResult> = std::thread::scope(|scope| {
             let operators: Vec<_> = (1..)
                 .zip(lines)
                 .map(|(number, line): (u32, _)| {
-                    let mut rules = self.rules.clone();
+                    let mut rules = cluster.rules.clone();
                     rules.push(line.to_owned());
-                    scope.spawn(move || self.apply_file(&format!("operator-{number}.txt"), &rules))
+                    let file = format!("operator-{number}.txt");
+                    scope.spawn(move || cluster.apply_file(&file, base, &rules))
                 })
                 .collect();
             let joined = operators
@@ -681,24 +687,34 @@
             joined
                 .map(|result| result.unwrap_or_else(|_| Err("the tool's thread failed".to_owned())))
                 .collect()
-        })
+        });
+        let accepted = lines
+            .iter()
+            .zip(&results)
+            .filter(|(_, result)| result.is_ok());
+        self.rules
+            .extend(accepted.map(|(line, _)| (*line).to_owned()));
+        Ok(results)
     }
 
-    /// Writes the rules file and applies it with the operators' tool.
+    /// Writes the rules file and applies it with the operators' tool on top of the stored revision.
     ///
     /// # Errors
     /// The tool's message.
-    pub fn apply_rules(&self, file: &str) -> StepResult {
-        self.apply_file(file, &self.rules)
+    pub fn apply_rules(&self) -> StepResult {
+        self.apply_file("rules.txt", self.stored_revision()?, &self.rules)
     }
 
-    fn apply_file(&self, file: &str, rules: &[String]) -> StepResult {
+    fn apply_file(&self, file: &str, base: u64, rules: &[String]) -> StepResult {
         let path = self.directory.join(file);
-        let rules = rules.join("\n") + "\n";
-        fs::write(&path, rules).map_err(|error| text(&error))?;
+        let mut content = rules.join("\n") + "\n";
+        if base > 0 {
+            content.insert_str(0, &format!("# revision {base}\n"));
+        }
+        fs::write(&path, content).map_err(|error| text(&error))?;
         let store = self.store_address()?.to_string();
         let path = path.display().to_string();
-        self.run_tool(&["rules", "apply", "--store", &store, &path])
+        self.run_tool(&["rules", "apply", &path, "--store", &store])
             .map(|_| ())
     }
 
@@ -727,8 +743,11 @@
     /// If the store does not answer.
     pub fn stored_revision(&self) -> StepResult<u64> {
         let dump = control::get(self.store_address()?, "/control/dump")?;
-        let record = &dump["keys"]["mg/c/rules/text"];
-        Ok(record["mod_revision"].as_u64().unwrap_or_default())
+        let Some(record) = dump["keys"]["mg/c/rules/text"]["value"].as_str() else {
+            return Ok(0);
+        };
+        let record: Value = serde_json::from_str(record).map_err(|error| error.to_string())?;
+        Ok(record["revision"].as_u64().unwrap_or_default())
     }
 
     /// The statistics of all targets, earlier processes included, and whether a service's ledger
--- a/crates/mimosagap-scenarios/src/observer.rs
+++ b/crates/mimosagap-scenarios/src/observer.rs
@@ -104,10 +104,10 @@
     samples.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
-/// The revision in a daemon's status, or `None` if it does not answer or has no rules.
+/// The revision in a daemon's health page, or `None` if it does not answer or has no rules.
 fn read_revision(admin: SocketAddr) -> Option<u64> {
-    let status = control::get(admin, "/status").ok()?;
-    status["rules"]["revision"]
+    let health = control::get(admin, "/health").ok()?;
+    health["rules_revision"]
         .as_u64()
         .filter(|revision| *revision > 0)
 }
--- a/crates/mimosagap-scenarios/src/script/rules.rs
+++ b/crates/mimosagap-scenarios/src/script/rules.rs
@@ -45,7 +45,7 @@
     }
 
     pub(super) fn apply(&mut self) -> StepResult {
-        self.cluster.apply_rules("rules.txt")?;
+        self.cluster.apply_rules()?;
         self.note_applied()
     }
 
@@ -61,7 +61,7 @@
     }
 
     pub(super) fn apply_both(&mut self, lines: [&str; 2]) -> StepResult<String> {
-        let results = self.cluster.apply_at_once(lines);
+        let results = self.cluster.apply_at_once(lines)?;
         let accepted = results.iter().filter(|result| result.is_ok()).count();
         for result in &results {
             self.journal.trace(format!("operator: {result:?}"));
@@ -71,7 +71,7 @@
         }
         let mut output = format!("{accepted} accepted\n");
         for error in results.iter().filter_map(|result| result.as_ref().err()) {
-            let shows = lines.iter().any(|line| error.contains(line));
+            let shows = lines.iter().all(|line| error.contains(line));
             let verb = if shows { "shows" } else { "lacks" };
             writeln!(output, "the other {verb} the difference").map_err(|e| e.to_string())?;
         }
