feat(scenarios): check scripts without running them

Purpose: a mistyped step would be noticed only after a long part of its scenario. The tests are rebuilt when a script is added, as each script is a test of its own.

--- a/crates/mimosagap-scenarios/src/script.rs
+++ b/crates/mimosagap-scenarios/src/script.rs
@@ -53,6 +53,7 @@
     journal: Journal,
     tasks: Tasks,
     applied: Vec<AppliedRules>,
+    is_finished: bool,
     seed: u64,
     probes: u64,
     // Dropped last, after the tasks' handles.
@@ -75,6 +76,7 @@
             journal: Journal::new(),
             tasks: Tasks::new(),
             applied: Vec::new(),
+            is_finished: false,
             seed: 1,
             probes: 0,
             runtime,
@@ -139,11 +141,14 @@
             .ok_or_else(|| format!("no request {name} was sent"))
     }
 
-    /// Waits for all requests and checks the invariants.
+    /// Waits for all requests and checks the invariants. A second call does nothing.
     ///
     /// # Errors
     /// All violations, one a line.
     pub fn finish(&mut self) -> StepResult {
+        if std::mem::replace(&mut self.is_finished, true) {
+            return Ok(());
+        }
         let names: BTreeSet<String> = self.tasks.keys().cloned().collect();
         for name in names {
             if let Err(error) = self.join(&name, END_LIMIT) {
@@ -209,3 +214,29 @@
     let report = runner.failure_report();
     Err(format!("scenario {name}: {failure}\n{violations}{report}"))
 }
+
+/// Understands every step of a script without carrying it out.
+struct StepReader;
+
+impl Runner for StepReader {
+    type Command = ProcessStep;
+
+    fn run(&mut self, step: &ProcessStep, _: &Context) -> Result<String, Box<dyn Error>> {
+        if let ProcessStep::Other(command) = step
+            && let RequestStep::Other(command) = RequestStep::try_from(command)?
+            && let FaultStep::Other(command) = FaultStep::try_from(&command)?
+        {
+            RulesStep::try_from(&command)?;
+        }
+        Ok(String::new())
+    }
+}
+
+/// Checks that every step of a script is understood.
+///
+/// # Errors
+/// Names the first step that is not.
+pub fn check_script(input: &str) -> StepResult {
+    let result = goldenscript::generate(&mut StepReader, input);
+    result.map(|_| ()).map_err(|error| error.to_string())
+}
--- a/crates/mimosagap-scenarios/tests/scenarios.rs
+++ b/crates/mimosagap-scenarios/tests/scenarios.rs
@@ -2,7 +2,7 @@
 
 use std::path::PathBuf;
 
-use mimosagap_scenarios::script::run_scenario;
+use mimosagap_scenarios::script::{check_script, run_scenario};
 use rstest::rstest;
 
 /// Guards against any broken invariant under the faults that the script injects.
@@ -14,3 +14,10 @@
         panic!("{report}");
     }
 }
+
+/// Guards against a mistyped step that is noticed only after a long part of its scenario.
+#[rstest]
+fn script_is_well_formed(#[files("scenarios/*.txt")] path: PathBuf) {
+    let input = std::fs::read_to_string(&path).expect("the script is readable");
+    check_script(&input).expect("every step is understood");
+}
