fix(scenarios): do not tell first answers from recorded ones

Cause: the daemon sends X-Outcome: ran with every answer to an order, so the header does not mark a repeated one. The ledger shows the number of executions instead.

--- a/crates/mimosagap-scenarios/src/caller.rs
+++ b/crates/mimosagap-scenarios/src/caller.rs
@@ -274,10 +274,7 @@
             }
             "response.completed" => {
                 self.complete(request, position.last);
-                Some(SendEnd::Answered {
-                    status: 200,
-                    repeated: false,
-                })
+                Some(SendEnd::Answered { status: 200 })
             }
             "response.failed" | "response.cancelled" => {
                 let error = match &event["error"] {
@@ -350,10 +347,7 @@
             self.violation(&request.name, format!("received the answer of {echo:?}"));
         }
         self.complete(request, position.last);
-        SendEnd::Answered {
-            status: 200,
-            repeated: false,
-        }
+        SendEnd::Answered { status: 200 }
     }
 
     async fn send_order(&self, endpoint: &Endpoint, request: &OrderRequest) -> SendEnd {
@@ -384,10 +378,7 @@
         }
         self.journal
             .update(&request.name, |record| record.complete = true);
-        SendEnd::Answered {
-            status,
-            repeated: outcome.as_deref() == Some("ran"),
-        }
+        SendEnd::Answered { status }
     }
 
     async fn read_refusal(&self, name: &str, response: Response<Incoming>) -> SendEnd {
--- a/crates/mimosagap-scenarios/src/record.rs
+++ b/crates/mimosagap-scenarios/src/record.rs
@@ -14,8 +14,6 @@
     Answered {
         /// The HTTP status.
         status: u16,
-        /// Whether the answer is the recorded result of an earlier execution.
-        repeated: bool,
     },
     /// A refusal arrived, as an answer or as the last event of a stream.
     Refused {
@@ -50,14 +48,7 @@
 impl fmt::Display for SendEnd {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            Self::Answered {
-                status,
-                repeated: false,
-            } => write!(f, "answered {status}"),
-            Self::Answered {
-                status,
-                repeated: true,
-            } => write!(f, "answered {status} repeated"),
+            Self::Answered { status } => write!(f, "answered {status}"),
             Self::Refused { code, outcome, .. } => write!(f, "refused {code} {outcome}"),
             Self::Broken(cause) => write!(f, "broken ({cause})"),
             Self::Open | Self::Unreachable => f.write_str(self.word()),
--- a/crates/mimosagap-scenarios/tests/check.rs
+++ b/crates/mimosagap-scenarios/tests/check.rs
@@ -32,10 +32,7 @@
 }
 
 fn answered() -> SendEnd {
-    SendEnd::Answered {
-        status: 200,
-        repeated: false,
-    }
+    SendEnd::Answered { status: 200 }
 }
 
 fn order(key: &str, ends: Vec<SendEnd>) -> RequestRecord {
