fix(standins): lose only answers of effective calls, refuse for a dead target

The proxy accepted connections for a target that was gone and reset them, so a daemon saw a broken link where the design expects a refused connection.

A leave notice of a plain service counts from when the host list shows it: services have no report, so nothing else can tell the system earlier. An engine's notice still counts from its own report.

--- a/crates/mimosagap-scenarios/src/cluster.rs
+++ b/crates/mimosagap-scenarios/src/cluster.rs
@@ -109,6 +109,7 @@
     targets: BTreeMap<String, Target>,
     daemons: BTreeMap<String, Daemon>,
     rules: Vec<String>,
+    host_list_lag: Duration,
     /// Reads the daemons' rules revisions.
     pub observer: Observer,
     /// Leave notices.
@@ -160,6 +161,7 @@
             targets: BTreeMap::new(),
             daemons: BTreeMap::new(),
             rules: Vec::new(),
+            host_list_lag: Duration::ZERO,
             observer: Observer::default(),
             departures: Vec::new(),
             drains: Vec::new(),
@@ -326,8 +328,9 @@
     ///
     /// # Errors
     /// If it does not answer.
-    pub fn set_host_list_lag(&self, ms: u64) -> StepResult {
+    pub fn set_host_list_lag(&mut self, ms: u64) -> StepResult {
         let address = self.host_list_address()?;
+        self.host_list_lag = Duration::from_millis(ms);
         control::post(address, "/control/lag", &json!({ "ms": ms }))
     }
 
@@ -374,7 +377,11 @@
         self.control_target(name, "/control/leave", &json!({}))?;
         let target = self.target_mut(name)?;
         target.is_leaving = true;
-        let departure = Departure::new(name);
+        let lag = match target.options.kind {
+            TargetKind::Engine => Duration::ZERO,
+            TargetKind::Service => self.host_list_lag,
+        };
+        let departure = Departure::new(name, lag);
         self.departures.push(departure);
         self.publish_hosts()
     }
--- a/crates/mimosagap-standins/src/store/meter.rs
+++ b/crates/mimosagap-standins/src/store/meter.rs
@@ -41,6 +41,13 @@
         })
     }
 
+    pub(super) fn is_lease(self) -> bool {
+        matches!(
+            self,
+            Self::LeaseGrant | Self::LeaseKeepalive | Self::LeaseRevoke
+        )
+    }
+
     pub(super) fn is_write(self) -> bool {
         !matches!(self, Self::Range | Self::TxnRead | Self::Watch)
     }
--- a/crates/mimosagap-standins/tests/proxy.rs
+++ b/crates/mimosagap-standins/tests/proxy.rs
@@ -112,6 +112,24 @@
     assert_works(&mut link.connect());
 }
 
+/// Guards against a proxy that accepts connections for a target which is gone: its callers could not
+/// tell a dead target from a broken link.
+#[test]
+fn refused_target_is_refused_by_the_proxy() {
+    let to = free_address();
+    let control = free_address().to_string();
+    let options = ["--to", &to.to_string(), "--control", &control];
+    let proxy = StandIn::start("proxy", &options);
+    support::wait_until(Duration::from_secs(2), || {
+        let refused = TcpStream::connect(proxy.address).map_err(|error| error.kind());
+        refused.is_err_and(|kind| kind == ErrorKind::ConnectionRefused)
+    });
+    let _target = TcpListener::bind(to).expect("the port is still free");
+    support::wait_until(Duration::from_secs(2), || {
+        TcpStream::connect(proxy.address).is_ok()
+    });
+}
+
 /// Guards against a delay that is not applied, or that limits the throughput instead.
 #[test]
 fn delay_is_added_to_each_direction() {
--- a/crates/mimosagap-standins/tests/store.rs
+++ b/crates/mimosagap-standins/tests/store.rs
@@ -224,6 +224,18 @@
     assert!(store.create("mg/o/a/2", "nonce").expect("only one is lost"));
 }
 
+/// Guards against a lost answer to a call that changed nothing, which would hide how a lost answer
+/// is resolved.
+#[test]
+fn failed_compare_keeps_its_answer() {
+    let store = StandIn::start("store", &[]);
+    store.fault(&json!({"kind": "lose_answers"}));
+    store.create("mg/o/a/1", "first").expect_err("no answer");
+    assert!(!store.create("mg/o/a/1", "second").expect("an answer"));
+    let error = store.post("/v3/lease/grant", &json!({"TTL": "5"}));
+    error.expect_err("a lease is an effect too");
+}
+
 /// Guards against a slow write that is undone when its caller gives up.
 #[test]
 fn slow_write_takes_effect_after_its_caller_left() {
