--- a/crates/mimosagap-store/src/rules.rs
+++ b/crates/mimosagap-store/src/rules.rs
@@ -4,6 +4,7 @@
 use std::thread;
 use std::time::Duration;
 
+use mimosagap_rules::RulesDelta;
 use mimosagap_types::prelude::*;
 use serde::{Deserialize, Serialize};
 
@@ -37,7 +38,7 @@
     pub base: RulesRevision,
     /// The revision that results.
     pub revision: RulesRevision,
-    /// The delta in the encoding of `mimosagap-rules`.
+    /// A [`RulesDelta`] as JSON.
     pub delta: String,
     /// The writer's mark, by which it knows its own write when the store's answer is lost.
     pub nonce: Nonce,
@@ -62,7 +63,7 @@
     pub base: RulesRevision,
     /// The new text.
     pub text: String,
-    /// The delta from the base to the new text, in the encoding of `mimosagap-rules`.
+    /// The [`RulesDelta`] from the base to the new text, as JSON.
     pub delta: String,
 }
 
@@ -119,6 +120,13 @@
     pub fn parse(value: &[u8]) -> Option<Self> {
         serde_json::from_slice(value).ok()
     }
+
+    /// The change; `None` if it is malformed or names other revisions than the record.
+    #[must_use]
+    pub fn to_delta(&self) -> Option<RulesDelta> {
+        let delta: RulesDelta = serde_json::from_str(&self.delta).ok()?;
+        (delta.base == self.base && delta.revision == self.revision).then_some(delta)
+    }
 }
 
 impl StoredRules {
