fix(store): store large rule changes without their delta

Cause: the delta of a change of the whole file is JSON within JSON and can exceed the store's 1 MB per value, so that the store would refuse the change.

Change: a delta above 256 KB is stored empty; daemons take the text. Tests for a large change with a lost answer, and for a text of the largest size by watch and from a peer.

--- a/crates/mimosagap-daemon/tests/control_peers.rs
+++ b/crates/mimosagap-daemon/tests/control_peers.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use control_support::store::MemoryStore;
-use control_support::{Daemon, KEY, apply_rules, free_address, wait};
+use control_support::{Daemon, KEY, apply_rules, apply_rules_after, free_address, wait};
 use mimosagap_core::{Effect, Event, Notice};
 use mimosagap_peer::{PeerCounters, Reply, Request, RulesAnswer, ServerOptions, serve};
 use mimosagap_types::prelude::*;
@@ -61,6 +61,20 @@
     assert_eq!(cut_off.control.counters().rules_from_delta, 1);
 }
 
+/// Guards against a text of the largest accepted size that reaches neither the watch nor a peer:
+/// its messages are larger than the windows of a connection.
+#[tokio::test(flavor = "multi_thread")]
+async fn largest_rules_reach_watch_and_peers() {
+    let store = MemoryStore::start();
+    let a = Daemon::start(&store, &[]);
+    a.wait_revision(0).await;
+    let line = format!("# {}\n", "x".repeat(97));
+    apply_rules_after(&store, line.repeat(9_400)).await;
+    a.wait_revision(1).await;
+    let cut_off = Daemon::start_at(free_address(), free_address(), &[a.peer_address]);
+    cut_off.wait_revision(1).await;
+}
+
 /// A peer that claims a newer revision than it supplies.
 async fn stale_peer(offered: u64) -> std::net::SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
--- a/crates/mimosagap-daemon/tests/control_support/mod.rs
+++ b/crates/mimosagap-daemon/tests/control_support/mod.rs
@@ -211,16 +211,18 @@
     }
 }
 
-/// Applies rules whose text names the revision.
+/// Applies rules whose text names the revision, after 40 empty lines.
 pub async fn apply_rules(store: &MemoryStore) -> u64 {
+    apply_rules_after(store, "\n".repeat(40)).await
+}
+
+/// Applies rules whose text names the revision at its end.
+pub async fn apply_rules_after(store: &MemoryStore, start: String) -> u64 {
     let client = store.client();
     let apply = move || {
         let base = client.read_rules().unwrap();
         let revision = base.record.revision.0 + 1;
-        let text = format!(
-            "{}queue limit {revision} wait 30 s # manager: test\n",
-            "\n".repeat(40)
-        );
+        let text = format!("{start}queue limit {revision} wait 30 s # manager: test\n");
         let delta = RulesDelta::between(base.record.revision, &base.record.text, &text);
         let options = ApplyOptions {
             base_mod_revision: base.mod_revision,
--- a/crates/mimosagap-store/src/rules.rs
+++ b/crates/mimosagap-store/src/rules.rs
@@ -19,6 +19,9 @@
 /// How many deltas are kept. At 4,100 changes a day they cover 20 minutes on average; a daemon
 /// which is further behind takes the whole text.
 const KEPT_DELTAS: u64 = 64;
+/// A larger delta is stored empty, as it saves nothing against the text, and the store takes no
+/// value above 1 MB.
+const MAX_DELTA_BYTES: usize = 256 << 10;
 const MAX_ATTEMPTS: u32 = 5;
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 
@@ -38,7 +41,7 @@
     pub base: RulesRevision,
     /// The revision that results.
     pub revision: RulesRevision,
-    /// A [`RulesDelta`] as JSON.
+    /// A [`RulesDelta`] as JSON; empty if it would be too large.
     pub delta: String,
     /// The writer's mark, by which it knows its own write when the store's answer is lost.
     pub nonce: Nonce,
@@ -163,7 +166,7 @@
         let delta = DeltaRecord {
             base: options.base,
             revision: RulesRevision(options.base.0 + 1),
-            delta: options.delta.clone(),
+            delta: stored_delta(&options.delta),
             nonce: Nonce::random(),
         };
         let transaction = apply_transaction(options, &delta);
@@ -191,6 +194,14 @@
     }
 }
 
+fn stored_delta(delta: &str) -> String {
+    if delta.len() > MAX_DELTA_BYTES {
+        String::new()
+    } else {
+        delta.to_owned()
+    }
+}
+
 fn apply_transaction(options: &ApplyOptions, delta: &DeltaRecord) -> TxnOptions {
     let text = RulesRecord {
         revision: delta.revision,
--- a/crates/mimosagap-store/tests/records.rs
+++ b/crates/mimosagap-store/tests/records.rs
@@ -11,7 +11,7 @@
 };
 use mimosagap_store::lenders::{ReleaseSlotOptions, TakeSlotOptions, TakeSlotOutcome};
 use mimosagap_store::members::MemberRecord;
-use mimosagap_store::rules::{ApplyOptions, ApplyOutcome};
+use mimosagap_store::rules::{ApplyOptions, ApplyOutcome, DeltaRecord};
 use mimosagap_store::suspects::{
     EndOutcome, SuspectOptions, TrialEnd, TrialLeases, TrialOptions, TrialOutcome,
 };
@@ -221,6 +221,23 @@
     assert_eq!(client.read_rules().unwrap().record.text, "a");
 }
 
+/// Guards against a large change that the store refuses because its delta is longer than 1 MB.
+#[test]
+fn large_change_is_stored_without_its_delta() {
+    let store = MemoryStore::start();
+    let client = store.client();
+    let text = "# \"rule\"\n".repeat(90_000);
+    let base = client.read_rules().unwrap();
+    store.lose_answers(1);
+    let outcome = client.apply_rules(&change(&base, &text)).unwrap();
+    assert_eq!(outcome, ApplyOutcome::Applied(RulesRevision(1)));
+    let deltas = mimosagap_store::RangeOptions::with_prefix("mg/c/rules/delta/");
+    let entries = client.range(deltas).unwrap().entries;
+    assert!(entries[0].value.len() < 1_000_000);
+    let record = DeltaRecord::parse(&entries[0].value).unwrap();
+    assert_eq!(record.to_delta(), None);
+}
+
 /// Guards against deltas that pile up in the store until the initial read fails.
 #[test]
 fn old_deltas_are_dropped() {
