feat(scenarios): store cut off, isolation, team limit, many faults at once

Purpose: each daemon reaches the store over a link of its own, so one daemon can lose the store while the others keep it. SCENARIO_SEED overrides a script's seed.

--- a/crates/mimosagap-scenarios/src/cluster.rs
+++ b/crates/mimosagap-scenarios/src/cluster.rs
@@ -83,6 +83,13 @@
     }
 }
 
+/// A daemon's own link to the store.
+struct StoreLink {
+    host: HostAddress,
+    /// Kept for its end only.
+    _process: ManagedProcess,
+}
+
 /// Why a daemon may break connections.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum DaemonFate {
@@ -94,6 +101,7 @@
 
 struct Daemon {
     host: HostAddress,
+    store_link: StoreLink,
     zone: String,
     process: ManagedProcess,
     fate: DaemonFate,
@@ -254,15 +262,9 @@
         let host = HostAddress::new().map_err(|error| text(&error))?;
         let link_host = HostAddress::new().map_err(|error| text(&error))?;
         let process = self.start_target_process(&options, &host)?;
-        let link_options = [
-            "--to".to_owned(),
-            host.port(TARGET_PORT).to_string(),
-            "--control".to_owned(),
-            link_host.port(LINK_CONTROL_PORT).to_string(),
-        ];
         let link_name = format!("link-{}", options.name);
-        let listen = link_host.port(TARGET_PORT);
-        let link = self.start_stand_in(&link_name, "proxy", listen, &link_options)?;
+        let to = host.port(TARGET_PORT);
+        let link = self.start_link(&link_name, &link_host, TARGET_PORT, to)?;
         let target = Target {
             options,
             host,
@@ -354,13 +356,17 @@
         control::post(self.target(name)?.own_address(), path, body)
     }
 
-    /// Sets the mode of the link to a target.
+    /// Sets the mode of the link to a target, or of a daemon's link to the store.
     ///
     /// # Errors
     /// If the link does not answer.
     pub fn set_link(&mut self, name: &str, mode: &str, delay_ms: u64) -> StepResult {
-        let address = self.target(name)?.link_host.port(LINK_CONTROL_PORT);
         let body = json!({"mode": mode, "delay_ms": delay_ms});
+        if let Some(daemon) = self.daemons.get(name) {
+            let address = daemon.store_link.host.port(LINK_CONTROL_PORT);
+            return control::post(address, "/control/mode", &body);
+        }
+        let address = self.target(name)?.link_host.port(LINK_CONTROL_PORT);
         // Excuses broken connections of callers that call the target itself.
         end_outage(&mut self.outages, name);
         if mode != "pass" {
@@ -453,9 +459,12 @@
     /// If it does not accept connections within 5 s.
     pub fn start_daemon(&mut self, name: &str, zone: &str) -> StepResult {
         let host = HostAddress::new().map_err(|error| text(&error))?;
-        let process = self.start_daemon_process(name, zone, &host, 1)?;
+        let store_link = self.start_store_link(name)?;
+        let store = store_link.host.port(STORE_PORT);
+        let process = self.start_daemon_process(name, zone, &host, store, 1)?;
         let daemon = Daemon {
             host,
+            store_link,
             zone: zone.to_owned(),
             process,
             fate: DaemonFate::Running,
@@ -465,6 +474,32 @@
         self.observe(name)
     }
 
+    fn start_store_link(&self, daemon: &str) -> StepResult<StoreLink> {
+        let host = HostAddress::new().map_err(|error| text(&error))?;
+        let name = format!("link-store-{daemon}");
+        let process = self.start_link(&name, &host, STORE_PORT, self.store_address()?)?;
+        Ok(StoreLink {
+            host,
+            _process: process,
+        })
+    }
+
+    fn start_link(
+        &self,
+        name: &str,
+        host: &HostAddress,
+        port: u16,
+        to: SocketAddr,
+    ) -> StepResult<ManagedProcess> {
+        let options = [
+            "--to".to_owned(),
+            to.to_string(),
+            "--control".to_owned(),
+            host.port(LINK_CONTROL_PORT).to_string(),
+        ];
+        self.start_stand_in(name, "proxy", host.port(port), &options)
+    }
+
     fn observe(&mut self, name: &str) -> StepResult {
         let daemon = self.daemon(name)?;
         let label = format!("{name}#{}", daemon.incarnation);
@@ -478,10 +513,11 @@
         name: &str,
         zone: &str,
         host: &HostAddress,
+        store: SocketAddr,
         incarnation: u32,
     ) -> StepResult<ManagedProcess> {
         let path = self.directory.join(format!("{name}.json"));
-        let settings = self.daemon_settings(name, zone, host)?;
+        let settings = self.daemon_settings(name, zone, host, store)?;
         fs::write(&path, settings.to_string()).map_err(|error| text(&error))?;
         let arguments = ["--settings".to_owned(), path.display().to_string()];
         let log = format!("{name}-{incarnation}");
@@ -490,7 +526,13 @@
         Ok(process)
     }
 
-    fn daemon_settings(&self, name: &str, zone: &str, host: &HostAddress) -> StepResult<Value> {
+    fn daemon_settings(
+        &self,
+        name: &str,
+        zone: &str,
+        host: &HostAddress,
+        store: SocketAddr,
+    ) -> StepResult<Value> {
         let peers: Vec<String> = self
             .daemons
             .iter()
@@ -504,7 +546,7 @@
                 "peers": host.port(PEER_PORT),
                 "admin": host.port(ADMIN_PORT),
             },
-            "store": {"address": self.store_address()?, "timeout_ms": 500},
+            "store": {"address": store, "timeout_ms": 500},
             "host_list": self.host_list_address()?,
             "peers": peers,
             "fleet_keys": [FLEET_KEY],
@@ -575,8 +617,9 @@
         }
         daemon.incarnation += 1;
         let daemon = self.daemon(name)?;
+        let store = daemon.store_link.host.port(STORE_PORT);
         let process =
-            self.start_daemon_process(name, &daemon.zone, &daemon.host, daemon.incarnation)?;
+            self.start_daemon_process(name, &daemon.zone, &daemon.host, store, daemon.incarnation)?;
         let daemon = self.daemon_mut(name)?;
         daemon.process = process;
         daemon.fate = DaemonFate::Running;
--- a/crates/mimosagap-scenarios/src/script/fault.rs
+++ b/crates/mimosagap-scenarios/src/script/fault.rs
@@ -25,9 +25,9 @@
         #[arg(key)]
         prefix: Option<String>,
     },
-    /// Sets the mode of the link to a target.
+    /// Sets the mode of the link to a target, or of a daemon's link to the store.
     Link {
-        /// The target.
+        /// The target or daemon.
         name: String,
         /// The proxy's mode.
         mode: String,
--- a/crates/mimosagap-scenarios/src/script/process.rs
+++ b/crates/mimosagap-scenarios/src/script/process.rs
@@ -9,7 +9,7 @@
 /// Steps that start, end and signal processes. Times are in milliseconds.
 #[derive(Debug, goldenscript::Command)]
 pub enum ProcessStep {
-    /// Sets the seed of engines and load.
+    /// Sets the seed of engines and load. The environment variable `SCENARIO_SEED` overrides it.
     Seed(u64),
     /// Starts the store, the host list, targets `e1`… and `s1`…, and daemons `d1`…, with rules
     /// that admit the default team, and waits until every daemon serves.
@@ -73,8 +73,8 @@
         let mut output = String::new();
         match step {
             ProcessStep::Seed(seed) => {
-                self.seed = *seed;
-                self.cluster.set_seed(*seed);
+                self.seed = seed_override()?.unwrap_or(*seed);
+                self.cluster.set_seed(self.seed);
             }
             ProcessStep::Cluster {
                 daemons,
@@ -228,3 +228,13 @@
             .any(|daemon| daemon == name)
     }
 }
+
+fn seed_override() -> StepResult<Option<u64>> {
+    match std::env::var("SCENARIO_SEED") {
+        Ok(text) => match text.parse() {
+            Ok(seed) => Ok(Some(seed)),
+            Err(_) => Err(format!("SCENARIO_SEED {text:?} is not a number")),
+        },
+        Err(_) => Ok(None),
+    }
+}
--- a/crates/mimosagap-scenarios/src/script/request.rs
+++ b/crates/mimosagap-scenarios/src/script/request.rs
@@ -98,6 +98,18 @@
         #[arg(key)]
         complete: u64,
     },
+    /// Waits for the end of a load, of which no more may have been admitted than a team limit
+    /// allows, and at least half of that.
+    ExpectLimit {
+        /// The load's name.
+        name: String,
+        /// The limit's requests per second.
+        #[arg(key)]
+        rate: u64,
+        /// The limit's burst.
+        #[arg(key)]
+        burst: u64,
+    },
     /// Waits until a request has received this many tokens.
     WaitTokens {
         /// The request's name.
@@ -174,6 +186,9 @@
             RequestStep::Await(name) => output = self.await_request(name)?,
             RequestStep::Expect { name, words } => self.expect(name, words)?,
             RequestStep::ExpectLoad { name, complete } => self.expect_load(name, *complete)?,
+            RequestStep::ExpectLimit { name, rate, burst } => {
+                self.expect_limit(name, *rate, *burst)?;
+            }
             RequestStep::WaitTokens { name, count } => {
                 self.wait(
                     &format!("{name} has {count} tokens"),
@@ -285,6 +300,31 @@
         Ok(())
     }
 
+    /// The limit's rate counts over the time in which the load sent, from its first send to its last
+    /// admission.
+    fn expect_limit(&mut self, name: &str, rate: u64, burst: u64) -> StepResult {
+        self.join(name, END_LIMIT)?;
+        let prefix = format!("{name}-");
+        let mut requests = self.journal.requests();
+        requests.retain(|request| request.name.starts_with(&prefix));
+        let sends = || requests.iter().flat_map(|request| &request.sends);
+        let admitted = || sends().filter(|send| matches!(send.end, SendEnd::Answered { .. }));
+        let first = sends().map(|send| send.started).min();
+        let last = admitted().filter_map(|send| send.ended).max();
+        let (Some(first), Some(last)) = (first, last) else {
+            return Err(format!("{name}: nothing was admitted"));
+        };
+        let millis = u64::try_from((last - first).as_millis()).unwrap_or(u64::MAX);
+        let allowed = burst + rate * millis / 1_000 + 1;
+        let count = admitted().count() as u64;
+        self.journal
+            .trace(format!("{name}: {count} admitted, {allowed} allowed"));
+        if count > allowed || count < allowed / 2 {
+            return Err(format!("{count} admitted, {allowed} allowed"));
+        }
+        Ok(())
+    }
+
     pub(super) fn await_request(&mut self, name: &str) -> StepResult<String> {
         self.join(name, END_LIMIT)?;
         let record = self.record(name)?;
