perf(daemon): poll a relay only when something is new for it

The connection asks the body for more after each frame, which ran the whole relay a second time for each token. Added time cannot be judged under that load; it needs an idle machine.

--- a/crates/mimosagap-daemon/src/relay/body.rs
+++ b/crates/mimosagap-daemon/src/relay/body.rs
@@ -12,7 +12,8 @@
 use mimosagap_types::prelude::*;
 use tokio::time::sleep;
 
-use super::outbox::Outbox;
+use super::local_wake::LocalWake;
+use super::outbox::{HIGH_WATER, Outbox};
 
 type Relay = Pin<Box<dyn Future<Output = ()> + Send>>;
 
@@ -22,6 +23,8 @@
 pub struct RelayBody {
     relay: Option<Relay>,
     outbox: Arc<Outbox>,
+    wake: LocalWake,
+    was_full: bool,
 }
 
 impl RelayBody {
@@ -31,13 +34,24 @@
         Self {
             relay: Some(relay),
             outbox,
+            wake: LocalWake::default(),
+            was_full: false,
         }
     }
 
+    /// Polls the relay if there is something new for it: the connection asks for more after each
+    /// frame, and most times there is none.
     fn run(&mut self, context: &mut Context<'_>) {
-        if let Some(relay) = &mut self.relay
-            && relay.as_mut().poll(context).is_ready()
-        {
+        let Some(relay) = &mut self.relay else {
+            return;
+        };
+        if !self.was_full && !self.wake.is_woken() && self.wake.belongs_to(context) {
+            return;
+        }
+        let polled = self
+            .wake
+            .poll(context, |context| relay.as_mut().poll(context));
+        if polled.is_ready() {
             self.relay = None;
         }
     }
@@ -74,6 +88,8 @@
     ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
         self.run(context);
         let bytes = self.outbox.take();
+        // A relay that waits for space is not woken by the outbox.
+        self.was_full = bytes.len() >= HIGH_WATER;
         if !bytes.is_empty() {
             Poll::Ready(Some(Ok(Frame::data(bytes))))
         } else if self.relay.is_none() {
--- a/crates/mimosagap-daemon/src/relay/connection.rs
+++ b/crates/mimosagap-daemon/src/relay/connection.rs
@@ -141,9 +141,6 @@
             ..
         } = self;
         wake.poll(context, |context| {
-            if let Poll::Ready(data) = poll_body(body, context) {
-                return Poll::Ready(data);
-            }
             drive(connection, context);
             poll_body(body, context)
         })
--- a/crates/mimosagap-daemon/src/relay/local_wake.rs
+++ b/crates/mimosagap-daemon/src/relay/local_wake.rs
@@ -10,7 +10,7 @@
 ///
 /// The HTTP library's connection and body pass tokens through a channel and wake each other for
 /// each. In one task, every such wake-up would run the whole task again. Here a wake-up during a
-/// poll only repeats that poll, which halves the polls of a task for each token.
+/// poll only repeats that poll.
 pub struct LocalWake {
     state: Arc<WakeState>,
     waker: Waker,
@@ -40,7 +40,7 @@
     fn default() -> Self {
         let state = Arc::new(WakeState {
             polling: AtomicBool::new(false),
-            again: AtomicBool::new(false),
+            again: AtomicBool::new(true),
             task: Mutex::new(Waker::noop().clone()),
         });
         Self {
@@ -51,6 +51,18 @@
 }
 
 impl LocalWake {
+    /// Whether a part was woken since the last poll, or was never polled.
+    #[must_use]
+    pub fn is_woken(&self) -> bool {
+        self.state.again.load(Ordering::SeqCst)
+    }
+
+    /// Whether wake-ups go to the task of `context`.
+    #[must_use]
+    pub fn belongs_to(&self, context: &Context<'_>) -> bool {
+        lock(&self.state.task).will_wake(context.waker())
+    }
+
     /// Polls until the parts are ready or no part has woken another.
     pub fn poll<T>(
         &self,
--- a/crates/mimosagap-daemon/src/relay/outbox.rs
+++ b/crates/mimosagap-daemon/src/relay/outbox.rs
@@ -12,7 +12,7 @@
 use crate::requests::lock;
 
 /// Bytes after which the relay waits for the caller to read.
-const HIGH_WATER: usize = 16 << 10;
+pub const HIGH_WATER: usize = 16 << 10;
 
 /// Filled by the relay, emptied by the connection. Both run in the same task.
 #[derive(Debug)]
