feat(daemon): revision on every answer, refusal of requests that engines find wrong

An engine's 400 was retried on other engines and reached the caller as 502; it is now the caller's 400 with the engine's reason. Refusals written without the HTTP library carry X-Rules-Revision too. A closing listener takes in its backlog first, since the kernel resets what is left there.

--- a/crates/mimosagap-daemon/src/front/answer.rs
+++ b/crates/mimosagap-daemon/src/front/answer.rs
@@ -129,7 +129,8 @@
 }
 
 /// Whole seconds for `Retry-After`, rounded up, at least 1.
-fn retry_seconds(delay: Duration) -> u64 {
+#[must_use]
+pub fn retry_seconds(delay: Duration) -> u64 {
     let partial = u64::from(delay.subsec_nanos() > 0);
     (delay.as_secs() + partial).max(1)
 }
--- a/crates/mimosagap-daemon/src/front/caller_io.rs
+++ b/crates/mimosagap-daemon/src/front/caller_io.rs
@@ -14,7 +14,8 @@
 use tokio::net::TcpStream;
 use tokio::time::{Instant, Sleep, sleep_until};
 
-use super::answer::refusal_json;
+use super::answer::{refusal_json, retry_seconds};
+use crate::view::View;
 
 /// How long a connection may wait for its next request.
 const IDLE_LIMIT: Duration = Duration::from_mins(2);
@@ -60,6 +61,7 @@
 /// the caller does not read.
 pub struct CallerIo {
     stream: TcpStream,
+    view: Arc<View>,
     busy: BusyFlag,
     limit: Duration,
     phase: Phase,
@@ -71,9 +73,10 @@
 impl CallerIo {
     /// Wraps a connection; `limit` bounds heads and unread answers.
     #[must_use]
-    pub fn new(stream: TcpStream, busy: BusyFlag, limit: Duration) -> Self {
+    pub fn new(stream: TcpStream, view: Arc<View>, busy: BusyFlag, limit: Duration) -> Self {
         Self {
             stream,
+            view,
             busy,
             limit,
             phase: Phase::RestOfHead,
@@ -129,7 +132,7 @@
 ///
 /// Every answer of the daemon with such a status carries `x-outcome`; the library writes a head in
 /// one piece.
-fn replacement(bytes: &[u8]) -> Option<Bytes> {
+fn replacement(bytes: &[u8], view: &View) -> Option<Bytes> {
     if !bytes.starts_with(b"HTTP/1.1 4") || find(bytes, b"\r\nx-outcome: ") {
         return None;
     }
@@ -140,7 +143,8 @@
     };
     let line = bytes.split(|byte| *byte == b'\r').next()?;
     let line = String::from_utf8_lossy(line);
-    Some(bare_answer(&line, RefusalCause::BadRequest, message, None))
+    let refusal = Refusal::new(RefusalCause::BadRequest, message);
+    Some(bare_answer(&line, &refusal, view))
 }
 
 fn find(bytes: &[u8], wanted: &[u8]) -> bool {
@@ -149,22 +153,17 @@
 
 /// A refusal written without the HTTP library, after which the connection closes.
 #[must_use]
-pub fn bare_answer(
-    status_line: &str,
-    cause: RefusalCause,
-    message: &str,
-    retry_after: Option<Duration>,
-) -> Bytes {
-    let mut refusal = Refusal::new(cause, message);
-    refusal.retry_after = retry_after;
-    let body = json!({"error": refusal_json(&refusal)}).to_string();
-    let retry = retry_after.map_or_else(String::new, |delay| {
-        format!("retry-after: {}\r\n", delay.as_secs().max(1))
+pub fn bare_answer(status_line: &str, refusal: &Refusal, view: &View) -> Bytes {
+    let body = json!({"error": refusal_json(refusal)}).to_string();
+    let retry = refusal.retry_after.map_or_else(String::new, |delay| {
+        format!("retry-after: {}\r\n", retry_seconds(delay))
     });
+    let outcome = refusal.outcome;
+    let revision = view.rules().revision;
     let length = body.len();
     Bytes::from(format!(
-        "{status_line}\r\ncontent-type: application/json\r\nx-outcome: not_run\r\n{retry}\
-         content-length: {length}\r\nconnection: close\r\n\r\n{body}"
+        "{status_line}\r\ncontent-type: application/json\r\nx-outcome: {outcome}\r\n{retry}\
+         x-rules-revision: {revision}\r\ncontent-length: {length}\r\nconnection: close\r\n\r\n{body}"
     ))
 }
 
@@ -196,7 +195,7 @@
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
         if self.replacement.is_none() {
-            self.replacement = replacement(bytes);
+            self.replacement = replacement(bytes, &self.view);
         }
         while let Some(mut rest) = self.replacement.take() {
             if rest.is_empty() {
--- a/crates/mimosagap-daemon/src/front/server.rs
+++ b/crates/mimosagap-daemon/src/front/server.rs
@@ -18,12 +18,16 @@
 use super::answer::AnswerBody;
 use super::caller_io::{BusyFlag, CallerIo, bare_answer};
 use crate::shared::Shared;
+use crate::view::View;
 
 const BACKLOG: u32 = 1_024;
 
 /// Pause after a failed accept, for example when file descriptors run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
+/// How long a closing listener waits for a connection from its backlog.
+const BACKLOG_WAIT: Duration = Duration::from_millis(1);
+
 /// The HTTP library's bound of a head is this much higher than the settings', so that most heads
 /// which are too long get an answer that names the bound.
 const HEAD_MARGIN: usize = 16 << 10;
@@ -63,19 +67,11 @@
     let (closing, _) = watch::channel(false);
     let (alive, mut all_ended) = mpsc::channel::<Infallible>(1);
     let mut stopped = std::pin::pin!(stop_due(stop));
-    loop {
-        let stream = tokio::select! {
-            accepted = listener.accept() => accepted,
-            () = &mut stopped => break,
-        };
-        let Ok((stream, _)) = stream else {
-            sleep(ACCEPT_PAUSE).await;
-            continue;
-        };
+    let admit = |stream| {
         let Ok(permit) = Arc::clone(&permits).try_acquire_owned() else {
             shared.metrics.connections_refused.inc();
-            tokio::spawn(refuse_connection(stream));
-            continue;
+            tokio::spawn(refuse_connection(stream, Arc::clone(&shared.view)));
+            return;
         };
         let connection = CallerConnection {
             shared: Arc::clone(&shared),
@@ -84,6 +80,20 @@
             _alive: alive.clone(),
         };
         tokio::spawn(connection.serve(stream));
+    };
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = &mut stopped => break,
+        };
+        match accepted {
+            Ok((stream, _)) => admit(stream),
+            Err(_) => sleep(ACCEPT_PAUSE).await,
+        }
+    }
+    // Closing the listener would reset the connections that wait in its backlog.
+    while let Ok(Ok((stream, _))) = timeout(BACKLOG_WAIT, listener.accept()).await {
+        admit(stream);
     }
     drop(listener);
     closing.send_replace(true);
@@ -107,13 +117,10 @@
 }
 
 /// Reads what the caller sends meanwhile, since closing with unread bytes discards the answer.
-async fn refuse_connection(mut stream: TcpStream) {
-    let answer = bare_answer(
-        "HTTP/1.1 503 Service Unavailable",
-        RefusalCause::Overloaded,
-        "too many connections are open here; use another address",
-        Some(REFUSAL_RETRY),
-    );
+async fn refuse_connection(mut stream: TcpStream, view: Arc<View>) {
+    let message = "too many connections are open here; use another address";
+    let refusal = Refusal::new(RefusalCause::Overloaded, message).with_retry_after(REFUSAL_RETRY);
+    let answer = bare_answer("HTTP/1.1 503 Service Unavailable", &refusal, &view);
     let refuse = async {
         stream.write_all(&answer).await?;
         stream.shutdown().await?;
@@ -146,7 +153,7 @@
         let bounds = self.shared.settings.bounds;
         let busy = BusyFlag::default();
         let limit = Duration::from_millis(bounds.read_timeout_ms);
-        let io = CallerIo::new(stream, busy.clone(), limit);
+        let io = CallerIo::new(stream, Arc::clone(&self.shared.view), busy.clone(), limit);
         let shared = Arc::clone(&self.shared);
         let service = service_fn(move |request| {
             let guard = busy.enter();
--- a/crates/mimosagap-daemon/src/relay/generation.rs
+++ b/crates/mimosagap-daemon/src/relay/generation.rs
@@ -38,6 +38,9 @@
 /// In resume keys of engines that do not tell their incarnation.
 const UNKNOWN_INCARNATION: Incarnation = Incarnation(0);
 
+/// Longest error of an engine, in bytes.
+const MAX_ENGINE_ERROR: usize = 16 << 10;
+
 /// Longest answer to a cancel request, in bytes.
 const MAX_CANCEL_ANSWER: usize = 1 << 20;
 
@@ -103,6 +106,7 @@
     ticket: Option<RequestTicket>,
     attempt: Option<u32>,
     is_cancelled: bool,
+    rejection: Option<Refusal>,
     finished: bool,
 }
 
@@ -128,6 +132,7 @@
             ticket: None,
             attempt: None,
             is_cancelled: false,
+            rejection: None,
             finished: false,
         }
     }
@@ -183,7 +188,7 @@
                         end,
                     });
                     if is_final {
-                        return Ok(());
+                        return self.rejection.take().map_or(Ok(()), Err);
                     }
                     match next {
                         Some(next) => next,
@@ -252,7 +257,7 @@
                 retry_after: link.retry_after(),
                 leaving: link.is_leaving(),
             },
-            Ok(_) => AttemptEnd::Failed { delivered: 0 },
+            Ok(link) => self.refused_by_engine(link).await,
             Err(SendError::NotConnected { refused }) => {
                 self.report_unreachable(target, refused);
                 AttemptEnd::NotSent
@@ -282,6 +287,26 @@
         }
     }
 
+    /// An engine that finds the request itself wrong would be followed by others that do.
+    async fn refused_by_engine(&mut self, link: Link) -> AttemptEnd {
+        let is_callers_fault = matches!(
+            link.head.status,
+            StatusCode::BAD_REQUEST
+                | StatusCode::PAYLOAD_TOO_LARGE
+                | StatusCode::UNPROCESSABLE_ENTITY
+        );
+        if !is_callers_fault {
+            return AttemptEnd::Failed { delivered: 0 };
+        }
+        let body = link.collect(MAX_ENGINE_ERROR, SILENCE).await;
+        let body: Value = serde_json::from_slice(&body.unwrap_or_default()).unwrap_or_default();
+        let message = body["error"]["message"]
+            .as_str()
+            .unwrap_or("the engine does not accept the request; correct it");
+        self.rejection = Some(Refusal::new(RefusalCause::BadRequest, message));
+        AttemptEnd::Cancelled
+    }
+
     fn reset(&mut self) {
         self.engine = None;
         self.last = None;
--- /dev/null
+++ b/crates/mimosagap-daemon/tests/command.rs
@@ -0,0 +1,81 @@
+//! The command line of `mimosagapd`.
+
+use std::io::Write;
+use std::path::PathBuf;
+use std::process::{Command, Output};
+
+use rstest::rstest;
+
+const SETTINGS: &str = r#"{
+    "location": {"zone": "norte-a1", "region": "norte-a"},
+    "listen": {"callers": "127.62.9.1:7000", "peers": "127.62.9.1:7001", "admin": "127.62.9.1:7002"},
+    "store": {"address": "127.62.9.9:2379"},
+    "host_list": "127.62.9.9:2380",
+    "fleet_keys": ["bWltb3NhZ2FwLXRlc3Qta2V5LTAwMQ=="],
+    "deployments": []
+}"#;
+
+fn run(arguments: &[&str]) -> Output {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_mimosagapd"));
+    command.args(arguments).output().unwrap()
+}
+
+fn settings_file(name: &str, text: &str) -> PathBuf {
+    let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
+    let mut file = std::fs::File::create(&path).unwrap();
+    file.write_all(text.as_bytes()).unwrap();
+    path
+}
+
+/// Guards against a daemon that starts with a fault in its settings, or does not name it.
+#[rstest]
+#[case::out_of_range(
+    "timeout",
+    r#""address": "127.62.9.9:2379""#,
+    r#""address": "127.62.9.9:2379", "timeout_ms": 1"#,
+    "store.timeout_ms: 1 is out of range"
+)]
+#[case::used_twice("twice", "127.62.9.1:7001", "127.62.9.1:7000", "listen.peers: ")]
+#[case::unknown_key("key", r#""host_list""#, r#""hostlist""#, "unknown field `hostlist`")]
+#[case::not_json("json", "\"deployments\": []\n}", "\"deployments\": [", "EOF")]
+fn a_faulty_file_starts_nothing(
+    #[case] name: &str,
+    #[case] old: &str,
+    #[case] new: &str,
+    #[case] fault: &str,
+) {
+    let file = settings_file(name, &SETTINGS.replace(old, new));
+    let file = file.to_str().unwrap();
+    for arguments in [&["--settings", file][..], &["--settings", file, "--check"]] {
+        let output = run(arguments);
+        let text = String::from_utf8_lossy(&output.stderr);
+        assert_eq!(output.status.code(), Some(2), "{text}");
+        assert!(text.contains(fault) && text.contains(file), "{text}");
+        assert!(!text.contains("event="), "something was started: {text}");
+    }
+}
+
+/// Guards against options that are taken silently in a sense other than the operator's.
+#[rstest]
+#[case(&[], 2, "--settings")]
+#[case(&["--settings", "/nonexistent/file"], 2, "name a readable settings file")]
+#[case(&["--settings", "x", "--verbose"], 2, "unknown option --verbose")]
+#[case(&["--settings", "x", "--log-level", "loud"], 2, "is no log level")]
+#[case(&["--help"], 0, "Usage: mimosagapd")]
+#[case(&["--version"], 0, "mimosagapd 0.1.0")]
+fn options_are_checked(#[case] arguments: &[&str], #[case] code: i32, #[case] text: &str) {
+    let output = run(arguments);
+    let printed = [output.stdout, output.stderr].concat();
+    let printed = String::from_utf8_lossy(&printed);
+    assert_eq!(output.status.code(), Some(code), "{printed}");
+    assert!(printed.contains(text), "{printed}");
+}
+
+/// Guards against a check that refuses correct settings or starts a daemon.
+#[test]
+fn a_correct_file_passes_the_check() {
+    let file = settings_file("correct", SETTINGS);
+    let output = run(&["--settings", file.to_str().unwrap(), "--check"]);
+    assert_eq!(output.status.code(), Some(0));
+    assert!(output.stderr.is_empty());
+}
--- a/crates/mimosagap-daemon/tests/front.rs
+++ b/crates/mimosagap-daemon/tests/front.rs
@@ -96,6 +96,7 @@
     assert_eq!(reply.error("code"), code);
     assert_eq!(reply.error("outcome"), "not_run");
     assert_eq!(reply.header("x-outcome"), Some("not_run"));
+    assert_eq!(reply.header("x-rules-revision"), Some("41"));
     assert!(!reply.error("message").as_str().unwrap().is_empty());
     assert_eq!(daemon.seen.lock().unwrap().submitted, 0);
 }
--- a/crates/mimosagap-daemon/tests/generations.rs
+++ b/crates/mimosagap-daemon/tests/generations.rs
@@ -351,3 +351,24 @@
     assert_eq!(event["error"]["outcome"], "not_run");
     assert_eq!(event["error"]["retry_after_ms"], 3_000);
 }
+
+/// Guards against retries of a request that every engine finds wrong.
+#[tokio::test]
+async fn a_request_that_the_engine_finds_wrong_is_refused_with_its_reason() {
+    let engine = FakeEngine {
+        first_answer: Some(
+            "HTTP/1.1 400 Bad Request\r\ncontent-length: 38\r\n\r\n\
+             {\"error\":{\"message\":\"input too long\"}}",
+        ),
+        ..FakeEngine::new(5)
+    };
+    let (target, other) = (engine.start().await, FakeEngine::new(5));
+    let daemon = start(Placement::new(&[target, other.start().await])).await;
+    let reply = call(daemon.callers, "POST", "/v1/responses", &generation(true)).await;
+    assert_eq!(
+        (reply.status, reply.error("message")),
+        (400, "input too long".into())
+    );
+    assert_eq!(reply.header("x-outcome"), Some("not_run"));
+    assert_eq!(other.count("POST"), 0);
+}
