--- a/crates/mimosagap-scenarios/src/cluster.rs
+++ b/crates/mimosagap-scenarios/src/cluster.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::fs;
 use std::io;
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::Command;
 use std::time::{Duration, Instant};
@@ -19,6 +19,8 @@
 use crate::process::{ManagedProcess, binary_directory};
 
 const START_LIMIT: Duration = Duration::from_secs(5);
+/// How long a link may take to notice that its target ended or came back.
+const LINK_LIMIT: Duration = Duration::from_millis(500);
 const TARGET_PORT: u16 = 8_000;
 const LINK_CONTROL_PORT: u16 = 8_001;
 const CALLER_PORT: u16 = 7_000;
@@ -414,7 +416,11 @@
         let stats = self.target_stats(name);
         let target = self.target_mut(name)?;
         target.past.extend(stats);
-        target.process.kill().map_err(|error| text(&error))
+        target.process.kill().map_err(|error| text(&error))?;
+        let link = target.address();
+        // The link notices the target's end with the first connection that it cannot relay.
+        poll_until(LINK_LIMIT, || TcpStream::connect(link).is_err());
+        Ok(())
     }
 
     /// Starts a target that has ended again, at its address.
@@ -430,7 +436,10 @@
         // An old log would show readiness too early.
         fs::write(self.directory.join(format!("{name}.log")), "").map_err(|error| text(&error))?;
         let process = self.start_target_process(&target.options, &target.host)?;
-        self.target_mut(name)?.process = process;
+        let target = self.target_mut(name)?;
+        target.process = process;
+        let link = target.address();
+        poll_until(LINK_LIMIT, || TcpStream::connect(link).is_ok());
         Ok(())
     }
 
@@ -800,6 +809,19 @@
         Ok(record["revision"].as_u64().unwrap_or_default())
     }
 
+    /// How often the services have carried out an order.
+    #[must_use]
+    pub fn executions(&self, key: &str) -> u64 {
+        let services = self
+            .targets
+            .iter()
+            .filter(|(_, target)| target.options.kind == TargetKind::Service);
+        services
+            .flat_map(|(name, target)| target.past.iter().cloned().chain(self.target_stats(name)))
+            .filter_map(|stats| stats["ledger"][key].as_u64())
+            .sum()
+    }
+
     /// The statistics of all targets, earlier processes included, and whether a service's ledger
     /// is missing.
     #[must_use]
@@ -859,9 +881,17 @@
     }
 }
 
+/// Polls until `condition` holds or the limit is over. Under some link modes it never holds.
+fn poll_until(limit: Duration, mut condition: impl FnMut() -> bool) {
+    let start = Instant::now();
+    while !condition() && start.elapsed() < limit {
+        std::thread::sleep(Duration::from_millis(10));
+    }
+}
+
 fn wait_for_port(process: &mut ManagedProcess, address: SocketAddr) -> StepResult {
     let start = Instant::now();
-    while std::net::TcpStream::connect(address).is_err() {
+    while TcpStream::connect(address).is_err() {
         if !process.is_running() || start.elapsed() > START_LIMIT {
             let log = process.read_log();
             return Err(format!("nothing listens on {address}; the log is:\n{log}"));
--- a/crates/mimosagap-scenarios/src/script/request.rs
+++ b/crates/mimosagap-scenarios/src/script/request.rs
@@ -269,11 +269,7 @@
 
     /// How often the services have carried out an order.
     pub(super) fn executions(&self, key: &str) -> u64 {
-        let evidence = self.cluster.collect_stats();
-        let stats = evidence.stats.values().flat_map(|(_, stats)| stats);
-        stats
-            .filter_map(|stats| stats["ledger"][key].as_u64())
-            .sum()
+        self.cluster.executions(key)
     }
 
     pub(super) fn expect_load(&mut self, name: &str, percent: u64) -> StepResult {
