--- a/crates/mimosagap-load/src/engines.rs
+++ b/crates/mimosagap-load/src/engines.rs
@@ -33,6 +33,8 @@
     recomputed_tokens: u64,
     prefilled_tokens: u64,
     memory_peak: u64,
+    memory_sum: u64,
+    memory_samples: u64,
     memory_tokens: u64,
     left_at_ms: Option<u64>,
     generations: Vec<GenerationRecord>,
@@ -63,6 +65,8 @@
     pub recomputed_tokens: u64,
     /// The highest part of any engine's memory in use, 0 to 1.
     pub memory_peak: f64,
+    /// The mean part of the engines' memory in use during the measured time, 0 to 1.
+    pub memory_mean: f64,
     /// Requests of this run that were started more than once.
     pub started_again: u64,
     /// Requests of this run refused as `not run` although an engine started them.
@@ -104,6 +108,25 @@
         figures
     }
 
+    /// Sets the mean memory from statistics at both ends of the measured time.
+    pub fn set_memory_mean(
+        &mut self,
+        first: &[Option<EngineStatistics>],
+        last: &[Option<EngineStatistics>],
+    ) {
+        let pairs = first.iter().zip(last);
+        let means: Vec<f64> = pairs
+            .filter_map(|(first, last)| {
+                let (first, last) = (first.as_ref()?, last.as_ref()?);
+                let samples = last.memory_samples.checked_sub(first.memory_samples)?;
+                let sum = last.memory_sum.checked_sub(first.memory_sum)?;
+                Some(ratio(sum, samples * last.memory_tokens))
+            })
+            .collect();
+        let count = u32::try_from(means.len()).unwrap_or(u32::MAX);
+        self.memory_mean = means.iter().sum::<f64>() / f64::from(count.max(1));
+    }
+
     fn add(&mut self, engine: &EngineStatistics) {
         self.engines += 1;
         self.started += engine.started;
@@ -148,10 +171,11 @@
         )?;
         writeln!(
             f,
-            "preemptions {}, recomputed tokens {} of {} prefilled, memory peak {:.1}%",
+            "preemptions {}, recomputed tokens {} of {} prefilled, memory mean {:.1}%, peak {:.1}%",
             self.preemptions,
             self.recomputed_tokens,
             self.prefilled_tokens,
+            self.memory_mean * 100.0,
             self.memory_peak * 100.0
         )?;
         write!(
--- a/crates/mimosagap-load/src/experiment.rs
+++ b/crates/mimosagap-load/src/experiment.rs
@@ -4,13 +4,13 @@
 use std::fmt::Write as _;
 use std::fs;
 use std::path::{Path, PathBuf};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
 use crate::command::{CommandError, address_books, finish, runtime};
-use crate::engines::{self, FleetFigures, fetch_statistics};
+use crate::engines::{self, EngineStatistics, FleetFigures, fetch_statistics};
 use crate::fleet::{Fleet, FleetOptions};
 use crate::plot;
 use crate::route::{Route, RouteKind};
@@ -72,11 +72,14 @@
 pub type Figure = (&'static str, fn(&RunSummary) -> f64);
 
 /// The figures of the table.
-pub const FIGURES: [Figure; 18] = [
+pub const FIGURES: [Figure; 22] = [
     ("preemptions", |run| engine(run, |e| count(e.preemptions))),
     ("recomputed tokens", |run| {
         engine(run, |e| count(e.recomputed_tokens))
     }),
+    ("memory mean, %", |run| {
+        engine(run, |e| e.memory_mean * 100.0)
+    }),
     ("memory peak, %", |run| {
         engine(run, |e| e.memory_peak * 100.0)
     }),
@@ -109,6 +112,15 @@
         count(run.total.unfinished + run.total.broken.values().sum::<u64>())
     }),
     ("violations", |run| count(run.total.violations)),
+    ("started again", |run| {
+        engine(run, |e| count(e.started_again))
+    }),
+    ("not run but started", |run| {
+        engine(run, |e| count(e.not_run_but_started))
+    }),
+    ("last start after leave, ms", |run| {
+        engine(run, |e| count(e.last_start_after_leave_ms))
+    }),
 ];
 
 fn engine(run: &RunSummary, figure: fn(&FleetFigures) -> f64) -> f64 {
@@ -252,18 +264,35 @@
     } else {
         RouteKind::Daemons(address_books(workload, &fleet.daemons))
     };
+    let readings: Readings = Arc::default();
+    let mut probes = leaving_probes(workload, &fleet);
+    for at in [workload.warmup(), workload.duration()] {
+        let (readings, engines) = (Arc::clone(&readings), fleet.engines.clone());
+        let read = move || lock(&readings).push(fetch_statistics(&engines));
+        probes.push((at, Box::new(read)));
+    }
     let records = runtime()?.block_on(run(RunOptions {
         workload: workload.clone(),
         seed,
         routes: vec![Arc::new(Route::new(policy, kind))],
         engines: fleet.engines.clone(),
-        probes: leaving_probes(workload, &fleet),
+        probes,
     }));
     let refused = refused_as_not_run(seed, &records);
-    let figures = FleetFigures::new(&fetch_statistics(&fleet.engines), seed, &refused);
+    let mut figures = FleetFigures::new(&fetch_statistics(&fleet.engines), seed, &refused);
+    if let [first, last] = lock(&readings).as_slice() {
+        figures.set_memory_mean(first, last);
+    }
     Ok(summarize(workload, seed, &records, Some(figures)))
 }
 
+/// Statistics of all engines at several times.
+type Readings = Arc<Mutex<Vec<Vec<Option<EngineStatistics>>>>>;
+
+fn lock(readings: &Readings) -> MutexGuard<'_, Vec<Vec<Option<EngineStatistics>>>> {
+    readings.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 /// The host list shows an engine as leaving from the time when it is told to leave.
 fn leaving_probes(workload: &Workload, fleet: &Fleet) -> Vec<(Duration, Probe)> {
     let faults = engines::schedule(&workload.faults, fleet.engines.len(), workload.duration());
--- a/crates/mimosagap-load/src/fleet.rs
+++ b/crates/mimosagap-load/src/fleet.rs
@@ -9,7 +9,10 @@
 
 use base64::Engine as _;
 use base64::engine::general_purpose::STANDARD;
-use mimosagap_types::prelude::RequestDigest;
+use mimosagap_rules::RulesDelta;
+use mimosagap_store::StoreClient;
+use mimosagap_store::rules::{ApplyOptions, ApplyOutcome};
+use mimosagap_types::prelude::{RequestDigest, RulesRevision};
 use serde_json::{Value, json};
 use sha2::{Digest, Sha256};
 
@@ -133,15 +136,7 @@
         self.list_hosts(&[])?;
         let rules = rules_text(options.workload, policy);
         fs::write(options.directory.join("rules.txt"), &rules)?;
-        let body = json!({
-            "key": STANDARD.encode("mg/c/rules/text"),
-            "value": STANDARD.encode(&rules),
-        });
-        let url = format!("http://{store}/v3/kv/put");
-        let result = agent().post(url).send_json(&body);
-        result
-            .map(drop)
-            .map_err(|error| CommandError::Setup(format!("store at {store}: {error}")))
+        apply_rules(store, rules)
     }
 
     fn start_daemon(
@@ -311,6 +306,28 @@
     result.map(drop).map_err(|error| error.to_string())
 }
 
+fn apply_rules(store: SocketAddr, text: String) -> Result<(), CommandError> {
+    let client = StoreClient::new(mimosagap_store::Options {
+        address: store,
+        timeout: CALL_TIMEOUT,
+    });
+    let base = RulesRevision::default();
+    let delta = RulesDelta::between(base, "", &text);
+    let options = ApplyOptions {
+        base_mod_revision: 0,
+        base,
+        text,
+        delta: serde_json::to_string(&delta).map_err(std::io::Error::from)?,
+    };
+    match client.apply_rules(&options) {
+        Ok(ApplyOutcome::Applied(_)) => Ok(()),
+        Ok(_) => Err(CommandError::Setup(format!(
+            "the store at {store} is not empty"
+        ))),
+        Err(error) => Err(CommandError::Setup(error.to_string())),
+    }
+}
+
 /// The rules file of an experiment.
 #[must_use]
 pub fn rules_text(workload: &Workload, policy: &str) -> String {
--- a/crates/mimosagap-load/src/run.rs
+++ b/crates/mimosagap-load/src/run.rs
@@ -45,7 +45,8 @@
     for (at, probe) in probes {
         helpers.spawn(async move {
             tokio::time::sleep_until((started + at).into()).await;
-            probe();
+            // Probes may block; a panic in one would already have been printed.
+            let _ = tokio::task::spawn_blocking(probe).await;
         });
     }
     helpers.spawn(inject(workload.clone(), engines, started));
--- a/crates/mimosagap-standins/src/engine/state.rs
+++ b/crates/mimosagap-standins/src/engine/state.rs
@@ -225,6 +225,8 @@
     pub(crate) fn housekeep(&mut self, now: Instant) {
         let figures = self.figures();
         self.reports.record(now, figures);
+        self.stats.memory_sum += figures.memory_used;
+        self.stats.memory_samples += 1;
         let mut abandoned = Vec::new();
         let (linger, keep) = (self.options.linger, self.options.keep);
         self.generations.retain(|number, generation| {
--- a/crates/mimosagap-standins/src/engine/stats.rs
+++ b/crates/mimosagap-standins/src/engine/stats.rs
@@ -44,6 +44,9 @@
     pub(crate) preemptions: u64,
     pub(crate) steps: u64,
     pub(crate) memory_peak: u64,
+    /// Sum of the memory in use over samples 100 ms apart, and their number.
+    pub(crate) memory_sum: u64,
+    pub(crate) memory_samples: u64,
     pub(crate) stalls: StallHistogram,
     pub(crate) left_at_ms: Option<u64>,
     pub(crate) generations: Vec<GenerationRecord>,
@@ -62,6 +65,8 @@
             preemptions: 0,
             steps: 0,
             memory_peak: 0,
+            memory_sum: 0,
+            memory_samples: 0,
             stalls: StallHistogram {
                 bounds_ms: STALL_BOUNDS_MS,
                 counts: [0; STALL_BOUNDS_MS.len() + 1],
