--- a/crates/mimosagap-load/src/bench.rs
+++ b/crates/mimosagap-load/src/bench.rs
@@ -133,6 +133,7 @@
             workload: &workload,
             policy: Some("forecast"),
             seed,
+            slot: 0,
         })?;
         let result = measure(&workload, &level, &fleet, seed)?;
         println!("{result}");
--- a/crates/mimosagap-load/src/command.rs
+++ b/crates/mimosagap-load/src/command.rs
@@ -19,6 +19,8 @@
     Without --daemon the load goes to the engines; with it the engines serve statistics and faults.
   mimosagap-load experiment --workload FILE [--variant NAME] --binaries DIR --out DIR
       [--policies forecast,round-robin,least-outstanding,two-choices,direct] [--seeds 1,2,3,4,5]
+      [--in-turn]
+    The policies run side by side, or with --in-turn one after the other.
     Runs are added to DIR/results.json; the table and the plot cover all runs in it.
   mimosagap-load bench --binaries DIR --out DIR [--seconds N] [--seed N]
       [--levels STREAMS:STEP_MS,...]
--- a/crates/mimosagap-load/src/experiment.rs
+++ b/crates/mimosagap-load/src/experiment.rs
@@ -5,13 +5,14 @@
 use std::fs;
 use std::path::{Path, PathBuf};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::thread;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
 use crate::command::{CommandError, address_books, finish, runtime};
 use crate::engines::{self, EngineStatistics, FleetFigures, fetch_statistics};
-use crate::fleet::{Fleet, FleetOptions};
+use crate::fleet::{Fleet, FleetOptions, SLOTS};
 use crate::plot;
 use crate::route::{Route, RouteKind};
 use crate::run::{Probe, RunOptions, run};
@@ -206,6 +207,7 @@
     let variant: Option<String> = arguments.opt_value_from_str("--variant")?;
     let policies: Option<String> = arguments.opt_value_from_str("--policies")?;
     let seeds: Option<String> = arguments.opt_value_from_str("--seeds")?;
+    let in_turn = arguments.contains("--in-turn");
     let binaries: PathBuf = arguments.value_from_str("--binaries")?;
     let directory: PathBuf = arguments.value_from_str("--out")?;
     finish(arguments)?;
@@ -218,18 +220,34 @@
     fs::create_dir_all(&options.directory)?;
     let results_path = options.directory.join("results.json");
     let mut results = ExperimentResults::read(&results_path)?;
+    let policies: Vec<&str> = policies
+        .as_deref()
+        .unwrap_or(DEFAULT_POLICIES)
+        .split(',')
+        .collect();
+    if policies.len() > SLOTS as usize {
+        return Err(CommandError::Arguments(format!("at most {SLOTS} policies")));
+    }
     for seed in parse_seeds(seeds.as_deref().unwrap_or("1,2,3,4,5"))? {
-        for policy in policies.as_deref().unwrap_or(DEFAULT_POLICIES).split(',') {
-            let summary = run_once(&options, policy, seed)?;
+        let summaries = if in_turn {
+            policies
+                .iter()
+                .map(|policy| run_once(&options, policy, seed, 0))
+                .collect()
+        } else {
+            run_side_by_side(&options, &policies, seed)
+        };
+        for (policy, summary) in policies.iter().zip(summaries) {
+            let summary = summary?;
             println!("policy {policy}, {summary}\n");
             results.add(ExperimentRun {
-                policy: policy.to_owned(),
+                policy: (*policy).to_owned(),
                 variant: options.variant.clone(),
                 summary,
             });
-            let text = serde_json::to_string_pretty(&results).map_err(std::io::Error::from)?;
-            fs::write(&results_path, text)?;
         }
+        let text = serde_json::to_string_pretty(&results).map_err(std::io::Error::from)?;
+        fs::write(&results_path, text)?;
     }
     let table = results.table();
     fs::write(options.directory.join("table.md"), &table)?;
@@ -246,10 +264,30 @@
         .collect()
 }
 
+/// Runs all policies at the same time, so that what else the machine does hits them alike.
+fn run_side_by_side(
+    options: &ExperimentOptions,
+    policies: &[&str],
+    seed: u64,
+) -> Vec<Result<RunSummary, CommandError>> {
+    thread::scope(|scope| {
+        let threads: Vec<_> = (0..)
+            .zip(policies)
+            .map(|(slot, policy)| scope.spawn(move || run_once(options, policy, seed, slot)))
+            .collect();
+        let join = |thread: thread::ScopedJoinHandle<'_, _>| {
+            let failed = || Err(CommandError::Setup("a run panicked; see above".to_owned()));
+            thread.join().unwrap_or_else(|_| failed())
+        };
+        threads.into_iter().map(join).collect()
+    })
+}
+
 fn run_once(
     options: &ExperimentOptions,
     policy: &str,
     seed: u64,
+    slot: u32,
 ) -> Result<RunSummary, CommandError> {
     let workload = &options.workload;
     let fleet = Fleet::start(&FleetOptions {
@@ -258,6 +296,7 @@
         workload,
         policy: (policy != DIRECT).then_some(policy),
         seed,
+        slot,
     })?;
     let kind = if fleet.daemons.is_empty() {
         RouteKind::Engines(fleet.engines.clone())
--- a/crates/mimosagap-load/src/fleet.rs
+++ b/crates/mimosagap-load/src/fleet.rs
@@ -26,11 +26,14 @@
 const CALL_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// The lowest second number of the loopback networks that fleets use. A fleet takes the network of
-/// its process id, so that two runs at the same time do not meet.
+/// its process id and slot, so that two runs at the same time do not meet.
 const FIRST_NETWORK: u32 = 64;
 
 const NETWORKS: u32 = 128;
 
+/// Fleets that one process may run at the same time.
+pub const SLOTS: u32 = 8;
+
 /// The name of the engines' deployment.
 const DEPLOYMENT: &str = "models";
 
@@ -47,6 +50,8 @@
     pub policy: Option<&'o str>,
     /// Seed of the engines.
     pub seed: u64,
+    /// Tells fleets of one process apart.
+    pub slot: u32,
 }
 
 /// A process that ends with this value.
@@ -82,7 +87,7 @@
     /// A binary is missing, a process does not start, or a daemon does not serve in time.
     pub fn start(options: &FleetOptions<'_>) -> Result<Self, CommandError> {
         fs::create_dir_all(&options.directory)?;
-        let network = FIRST_NETWORK + std::process::id() % NETWORKS;
+        let network = FIRST_NETWORK + (std::process::id() * SLOTS + options.slot) % NETWORKS;
         let shape = &options.workload.fleet;
         let mut fleet = Self {
             engines: Vec::new(),
