fix(load): end the started processes when the tool gets a signal

SIGTERM ends a process without destructors, so a run under a time limit left its engines and daemons behind. The children are kept in one table that the signal thread empties before it ends the tool.

--- a/crates/mimosagap-load/src/bench.rs
+++ b/crates/mimosagap-load/src/bench.rs
@@ -13,6 +13,7 @@
 use crate::caller::RequestRecord;
 use crate::command::{CommandError, finish, runtime};
 use crate::fleet::{Fleet, FleetOptions};
+use crate::process::end_children_on_signal;
 use crate::route::{AddressBook, Route, RouteKind};
 use crate::run::{Probe, RunOptions, run};
 use crate::summary::{GroupSummary, Percentiles, summarize_group};
@@ -124,6 +125,7 @@
     let levels: Option<String> = arguments.opt_value_from_str("--levels")?;
     finish(arguments)?;
     fs::create_dir_all(&directory)?;
+    end_children_on_signal()?;
     let mut figures = Vec::new();
     for level in parse_levels(levels.as_deref().unwrap_or(DEFAULT_LEVELS))? {
         let workload = workload(&level, seconds);
--- a/crates/mimosagap-load/src/experiment.rs
+++ b/crates/mimosagap-load/src/experiment.rs
@@ -14,6 +14,7 @@
 use crate::engines::{self, EngineStatistics, FleetFigures, fetch_statistics};
 use crate::fleet::{Fleet, FleetOptions, SLOTS};
 use crate::plot;
+use crate::process::end_children_on_signal;
 use crate::route::{Route, RouteKind};
 use crate::run::{Probe, RunOptions, run};
 use crate::summary::{RunSummary, refused_as_not_run, summarize};
@@ -217,6 +218,7 @@
         binaries,
         directory,
     };
+    end_children_on_signal()?;
     fs::create_dir_all(&options.directory)?;
     let results_path = options.directory.join("results.json");
     let mut results = ExperimentResults::read(&results_path)?;
--- a/crates/mimosagap-load/src/fleet.rs
+++ b/crates/mimosagap-load/src/fleet.rs
@@ -4,7 +4,7 @@
 use std::io::{BufRead, BufReader};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
+use std::process::{Command, Stdio};
 use std::time::{Duration, Instant};
 
 use base64::Engine as _;
@@ -18,6 +18,7 @@
 
 use crate::command::CommandError;
 use crate::plan::team_token;
+use crate::process::OwnedProcess;
 use crate::workload::{FleetShape, Site, Workload};
 
 /// How long a daemon may take until it serves a generation.
@@ -54,18 +55,6 @@
     pub slot: u32,
 }
 
-/// A process that ends with this value.
-#[derive(Debug)]
-struct Process(Child);
-
-impl Drop for Process {
-    fn drop(&mut self) {
-        // Fails only if the process has ended.
-        let _ = self.0.kill();
-        let _ = self.0.wait();
-    }
-}
-
 /// Running processes.
 #[derive(Debug)]
 pub struct Fleet {
@@ -77,7 +66,7 @@
     pub daemon_ids: Vec<u32>,
     hosts: Option<SocketAddr>,
     sites: Vec<Site>,
-    processes: Vec<Process>,
+    processes: Vec<OwnedProcess>,
 }
 
 impl Fleet {
@@ -155,16 +144,16 @@
         fs::write(&path, settings.to_string())?;
         let log = File::create(options.directory.join(format!("daemon-{number}.log")))?;
         let binary = options.binaries.join("mimosagapd");
-        let child = Command::new(&binary)
+        let mut command = Command::new(&binary);
+        command
             .arg("--settings")
             .arg(&path)
             .stdin(Stdio::null())
             .stdout(log.try_clone()?)
-            .stderr(log)
-            .spawn()
-            .map_err(|error| missing(&binary, &error))?;
-        self.daemon_ids.push(child.id());
-        self.processes.push(Process(child));
+            .stderr(log);
+        let (process, _) = OwnedProcess::start(&mut command)?;
+        self.daemon_ids.push(process.id());
+        self.processes.push(process);
         self.daemons.push(address(network, 2, number, 7000)?);
         Ok(())
     }
@@ -177,15 +166,14 @@
         words: &[String],
     ) -> Result<(), CommandError> {
         let binary = options.binaries.join("mimosagap-standins");
-        let mut child = Command::new(&binary)
+        let mut command = Command::new(&binary);
+        command
             .args([kind, "--listen", &address.to_string()])
             .args(words)
             .stdin(Stdio::null())
-            .stdout(Stdio::piped())
-            .spawn()
-            .map_err(|error| missing(&binary, &error))?;
-        let output = child.stdout.take();
-        self.processes.push(Process(child));
+            .stdout(Stdio::piped());
+        let (process, output) = OwnedProcess::start(&mut command)?;
+        self.processes.push(process);
         let mut line = String::new();
         if let Some(output) = output {
             BufReader::new(output).read_line(&mut line)?;
@@ -409,8 +397,3 @@
         .build()
         .new_agent()
 }
-
-fn missing(binary: &Path, error: &std::io::Error) -> CommandError {
-    let path = binary.display();
-    CommandError::Setup(format!("{path}: {error}; build the workspace first"))
-}
--- a/crates/mimosagap-load/src/lib.rs
+++ b/crates/mimosagap-load/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod fleet;
 pub mod plan;
 pub mod plot;
+pub mod process;
 pub mod route;
 pub mod run;
 pub mod summary;
