--- a/crates/mimosagap-scenarios/src/cluster.rs
+++ b/crates/mimosagap-scenarios/src/cluster.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::fs;
 use std::io;
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::Command;
 use std::time::{Duration, Instant};
@@ -19,6 +19,8 @@
 use crate::process::{ManagedProcess, binary_directory};
 
 const START_LIMIT: Duration = Duration::from_secs(5);
+/// How long a link may take to notice that its target ended or came back.
+const LINK_LIMIT: Duration = Duration::from_millis(500);
 const TARGET_PORT: u16 = 8_000;
 const LINK_CONTROL_PORT: u16 = 8_001;
 const CALLER_PORT: u16 = 7_000;
@@ -83,6 +85,13 @@
     }
 }
 
+/// A daemon's own link to the store.
+struct StoreLink {
+    host: HostAddress,
+    /// Kept for its end only.
+    _process: ManagedProcess,
+}
+
 /// Why a daemon may break connections.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum DaemonFate {
@@ -94,6 +103,7 @@
 
 struct Daemon {
     host: HostAddress,
+    store_link: StoreLink,
     zone: String,
     process: ManagedProcess,
     fate: DaemonFate,
@@ -254,15 +264,9 @@
         let host = HostAddress::new().map_err(|error| text(&error))?;
         let link_host = HostAddress::new().map_err(|error| text(&error))?;
         let process = self.start_target_process(&options, &host)?;
-        let link_options = [
-            "--to".to_owned(),
-            host.port(TARGET_PORT).to_string(),
-            "--control".to_owned(),
-            link_host.port(LINK_CONTROL_PORT).to_string(),
-        ];
         let link_name = format!("link-{}", options.name);
-        let listen = link_host.port(TARGET_PORT);
-        let link = self.start_stand_in(&link_name, "proxy", listen, &link_options)?;
+        let to = host.port(TARGET_PORT);
+        let link = self.start_link(&link_name, &link_host, TARGET_PORT, to)?;
         let target = Target {
             options,
             host,
@@ -354,13 +358,17 @@
         control::post(self.target(name)?.own_address(), path, body)
     }
 
-    /// Sets the mode of the link to a target.
+    /// Sets the mode of the link to a target, or of a daemon's link to the store.
     ///
     /// # Errors
     /// If the link does not answer.
     pub fn set_link(&mut self, name: &str, mode: &str, delay_ms: u64) -> StepResult {
-        let address = self.target(name)?.link_host.port(LINK_CONTROL_PORT);
         let body = json!({"mode": mode, "delay_ms": delay_ms});
+        if let Some(daemon) = self.daemons.get(name) {
+            let address = daemon.store_link.host.port(LINK_CONTROL_PORT);
+            return control::post(address, "/control/mode", &body);
+        }
+        let address = self.target(name)?.link_host.port(LINK_CONTROL_PORT);
         // Excuses broken connections of callers that call the target itself.
         end_outage(&mut self.outages, name);
         if mode != "pass" {
@@ -408,7 +416,11 @@
         let stats = self.target_stats(name);
         let target = self.target_mut(name)?;
         target.past.extend(stats);
-        target.process.kill().map_err(|error| text(&error))
+        target.process.kill().map_err(|error| text(&error))?;
+        let link = target.address();
+        // The link notices the target's end with the first connection that it cannot relay.
+        poll_until(LINK_LIMIT, || TcpStream::connect(link).is_err());
+        Ok(())
     }
 
     /// Starts a target that has ended again, at its address.
@@ -424,7 +436,10 @@
         // An old log would show readiness too early.
         fs::write(self.directory.join(format!("{name}.log")), "").map_err(|error| text(&error))?;
         let process = self.start_target_process(&target.options, &target.host)?;
-        self.target_mut(name)?.process = process;
+        let target = self.target_mut(name)?;
+        target.process = process;
+        let link = target.address();
+        poll_until(LINK_LIMIT, || TcpStream::connect(link).is_ok());
         Ok(())
     }
 
@@ -453,9 +468,12 @@
     /// If it does not accept connections within 5 s.
     pub fn start_daemon(&mut self, name: &str, zone: &str) -> StepResult {
         let host = HostAddress::new().map_err(|error| text(&error))?;
-        let process = self.start_daemon_process(name, zone, &host, 1)?;
+        let store_link = self.start_store_link(name)?;
+        let store = store_link.host.port(STORE_PORT);
+        let process = self.start_daemon_process(name, zone, &host, store, 1)?;
         let daemon = Daemon {
             host,
+            store_link,
             zone: zone.to_owned(),
             process,
             fate: DaemonFate::Running,
@@ -465,6 +483,32 @@
         self.observe(name)
     }
 
+    fn start_store_link(&self, daemon: &str) -> StepResult<StoreLink> {
+        let host = HostAddress::new().map_err(|error| text(&error))?;
+        let name = format!("link-store-{daemon}");
+        let process = self.start_link(&name, &host, STORE_PORT, self.store_address()?)?;
+        Ok(StoreLink {
+            host,
+            _process: process,
+        })
+    }
+
+    fn start_link(
+        &self,
+        name: &str,
+        host: &HostAddress,
+        port: u16,
+        to: SocketAddr,
+    ) -> StepResult<ManagedProcess> {
+        let options = [
+            "--to".to_owned(),
+            to.to_string(),
+            "--control".to_owned(),
+            host.port(LINK_CONTROL_PORT).to_string(),
+        ];
+        self.start_stand_in(name, "proxy", host.port(port), &options)
+    }
+
     fn observe(&mut self, name: &str) -> StepResult {
         let daemon = self.daemon(name)?;
         let label = format!("{name}#{}", daemon.incarnation);
@@ -478,10 +522,11 @@
         name: &str,
         zone: &str,
         host: &HostAddress,
+        store: SocketAddr,
         incarnation: u32,
     ) -> StepResult<ManagedProcess> {
         let path = self.directory.join(format!("{name}.json"));
-        let settings = self.daemon_settings(name, zone, host)?;
+        let settings = self.daemon_settings(name, zone, host, store)?;
         fs::write(&path, settings.to_string()).map_err(|error| text(&error))?;
         let arguments = ["--settings".to_owned(), path.display().to_string()];
         let log = format!("{name}-{incarnation}");
@@ -490,7 +535,13 @@
         Ok(process)
     }
 
-    fn daemon_settings(&self, name: &str, zone: &str, host: &HostAddress) -> StepResult<Value> {
+    fn daemon_settings(
+        &self,
+        name: &str,
+        zone: &str,
+        host: &HostAddress,
+        store: SocketAddr,
+    ) -> StepResult<Value> {
         let peers: Vec<String> = self
             .daemons
             .iter()
@@ -504,7 +555,7 @@
                 "peers": host.port(PEER_PORT),
                 "admin": host.port(ADMIN_PORT),
             },
-            "store": {"address": self.store_address()?, "timeout_ms": 500},
+            "store": {"address": store, "timeout_ms": 500},
             "host_list": self.host_list_address()?,
             "peers": peers,
             "fleet_keys": [FLEET_KEY],
@@ -575,8 +626,9 @@
         }
         daemon.incarnation += 1;
         let daemon = self.daemon(name)?;
+        let store = daemon.store_link.host.port(STORE_PORT);
         let process =
-            self.start_daemon_process(name, &daemon.zone, &daemon.host, daemon.incarnation)?;
+            self.start_daemon_process(name, &daemon.zone, &daemon.host, store, daemon.incarnation)?;
         let daemon = self.daemon_mut(name)?;
         daemon.process = process;
         daemon.fate = DaemonFate::Running;
@@ -757,6 +809,19 @@
         Ok(record["revision"].as_u64().unwrap_or_default())
     }
 
+    /// How often the services have carried out an order.
+    #[must_use]
+    pub fn executions(&self, key: &str) -> u64 {
+        let services = self
+            .targets
+            .iter()
+            .filter(|(_, target)| target.options.kind == TargetKind::Service);
+        services
+            .flat_map(|(name, target)| target.past.iter().cloned().chain(self.target_stats(name)))
+            .filter_map(|stats| stats["ledger"][key].as_u64())
+            .sum()
+    }
+
     /// The statistics of all targets, earlier processes included, and whether a service's ledger
     /// is missing.
     #[must_use]
@@ -816,9 +881,17 @@
     }
 }
 
+/// Polls until `condition` holds or the limit is over. Under some link modes it never holds.
+fn poll_until(limit: Duration, mut condition: impl FnMut() -> bool) {
+    let start = Instant::now();
+    while !condition() && start.elapsed() < limit {
+        std::thread::sleep(Duration::from_millis(10));
+    }
+}
+
 fn wait_for_port(process: &mut ManagedProcess, address: SocketAddr) -> StepResult {
     let start = Instant::now();
-    while std::net::TcpStream::connect(address).is_err() {
+    while TcpStream::connect(address).is_err() {
         if !process.is_running() || start.elapsed() > START_LIMIT {
             let log = process.read_log();
             return Err(format!("nothing listens on {address}; the log is:\n{log}"));
