fix(core): refusals without a target name the rule behind them

A request whose model is kept in a region without a live engine waited for the queue's full time, because engines elsewhere counted as hope, and the refusal named no rule. The same refusal for a drained target named none either.

Such requests are now refused at once, naming the `keep region` or `drain target` line.

--- a/crates/mimosagap-core/src/dispatch.rs
+++ b/crates/mimosagap-core/src/dispatch.rs
@@ -36,9 +36,8 @@
             }
             None => {}
         }
-        if !self.targets.has_hope(group, now) {
-            let refusal = self.refusal(RefusalCause::NoTarget);
-            self.refuse(key, refusal, effects);
+        if !self.has_hope(now, group) {
+            self.give_up(key, RefusalCause::NoTarget, effects);
             return;
         }
         let is_new = request.attempts == 0;
@@ -342,7 +341,7 @@
             self.give_up(key, RefusalCause::StoreUnavailable, effects);
             return;
         }
-        if !self.targets.has_hope(group, now) {
+        if !self.has_hope(now, group) {
             self.trials.retain(|waiting| *waiting != key);
             self.give_up(key, RefusalCause::NoTarget, effects);
             return;
--- a/crates/mimosagap-core/src/endings.rs
+++ b/crates/mimosagap-core/src/endings.rs
@@ -9,7 +9,7 @@
 use crate::event::{AttemptEnd, SuspectState, WorkKind};
 use crate::refusals::{message, retry_wait};
 use crate::requests::{Attempt, Phase, RequestKey, Suspicion};
-use crate::targets::{AVOID_TIME, TargetKey};
+use crate::targets::{AVOID_TIME, GroupIndex, TargetKey};
 
 /// Attempts of one request at most. Together with the retry budget it keeps a request that
 /// fails everywhere from using up the budget of the others.
@@ -30,10 +30,33 @@
         cause: RefusalCause,
         effects: &mut Vec<Effect>,
     ) {
-        let refusal = self.refusal(cause);
+        let mut refusal = self.refusal(cause);
+        if cause == RefusalCause::NoTarget
+            && let Some(request) = self.requests.get(key)
+        {
+            refusal.rule = self.blocking_rule(request.group);
+        }
         self.refuse(key, refusal, effects);
     }
 
+    /// The rule without which a group would have a target.
+    fn blocking_rule(&self, group: GroupIndex) -> Option<RuleReference> {
+        let kept = self.kept_region(group).map(|(_, rule)| rule);
+        self.targets.draining_rule(group).or(kept).cloned()
+    }
+
+    /// The region which requests for a group must not leave, if a rule keeps them there.
+    fn kept_region(&self, group: GroupIndex) -> Option<&(RegionName, RuleReference)> {
+        let model = self.targets.group(group).model.as_ref()?;
+        self.rules.kept_region(model)
+    }
+
+    /// Whether a request of the group may find a target now or soon.
+    pub(crate) fn has_hope(&self, now: Instant, group: GroupIndex) -> bool {
+        let region = self.kept_region(group).map(|(region, _)| region);
+        self.targets.has_hope(group, region, now)
+    }
+
     /// Gives the final answer.
     pub(crate) fn refuse(&mut self, key: RequestKey, refusal: Refusal, effects: &mut Vec<Effect>) {
         self.leave_queue(key);
@@ -359,7 +382,7 @@
             return false;
         };
         let has_target = if request.is_generation() {
-            self.targets.has_hope(request.group, now)
+            self.has_hope(now, request.group)
         } else {
             self.find_service(now, key).is_some()
         };
--- a/crates/mimosagap-core/src/membership.rs
+++ b/crates/mimosagap-core/src/membership.rs
@@ -240,7 +240,7 @@
     /// Refuses the requests that wait for a group whose last target is gone.
     fn end_hopeless(&mut self, now: Instant, effects: &mut Vec<Effect>) {
         for index in self.waiting_groups() {
-            if self.targets.has_hope(index, now) {
+            if self.has_hope(now, index) {
                 continue;
             }
             for key in self.targets.group(index).queue.keys() {
--- a/crates/mimosagap-core/src/targets.rs
+++ b/crates/mimosagap-core/src/targets.rs
@@ -686,16 +686,31 @@
         }
     }
 
-    /// Whether the group has a target which takes work now or may soon do so.
+    /// Whether the group has a target, in the region if one is given, which takes work now or may
+    /// soon do so.
     #[must_use]
-    pub fn has_hope(&self, index: GroupIndex, now: Instant) -> bool {
+    pub fn has_hope(&self, index: GroupIndex, region: Option<&RegionName>, now: Instant) -> bool {
         !self.list_seen
-            || self.group(index).targets.iter().any(|key| {
-                let state = self.arena[*key].state(now);
-                matches!(state, TargetState::Up | TargetState::Unknown)
+            || self.members(index).any(|target| {
+                let state = target.state(now);
+                let is_near = region.is_none_or(|region| *region == target.region);
+                is_near && matches!(state, TargetState::Up | TargetState::Unknown)
             })
     }
 
+    /// A rule that drains a target of the group which would take work without it.
+    #[must_use]
+    pub fn draining_rule(&self, index: GroupIndex) -> Option<&RuleReference> {
+        self.members(index)
+            .filter(|target| !target.announces_leaving())
+            .find_map(|target| target.drained.as_ref())
+    }
+
+    fn members(&self, index: GroupIndex) -> impl Iterator<Item = &Target> {
+        let keys = self.group(index).targets.iter();
+        keys.filter_map(|key| self.arena.get(*key))
+    }
+
     /// Replaces what a peer says that it placed lately.
     pub fn set_peer_placements(
         &mut self,
--- a/crates/mimosagap-core/tests/placement.rs
+++ b/crates/mimosagap-core/tests/placement.rs
@@ -86,7 +86,10 @@
         address: engine(2),
         refused: true,
     });
-    assert_eq!(target_of(&mut harness, generation(1, true)), None);
+    let (_, effects) = harness.submit(generation(1, true));
+    let refusal = refused(&effects).expect("no engine in the region is up");
+    assert_eq!(refusal.cause, RefusalCause::NoTarget);
+    assert_eq!(refusal.rule.as_ref().map(|rule| rule.line), Some(1));
 }
 
 /// Fails if the forecast lets a request in above the ceiling of the rules, or keeps one out
--- a/crates/mimosagap-core/tests/targets.rs
+++ b/crates/mimosagap-core/tests/targets.rs
@@ -216,3 +216,22 @@
     harness.list(0, 1);
     assert!(call_found(&mut harness));
 }
+
+/// Fails if a refusal does not name the rule that drains the only target, or is late.
+#[rstest]
+#[case(engine(1), generation(1, true))]
+#[case(service(1), order(1))]
+#[case(service(1), call(1))]
+fn a_refusal_names_the_draining_rule(
+    #[case] address: std::net::SocketAddr,
+    #[case] submission: Submission,
+) {
+    let text = format!("drain target {address} # crew lead: repair");
+    let mut harness = Harness::with_targets(&text, 1, 1);
+    let (_, effects) = harness.submit(submission);
+    let refusal = refused(&effects).expect("the only target is drained");
+    assert_eq!(refusal.cause, RefusalCause::NoTarget);
+    assert_eq!(refusal.outcome, RunOutcome::NotRun);
+    let rule = refusal.rule.as_ref().expect("the rule");
+    assert_eq!(rule.asked_by, "crew lead: repair");
+}
