--- a/crates/mimosagap-core/tests/common/mod.rs
+++ b/crates/mimosagap-core/tests/common/mod.rs
@@ -168,25 +168,26 @@
     }
 
     pub fn accept(&mut self, ticket: RequestTicket, attempt: u32) -> Vec<Effect> {
-        self.step(Event::AttemptAccepted {
-            ticket,
-            attempt,
-            incarnation: None,
-        })
+        self.step(accepted(ticket, attempt, None))
     }
 
     pub fn end(&mut self, ticket: RequestTicket, attempt: u32, end: AttemptEnd) -> Vec<Effect> {
-        self.step(Event::AttemptEnded {
-            ticket,
-            attempt,
-            end,
-        })
+        self.step(ended(ticket, attempt, end))
     }
 
     pub fn claim(&mut self, ticket: RequestTicket, answer: ClaimAnswer) -> Vec<Effect> {
         self.step(Event::ClaimAnswered { ticket, answer })
     }
 
+    pub fn hear_peer(&mut self) -> Vec<Effect> {
+        let daemon = DaemonId::new("b");
+        self.step(Event::PeerReached { daemon })
+    }
+
+    pub fn answer_trial(&mut self, ticket: RequestTicket, answer: TrialAnswer) -> Vec<Effect> {
+        self.step(Event::TrialAnswered { ticket, answer })
+    }
+
     /// Completes requests until the retry budget holds `attempts`.
     pub fn fill_budget(&mut self, attempts: f64) {
         while self.core.retry_budget() < attempts {
@@ -218,3 +219,59 @@
 pub fn lost(delivered: u32, died: bool) -> AttemptEnd {
     AttemptEnd::Lost { delivered, died }
 }
+
+pub fn rejected(leaving: bool) -> AttemptEnd {
+    AttemptEnd::Rejected {
+        retry_after: None,
+        leaving,
+    }
+}
+
+pub fn unreachable(address: SocketAddr, refused: bool) -> Event {
+    Event::TargetUnreachable { address, refused }
+}
+
+pub fn leaving_notice(address: SocketAddr, incarnation: Option<Incarnation>) -> Event {
+    Event::NoticeHeard(Notice::TargetLeaving {
+        address,
+        incarnation,
+    })
+}
+
+pub fn accepted(ticket: RequestTicket, attempt: u32, incarnation: Option<Incarnation>) -> Event {
+    Event::AttemptAccepted {
+        ticket,
+        attempt,
+        incarnation,
+    }
+}
+
+pub fn progress(ticket: RequestTicket, attempt: u32, tokens: u32) -> Event {
+    Event::Progress {
+        ticket,
+        attempt,
+        tokens,
+    }
+}
+
+pub fn ended(ticket: RequestTicket, attempt: u32, end: AttemptEnd) -> Event {
+    Event::AttemptEnded {
+        ticket,
+        attempt,
+        end,
+    }
+}
+
+/// A generation with a longer input or a prefix.
+pub fn sized(prompt_tokens: u32, max_tokens: Option<u32>, prefix: &[u64]) -> Submission {
+    Submission {
+        work: WorkKind::Generation {
+            model: ModelName::new(MODEL),
+            prompt_tokens,
+            max_tokens,
+            prefix: prefix.to_vec(),
+            whole: true,
+        },
+        ..generation(1, true)
+    }
+}
--- a/crates/mimosagap-core/tests/daemon.rs
+++ b/crates/mimosagap-core/tests/daemon.rs
@@ -94,8 +94,7 @@
         cause_of(&mut harness, call(1)),
         Some(RefusalCause::Isolated)
     );
-    let daemon = DaemonId::new("b");
-    harness.step(Event::PeerReached { daemon });
+    harness.hear_peer();
     assert_eq!(cause_of(&mut harness, call(1)), None);
 }
 
--- a/crates/mimosagap-core/tests/interleavings.rs
+++ b/crates/mimosagap-core/tests/interleavings.rs
@@ -82,38 +82,13 @@
 }
 
 /// How often the interleavings reached the states that matter.
-#[derive(Debug, Clone, Copy, Default)]
-struct Seen {
-    further_attempts: u32,
-    suspicions: u32,
-    trials: u32,
-    condemned: u32,
-    orders: u32,
-    not_run: u32,
-}
-
-impl Seen {
-    fn counts(&mut self) -> [&mut u32; 6] {
-        [
-            &mut self.further_attempts,
-            &mut self.suspicions,
-            &mut self.trials,
-            &mut self.condemned,
-            &mut self.orders,
-            &mut self.not_run,
-        ]
-    }
-
-    fn add(&mut self, mut other: Self) {
-        for (sum, count) in self.counts().into_iter().zip(other.counts()) {
-            *sum += *count;
-        }
-    }
-
-    fn all_reached(mut self) -> bool {
-        self.counts().iter().all(|count| **count > 0)
-    }
-}
+type Seen = [u32; 6];
+const FURTHER_ATTEMPTS: usize = 0;
+const SUSPICIONS: usize = 1;
+const TRIALS: usize = 2;
+const CONDEMNED: usize = 3;
+const ORDERS_RAN: usize = 4;
+const ORDERS_NOT_RUN: usize = 5;
 
 fn pick<T>(list: &[T], number: u16) -> Option<&T> {
     list.get(usize::from(number).checked_rem(list.len())?)
@@ -131,7 +106,7 @@
             lives: (1..=ENGINES).map(|n| (engine(n), 1)).collect(),
             leaving: BTreeSet::new(),
             newest: 1,
-            seen: Seen::default(),
+            seen: [0; 6],
         };
         world.lives.extend((1..=SERVICES).map(|n| (service(n), 1)));
         for name in ["a", "b", "c"] {
@@ -181,33 +156,20 @@
 
     fn check(&mut self, index: usize) {
         let daemon = &mut self.daemons[index];
-        let open = daemon.tracks.values().filter(|track| track.finals == 0);
-        assert_eq!(
-            open.count(),
-            daemon.core.request_count(),
-            "requests without final effect"
-        );
-        assert!(
-            daemon.tracks.values().all(|track| track.finals <= 1),
-            "two final effects"
-        );
+        let finals: Vec<u32> = daemon.tracks.values().map(|track| track.finals).collect();
+        let open = finals.iter().filter(|count| **count == 0).count();
+        assert_eq!(open, daemon.core.request_count(), "a final effect is lost");
+        assert!(finals.iter().all(|count| *count <= 1), "two final effects");
         assert!(
             self.ran.values().all(|runs| *runs <= 1),
             "an order ran twice"
         );
-        let revision = daemon
-            .core
-            .rules_revision()
-            .map_or(0, |revision| revision.0);
+        let revision = daemon.core.rules_revision().map_or(0, |found| found.0);
         assert!(revision >= daemon.revision, "the rules went back");
         daemon.revision = revision;
         // The budget adds half an attempt for each request that reached a target.
-        assert!(
-            2 * daemon.attempts <= 3 * daemon.first_attempts,
-            "{} attempts for {} requests",
-            daemon.attempts,
-            daemon.first_attempts
-        );
+        let (attempts, first) = (daemon.attempts, daemon.first_attempts);
+        assert!(2 * attempts <= 3 * first, "{attempts} for {first} requests");
     }
 
     fn carry_out(&mut self, index: usize, effect: Effect) {
@@ -220,11 +182,11 @@
                 ..
             } => {
                 let life = self.lives[&target];
-                self.seen.further_attempts += u32::from(attempt > 1);
+                self.seen[FURTHER_ATTEMPTS] += u32::from(attempt > 1);
                 daemon.sent(ticket, attempt, target, life);
             }
-            Effect::RecordNotRun { .. } => self.seen.not_run += 1,
-            Effect::RecordResult { .. } => self.seen.orders += 1,
+            Effect::RecordNotRun { .. } => self.seen[ORDERS_NOT_RUN] += 1,
+            Effect::RecordResult { .. } => self.seen[ORDERS_RAN] += 1,
             Effect::Refuse { ticket, refusal } => daemon.refused(ticket, &refusal),
             Effect::AnswerFromRecord { ticket } => daemon.track(ticket).finals += 1,
             Effect::CancelAttempt { ticket, attempt } => {
@@ -246,13 +208,13 @@
             }
             Effect::RecordSuspicions { suspects } => {
                 for (ticket, _) in suspects {
-                    self.seen.suspicions += 1;
+                    self.seen[SUSPICIONS] += 1;
                     daemon.track(ticket).recorded = Some(false);
                     daemon.inbox.push(Event::SuspicionRecorded { ticket });
                 }
             }
             Effect::TakeTrial { ticket, .. } => {
-                self.seen.trials += 1;
+                self.seen[TRIALS] += 1;
                 let answer = match (self.store_up, self.tickets % 8) {
                     (false, _) => TrialAnswer::Unavailable,
                     (true, 0) => TrialAnswer::Busy,
@@ -262,22 +224,22 @@
                 daemon.inbox.push(Event::TrialAnswered { ticket, answer });
             }
             Effect::EndTrial { digest, state } => {
-                self.seen.condemned += u32::from(state == SuspectState::Condemned);
-                for other in &mut self.daemons {
-                    other
-                        .inbox
-                        .push(Event::SuspectsChanged(vec![(digest, state)]));
-                }
+                self.seen[CONDEMNED] += u32::from(state == SuspectState::Condemned);
+                let event = Event::SuspectsChanged(vec![(digest, state)]);
+                (0..DAEMONS).for_each(|other| self.mail(other, event.clone()));
             }
             Effect::Spread(notice) => {
-                for other in &mut self.daemons {
-                    other.inbox.push(Event::NoticeHeard(notice.clone()));
-                }
+                let event = Event::NoticeHeard(notice);
+                (0..DAEMONS).for_each(|other| self.mail(other, event.clone()));
             }
             _ => {}
         }
     }
 
+    fn mail(&mut self, index: usize, event: Event) {
+        self.daemons[index].inbox.push(event);
+    }
+
     fn submit(&mut self, index: usize, submission: Submission) {
         self.tickets += 1;
         let ticket = RequestTicket(self.tickets);
@@ -320,28 +282,16 @@
             0 if !has_died => {
                 sent.accepted = true;
                 let incarnation = Some(Incarnation(sent.life));
-                daemon.inbox.push(Event::AttemptAccepted {
-                    ticket,
-                    attempt,
-                    incarnation,
-                });
+                daemon.inbox.push(accepted(ticket, attempt, incarnation));
                 return;
             }
             1 => {
                 let tokens = u32::from(how);
-                let event = Event::Progress {
-                    ticket,
-                    attempt,
-                    tokens,
-                };
-                daemon.inbox.push(event);
+                daemon.inbox.push(progress(ticket, attempt, tokens));
                 return;
             }
             2 if !sent.accepted => AttemptEnd::NotSent,
-            3 if !sent.accepted => AttemptEnd::Rejected {
-                retry_after: None,
-                leaving: false,
-            },
+            3 if !sent.accepted => rejected(false),
             4 => AttemptEnd::Failed { delivered },
             5 | 6 => lost(delivered, has_died),
             _ if has_died => lost(delivered, true),
@@ -349,7 +299,7 @@
         };
         sent.stage = Stage::Ended;
         sent.may_run = !matches!(end, AttemptEnd::NotSent | AttemptEnd::Rejected { .. });
-        // An order whose answer is lost ran in half of the cases.
+        // An order whose answer is lost ran in a third of the cases.
         let has_run = matches!(
             end,
             AttemptEnd::Completed { .. } | AttemptEnd::Failed { .. }
@@ -357,11 +307,7 @@
         if let Some(order) = order.filter(|_| has_run) {
             *self.ran.entry(order).or_default() += 1;
         }
-        daemon.inbox.push(Event::AttemptEnded {
-            ticket,
-            attempt,
-            end,
-        });
+        daemon.inbox.push(ended(ticket, attempt, end));
     }
 
     fn deliver(&mut self, index: usize, which: u16, keep: bool) {
@@ -421,11 +367,8 @@
             23 => {
                 // A crash: the new process has another incarnation and is not leaving.
                 self.lives.insert(address, life + 1);
-                let event = Event::TargetUnreachable {
-                    address,
-                    refused: true,
-                };
-                self.daemons[index].inbox.push(event);
+                let event = unreachable(address, true);
+                self.mail(index, event);
             }
             24 if address.ip().to_string().starts_with("127.1.") => {
                 let mut report = load(life);
@@ -437,11 +380,7 @@
             26 if first.is_multiple_of(3) => {
                 self.leaving.insert((address, life));
                 let incarnation = Some(Incarnation(life));
-                let notice = Notice::TargetLeaving {
-                    address,
-                    incarnation,
-                };
-                self.daemons[index].inbox.push(Event::NoticeHeard(notice));
+                self.mail(index, leaving_notice(address, incarnation));
             }
             26 => {
                 // A crash of a target with work.
@@ -456,17 +395,17 @@
                 self.newest += u64::from(second % 2);
                 let revision = self.newest - u64::from(first) % self.newest.min(3);
                 let event = Event::RulesFound(rules(revision, RULES));
-                self.daemons[index].inbox.push(event);
+                self.mail(index, event);
             }
             29 => self.store_up = !second.is_multiple_of(3),
             30 => {
                 let tickets: Vec<_> = self.daemons[index].tracks.keys().copied().collect();
                 if let Some(ticket) = pick(&tickets, second) {
                     let event = Event::CallerLeft { ticket: *ticket };
-                    self.daemons[index].inbox.push(event);
+                    self.mail(index, event);
                 }
             }
-            31 if second.is_multiple_of(8) => self.daemons[index].inbox.push(Event::DrainAsked),
+            31 if second.is_multiple_of(8) => self.mail(index, Event::DrainAsked),
             _ => {}
         }
     }
@@ -485,12 +424,11 @@
                 }
             }
             self.pass(Duration::from_millis(500));
-            if round > 100
-                && self
-                    .daemons
-                    .iter()
-                    .all(|daemon| daemon.core.request_count() == 0)
-            {
+            let left = self
+                .daemons
+                .iter()
+                .map(|daemon| daemon.core.request_count());
+            if left.sum::<usize>() == 0 && round > 100 {
                 return;
             }
         }
@@ -529,11 +467,11 @@
                 end: AttemptEnd::Completed { .. },
             } => {
                 let track = self.track(*ticket);
-                let is_current = track.sent.len() == *attempt as usize
-                    && track
-                        .sent
-                        .last()
-                        .is_some_and(|sent| sent.stage != Stage::Cancelled);
+                let current = track
+                    .sent
+                    .last()
+                    .filter(|_| track.sent.len() == *attempt as usize);
+                let is_current = current.is_some_and(|sent| sent.stage != Stage::Cancelled);
                 if is_current {
                     track.finals = 1;
                 }
@@ -567,24 +505,16 @@
     }
 
     fn sent(&mut self, ticket: RequestTicket, attempt: u32, target: SocketAddr, life: u64) {
-        assert!(
-            !self.told_leaving.contains_key(&(target, life)),
-            "{target} is leaving and gets new work"
-        );
+        let is_leaving = self.told_leaving.contains_key(&(target, life));
+        assert!(!is_leaving, "{target} is leaving and gets new work");
         self.attempts += 1;
         self.first_attempts += u32::from(attempt == 1);
         let track = self.track(ticket);
         assert_eq!(track.finals, 0, "sent after the final effect");
-        assert_ne!(
-            track.recorded,
-            Some(false),
-            "sent before the suspicion is recorded"
-        );
+        assert!(track.recorded != Some(false), "sent before the record");
         assert_eq!(track.sent.len() + 1, attempt as usize);
-        assert!(
-            track.sent.iter().all(|sent| sent.stage != Stage::Open),
-            "two attempts at once"
-        );
+        let mut open = track.sent.iter().filter(|sent| sent.stage == Stage::Open);
+        assert!(open.next().is_none(), "two attempts at once");
         if matches!(track.submission.work, WorkKind::Order { .. }) {
             let may_run = track.sent.iter().any(|sent| sent.may_run);
             assert!(!may_run, "an order that may have run is sent again");
@@ -602,16 +532,10 @@
     fn refused(&mut self, ticket: RequestTicket, refusal: &Refusal) {
         let track = self.track(ticket);
         track.finals += 1;
-        assert_ne!(
-            track.recorded,
-            Some(false),
-            "told before the suspicion is recorded"
-        );
+        assert!(track.recorded != Some(false), "told before the record");
         let may_run = track.sent.iter().any(|sent| sent.may_run);
-        assert!(
-            refusal.outcome != RunOutcome::NotRun || !may_run,
-            "not_run is untrue: {refusal:?}"
-        );
+        let is_not_run = refusal.outcome == RunOutcome::NotRun;
+        assert!(!is_not_run || !may_run, "untrue: {refusal:?}");
     }
 }
 
@@ -644,15 +568,21 @@
     let random = TestRng::from_seed(RngAlgorithm::ChaCha, &bytes);
     let mut runner = TestRunner::new_with_rng(config, random);
     let actions = vec((any::<u8>(), any::<u16>(), any::<u16>()), 1..400);
-    let total = std::cell::RefCell::new(Seen::default());
+    let total = std::cell::RefCell::new([0; 6]);
     let result = runner.run(&actions, |actions| {
-        total.borrow_mut().add(run(&actions));
+        let reached = run(&actions);
+        let mut total = total.borrow_mut();
+        let counts = total.iter_mut().zip(reached);
+        counts.for_each(|(sum, count)| *sum += count);
         Ok(())
     });
     let total = total.into_inner();
-    println!("{cases} interleavings, seed {seed}: {total:?}");
+    println!(
+        "{cases} interleavings, seed {seed}: {total:?} (further attempts, suspicions, trials, \
+         condemned, orders run, orders not run)"
+    );
     match result {
-        Ok(()) => assert!(total.all_reached(), "a state was never reached"),
+        Ok(()) => assert!(!total.contains(&0), "a state was never reached"),
         Err(TestError::Fail(reason, actions)) => panic!("seed {seed}, {actions:?}: {reason}"),
         Err(TestError::Abort(reason)) => panic!("seed {seed}: {reason}"),
     }
--- a/crates/mimosagap-core/tests/lending.rs
+++ b/crates/mimosagap-core/tests/lending.rs
@@ -37,6 +37,15 @@
     harness
 }
 
+fn asked(question: u64, wanted: u32) -> Event {
+    let team = team();
+    Event::CreditAsked {
+        question,
+        team,
+        wanted,
+    }
+}
+
 fn answered(effects: &[Effect]) -> Option<u32> {
     effects.iter().find_map(|effect| match effect {
         Effect::AnswerCredit { granted, .. } => Some(*granted),
@@ -45,11 +54,7 @@
 }
 
 fn ask(harness: &mut Harness, wanted: u32) -> u32 {
-    let event = Event::CreditAsked {
-        question: 1,
-        team: team(),
-        wanted,
-    };
+    let event = asked(1, wanted);
     answered(&harness.step(event)).expect("an answer")
 }
 
@@ -254,32 +259,21 @@
         cores[to].reduce(now, event, &mut effects);
         for effect in effects {
             match effect {
-                Effect::AskCredit {
-                    holder,
-                    team,
-                    wanted,
-                } => {
+                Effect::AskCredit { holder, wanted, .. } => {
                     let holder = NAMES.iter().position(|name| *name == holder.as_str());
                     let question = questions.len() as u64;
                     questions.insert(question, (to, now));
-                    let event = Event::CreditAsked {
-                        question,
-                        team,
-                        wanted,
-                    };
+                    let event = asked(question, wanted);
                     messages.push((holder.expect("a daemon"), event));
                 }
                 Effect::AnswerCredit {
-                    question, granted, ..
+                    question,
+                    granted: units,
+                    ..
                 } => {
-                    ledger.granted.push((now, granted));
+                    ledger.granted.push((now, units));
                     let (asker, asked_at) = questions[&question];
-                    let event = Event::CreditGranted {
-                        team: team(),
-                        granted,
-                        asked_at,
-                    };
-                    messages.push((asker, event));
+                    messages.push((asker, granted(units, asked_at)));
                 }
                 Effect::Dispatch { .. } => {
                     ledger.used.push(now);
--- a/crates/mimosagap-core/tests/orders.rs
+++ b/crates/mimosagap-core/tests/orders.rs
@@ -76,31 +76,22 @@
     assert!(harness.claim(ticket, ClaimAnswer::Won).is_empty());
 }
 
-/// Fails if an order that may have run is sent again, or is said not to have run.
+/// Fails if an order that may have run is sent again or is said not to have run, whatever the
+/// relay reports after the target accepted it.
 #[rstest]
-#[case(lost(0, false))]
-#[case(lost(0, true))]
-#[case(AttemptEnd::Failed { delivered: 0 })]
-#[case(AttemptEnd::Cancelled)]
-fn an_order_with_unknown_fate_is_not_sent_again(#[case] end: AttemptEnd) {
+#[case(lost(0, false), false)]
+#[case(lost(0, true), false)]
+#[case(AttemptEnd::Failed { delivered: 0 }, false)]
+#[case(AttemptEnd::Cancelled, false)]
+#[case(AttemptEnd::NotSent, true)]
+#[case(rejected(false), true)]
+fn an_order_that_may_have_run_is_not_sent_again(#[case] end: AttemptEnd, #[case] accepted: bool) {
     let mut harness = Harness::with_targets("", 1, 3);
     harness.fill_budget(3.0);
     let ticket = won(&mut harness);
-    let effects = harness.end(ticket, 1, end);
-    let refusal = refused(&effects).expect("the order is refused");
-    assert_eq!(refusal.outcome, RunOutcome::Unknown);
-    assert_eq!(effects.len(), 1, "{effects:?}");
-}
-
-/// Fails if an order is sent again after its target accepted it, whatever the relay reports.
-#[rstest]
-#[case(AttemptEnd::NotSent)]
-#[case(AttemptEnd::Rejected { retry_after: None, leaving: false })]
-fn an_accepted_order_is_not_sent_again(#[case] end: AttemptEnd) {
-    let mut harness = Harness::with_targets("", 1, 3);
-    harness.fill_budget(3.0);
-    let ticket = won(&mut harness);
-    harness.accept(ticket, 1);
+    if accepted {
+        harness.accept(ticket, 1);
+    }
     let effects = harness.end(ticket, 1, end);
     let refusal = refused(&effects).expect("the order is refused");
     assert_eq!(refusal.outcome, RunOutcome::Unknown);
@@ -111,7 +102,7 @@
 /// does not say at the end that nothing ran.
 #[rstest]
 #[case(AttemptEnd::NotSent)]
-#[case(AttemptEnd::Rejected { retry_after: None, leaving: true })]
+#[case(rejected(true))]
 fn an_unsent_order_tries_another_target_within_the_budget(#[case] end: AttemptEnd) {
     let mut harness = Harness::with_targets("", 1, 3);
     harness.fill_budget(1.0);
@@ -154,8 +145,7 @@
 fn an_order_is_refused_at_once_while_the_store_is_down() {
     let mut harness = Harness::with_targets("", 0, 2);
     harness.now += std::time::Duration::from_secs(5);
-    let daemon = DaemonId::new("b");
-    harness.step(Event::PeerReached { daemon });
+    harness.hear_peer();
     let (_, effects) = harness.submit(order(1));
     let refusal = refused(&effects).expect("the order is refused");
     assert_eq!(refusal.cause, RefusalCause::StoreUnavailable);
--- a/crates/mimosagap-core/tests/placement.rs
+++ b/crates/mimosagap-core/tests/placement.rs
@@ -9,7 +9,7 @@
 
 use common::*;
 use mimosagap_core::forecast::AdmissionBound;
-use mimosagap_core::{AttemptEnd, Event, ListedTarget, LoadReport, Submission, WorkKind};
+use mimosagap_core::{AttemptEnd, Event, ListedTarget, LoadReport, Submission};
 use mimosagap_rules::set::StallWeights;
 use mimosagap_rules::statement::Priority;
 use mimosagap_types::prelude::*;
@@ -78,14 +78,8 @@
         "keep region quotes norte-a # insurer: data\nroute quotes policy {policy} # manager: test"
     );
     let mut harness = spread_out(&text);
-    harness.step(Event::TargetUnreachable {
-        address: engine(1),
-        refused: true,
-    });
-    harness.step(Event::TargetUnreachable {
-        address: engine(2),
-        refused: true,
-    });
+    harness.step(unreachable(engine(1), true));
+    harness.step(unreachable(engine(2), true));
     let (_, effects) = harness.submit(generation(1, true));
     let refusal = refused(&effects).expect("no engine in the region is up");
     assert_eq!(refusal.cause, RefusalCause::NoTarget);
@@ -121,17 +115,8 @@
         daemon: DaemonId::new("b"),
         placements: vec![(engine(1), peer)],
     });
-    let large = |seed| Submission {
-        work: WorkKind::Generation {
-            model: ModelName::new(MODEL),
-            prompt_tokens: 5_000,
-            max_tokens: Some(100),
-            prefix: Vec::new(),
-            whole: true,
-        },
-        ..generation(seed, true)
-    };
-    let placed = (0..40).filter(|seed| target_of(&mut harness, large(*seed)).is_some());
+    let placed =
+        (0..40).filter(|_| target_of(&mut harness, sized(5_000, Some(100), &[])).is_some());
     let count = placed.count();
     assert!((2..=most + 1).contains(&count), "{count}");
     let placements = harness.core.placements();
@@ -143,16 +128,7 @@
 #[test]
 fn prefix_affinity_is_bounded() {
     let mut harness = Harness::with_targets("", 2, 0);
-    let with_prefix = || Submission {
-        work: WorkKind::Generation {
-            model: ModelName::new(MODEL),
-            prompt_tokens: 100,
-            max_tokens: None,
-            prefix: vec![11, 12, 13],
-            whole: true,
-        },
-        ..generation(1, true)
-    };
+    let with_prefix = || sized(100, None, &[11, 12, 13]);
     let stored = |address| Event::CacheChanged {
         address,
         stored: vec![11, 12, 13],
@@ -222,11 +198,7 @@
     let placed = forecast(&harness);
     assert!(placed[0] > idle[0]);
     harness.now += Duration::from_millis(250);
-    harness.step(Event::Progress {
-        ticket,
-        attempt: 1,
-        tokens: 100,
-    });
+    harness.step(progress(ticket, 1, 100));
     harness.report(
         1,
         LoadReport {
--- a/crates/mimosagap-core/tests/quarantine.rs
+++ b/crates/mimosagap-core/tests/quarantine.rs
@@ -58,10 +58,7 @@
     harness.accept(first, 1);
     harness.accept(second, 1);
     let effects = match death {
-        Death::Refused => harness.step(Event::TargetUnreachable {
-            address: engine(1),
-            refused: true,
-        }),
+        Death::Refused => harness.step(unreachable(engine(1), true)),
         Death::NewLife => harness.report(1, load(100)),
         Death::Relay => harness.end(first, 1, lost(3, true)),
     };
@@ -88,10 +85,7 @@
     harness.accept(ticket, 1);
     assert!(recorded(&harness.end(ticket, 1, lost(1, false))).is_empty());
     let address = engine(1);
-    let event = Event::TargetUnreachable {
-        address,
-        refused: false,
-    };
+    let event = unreachable(address, false);
     assert!(harness.step(event).is_empty());
 }
 
@@ -99,17 +93,13 @@
     harness.step(suspect(1));
     let (ticket, effects) = harness.submit(generation(1, true));
     assert!(takes_trial(&effects) && dispatched(&effects).is_none());
-    let answer = TrialAnswer::Taken;
-    let effects = harness.step(Event::TrialAnswered { ticket, answer });
+    let effects = harness.answer_trial(ticket, TrialAnswer::Taken);
     let (_, target) = dispatched(&effects).expect("the trial runs");
     (ticket, target)
 }
 
 fn die(harness: &mut Harness, address: std::net::SocketAddr) -> Vec<Effect> {
-    harness.step(Event::TargetUnreachable {
-        address,
-        refused: true,
-    })
+    harness.step(unreachable(address, true))
 }
 
 /// Fails if a request that killed an engine in its trial runs a third time within the hour, or
@@ -231,8 +221,7 @@
     let mut harness = Harness::with_targets("", 1, 0);
     harness.step(suspect(1));
     harness.now += Duration::from_secs(5);
-    let daemon = DaemonId::new("b");
-    harness.step(Event::PeerReached { daemon });
+    harness.hear_peer();
     harness.report(1, load(1));
     let (_, effects) = harness.submit(generation(1, true));
     let refusal = refused(&effects).expect("the store is down");
@@ -249,8 +238,7 @@
     harness.step(suspect(1));
     let (ticket, _) = harness.submit(generation(1, true));
     assert!(harness.step(Event::CallerLeft { ticket }).is_empty());
-    let answer = TrialAnswer::Taken;
-    let effects = harness.step(Event::TrialAnswered { ticket, answer });
+    let effects = harness.answer_trial(ticket, TrialAnswer::Taken);
     assert_eq!(verdict(&effects), Some(SuspectState::Suspect));
     let refusal = refused(&effects).expect("the final effect");
     assert_eq!(refusal.outcome, RunOutcome::NotRun);
--- a/crates/mimosagap-core/tests/targets.rs
+++ b/crates/mimosagap-core/tests/targets.rs
@@ -32,17 +32,11 @@
         }
         Source::Notice | Source::NoticeWithoutLife => {
             let incarnation = matches!(source, Source::Notice).then_some(Incarnation(1));
-            harness.step(Event::NoticeHeard(Notice::TargetLeaving {
-                address,
-                incarnation,
-            }))
+            harness.step(leaving_notice(address, incarnation))
         }
         Source::Rejection => {
             let (ticket, _) = harness.submit(generation(1, true));
-            let end = AttemptEnd::Rejected {
-                retry_after: None,
-                leaving: true,
-            };
+            let end = rejected(true);
             harness.end(ticket, 1, end)
         }
         Source::Rule => {
@@ -102,10 +96,7 @@
     harness.pass(Duration::from_secs(3));
     harness.report(1, load(2));
     assert!(gets_work(&mut harness));
-    harness.step(Event::TargetUnreachable {
-        address: engine(1),
-        refused: true,
-    });
+    harness.step(unreachable(engine(1), true));
     harness.pass(Duration::from_secs(1));
     harness.report(1, load(3));
     harness.report(1, load(2));
@@ -161,7 +152,7 @@
     let mut harness = Harness::with_targets("", 1, 0);
     harness.pass(wait);
     let address = engine(1);
-    harness.step(Event::TargetUnreachable { address, refused });
+    harness.step(unreachable(address, refused));
     assert!(!gets_work(&mut harness));
     harness.report(1, load(1));
     assert!(gets_work(&mut harness));
@@ -200,11 +191,11 @@
     let call_found = |harness: &mut Harness| dispatched(&harness.submit(call(1)).1).is_some();
     let address = service(1);
     let refused = true;
-    harness.step(Event::TargetUnreachable { address, refused });
+    harness.step(unreachable(address, refused));
     assert!(!call_found(&mut harness));
     harness.pass(Duration::from_secs(2));
     assert!(call_found(&mut harness));
-    harness.step(Event::TargetUnreachable { address, refused });
+    harness.step(unreachable(address, refused));
     let report = LoadReport {
         memory_tokens: 0,
         ..load(0)
