fix(standins): answer a mode change of the proxy when it is in effect

Cause: the control answer was sent when the mode was stored, but the accept loop closed its listener some scheduling later. Under load (load average 70) a connection made right after the answer to "cut" was accepted, and the test cut_resets_and_refuses failed. A slow refusal by the kernel was ruled out: the accept loop had not run yet.

The answer now waits until the accept loop follows the change, for 1 s at most. The proxy tests passed eight times in a row under the same load.

--- a/crates/mimosagap-standins/src/proxy.rs
+++ b/crates/mimosagap-standins/src/proxy.rs
@@ -20,6 +20,7 @@
 /// Chunks in transit per direction under `delay`; a full queue stops the reader.
 const QUEUE_CHUNKS: usize = 1_024;
 const REBIND_PAUSE: Duration = Duration::from_millis(10);
+const EFFECT_LIMIT: Duration = Duration::from_secs(1);
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -66,12 +67,18 @@
         let control = TcpListener::bind(control).await?;
         let listener = TcpListener::bind(listen).await?;
         let listen = listener.local_addr()?;
+        let (in_effect, effects) = watch::channel(0);
         tokio::spawn(http::serve(control, move |request| {
             let answer = set_mode(&sender, &request);
-            async move { answer }
+            let change = sender.borrow().change;
+            let effects = effects.clone();
+            async move {
+                wait_for_effect(effects, change).await;
+                answer
+            }
         }));
         http::announce(listen)?;
-        accept_connections(listener, listen, target, state).await
+        accept_connections(listener, listen, target, state, in_effect).await
     })
 }
 
@@ -89,6 +96,14 @@
     }
 }
 
+/// Waits until the listener follows a change. Without it, a caller that connects right after the
+/// answer to `cut` may still be accepted. The wait is bounded, because a listener whose target is
+/// gone follows no change until the target is back.
+async fn wait_for_effect(mut effects: watch::Receiver<u64>, change: u64) {
+    let wait = effects.wait_for(|in_effect| *in_effect >= change);
+    let _ = tokio::time::timeout(EFFECT_LIMIT, wait).await;
+}
+
 /// Accepts connections. During `cut`, and while the target refuses connections, the listener is
 /// closed, so that callers are refused as they would be without the proxy.
 async fn accept_connections(
@@ -96,14 +111,19 @@
     listen: SocketAddr,
     target: SocketAddr,
     mut state: watch::Receiver<LinkState>,
+    in_effect: watch::Sender<u64>,
 ) -> RunResult {
     let (refused, mut refusals) = mpsc::channel(1);
     loop {
-        if state.borrow_and_update().mode == LinkMode::Cut {
+        let current = *state.borrow_and_update();
+        if current.mode == LinkMode::Cut {
             drop(listener);
+            in_effect.send_replace(current.change);
             state.wait_for(|state| state.mode != LinkMode::Cut).await?;
             listener = rebind(listen).await;
+            continue;
         }
+        in_effect.send_replace(current.change);
         tokio::select! {
             accepted = listener.accept() => {
                 if let Ok((stream, _)) = accepted {
