fix(daemon): bound the class labels of the metrics

Callers choose class names, so each new name added three histograms for good. The first 32 names keep labels of their own; the others share one.

--- a/crates/mimosagap-daemon/src/driver.rs
+++ b/crates/mimosagap-daemon/src/driver.rs
@@ -154,9 +154,8 @@
             }
             Effect::Log(change) => log_change(&change),
             Effect::ObserveQueueing { team, class, wait } => {
-                let labels = [team.as_str(), class.as_str()];
-                let histogram = self.metrics.queueing.with_label_values(&labels);
-                histogram.observe(wait.as_secs_f64());
+                self.metrics
+                    .observe_queueing(team.as_str(), class.as_str(), wait);
             }
             Effect::Claim { .. }
             | Effect::RecordNotRun { .. }
--- a/crates/mimosagap-daemon/src/metrics.rs
+++ b/crates/mimosagap-daemon/src/metrics.rs
@@ -1,5 +1,7 @@
 //! Counters and histograms of the daemon.
 
+use std::collections::HashSet;
+use std::sync::Mutex;
 use std::time::Duration;
 
 use prometheus::{
@@ -7,6 +9,8 @@
     Registry, TextEncoder,
 };
 
+use crate::requests::lock;
+
 /// A gap between tokens beyond this counts as a stall.
 pub const STALL_THRESHOLD: Duration = Duration::from_millis(250);
 
@@ -17,14 +21,20 @@
     0.001, 0.005, 0.01, 0.015, 0.02, 0.025, 0.029, 0.035, 0.05, 0.1, 0.25, 0.5, 1.0, 3.0,
 ];
 const STALL_BUCKETS: [f64; 8] = [0.25, 0.5, 1.0, 2.0, 3.0, 5.0, 10.0, 30.0];
+/// Classes with a label of their own.
+const MAX_CLASSES: usize = 32;
+
+/// The label of all further classes.
+const OTHER_CLASSES: &str = "other";
+
 const STREAM_LABELS: [&str; 2] = ["team", "class"];
 
 /// All metrics of a daemon.
 #[derive(Debug)]
 pub struct Metrics {
     registry: Registry,
-    /// Time in the admission queue, in seconds.
-    pub queueing: HistogramVec,
+    classes: Mutex<HashSet<String>>,
+    queueing: HistogramVec,
     first_token: HistogramVec,
     between_tokens: HistogramVec,
     stall: HistogramVec,
@@ -141,14 +151,36 @@
                 )
                 .expect("names are valid"),
             ),
+            classes: Mutex::default(),
             registry,
         }
     }
 
+    /// The label of a class. Callers choose the names, so only the first ones get labels of their
+    /// own.
+    fn class_label<'a>(&self, class: &'a str) -> &'a str {
+        let mut classes = lock(&self.classes);
+        if classes.contains(class) {
+            return class;
+        }
+        if classes.len() >= MAX_CLASSES {
+            return OTHER_CLASSES;
+        }
+        classes.insert(class.to_owned());
+        class
+    }
+
+    /// Counts a time in the admission queue.
+    pub fn observe_queueing(&self, team: &str, class: &str, wait: Duration) {
+        let labels = [team, self.class_label(class)];
+        let histogram = self.queueing.with_label_values(&labels);
+        histogram.observe(wait.as_secs_f64());
+    }
+
     /// The histograms of a stream, looked up once.
     #[must_use]
     pub fn stream(&self, team: &str, class: &str) -> StreamMetrics {
-        let labels = [team, class];
+        let labels = [team, self.class_label(class)];
         StreamMetrics {
             first_token: self.first_token.with_label_values(&labels),
             between_tokens: self.between_tokens.with_label_values(&labels),
--- a/crates/mimosagap-daemon/tests/admin.rs
+++ b/crates/mimosagap-daemon/tests/admin.rs
@@ -8,6 +8,7 @@
 use common::*;
 use mimosagap_core::{Event, ListedTarget, LoadReport, SuspectState, TargetKind};
 use mimosagap_daemon::daemon::{Daemon, new_core, new_identity};
+use mimosagap_daemon::metrics::Metrics;
 use mimosagap_types::prelude::*;
 use rstest::rstest;
 
@@ -132,3 +133,16 @@
         assert!(text.contains(&line), "{line} is missing in {text}");
     }
 }
+
+/// Guards against memory that grows with the class names which callers invent.
+#[test]
+fn class_labels_are_bounded() {
+    let metrics = Metrics::new();
+    for number in 0..1_000 {
+        metrics.stream("quotes", &format!("class-{number}"));
+    }
+    let text = metrics.text();
+    let count = text.matches("mimosagap_stall_seconds_count{").count();
+    assert_eq!(count, 33);
+    assert!(text.contains(r#"mimosagap_stall_seconds_count{class="other",team="quotes"}"#));
+}
