--- a/crates/mimosagap-daemon/tests/admin.rs
+++ b/crates/mimosagap-daemon/tests/admin.rs
@@ -139,7 +139,7 @@
 fn class_labels_are_bounded() {
     let metrics = Metrics::new();
     for number in 0..1_000 {
-        metrics.stream("quotes", &format!("class-{number}"));
+        let _ = metrics.stream("quotes", &format!("class-{number}"));
     }
     let text = metrics.text();
     let count = text.matches("mimosagap_stall_seconds_count{").count();
