--- a/crates/mimosagap-load/src/fleet.rs
+++ b/crates/mimosagap-load/src/fleet.rs
@@ -4,17 +4,21 @@
 use std::io::{BufRead, BufReader};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
+use std::process::{Command, Stdio};
 use std::time::{Duration, Instant};
 
 use base64::Engine as _;
 use base64::engine::general_purpose::STANDARD;
-use mimosagap_types::prelude::RequestDigest;
+use mimosagap_rules::RulesDelta;
+use mimosagap_store::StoreClient;
+use mimosagap_store::rules::{ApplyOptions, ApplyOutcome};
+use mimosagap_types::prelude::{RequestDigest, RulesRevision};
 use serde_json::{Value, json};
 use sha2::{Digest, Sha256};
 
 use crate::command::CommandError;
 use crate::plan::team_token;
+use crate::process::OwnedProcess;
 use crate::workload::{FleetShape, Site, Workload};
 
 /// How long a daemon may take until it serves a generation.
@@ -23,11 +27,14 @@
 const CALL_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// The lowest second number of the loopback networks that fleets use. A fleet takes the network of
-/// its process id, so that two runs at the same time do not meet.
+/// its process id and slot, so that two runs at the same time do not meet.
 const FIRST_NETWORK: u32 = 64;
 
 const NETWORKS: u32 = 128;
 
+/// Fleets that one process may run at the same time.
+pub const SLOTS: u32 = 8;
+
 /// The name of the engines' deployment.
 const DEPLOYMENT: &str = "models";
 
@@ -44,18 +51,8 @@
     pub policy: Option<&'o str>,
     /// Seed of the engines.
     pub seed: u64,
-}
-
-/// A process that ends with this value.
-#[derive(Debug)]
-struct Process(Child);
-
-impl Drop for Process {
-    fn drop(&mut self) {
-        // Fails only if the process has ended.
-        let _ = self.0.kill();
-        let _ = self.0.wait();
-    }
+    /// Tells fleets of one process apart.
+    pub slot: u32,
 }
 
 /// Running processes.
@@ -69,7 +66,7 @@
     pub daemon_ids: Vec<u32>,
     hosts: Option<SocketAddr>,
     sites: Vec<Site>,
-    processes: Vec<Process>,
+    processes: Vec<OwnedProcess>,
 }
 
 impl Fleet {
@@ -79,7 +76,7 @@
     /// A binary is missing, a process does not start, or a daemon does not serve in time.
     pub fn start(options: &FleetOptions<'_>) -> Result<Self, CommandError> {
         fs::create_dir_all(&options.directory)?;
-        let network = FIRST_NETWORK + std::process::id() % NETWORKS;
+        let network = FIRST_NETWORK + (std::process::id() * SLOTS + options.slot) % NETWORKS;
         let shape = &options.workload.fleet;
         let mut fleet = Self {
             engines: Vec::new(),
@@ -133,15 +130,7 @@
         self.list_hosts(&[])?;
         let rules = rules_text(options.workload, policy);
         fs::write(options.directory.join("rules.txt"), &rules)?;
-        let body = json!({
-            "key": STANDARD.encode("mg/c/rules/text"),
-            "value": STANDARD.encode(&rules),
-        });
-        let url = format!("http://{store}/v3/kv/put");
-        let result = agent().post(url).send_json(&body);
-        result
-            .map(drop)
-            .map_err(|error| CommandError::Setup(format!("store at {store}: {error}")))
+        apply_rules(store, rules)
     }
 
     fn start_daemon(
@@ -155,16 +144,16 @@
         fs::write(&path, settings.to_string())?;
         let log = File::create(options.directory.join(format!("daemon-{number}.log")))?;
         let binary = options.binaries.join("mimosagapd");
-        let child = Command::new(&binary)
+        let mut command = Command::new(&binary);
+        command
             .arg("--settings")
             .arg(&path)
             .stdin(Stdio::null())
             .stdout(log.try_clone()?)
-            .stderr(log)
-            .spawn()
-            .map_err(|error| missing(&binary, &error))?;
-        self.daemon_ids.push(child.id());
-        self.processes.push(Process(child));
+            .stderr(log);
+        let (process, _) = OwnedProcess::start(&mut command)?;
+        self.daemon_ids.push(process.id());
+        self.processes.push(process);
         self.daemons.push(address(network, 2, number, 7000)?);
         Ok(())
     }
@@ -177,15 +166,14 @@
         words: &[String],
     ) -> Result<(), CommandError> {
         let binary = options.binaries.join("mimosagap-standins");
-        let mut child = Command::new(&binary)
+        let mut command = Command::new(&binary);
+        command
             .args([kind, "--listen", &address.to_string()])
             .args(words)
             .stdin(Stdio::null())
-            .stdout(Stdio::piped())
-            .spawn()
-            .map_err(|error| missing(&binary, &error))?;
-        let output = child.stdout.take();
-        self.processes.push(Process(child));
+            .stdout(Stdio::piped());
+        let (process, output) = OwnedProcess::start(&mut command)?;
+        self.processes.push(process);
         let mut line = String::new();
         if let Some(output) = output {
             BufReader::new(output).read_line(&mut line)?;
@@ -311,6 +299,28 @@
     result.map(drop).map_err(|error| error.to_string())
 }
 
+fn apply_rules(store: SocketAddr, text: String) -> Result<(), CommandError> {
+    let client = StoreClient::new(mimosagap_store::Options {
+        address: store,
+        timeout: CALL_TIMEOUT,
+    });
+    let base = RulesRevision::default();
+    let delta = RulesDelta::between(base, "", &text);
+    let options = ApplyOptions {
+        base_mod_revision: 0,
+        base,
+        text,
+        delta: serde_json::to_string(&delta).map_err(std::io::Error::from)?,
+    };
+    match client.apply_rules(&options) {
+        Ok(ApplyOutcome::Applied(_)) => Ok(()),
+        Ok(_) => Err(CommandError::Setup(format!(
+            "the store at {store} is not empty"
+        ))),
+        Err(error) => Err(CommandError::Setup(error.to_string())),
+    }
+}
+
 /// The rules file of an experiment.
 #[must_use]
 pub fn rules_text(workload: &Workload, policy: &str) -> String {
@@ -387,8 +397,3 @@
         .build()
         .new_agent()
 }
-
-fn missing(binary: &Path, error: &std::io::Error) -> CommandError {
-    let path = binary.display();
-    CommandError::Setup(format!("{path}: {error}; build the workspace first"))
-}
