--- a/crates/mimosagap-scenarios/src/cluster.rs
+++ b/crates/mimosagap-scenarios/src/cluster.rs
@@ -717,6 +717,15 @@
         Ok(())
     }
 
+    /// How many calls the store's fault has hit.
+    ///
+    /// # Errors
+    /// If the store does not answer.
+    pub fn store_fault_hits(&self) -> StepResult<u64> {
+        let fault = control::get(self.store_address()?, "/control/fault")?;
+        Ok(fault["hits"].as_u64().unwrap_or_default())
+    }
+
     /// Adds a line to the rules file.
     pub fn add_rule(&mut self, line: &str) {
         self.rules.push(line.to_owned());
--- a/crates/mimosagap-scenarios/src/script/fault.rs
+++ b/crates/mimosagap-scenarios/src/script/fault.rs
@@ -4,8 +4,8 @@
 
 use serde_json::json;
 
-use super::ScenarioRunner;
 use super::rules::RulesStep;
+use super::{STEP_LIMIT, ScenarioRunner};
 use crate::cluster::StepResult;
 
 /// Steps that inject faults. Times are in milliseconds.
@@ -25,6 +25,8 @@
         #[arg(key)]
         prefix: Option<String>,
     },
+    /// Waits until the store's fault has hit a call.
+    WaitStoreFault,
     /// Sets the mode of the link to a target, or of a daemon's link to the store.
     Link {
         /// The target or daemon.
@@ -78,6 +80,11 @@
                 });
                 self.cluster.set_store_fault(&fault)?;
             }
+            FaultStep::WaitStoreFault => {
+                self.wait("a call hit by the store's fault", STEP_LIMIT, |runner| {
+                    Ok((runner.cluster.store_fault_hits()? > 0).then_some(()))
+                })?;
+            }
             FaultStep::Link { name, mode, delay } => self.cluster.set_link(name, mode, *delay)?,
             FaultStep::Leave(name) => self.cluster.leave_target(name)?,
             FaultStep::Behave {
--- a/crates/mimosagap-scenarios/src/script/process.rs
+++ b/crates/mimosagap-scenarios/src/script/process.rs
@@ -45,6 +45,8 @@
     Ready(Vec<String>),
     /// Prints how many engines are running.
     RunningEngines,
+    /// Demands that this many engines are running at least.
+    ExpectEngines(usize),
     /// Kills a daemon or a target.
     Kill(String),
     /// Starts a daemon or a target again after its end.
@@ -104,6 +106,12 @@
                 let count = self.cluster.running_targets(TargetKind::Engine);
                 output = format!("{count}\n");
             }
+            ProcessStep::ExpectEngines(least) => {
+                let count = self.cluster.running_targets(TargetKind::Engine);
+                if count < *least {
+                    return Err(format!("{count} engines are running, expected {least}"));
+                }
+            }
             ProcessStep::Kill(name) => self.kill(name)?,
             ProcessStep::Restart(name) => self.restart(name)?,
             ProcessStep::Pause(name) => self.cluster.pause_daemon(name)?,
--- a/crates/mimosagap-scenarios/tests/check.rs
+++ b/crates/mimosagap-scenarios/tests/check.rs
@@ -121,6 +121,9 @@
 #[case::ran_twice(vec![answered()], 2, vec![4])]
 #[case::ran_twice_over_two_services(vec![answered()], 1, vec![4])]
 #[case::untrue_refusal(vec![refused("x", "not_run", None)], 1, vec![3])]
+#[case::untrue_after_unknown(
+    vec![refused("x", "unknown", None), refused("x", "not_run", None)], 1, vec![3]
+)]
 #[case::unreachable_but_ran(vec![SendEnd::Unreachable], 1, vec![3])]
 #[case::answered_but_not_run(vec![answered()], 0, vec![3])]
 #[case::told_ran_but_not_run(vec![refused("x", "ran", None)], 0, vec![3])]
--- a/crates/mimosagap-standins/src/store.rs
+++ b/crates/mimosagap-standins/src/store.rs
@@ -155,6 +155,10 @@
                 self.fault.send_replace(fault);
                 http::done()
             }),
+            (&Method::GET, "fault") => {
+                let hits = self.fault.borrow().hits();
+                http::json(StatusCode::OK, &serde_json::json!({ "hits": hits }))
+            }
             (&Method::GET, "calls") => http::json(StatusCode::OK, &lock(&self.meter).report()),
             (&Method::GET, "dump") => {
                 let dump = self.change(|keys| keys.dump(Instant::now()));
--- a/crates/mimosagap-standins/src/store/fault.rs
+++ b/crates/mimosagap-standins/src/store/fault.rs
@@ -29,6 +29,9 @@
     /// Hits only calls that name a key with this prefix; absent: all calls.
     #[serde(default)]
     key_prefix: Option<String>,
+    /// How many calls were hit.
+    #[serde(skip)]
+    hits: u64,
 }
 
 /// What happens to one call.
@@ -45,6 +48,10 @@
         self.kind == FaultKind::Down && self.key_prefix.is_none()
     }
 
+    pub(super) fn hits(&self) -> u64 {
+        self.hits
+    }
+
     /// What happens to a call before it is carried out; counts it if it is hit.
     pub(super) fn before(&mut self, body: &[u8]) -> FaultAction {
         let action = match self.kind {
@@ -74,10 +81,14 @@
         {
             return FaultAction::None;
         }
+        self.hits += 1;
         if let Some(count) = &mut self.count {
             *count = count.saturating_sub(1);
             if *count == 0 {
-                *self = Self::default();
+                *self = Self {
+                    hits: self.hits,
+                    ..Self::default()
+                };
             }
         }
         action
--- a/crates/mimosagap-standins/tests/store.rs
+++ b/crates/mimosagap-standins/tests/store.rs
@@ -222,6 +222,7 @@
     assert_eq!(status(&error), None);
     assert_eq!(store.read("mg/o/a/1").as_deref(), Some("nonce"));
     assert!(store.create("mg/o/a/2", "nonce").expect("only one is lost"));
+    assert_eq!(store.get("/control/fault")["hits"], json!(1));
 }
 
 /// Guards against a lost answer to a call that changed nothing, which would hide how a lost answer
