--- a/crates/mimosagap-scenarios/src/caller.rs
+++ b/crates/mimosagap-scenarios/src/caller.rs
@@ -43,6 +43,8 @@
     /// How long the caller keeps sending after refusals that name a time for a new try, and after
     /// broken sends of an order.
     pub patience: Duration,
+    /// Whether an order that may have run is sent again with its key.
+    pub resend: bool,
 }
 
 /// A generation to request.
@@ -158,6 +160,10 @@
                 SendEnd::Refused { retry_after, .. } => retry_after.unwrap_or(RETRY_PAUSE),
                 SendEnd::Unreachable | SendEnd::Broken(_) => RETRY_PAUSE,
             };
+            let may_have_run = !matches!(end.word(), "not_run" | "unreachable");
+            if may_have_run && !self.options.resend {
+                return;
+            }
             if start.elapsed() + pause > self.options.patience {
                 return;
             }
--- a/crates/mimosagap-scenarios/src/load.rs
+++ b/crates/mimosagap-scenarios/src/load.rs
@@ -33,6 +33,8 @@
     pub streams: usize,
     /// Callers that send orders.
     pub orders: usize,
+    /// Whether an order that may have run is sent again with its key.
+    pub resend: bool,
     /// The longest output in tokens.
     pub longest: u64,
     /// The seed of lengths and choices.
@@ -149,6 +151,7 @@
             via,
             token: self.options.token.clone(),
             patience: PATIENCE,
+            resend: self.options.resend,
         };
         Caller::new(options, self.journal.clone())
     }
--- a/crates/mimosagap-scenarios/src/script/request.rs
+++ b/crates/mimosagap-scenarios/src/script/request.rs
@@ -79,6 +79,9 @@
         /// The longest output.
         #[arg(key)]
         tokens: Option<u64>,
+        /// `false` if orders that may have run are not sent again.
+        #[arg(key)]
+        resend: Option<bool>,
     },
     /// Waits for a request and prints how each transmission ended.
     Await(String),
@@ -169,6 +172,7 @@
                 streams,
                 orders,
                 tokens,
+                resend,
             } => {
                 let options = LoadOptions {
                     name: name.clone(),
@@ -178,6 +182,7 @@
                     streams: *streams,
                     orders: *orders,
                     longest: tokens.unwrap_or(40),
+                    resend: resend.unwrap_or(true),
                     seed: self.seed,
                 };
                 let tasks = run_load(&self.runtime, &options, &self.journal);
@@ -233,6 +238,7 @@
             via: self.endpoints(via)?,
             token: team_token(team.unwrap_or(DEFAULT_TEAM)),
             patience: Duration::from_millis(patience),
+            resend: true,
         };
         Ok(Caller::new(options, self.journal.clone()))
     }
