test(daemon): withdrawn claims, and addresses that cannot collide

Change: each test process uses its own loopback address and counts its ports; a refused connection is tested at port 1. A new test guards against an order whose claim got no answer and which stays unknown although it was never sent.

--- a/crates/mimosagap-daemon/tests/control_store.rs
+++ b/crates/mimosagap-daemon/tests/control_store.rs
@@ -126,6 +126,32 @@
     assert_eq!(a.claim(2, "k2", "b").await, ClaimAnswer::Won);
 }
 
+/// Guards against a claim of unknown fate reported as not written, and against its order staying
+/// `unknown` for 24 h although this daemon never sent it.
+#[tokio::test(flavor = "multi_thread")]
+async fn uncertain_claim_is_withdrawn() {
+    let store = MemoryStore::start();
+    let (a, b) = (Daemon::start(&store, &[]), Daemon::start(&store, &[]));
+    a.wait_registered().await;
+    assert_eq!(a.claim(1, "first", "b").await, ClaimAnswer::Won);
+    store.lose_answers(u32::MAX);
+    assert_eq!(a.claim(2, "k", "b").await, ClaimAnswer::Uncertain);
+    store.lose_answers(0);
+    wait("the mark", || {
+        (a.control.counters().results_recorded == 1).then_some(())
+    })
+    .await;
+    let mut answer = ClaimAnswer::Unavailable;
+    for ticket in 1..50 {
+        answer = b.claim(ticket, "k", "b").await;
+        if answer != ClaimAnswer::Unavailable {
+            break;
+        }
+        sleep(Duration::from_millis(100)).await;
+    }
+    assert_eq!(answer, ClaimAnswer::Won);
+}
+
 /// Guards against an order that two daemons both win.
 #[tokio::test(flavor = "multi_thread")]
 async fn claim_raced_by_two_daemons_has_one_winner() {
--- a/crates/mimosagap-daemon/tests/control_support/mod.rs
+++ b/crates/mimosagap-daemon/tests/control_support/mod.rs
@@ -1,8 +1,8 @@
 //! Daemons that consist of their control tasks only, around a store in memory.
 #![allow(dead_code)]
 
-use std::net::{SocketAddr, TcpListener};
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU16, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -20,13 +20,17 @@
 use store::MemoryStore;
 
 static NEXT_DAEMON: AtomicU64 = AtomicU64::new(1);
+static NEXT_ADDRESS: AtomicU16 = AtomicU16::new(0);
 
 pub const KEY: &[u8] = b"mimosagap-test-key-001";
 
-/// A loopback address that nobody uses.
+/// A loopback address that nobody else uses: the IP number belongs to this process. A free port
+/// from the operating system could be given out twice.
 pub fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    listener.local_addr().unwrap()
+    let [_, high, middle, low] = std::process::id().to_be_bytes();
+    let number = NEXT_ADDRESS.fetch_add(1, Ordering::SeqCst);
+    let port = 20_000 + number * 8 + u16::from(high % 8);
+    SocketAddr::from(([127, 64 + middle % 64, low, 1], port))
 }
 
 /// A daemon without a reducer, which records its events.
--- a/crates/mimosagap-peer/tests/exchange.rs
+++ b/crates/mimosagap-peer/tests/exchange.rs
@@ -356,9 +356,7 @@
 /// Guards against a peer that is gone being waited for.
 #[tokio::test]
 async fn refused_connection_is_reported_at_once() {
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let address = listener.local_addr().unwrap();
-    drop(listener);
+    let address = "127.0.0.1:1".parse().unwrap();
     let (client, _) = client("fleet");
     let start = Instant::now();
     assert_eq!(ask(&client, address).await, Err(ExchangeError::Refused));
--- a/crates/mimosagap-store/tests/client.rs
+++ b/crates/mimosagap-store/tests/client.rs
@@ -2,7 +2,6 @@
 
 mod support;
 
-use std::net::TcpListener;
 use std::time::Duration;
 
 use mimosagap_store::{
@@ -16,12 +15,8 @@
 /// would turn a truthful `not run` into `unknown`.
 #[test]
 fn refused_connection_is_not_applied() {
-    let free = TcpListener::bind("127.0.0.1:0")
-        .unwrap()
-        .local_addr()
-        .unwrap();
     let client = StoreClient::new(Options {
-        address: free,
+        address: "127.0.0.1:1".parse().unwrap(),
         timeout: Duration::from_millis(300),
     });
     let error = client
