--- a/crates/mimosagap-load/src/experiment.rs
+++ b/crates/mimosagap-load/src/experiment.rs
@@ -4,15 +4,17 @@
 use std::fmt::Write as _;
 use std::fs;
 use std::path::{Path, PathBuf};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::thread;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
 use crate::command::{CommandError, address_books, finish, runtime};
-use crate::engines::{self, FleetFigures, fetch_statistics};
-use crate::fleet::{Fleet, FleetOptions};
+use crate::engines::{self, EngineStatistics, FleetFigures, fetch_statistics};
+use crate::fleet::{Fleet, FleetOptions, SLOTS};
 use crate::plot;
+use crate::process::end_children_on_signal;
 use crate::route::{Route, RouteKind};
 use crate::run::{Probe, RunOptions, run};
 use crate::summary::{RunSummary, refused_as_not_run, summarize};
@@ -72,11 +74,14 @@
 pub type Figure = (&'static str, fn(&RunSummary) -> f64);
 
 /// The figures of the table.
-pub const FIGURES: [Figure; 18] = [
+pub const FIGURES: [Figure; 22] = [
     ("preemptions", |run| engine(run, |e| count(e.preemptions))),
     ("recomputed tokens", |run| {
         engine(run, |e| count(e.recomputed_tokens))
     }),
+    ("memory mean, %", |run| {
+        engine(run, |e| e.memory_mean * 100.0)
+    }),
     ("memory peak, %", |run| {
         engine(run, |e| e.memory_peak * 100.0)
     }),
@@ -109,6 +114,15 @@
         count(run.total.unfinished + run.total.broken.values().sum::<u64>())
     }),
     ("violations", |run| count(run.total.violations)),
+    ("started again", |run| {
+        engine(run, |e| count(e.started_again))
+    }),
+    ("not run but started", |run| {
+        engine(run, |e| count(e.not_run_but_started))
+    }),
+    ("last start after leave, ms", |run| {
+        engine(run, |e| count(e.last_start_after_leave_ms))
+    }),
 ];
 
 fn engine(run: &RunSummary, figure: fn(&FleetFigures) -> f64) -> f64 {
@@ -194,6 +208,7 @@
     let variant: Option<String> = arguments.opt_value_from_str("--variant")?;
     let policies: Option<String> = arguments.opt_value_from_str("--policies")?;
     let seeds: Option<String> = arguments.opt_value_from_str("--seeds")?;
+    let in_turn = arguments.contains("--in-turn");
     let binaries: PathBuf = arguments.value_from_str("--binaries")?;
     let directory: PathBuf = arguments.value_from_str("--out")?;
     finish(arguments)?;
@@ -203,21 +218,38 @@
         binaries,
         directory,
     };
+    end_children_on_signal()?;
     fs::create_dir_all(&options.directory)?;
     let results_path = options.directory.join("results.json");
     let mut results = ExperimentResults::read(&results_path)?;
+    let policies: Vec<&str> = policies
+        .as_deref()
+        .unwrap_or(DEFAULT_POLICIES)
+        .split(',')
+        .collect();
+    if policies.len() > SLOTS as usize {
+        return Err(CommandError::Arguments(format!("at most {SLOTS} policies")));
+    }
     for seed in parse_seeds(seeds.as_deref().unwrap_or("1,2,3,4,5"))? {
-        for policy in policies.as_deref().unwrap_or(DEFAULT_POLICIES).split(',') {
-            let summary = run_once(&options, policy, seed)?;
+        let summaries = if in_turn {
+            policies
+                .iter()
+                .map(|policy| run_once(&options, policy, seed, 0))
+                .collect()
+        } else {
+            run_side_by_side(&options, &policies, seed)
+        };
+        for (policy, summary) in policies.iter().zip(summaries) {
+            let summary = summary?;
             println!("policy {policy}, {summary}\n");
             results.add(ExperimentRun {
-                policy: policy.to_owned(),
+                policy: (*policy).to_owned(),
                 variant: options.variant.clone(),
                 summary,
             });
-            let text = serde_json::to_string_pretty(&results).map_err(std::io::Error::from)?;
-            fs::write(&results_path, text)?;
         }
+        let text = serde_json::to_string_pretty(&results).map_err(std::io::Error::from)?;
+        fs::write(&results_path, text)?;
     }
     let table = results.table();
     fs::write(options.directory.join("table.md"), &table)?;
@@ -234,10 +266,30 @@
         .collect()
 }
 
+/// Runs all policies at the same time, so that what else the machine does hits them alike.
+fn run_side_by_side(
+    options: &ExperimentOptions,
+    policies: &[&str],
+    seed: u64,
+) -> Vec<Result<RunSummary, CommandError>> {
+    thread::scope(|scope| {
+        let threads: Vec<_> = (0..)
+            .zip(policies)
+            .map(|(slot, policy)| scope.spawn(move || run_once(options, policy, seed, slot)))
+            .collect();
+        let join = |thread: thread::ScopedJoinHandle<'_, _>| {
+            let failed = || Err(CommandError::Setup("a run panicked; see above".to_owned()));
+            thread.join().unwrap_or_else(|_| failed())
+        };
+        threads.into_iter().map(join).collect()
+    })
+}
+
 fn run_once(
     options: &ExperimentOptions,
     policy: &str,
     seed: u64,
+    slot: u32,
 ) -> Result<RunSummary, CommandError> {
     let workload = &options.workload;
     let fleet = Fleet::start(&FleetOptions {
@@ -246,24 +298,42 @@
         workload,
         policy: (policy != DIRECT).then_some(policy),
         seed,
+        slot,
     })?;
     let kind = if fleet.daemons.is_empty() {
         RouteKind::Engines(fleet.engines.clone())
     } else {
         RouteKind::Daemons(address_books(workload, &fleet.daemons))
     };
+    let readings: Readings = Arc::default();
+    let mut probes = leaving_probes(workload, &fleet);
+    for at in [workload.warmup(), workload.duration()] {
+        let (readings, engines) = (Arc::clone(&readings), fleet.engines.clone());
+        let read = move || lock(&readings).push(fetch_statistics(&engines));
+        probes.push((at, Box::new(read)));
+    }
     let records = runtime()?.block_on(run(RunOptions {
         workload: workload.clone(),
         seed,
         routes: vec![Arc::new(Route::new(policy, kind))],
         engines: fleet.engines.clone(),
-        probes: leaving_probes(workload, &fleet),
+        probes,
     }));
     let refused = refused_as_not_run(seed, &records);
-    let figures = FleetFigures::new(&fetch_statistics(&fleet.engines), seed, &refused);
+    let mut figures = FleetFigures::new(&fetch_statistics(&fleet.engines), seed, &refused);
+    if let [first, last] = lock(&readings).as_slice() {
+        figures.set_memory_mean(first, last);
+    }
     Ok(summarize(workload, seed, &records, Some(figures)))
 }
 
+/// Statistics of all engines at several times.
+type Readings = Arc<Mutex<Vec<Vec<Option<EngineStatistics>>>>>;
+
+fn lock(readings: &Readings) -> MutexGuard<'_, Vec<Vec<Option<EngineStatistics>>>> {
+    readings.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 /// The host list shows an engine as leaving from the time when it is told to leave.
 fn leaving_probes(workload: &Workload, fleet: &Fleet) -> Vec<(Duration, Probe)> {
     let faults = engines::schedule(&workload.faults, fleet.engines.len(), workload.duration());
