fix(core): say not run for a re-sent order only if its claim was read

A claim read on every refusal was ruled out: in an outage there is nothing to read.

Change: callers mark a send with X-First-Send: true while no earlier send of the key may have run. Refusals of unmarked orders say unknown unless the claim was read, and an unmarked order is claimed even if no target is there. A key made by the daemon counts as a first send.

--- a/crates/mimosagap-core/src/event.rs
+++ b/crates/mimosagap-core/src/event.rs
@@ -37,6 +37,9 @@
         service: DeploymentName,
         /// The name under which the order is claimed.
         key: OrderKey,
+        /// Whether the caller says that no earlier send of the key may have run. Otherwise only
+        /// the claim tells whether the order was carried out before.
+        is_first_send: bool,
     },
 }
 
@@ -54,6 +57,21 @@
     pub work: WorkKind,
 }
 
+impl Submission {
+    /// Whether it is an order that an earlier send, perhaps through another daemon, may have
+    /// carried out; only the claim tells.
+    #[must_use]
+    pub fn may_be_resend(&self) -> bool {
+        matches!(
+            self.work,
+            WorkKind::Order {
+                is_first_send: false,
+                ..
+            }
+        )
+    }
+}
+
 /// How an attempt at a target ended.
 #[derive(Debug, Clone, PartialEq)]
 pub enum AttemptEnd {
--- a/crates/mimosagap-core/src/intake.rs
+++ b/crates/mimosagap-core/src/intake.rs
@@ -31,7 +31,10 @@
                 (Some(refusal), group.unwrap_or(GroupIndex(0)))
             }
         };
-        if let Some(refusal) = refusal {
+        if let Some(mut refusal) = refusal {
+            if submission.may_be_resend() {
+                refusal.outcome = RunOutcome::Unknown;
+            }
             effects.push(Effect::Refuse { ticket, refusal });
             return;
         }
@@ -105,6 +108,7 @@
             lengths,
             attempts: 0,
             may_have_run: false,
+            claim_known: false,
             caller_left: false,
             avoid: Vec::new(),
             retry_after: None,
--- a/crates/mimosagap-core/src/orders.rs
+++ b/crates/mimosagap-core/src/orders.rs
@@ -16,7 +16,13 @@
             self.give_up(key, RefusalCause::StoreUnavailable, effects);
             return;
         }
-        if self.find_service(now, key).is_none() {
+        let may_be_resend = self
+            .requests
+            .get(key)
+            .is_some_and(|request| request.submission.may_be_resend());
+        // Only the claim of a re-sent order tells whether it ran, so it is read even without a
+        // target.
+        if !may_be_resend && self.find_service(now, key).is_none() {
             self.give_up(key, RefusalCause::NoTarget, effects);
             return;
         }
@@ -52,7 +58,10 @@
         }
         request.phase = Phase::Idle;
         match answer {
-            ClaimAnswer::Won => self.send_order(now, key, RefusalCause::NoTarget, effects),
+            ClaimAnswer::Won => {
+                request.claim_known = true;
+                self.send_order(now, key, RefusalCause::NoTarget, effects);
+            }
             ClaimAnswer::Ran => {
                 effects.push(Effect::AnswerFromRecord { ticket });
                 self.remove(key);
@@ -61,7 +70,10 @@
                 request.may_have_run = true;
                 self.give_up(key, RefusalCause::OrderInProgress, effects);
             }
-            ClaimAnswer::OtherBody => self.give_up(key, RefusalCause::KeyReused, effects),
+            ClaimAnswer::OtherBody => {
+                request.claim_known = true;
+                self.give_up(key, RefusalCause::KeyReused, effects);
+            }
             ClaimAnswer::Unavailable => {
                 self.give_up(key, RefusalCause::StoreUnavailable, effects);
             }
--- a/crates/mimosagap-core/src/requests.rs
+++ b/crates/mimosagap-core/src/requests.rs
@@ -107,6 +107,8 @@
     pub attempts: u32,
     /// Whether an attempt may have run.
     pub may_have_run: bool,
+    /// Whether the claim showed that no earlier send of this order has run.
+    pub claim_known: bool,
     /// Whether the caller left while the request had to go on.
     pub caller_left: bool,
     /// Targets at which it failed.
@@ -166,7 +168,7 @@
     /// What a refusal now says about the work.
     #[must_use]
     pub fn outcome(&self) -> RunOutcome {
-        if self.may_have_run {
+        if self.may_have_run || (self.submission.may_be_resend() && !self.claim_known) {
             RunOutcome::Unknown
         } else {
             RunOutcome::NotRun
--- a/crates/mimosagap-core/tests/common/mod.rs
+++ b/crates/mimosagap-core/tests/common/mod.rs
@@ -97,11 +97,21 @@
                 team: TeamName::new("floors"),
                 key: digest(seed),
             },
+            is_first_send: true,
         },
         ..generation(seed, true)
     }
 }
 
+/// The same order as that of [`order`], from a caller that may have sent it before.
+pub fn resent_order(seed: u8) -> Submission {
+    let mut submission = order(seed);
+    if let WorkKind::Order { is_first_send, .. } = &mut submission.work {
+        *is_first_send = false;
+    }
+    submission
+}
+
 pub fn call(seed: u8) -> Submission {
     Submission {
         work: WorkKind::RepeatableCall {
--- a/crates/mimosagap-core/tests/orders.rs
+++ b/crates/mimosagap-core/tests/orders.rs
@@ -163,3 +163,33 @@
         Some(RefusalCause::NoTarget)
     );
 }
+
+/// Fails if an order that may have been sent before is refused as not run although nobody looked at
+/// its claim: it may have run through another daemon.
+#[test]
+fn a_resend_without_a_readable_claim_is_unknown() {
+    let mut harness = Harness::with_targets("", 0, 2);
+    let (ticket, _) = harness.submit(resent_order(1));
+    let effects = harness.claim(ticket, ClaimAnswer::Unavailable);
+    let refusal = refused(&effects).expect("the order is refused");
+    assert_eq!(refusal.outcome, RunOutcome::Unknown);
+
+    let mut refusing = Harness::with_targets("refuse team floors # manager: test", 0, 2);
+    let (_, effects) = refusing.submit(resent_order(1));
+    let refusal = refused(&effects).expect("the order is refused");
+    assert_eq!(refusal.outcome, RunOutcome::Unknown);
+}
+
+/// Fails if a re-sent order is refused for want of a target before its claim tells whether it ran,
+/// or if the claim's answer is then not believed.
+#[test]
+fn a_resend_without_a_target_is_claimed_first() {
+    let rules = format!("drain target {} # crew lead: test", service(1));
+    let mut harness = Harness::with_targets(&rules, 0, 1);
+    let (ticket, effects) = harness.submit(resent_order(1));
+    assert!(matches!(effects[..], [Effect::Claim { .. }]), "{effects:?}");
+    let effects = harness.claim(ticket, ClaimAnswer::Won);
+    assert!(matches!(effects[0], Effect::RecordNotRun { .. }));
+    let refusal = refused(&effects).expect("the order is refused");
+    assert_eq!(refusal.outcome, RunOutcome::NotRun);
+}
--- a/crates/mimosagap-daemon/src/front/services.rs
+++ b/crates/mimosagap-daemon/src/front/services.rs
@@ -45,7 +45,13 @@
     let body = read_body(shared, body).await?;
     let submission = Submission {
         digest: digest(&team, &name, &head, &uri, &body),
-        work: work(&team, deployment, is_order, &key),
+        work: work(
+            &team,
+            deployment,
+            is_order,
+            &key,
+            is_first_send(&head.headers),
+        ),
         class,
         team,
     };
@@ -91,7 +97,22 @@
     ])
 }
 
-fn work(team: &TeamName, deployment: &DeploymentSettings, is_order: bool, key: &str) -> WorkKind {
+/// Whether no earlier send of the order may have run: the caller says so, or the key is new because
+/// the daemon made it.
+fn is_first_send(headers: &HeaderMap) -> bool {
+    !headers.contains_key("idempotency-key")
+        || headers
+            .get("x-first-send")
+            .is_some_and(|value| value == "true")
+}
+
+fn work(
+    team: &TeamName,
+    deployment: &DeploymentSettings,
+    is_order: bool,
+    key: &str,
+    is_first_send: bool,
+) -> WorkKind {
     let service = deployment.name.clone();
     if !is_order {
         return WorkKind::RepeatableCall { service };
@@ -103,6 +124,7 @@
             team: team.clone(),
             key,
         },
+        is_first_send,
     }
 }
 
--- a/crates/mimosagap-scenarios/src/caller.rs
+++ b/crates/mimosagap-scenarios/src/caller.rs
@@ -153,15 +153,15 @@
             let send = self
                 .journal
                 .begin_send(&request.name, &endpoint.name, false);
-            let end = self.send_order(endpoint, &request).await;
+            let is_first = !self.journal.may_have_run(&request.key, &request.name, send);
+            let end = self.send_order(endpoint, &request, is_first).await;
             self.journal.end_send(&request.name, send, &end);
             let pause = match &end {
                 SendEnd::Open | SendEnd::Answered { .. } => return,
                 SendEnd::Refused { retry_after, .. } => retry_after.unwrap_or(RETRY_PAUSE),
                 SendEnd::Unreachable | SendEnd::Broken(_) => RETRY_PAUSE,
             };
-            let may_have_run = !matches!(end.word(), "not_run" | "unreachable");
-            if may_have_run && !self.options.resend {
+            if end.may_have_run() && !self.options.resend {
                 return;
             }
             if start.elapsed() + pause > self.options.patience {
@@ -356,11 +356,19 @@
         SendEnd::Answered { status: 200 }
     }
 
-    async fn send_order(&self, endpoint: &Endpoint, request: &OrderRequest) -> SendEnd {
+    /// Sends an order once. `is_first` says that no earlier send of its key may have run, as a
+    /// caller of the service has to say.
+    async fn send_order(
+        &self,
+        endpoint: &Endpoint,
+        request: &OrderRequest,
+        is_first: bool,
+    ) -> SendEnd {
         let path = format!("/v1/services/{}/{}", request.service, request.path);
         let message = self
             .request(request.method.clone(), endpoint.address, &path)
             .header("idempotency-key", &request.key)
+            .header("x-first-send", if is_first { "true" } else { "false" })
             .header("content-type", "text/plain")
             .body(Full::from(request.body.clone()))
             .expect("the request has valid parts");
--- a/crates/mimosagap-scenarios/src/check.rs
+++ b/crates/mimosagap-scenarios/src/check.rs
@@ -225,15 +225,10 @@
     evidence: &Evidence,
     violations: &mut Vec<Violation>,
 ) {
-    let may_have_run = |send: &SendRecord| match &send.end {
-        SendEnd::Refused { outcome, .. } => outcome != "not_run",
-        SendEnd::Unreachable => false,
-        SendEnd::Open | SendEnd::Answered { .. } | SendEnd::Broken(_) => true,
-    };
     for refused in sends.iter().filter(|send| says_not_run(send)) {
         // A send that was open during the refusal or came later may have run the order since.
         let is_excused = sends.iter().any(|send| {
-            may_have_run(send) && send.ended.is_none_or(|ended| ended > refused.started)
+            send.end.may_have_run() && send.ended.is_none_or(|ended| ended > refused.started)
         });
         if ran && !is_excused {
             let text = format!("order {key} had run when {} said not run", refused.to);
--- a/crates/mimosagap-scenarios/src/record.rs
+++ b/crates/mimosagap-scenarios/src/record.rs
@@ -31,6 +31,16 @@
 }
 
 impl SendEnd {
+    /// Whether the work of an order may have been carried out.
+    #[must_use]
+    pub fn may_have_run(&self) -> bool {
+        match self {
+            Self::Refused { outcome, .. } => outcome != "not_run",
+            Self::Unreachable => false,
+            Self::Open | Self::Answered { .. } | Self::Broken(_) => true,
+        }
+    }
+
     /// A word for expectations in scripts: `answered`, `ran`, `not_run`, `unknown`, `unreachable`
     /// or `broken`.
     #[must_use]
@@ -209,6 +219,25 @@
         position
     }
 
+    /// Whether a transmission of an order with this key, other than the named one, may have run.
+    #[must_use]
+    pub fn may_have_run(&self, key: &str, name: &str, position: usize) -> bool {
+        let content = self.content();
+        let of_key = content.requests.values().filter(
+            |record| matches!(&record.kind, RequestKind::Order { key: found } if found == key),
+        );
+        of_key
+            .flat_map(|record| {
+                record
+                    .sends
+                    .iter()
+                    .enumerate()
+                    .map(move |send| (record, send))
+            })
+            .filter(|(record, (number, _))| record.name != name || *number != position)
+            .any(|(_, (_, send))| send.end.may_have_run())
+    }
+
     /// Ends a transmission.
     pub fn end_send(&self, name: &str, position: usize, end: &SendEnd) {
         let mut to = String::new();
