feat(daemon): look again at a claim whose result is being recorded

Change: a claim found in progress is looked at again after 50 and 200 ms before that is the answer. Ruled out: holding the caller's answer back until the record is written.

--- a/crates/mimosagap-daemon/src/control/claims.rs
+++ b/crates/mimosagap-daemon/src/control/claims.rs
@@ -22,6 +22,9 @@
 /// Records live for 24 h; the lease is an hour longer because it serves an hour of claims.
 const LEASE_TTL: Duration = Duration::from_hours(25);
 const LEASE_PERIOD: Duration = Duration::from_hours(1);
+/// A result is recorded just after its caller got it, so a re-send that comes at once finds the
+/// claim without a result. It is looked at again after these waits.
+const SECOND_LOOKS: [Duration; 2] = [Duration::from_millis(50), Duration::from_millis(200)];
 const MAX_OWN: usize = 10_000;
 const MAX_RECORDED: usize = 1_000;
 
@@ -31,6 +34,18 @@
     ticket: RequestTicket,
     key: OrderKey,
     digest: RequestDigest,
+    /// How often the claim was found in progress.
+    looks: usize,
+}
+
+impl ClaimJob {
+    fn unavailable(&self) -> ClaimAnswer {
+        if self.looks == 0 {
+            ClaimAnswer::Unavailable
+        } else {
+            ClaimAnswer::InProgress
+        }
+    }
 }
 
 #[derive(Debug)]
@@ -100,6 +115,7 @@
         ticket,
         key,
         digest,
+        looks: 0,
     };
     if control.claims.jobs.try_send(job).is_err() {
         control.counters.claims_refused.add(1);
@@ -130,10 +146,10 @@
     }
 }
 
-/// Nothing was written for these claims.
+/// Nothing was written for these claims. A claim that was found in progress before is still that.
 fn refuse(control: &Control, batch: &[ClaimJob]) {
     for job in batch {
-        answer(control, job.ticket, ClaimAnswer::Unavailable);
+        answer(control, job.ticket, job.unavailable());
     }
 }
 
@@ -165,13 +181,13 @@
         .call(move |client| client.claim(options))
         .await;
     for ((job, request), outcome) in batch.into_iter().zip(requests).zip(outcomes) {
-        settle(control, &job, request, outcome);
+        settle(control, job, request, outcome);
     }
 }
 
 fn settle(
     control: &Arc<Control>,
-    job: &ClaimJob,
+    job: ClaimJob,
     request: ClaimRequest,
     outcome: Result<ClaimOutcome, WriteError>,
 ) {
@@ -189,15 +205,15 @@
             lock(&claims.recorded).insert(job.ticket, recorded(result));
             ClaimAnswer::Ran
         }
-        Ok(ClaimOutcome::InProgress) => ClaimAnswer::InProgress,
+        Ok(ClaimOutcome::InProgress) => return look_again(control, job),
         Ok(ClaimOutcome::OtherBody) => ClaimAnswer::OtherBody,
         Err(WriteError::NotApplied(cause)) => {
             if matches!(cause, NotApplied::Rejected { .. }) {
                 claims.drop_lease();
             }
-            ClaimAnswer::Unavailable
+            job.unavailable()
         }
-        Err(WriteError::Contended) => ClaimAnswer::Unavailable,
+        Err(WriteError::Contended) => job.unavailable(),
         Err(WriteError::Uncertain) => {
             results::withdraw(control, request);
             ClaimAnswer::Uncertain
@@ -206,6 +222,22 @@
     answer(control, job.ticket, found);
 }
 
+/// Claims an order in progress again, in case its result is just being recorded.
+fn look_again(control: &Arc<Control>, mut job: ClaimJob) {
+    let Some(wait) = SECOND_LOOKS.get(job.looks) else {
+        return answer(control, job.ticket, ClaimAnswer::InProgress);
+    };
+    job.looks += 1;
+    let control = Arc::clone(control);
+    tokio::spawn(async move {
+        tokio::time::sleep(*wait).await;
+        let ticket = job.ticket;
+        if control.claims.jobs.try_send(job).is_err() {
+            answer(&control, ticket, ClaimAnswer::InProgress);
+        }
+    });
+}
+
 fn recorded(result: OrderResult) -> RecordedAnswer {
     RecordedAnswer {
         status: result.status,
--- a/crates/mimosagap-daemon/tests/control_store.rs
+++ b/crates/mimosagap-daemon/tests/control_store.rs
@@ -203,6 +203,26 @@
     assert_eq!(b.claim(6, "unsent", "b").await, ClaimAnswer::Won);
 }
 
+/// Guards against a re-send that is told `unknown` because it came between the answer and its
+/// record.
+#[tokio::test(flavor = "multi_thread")]
+async fn resend_waits_for_a_result_that_is_being_recorded() {
+    let store = MemoryStore::start();
+    let (a, b) = (Daemon::start(&store, &[]), Daemon::start(&store, &[]));
+    a.wait_registered().await;
+    b.wait_registered().await;
+    assert_eq!(a.claim(1, "k", "b").await, ClaimAnswer::Won);
+    b.ask_claim(2, "k", "b");
+    sleep(Duration::from_millis(30)).await;
+    let answer = RecordedAnswer {
+        status: 500,
+        content_type: None,
+        body: None,
+    };
+    a.control.record_result(order("k"), answer);
+    assert_eq!(b.claim_answer(2).await, ClaimAnswer::Ran);
+}
+
 /// Guards against a result that is lost because the store was down when the target answered.
 #[tokio::test(flavor = "multi_thread")]
 async fn results_wait_for_the_store() {
