--- a/crates/mimosagap-daemon/examples/control_cost.rs
+++ b/crates/mimosagap-daemon/examples/control_cost.rs
@@ -1,8 +1,9 @@
 //! Measures what the control side of one daemon costs in a fleet of a given size.
 //!
 //! `control_cost --store IP:PORT --daemons N [--seconds S] [--changes-per-minute C]
-//! [--rules-lines L]` starts N copies of itself, each with the control tasks
-//! of one daemon, against a running store, and prints the mean of their figures as JSON.
+//! [--rules-lines L]` starts N copies of itself, each with the control tasks of one daemon,
+//! against a running store (`mimosagap-standins store --listen IP:PORT`), and prints the mean of
+//! their figures per second as JSON. Bytes are those of the payload, without TCP and IP headers.
 
 use std::error::Error;
 use std::net::SocketAddr;
