--- a/crates/mimosagap-daemon/tests/generations.rs
+++ b/crates/mimosagap-daemon/tests/generations.rs
@@ -372,3 +372,42 @@
     assert_eq!(reply.header("x-outcome"), Some("not_run"));
     assert_eq!(other.count("POST"), 0);
 }
+
+/// Guards against a resume that takes the stream away from another reader of the same generation.
+#[tokio::test]
+async fn two_readers_of_a_generation_do_not_disturb_each_other() {
+    let engine = FakeEngine {
+        step: Duration::from_millis(5),
+        ..FakeEngine::new(60)
+    };
+    let target = engine.start().await;
+    let daemon = start(Placement::new(&[target])).await;
+    let id = finished_id(&daemon).await;
+    let path = format!("/v1/responses/{id}?stream=true&starting_after=5");
+    let later = async {
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        call(daemon.callers, "GET", &path, "").await
+    };
+    let (first, second) = tokio::join!(call(daemon.callers, "GET", &path, ""), later);
+    assert_eq!(events(&first.body).len(), 56);
+    assert_eq!(events(&second.body).len(), 56);
+}
+
+/// Guards against a stream that stops for good, loses or repeats tokens when its caller reads more
+/// slowly than the engine writes.
+#[tokio::test]
+async fn a_slow_reader_gets_everything() {
+    let engine = FakeEngine {
+        step: Duration::ZERO,
+        ..FakeEngine::new(60_000)
+    };
+    let target = engine.start().await;
+    let daemon = start(Placement::new(&[target])).await;
+    let mut connection = TcpStream::connect(daemon.callers).await.unwrap();
+    let bytes = request("POST", "/v1/responses", TOKEN, "", &generation(true));
+    connection.write_all(&bytes).await.unwrap();
+    tokio::time::sleep(Duration::from_secs(4)).await;
+    let reply = read_reply(&mut connection).await;
+    check_stream(&reply, 60_000, &target.to_string());
+    assert_eq!(engine.count("GET"), 0, "a full outbox is not a silent link");
+}
