fix(standins): change the proxy's mode while its target is away

Cause: a control call waited until the target was back, and refusals of connections accepted before its return closed the listener once more, so a target that was up could look refused for a moment. A kill or restart step that the link does not show within 3 s now fails the scenario instead of going on; service_fails had failed once in 10 suite runs right after such a step (target_silent instead of a refused connection), and its cause was not seen again.

--- a/crates/mimosagap-scenarios/src/cluster.rs
+++ b/crates/mimosagap-scenarios/src/cluster.rs
@@ -20,7 +20,7 @@
 
 const START_LIMIT: Duration = Duration::from_secs(5);
 /// How long a link may take to notice that its target ended or came back.
-const LINK_LIMIT: Duration = Duration::from_millis(500);
+const LINK_LIMIT: Duration = Duration::from_secs(3);
 const TARGET_PORT: u16 = 8_000;
 const LINK_CONTROL_PORT: u16 = 8_001;
 const CALLER_PORT: u16 = 7_000;
@@ -419,8 +419,8 @@
         target.process.kill().map_err(|error| text(&error))?;
         let link = target.address();
         // The link notices the target's end with the first connection that it cannot relay.
-        poll_until(LINK_LIMIT, || TcpStream::connect(link).is_err());
-        Ok(())
+        poll_until(LINK_LIMIT, || TcpStream::connect(link).is_err())
+            .map_err(|error| format!("the link to {name} still accepts: {error}"))
     }
 
     /// Starts a target that has ended again, at its address.
@@ -439,8 +439,8 @@
         let target = self.target_mut(name)?;
         target.process = process;
         let link = target.address();
-        poll_until(LINK_LIMIT, || TcpStream::connect(link).is_ok());
-        Ok(())
+        poll_until(LINK_LIMIT, || TcpStream::connect(link).is_ok())
+            .map_err(|error| format!("the link to {name} still refuses: {error}"))
     }
 
     /// Waits until a target's process has ended by itself.
@@ -890,12 +890,15 @@
     }
 }
 
-/// Polls until `condition` holds or the limit is over. Under some link modes it never holds.
-fn poll_until(limit: Duration, mut condition: impl FnMut() -> bool) {
+fn poll_until(limit: Duration, mut condition: impl FnMut() -> bool) -> StepResult {
     let start = Instant::now();
-    while !condition() && start.elapsed() < limit {
+    while !condition() {
+        if start.elapsed() > limit {
+            return Err(format!("no change within {limit:?}"));
+        }
         std::thread::sleep(Duration::from_millis(10));
     }
+    Ok(())
 }
 
 fn wait_for_port(process: &mut ManagedProcess, address: SocketAddr) -> StepResult {
--- a/crates/mimosagap-standins/src/proxy.rs
+++ b/crates/mimosagap-standins/src/proxy.rs
@@ -133,16 +133,35 @@
             }
             Some(()) = refusals.recv() => {
                 drop(listener);
-                while TcpStream::connect(target).await.is_err() {
-                    tokio::time::sleep(REBIND_PAUSE).await;
-                }
+                wait_for_target(target, &mut state, &in_effect).await?;
                 listener = rebind(listen).await;
+                // Refusals of connections that were accepted before are out of date.
+                while refusals.try_recv().is_ok() {}
             }
             changed = state.changed() => changed?,
         }
     }
 }
 
+/// Waits until the target accepts connections. A change of mode is in effect at once, as no
+/// connection is open.
+async fn wait_for_target(
+    target: SocketAddr,
+    state: &mut watch::Receiver<LinkState>,
+    in_effect: &watch::Sender<u64>,
+) -> Result<(), watch::error::RecvError> {
+    while TcpStream::connect(target).await.is_err() {
+        tokio::select! {
+            () = tokio::time::sleep(REBIND_PAUSE) => {}
+            changed = state.changed() => {
+                changed?;
+                in_effect.send_replace(state.borrow_and_update().change);
+            }
+        }
+    }
+    Ok(())
+}
+
 async fn rebind(listen: SocketAddr) -> TcpListener {
     loop {
         match TcpListener::bind(listen).await {
--- a/crates/mimosagap-standins/tests/proxy.rs
+++ b/crates/mimosagap-standins/tests/proxy.rs
@@ -124,6 +124,10 @@
         let refused = TcpStream::connect(proxy.address).map_err(|error| error.kind());
         refused.is_err_and(|kind| kind == ErrorKind::ConnectionRefused)
     });
+    // Guards against a control call that waits for the target.
+    let url = format!("http://{control}/control/mode");
+    post(&url, &json!({"mode": "cut"})).expect("a control answer");
+    post(&url, &json!({"mode": "pass"})).expect("a control answer");
     let _target = TcpListener::bind(to).expect("the port is still free");
     support::wait_until(Duration::from_secs(2), || {
         TcpStream::connect(proxy.address).is_ok()
