--- a/crates/mimosagap-load/src/experiment.rs
+++ b/crates/mimosagap-load/src/experiment.rs
@@ -23,6 +23,9 @@
 /// Without daemons: the tool sends to the engines in turn.
 const DIRECT: &str = "direct";
 
+/// How long before its end a reclaimed engine is asked for its statistics.
+const RECLAIM_MARGIN: Duration = Duration::from_millis(300);
+
 const DEFAULT_POLICIES: &str = "forecast,round-robin,least-outstanding,two-choices";
 
 /// One run of an experiment.
@@ -312,6 +315,12 @@
         let read = move || lock(&readings).push(fetch_statistics(&engines));
         probes.push((at, Box::new(read)));
     }
+    let last_words: Readings = Arc::default();
+    for at in reclaim_times(workload) {
+        let (readings, engines) = (Arc::clone(&last_words), fleet.engines.clone());
+        let read = move || lock(&readings).push(fetch_statistics(&engines));
+        probes.push((at, Box::new(read)));
+    }
     let records = runtime()?.block_on(run(RunOptions {
         workload: workload.clone(),
         seed,
@@ -320,7 +329,13 @@
         probes,
     }));
     let refused = refused_as_not_run(seed, &records);
-    let mut figures = FleetFigures::new(&fetch_statistics(&fleet.engines), seed, &refused);
+    let mut statistics = fetch_statistics(&fleet.engines);
+    for earlier in lock(&last_words).drain(..).rev() {
+        for (now, earlier) in statistics.iter_mut().zip(earlier) {
+            *now = now.take().or(earlier);
+        }
+    }
+    let mut figures = FleetFigures::new(&statistics, seed, &refused);
     if let [first, last] = lock(&readings).as_slice() {
         figures.set_memory_mean(first, last);
     }
@@ -334,6 +349,20 @@
     readings.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
+/// Shortly before engines are reclaimed, after which they cannot be asked any more.
+fn reclaim_times(workload: &Workload) -> Vec<Duration> {
+    let faults = engines::schedule(
+        &workload.faults,
+        workload.fleet.engines.len(),
+        workload.duration(),
+    );
+    let reclaims = faults.iter().filter_map(|fault| {
+        let delay = fault.body["exit_after_ms"].as_u64()?;
+        Some(fault.at + Duration::from_millis(delay).saturating_sub(RECLAIM_MARGIN))
+    });
+    reclaims.collect()
+}
+
 /// The host list shows an engine as leaving from the time when it is told to leave.
 fn leaving_probes(workload: &Workload, fleet: &Fleet) -> Vec<(Duration, Probe)> {
     let faults = engines::schedule(&workload.faults, fleet.engines.len(), workload.duration());
