--- a/crates/mimosagap-daemon/src/control/rules.rs
+++ b/crates/mimosagap-daemon/src/control/rules.rs
@@ -9,6 +9,8 @@
 use mimosagap_core::Event;
 use mimosagap_peer::{Reply, Request, RulesAnswer};
 use mimosagap_rules::{RuleSet, RulesDelta};
+use mimosagap_store::rules::RulesError;
+use mimosagap_store::{StoreClient, keys};
 use mimosagap_types::prelude::*;
 
 use super::shared::Control;
@@ -76,8 +78,26 @@
     }
 }
 
+/// Reads the text in the store and adopts it if it is newer. The text lies outside the watched
+/// records: with each change it would cost 190 KB and more where the delta costs some hundred bytes.
+/// Returns whether the store answered.
+pub(super) async fn read_text(control: &Control) -> bool {
+    match control.store.call(StoreClient::read_rules).await {
+        Ok(stored) if stored.mod_revision == 0 => found_none(control),
+        Ok(stored) => {
+            adopt_text(control, stored.record.revision, &stored.record.text);
+        }
+        Err(RulesError::Call(_)) => return false,
+        Err(RulesError::Malformed) => log::error!(
+            "event=rules_malformed key={}; apply the rules again",
+            keys::RULES_TEXT
+        ),
+    }
+    true
+}
+
 /// The store was read and has no rules.
-pub(super) fn found_none(control: &Control) {
+fn found_none(control: &Control) {
     let mut keeper = control.rules();
     if !keeper.is_known() {
         let set = Arc::new(RuleSet::empty());
--- a/crates/mimosagap-daemon/src/control/watch.rs
+++ b/crates/mimosagap-daemon/src/control/watch.rs
@@ -9,7 +9,7 @@
 use mimosagap_core::Member;
 use mimosagap_store::lenders::LenderRecord;
 use mimosagap_store::members::MemberRecord;
-use mimosagap_store::rules::{DeltaRecord, RulesRecord};
+use mimosagap_store::rules::DeltaRecord;
 use mimosagap_store::{
     Change, KeyValue, RangeOptions, RangeOutcome, StoreClient, WatchBatch, WatchError,
     WatchOptions, keys,
@@ -85,6 +85,7 @@
 }
 
 async fn apply_all(control: Arc<Control>, mut updates: mpsc::Receiver<Update>) {
+    let mut is_text_wanted = false;
     loop {
         let update = tokio::select! {
             update = updates.recv() => update,
@@ -96,9 +97,10 @@
         match update {
             Update::Read(read) => {
                 apply_read(&control, &read);
+                is_text_wanted = true;
                 control.is_watching.store(true, Ordering::SeqCst);
             }
-            Update::Changes(batch) => apply_changes(&control, &batch),
+            Update::Changes(batch) => is_text_wanted |= apply_changes(&control, &batch),
             Update::Broken(error) => {
                 control.counters.watch_breaks.add(1);
                 if control.is_watching.swap(false, Ordering::SeqCst) {
@@ -106,6 +108,10 @@
                 }
             }
         }
+        if is_text_wanted {
+            // After a failure the next batch tries again; the store sends one each second.
+            is_text_wanted = !rules::read_text(&control).await;
+        }
         control.members_changed();
         control.store.report();
     }
@@ -147,30 +153,18 @@
     control.slots().set_all(&slots, control.now());
     lenders::changed(control);
     suspects::stored_all(control, &read.entries);
-    let text = read
-        .entries
-        .iter()
-        .find(|entry| entry.key == keys::RULES_TEXT);
-    match text {
-        Some(entry) => apply_text(control, entry),
-        None => rules::found_none(control),
-    }
     for entry in &read.entries {
         apply_delta(control, entry);
     }
 }
 
-fn apply_changes(control: &Arc<Control>, batch: &WatchBatch) {
+/// Returns whether a delta was announced that could not be adopted, so that the text is needed.
+fn apply_changes(control: &Arc<Control>, batch: &WatchBatch) -> bool {
+    let mut is_text_wanted = false;
     let mut slots_changed = false;
     let mut suspects = Vec::new();
     let mut own_changed = false;
     let own_key = keys::daemon(&control.options.daemon);
-    // A delta goes first: it spares compiling the whole text, which comes in the same batch.
-    for change in &batch.changes {
-        if let Change::Put(record) = change {
-            apply_delta(control, record);
-        }
-    }
     for change in &batch.changes {
         match change {
             Change::Put(record) => {
@@ -179,8 +173,8 @@
                 } else if let Some((slot, holder)) = parse_slot(record) {
                     control.slots().set(slot, Some(holder), control.now());
                     slots_changed = true;
-                } else if record.key == keys::RULES_TEXT {
-                    apply_text(control, record);
+                } else if record.key.starts_with(keys::RULES_DELTA_PREFIX) {
+                    is_text_wanted |= !apply_delta(control, record);
                 } else {
                     suspects.extend(suspects::parse(record));
                 }
@@ -207,6 +201,7 @@
     if !suspects.is_empty() {
         suspects::stored(control, suspects);
     }
+    is_text_wanted
 }
 
 /// Writes the own record again if the store lost it.
@@ -217,24 +212,16 @@
     }
 }
 
-fn apply_text(control: &Arc<Control>, entry: &KeyValue) {
-    match RulesRecord::parse(&entry.value) {
-        Some(record) => {
-            rules::adopt_text(control, record.revision, &record.text);
-        }
-        None => log::error!(
-            "event=rules_malformed key={}; apply the rules again",
-            entry.key
-        ),
-    }
-}
-
-fn apply_delta(control: &Arc<Control>, entry: &KeyValue) {
+/// Returns whether the delta's revision, or a later one, is in force now.
+fn apply_delta(control: &Arc<Control>, entry: &KeyValue) -> bool {
     if !entry.key.starts_with(keys::RULES_DELTA_PREFIX) {
-        return;
+        return true;
     }
-    let record = DeltaRecord::parse(&entry.value);
-    if let Some(delta) = record.and_then(|record| record.to_delta()) {
+    let Some(record) = DeltaRecord::parse(&entry.value) else {
+        return false;
+    };
+    if let Some(delta) = record.to_delta() {
         rules::adopt_delta(control, delta);
     }
+    control.rules().revision() >= record.revision
 }
--- a/crates/mimosagap-daemon/src/daemon.rs
+++ b/crates/mimosagap-daemon/src/daemon.rs
@@ -146,6 +146,8 @@
     pub async fn ended(self) {
         let _ = self.server.await;
         self.shared.control.stop();
+        // Results that wait to be written and the membership record are settled first.
+        self.shared.control.stopped().await;
         for task in &self.background {
             task.abort();
         }
--- a/crates/mimosagap-scenarios/src/cluster.rs
+++ b/crates/mimosagap-scenarios/src/cluster.rs
@@ -811,7 +811,7 @@
     /// If the store does not answer.
     pub fn stored_revision(&self) -> StepResult<u64> {
         let dump = control::get(self.store_address()?, "/control/dump")?;
-        let Some(record) = dump["keys"]["mg/c/rules/text"]["value"].as_str() else {
+        let Some(record) = dump["keys"]["mg/rules/text"]["value"].as_str() else {
             return Ok(0);
         };
         let record: Value = serde_json::from_str(record).map_err(|error| error.to_string())?;
--- a/crates/mimosagap-store/src/keys.rs
+++ b/crates/mimosagap-store/src/keys.rs
@@ -7,7 +7,7 @@
 /// The prefix of all records that every daemon watches.
 pub const CONTROL_PREFIX: &str = "mg/c/";
 /// The key of the rules text.
-pub const RULES_TEXT: &str = "mg/c/rules/text";
+pub const RULES_TEXT: &str = "mg/rules/text";
 /// The prefix of the deltas between revisions of the rules.
 pub const RULES_DELTA_PREFIX: &str = "mg/c/rules/delta/";
 /// The prefix of the membership records.
--- a/crates/mimosagap-store/src/rules.rs
+++ b/crates/mimosagap-store/src/rules.rs
@@ -95,7 +95,7 @@
         match self {
             Self::Call(error) => error.fmt(f),
             Self::Malformed => f.write_str(
-                "the rules record is malformed; delete mg/c/rules/text and apply the rules again",
+                "the rules record is malformed; delete mg/rules/text and apply the rules again",
             ),
         }
     }
