test(core): re-sent orders in the interleavings

A third of the orders in the interleavings now come from callers that may have sent them before, and a refusal of these must not say not_run if any daemon's send ran.

--- a/crates/mimosagap-core/tests/interleavings.rs
+++ b/crates/mimosagap-core/tests/interleavings.rs
@@ -187,7 +187,19 @@
             }
             Effect::RecordNotRun { .. } => self.seen[ORDERS_NOT_RUN] += 1,
             Effect::RecordResult { .. } => self.seen[ORDERS_RAN] += 1,
-            Effect::Refuse { ticket, refusal } => daemon.refused(ticket, &refusal),
+            Effect::Refuse { ticket, refusal } => {
+                daemon.refused(ticket, &refusal);
+                let submission = &daemon.track(ticket).submission;
+                if let WorkKind::Order { key, .. } = &submission.work
+                    && submission.may_be_resend()
+                    && refusal.outcome == RunOutcome::NotRun
+                {
+                    assert!(
+                        !self.ran.contains_key(key),
+                        "the order ran before: {refusal:?}"
+                    );
+                }
+            }
             Effect::AnswerFromRecord { ticket } => daemon.track(ticket).finals += 1,
             Effect::CancelAttempt { ticket, attempt } => {
                 let sent = &mut daemon.track(ticket).sent[attempt as usize - 1];
@@ -356,7 +368,8 @@
         let life = self.lives[&address];
         match action % 32 {
             0..=4 if !paused => self.submit(index, generation(seed % 2, second.is_multiple_of(4))),
-            5..=7 if !paused => self.submit(index, order(seed)),
+            5 if !paused => self.submit(index, resent_order(seed)),
+            6 | 7 if !paused => self.submit(index, order(seed)),
             8 if !paused => self.submit(index, call(seed)),
             9..=13 => self.go_on(index, second, first / 3),
             14..=18 => self.deliver(index, second, false),
