fix(daemon): report queued attempts of a caller that left as not sent

Cause: if a caller left after the driver had queued a Dispatch for its request, the command was dropped unread. The reducer waited for an end that never came, and a drain would not have finished. Found by reading; the test tests/requests.rs fails without the change, as dropping reported nothing.

The daemon's tests passed.

--- a/crates/mimosagap-daemon/src/requests.rs
+++ b/crates/mimosagap-daemon/src/requests.rs
@@ -4,10 +4,12 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
+use mimosagap_core::{AttemptEnd, Event};
 use mimosagap_types::prelude::*;
 use tokio::sync::mpsc;
 
 use crate::control::RecordedAnswer;
+use crate::driver::EventSender;
 
 /// What the driver tells the task of a request.
 #[derive(Debug)]
@@ -33,8 +35,9 @@
 }
 
 /// All open requests of a daemon.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct RequestTable {
+    events: EventSender,
     last: AtomicU64,
     open: Mutex<HashMap<RequestTicket, mpsc::UnboundedSender<Command>>>,
     answers: Mutex<HashMap<RequestTicket, RecordedAnswer>>,
@@ -46,6 +49,17 @@
 }
 
 impl RequestTable {
+    /// A table without requests. `events` hears of attempts that nobody is left to start.
+    #[must_use]
+    pub fn new(events: EventSender) -> Self {
+        Self {
+            events,
+            last: AtomicU64::new(0),
+            open: Mutex::default(),
+            answers: Mutex::default(),
+        }
+    }
+
     /// Opens a request.
     #[must_use]
     pub fn open(self: &Arc<Self>) -> OpenRequest {
@@ -106,7 +120,18 @@
 }
 
 impl Drop for OpenRequest {
+    /// Reports attempts which were queued when the caller left: the reducer waits for their ends,
+    /// and a drain would wait with it for ever.
     fn drop(&mut self) {
         lock(&self.table.open).remove(&self.ticket);
+        while let Ok(command) = self.commands.try_recv() {
+            if let Command::Dispatch { attempt, .. } = command {
+                self.table.events.send(Event::AttemptEnded {
+                    ticket: self.ticket,
+                    attempt,
+                    end: AttemptEnd::NotSent,
+                });
+            }
+        }
     }
 }
