fix(core): condemn a request after a second death without a trial

Change: a suspect record names the death in which it was made. A second death with another target or incarnation condemns a request that waits for a trial. No trial begins within 1 s of the suspicion, so that simultaneous copies end first. Ruled out: a record of every running request in the store, which at 12,000 requests a second exceeds its writes.

--- a/crates/mimosagap-core/src/dispatch.rs
+++ b/crates/mimosagap-core/src/dispatch.rs
@@ -31,7 +31,9 @@
                 return;
             }
             Some(_) => {
-                self.await_trial(now, key, now, now, effects);
+                let digest = request.submission.digest;
+                let ask_at = self.quarantine.trial_from(&digest, now);
+                self.await_trial(now, key, now, ask_at, effects);
                 return;
             }
             None => {}
--- a/crates/mimosagap-core/src/effect.rs
+++ b/crates/mimosagap-core/src/effect.rs
@@ -138,6 +138,10 @@
     RecordSuspicions {
         /// The requests that were in flight on a target which died, with their digests.
         suspects: Vec<(RequestTicket, RequestDigest)>,
+        /// The target which died.
+        target: TargetAddress,
+        /// The life that ended, if it is known.
+        incarnation: Option<Incarnation>,
     },
     /// Take the trial of a suspect by compare-and-swap, then report `TrialAnswered`.
     TakeTrial {
--- a/crates/mimosagap-core/src/endings.rs
+++ b/crates/mimosagap-core/src/endings.rs
@@ -463,6 +463,7 @@
         if !target.is_engine() {
             return;
         }
+        let (address, incarnation) = (target.address, life.or(target.incarnation));
         let mut suspects = Vec::new();
         let mut verdicts = Vec::new();
         let mut whole = Vec::new();
@@ -505,7 +506,11 @@
         if suspects.is_empty() {
             return;
         }
-        effects.push(Effect::RecordSuspicions { suspects });
+        effects.push(Effect::RecordSuspicions {
+            suspects,
+            target: address,
+            incarnation,
+        });
         for digest in verdicts {
             self.condemn(now, digest, effects);
         }
--- a/crates/mimosagap-core/src/quarantine.rs
+++ b/crates/mimosagap-core/src/quarantine.rs
@@ -10,6 +10,11 @@
 /// Entries are forgotten after this time.
 pub const QUARANTINE_TIME: Duration = Duration::from_hours(1);
 
+/// Time between a suspicion and the first trial. Copies of the request that were sent at the same
+/// moment end in it: if one of them takes a second target down, the request is condemned without a
+/// trial, which would take down a third.
+pub const TRIAL_DELAY: Duration = Duration::from_secs(1);
+
 #[derive(Debug, Clone, Copy)]
 struct Entry {
     state: SuspectState,
@@ -38,6 +43,14 @@
         })
     }
 
+    /// When a trial of a suspect may begin.
+    #[must_use]
+    pub fn trial_from(&self, digest: &RequestDigest, now: Instant) -> Instant {
+        self.entries
+            .get(digest)
+            .map_or(now, |entry| entry.since + TRIAL_DELAY)
+    }
+
     /// Takes over a state from the store's records, which are in order. Returns whether it is
     /// news.
     pub fn set(&mut self, digest: RequestDigest, state: SuspectState, now: Instant) -> bool {
--- a/crates/mimosagap-core/tests/interleavings.rs
+++ b/crates/mimosagap-core/tests/interleavings.rs
@@ -218,7 +218,7 @@
                 };
                 daemon.inbox.push(Event::ClaimAnswered { ticket, answer });
             }
-            Effect::RecordSuspicions { suspects } => {
+            Effect::RecordSuspicions { suspects, .. } => {
                 for (ticket, _) in suspects {
                     self.seen[SUSPICIONS] += 1;
                     daemon.track(ticket).recorded = Some(false);
--- a/crates/mimosagap-core/tests/quarantine.rs
+++ b/crates/mimosagap-core/tests/quarantine.rs
@@ -14,7 +14,7 @@
     effects
         .iter()
         .filter_map(|effect| match effect {
-            Effect::RecordSuspicions { suspects } => Some(suspects),
+            Effect::RecordSuspicions { suspects, .. } => Some(suspects),
             _ => None,
         })
         .flatten()
@@ -89,9 +89,19 @@
     assert!(harness.step(event).is_empty());
 }
 
+/// Waits until a trial may begin. Before that, a copy of the request that was sent at the same moment
+/// may still be running, and its death has to condemn the request without a trial.
+fn await_trial(harness: &mut Harness) -> Vec<Effect> {
+    let effects = harness.pass(Duration::from_millis(900));
+    assert!(!takes_trial(&effects) && dispatched(&effects).is_none());
+    harness.pass(Duration::from_millis(100))
+}
+
 fn on_trial(harness: &mut Harness) -> (RequestTicket, std::net::SocketAddr) {
     harness.step(suspect(1));
     let (ticket, effects) = harness.submit(generation(1, true));
+    assert!(!takes_trial(&effects) && dispatched(&effects).is_none());
+    let effects = await_trial(harness);
     assert!(takes_trial(&effects) && dispatched(&effects).is_none());
     let effects = harness.answer_trial(ticket, TrialAnswer::Taken);
     let (_, target) = dispatched(&effects).expect("the trial runs");
@@ -195,6 +205,7 @@
     harness.step(suspect(2));
     let (_, effects) = harness.submit(generation(2, true));
     assert!(effects.is_empty(), "{effects:?}");
+    assert!(!takes_trial(&await_trial(&mut harness)));
     let (_, effects) = harness.submit(generation(3, true));
     assert!(dispatched(&effects).is_some());
     harness.end(ticket, 1, AttemptEnd::Completed { tokens: 1 });
@@ -212,6 +223,8 @@
     let effects = die(&mut harness, target);
     assert!(effects.contains(&Effect::CancelAttempt { ticket, attempt: 1 }));
     let effects = harness.step(Event::SuspicionRecorded { ticket });
+    assert!(!takes_trial(&effects), "{effects:?}");
+    let effects = await_trial(&mut harness);
     assert!(takes_trial(&effects), "{effects:?}");
 }
 
@@ -237,6 +250,7 @@
     let mut harness = Harness::with_targets("", 1, 0);
     harness.step(suspect(1));
     let (ticket, _) = harness.submit(generation(1, true));
+    assert!(takes_trial(&await_trial(&mut harness)));
     assert!(harness.step(Event::CallerLeft { ticket }).is_empty());
     let effects = harness.answer_trial(ticket, TrialAnswer::Taken);
     assert_eq!(verdict(&effects), Some(SuspectState::Suspect));
--- a/crates/mimosagap-daemon/src/control/mod.rs
+++ b/crates/mimosagap-daemon/src/control/mod.rs
@@ -28,6 +28,7 @@
 
 use mimosagap_core::{Effect, Member, Notice};
 use mimosagap_settings::Settings;
+use mimosagap_store::suspects::TargetDeath;
 use mimosagap_types::prelude::*;
 
 use crate::driver::EventSender;
@@ -92,7 +93,17 @@
                 digest,
             } => claims::claim(control, ticket, key, digest),
             Effect::RecordNotRun { key, .. } => results::record_not_run(control, key),
-            Effect::RecordSuspicions { suspects } => suspects::record(control, suspects),
+            Effect::RecordSuspicions {
+                suspects,
+                target,
+                incarnation,
+            } => {
+                let death = TargetDeath {
+                    target,
+                    incarnation,
+                };
+                suspects::record(control, suspects, death);
+            }
             Effect::TakeTrial {
                 ticket,
                 digest,
--- a/crates/mimosagap-daemon/src/control/suspects.rs
+++ b/crates/mimosagap-daemon/src/control/suspects.rs
@@ -6,8 +6,8 @@
 
 use mimosagap_core::{Event, Notice, SuspectState, TrialAnswer};
 use mimosagap_store::suspects::{
-    SUSPECT_LIFETIME, SuspectOptions, SuspectRecord, SuspectStage, TrialEnd, TrialLeases,
-    TrialOptions, TrialOutcome,
+    SUSPECT_LIFETIME, SuspectOptions, SuspectRecord, SuspectStage, TargetDeath, TrialEnd,
+    TrialLeases, TrialOptions, TrialOutcome,
 };
 use mimosagap_store::{CallError, GrantOptions, KeyValue, LeaseId, Nonce, WriteError, keys};
 use mimosagap_types::prelude::*;
@@ -139,7 +139,11 @@
 }
 
 /// Records suspicions in the store and tells the peers, then reports every ticket.
-pub(super) fn record(control: &Arc<Control>, suspects: Vec<(RequestTicket, RequestDigest)>) {
+pub(super) fn record(
+    control: &Arc<Control>,
+    suspects: Vec<(RequestTicket, RequestDigest)>,
+    death: TargetDeath,
+) {
     let digests: BTreeSet<RequestDigest> = suspects.iter().map(|(_, digest)| *digest).collect();
     let digests: Vec<RequestDigest> = digests.into_iter().collect();
     let now = control.now();
@@ -149,7 +153,11 @@
     let control = Arc::clone(control);
     tokio::spawn(async move {
         // Both parts run on when the wait is over.
-        let store = tokio::spawn(write_suspects(Arc::clone(&control), digests.clone()));
+        let store = tokio::spawn(write_suspects(
+            Arc::clone(&control),
+            digests.clone(),
+            Some(death),
+        ));
         let peers = tokio::spawn(tell_peers(Arc::clone(&control), digests));
         let both = async { tokio::join!(store, peers) };
         let _ = tokio::time::timeout(RECORD_WAIT, both).await;
@@ -172,7 +180,11 @@
     }
 }
 
-async fn write_suspects(control: Arc<Control>, digests: Vec<RequestDigest>) {
+async fn write_suspects(
+    control: Arc<Control>,
+    digests: Vec<RequestDigest>,
+    death: Option<TargetDeath>,
+) {
     if !control.store.is_available() {
         control.suspects.keep_unrecorded(&digests);
         return;
@@ -183,6 +195,7 @@
     };
     let options = SuspectOptions {
         digests: digests.clone(),
+        death,
         lease,
         patience: PATIENCE,
     };
@@ -324,7 +337,7 @@
     let unrecorded = std::mem::take(&mut *lock(&control.suspects.unrecorded));
     if !unrecorded.is_empty() {
         let digests = unrecorded.into_iter().collect();
-        write_suspects(Arc::clone(control), digests).await;
+        write_suspects(Arc::clone(control), digests, None).await;
     }
     let unended = std::mem::take(&mut *lock(&control.suspects.unended));
     for (options, state) in unended {
--- a/crates/mimosagap-daemon/tests/control_store.rs
+++ b/crates/mimosagap-daemon/tests/control_store.rs
@@ -316,7 +316,11 @@
     b.wait_registered().await;
     let digest = RequestDigest::of(&[b"poison"]);
     let suspects = vec![(RequestTicket(1), digest)];
-    a.control.carry_out(Effect::RecordSuspicions { suspects });
+    a.control.carry_out(Effect::RecordSuspicions {
+        suspects,
+        target: "127.0.0.1:10".parse().expect("an address"),
+        incarnation: Some(Incarnation(1)),
+    });
     let shows = |state| {
         move |event: &Event| match event {
             Event::SuspectsChanged(changes) if changes.contains(&(digest, state)) => Some(()),
@@ -349,7 +353,11 @@
     let digest = RequestDigest::of(&[b"poison"]);
     let suspects = vec![(RequestTicket(1), digest)];
     let start = Instant::now();
-    a.control.carry_out(Effect::RecordSuspicions { suspects });
+    a.control.carry_out(Effect::RecordSuspicions {
+        suspects,
+        target: "127.0.0.1:10".parse().expect("an address"),
+        incarnation: Some(Incarnation(1)),
+    });
     a.wait("the report", |event| {
         matches!(event, Event::SuspicionRecorded { .. }).then_some(())
     })
--- a/crates/mimosagap-store/src/suspects.rs
+++ b/crates/mimosagap-store/src/suspects.rs
@@ -45,6 +45,27 @@
     pub count: u32,
     /// Where it stands.
     pub stage: SuspectStage,
+    /// The first death, if it is known.
+    #[serde(default)]
+    pub death: Option<TargetDeath>,
+}
+
+/// The death of a target.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TargetDeath {
+    /// The target.
+    pub target: SocketAddr,
+    /// The life that ended, if it is known.
+    pub incarnation: Option<Incarnation>,
+}
+
+impl TargetDeath {
+    /// Whether two observations can be of one death. Daemons may know the life or not.
+    #[must_use]
+    pub fn may_equal(&self, other: &Self) -> bool {
+        let lives = self.incarnation.zip(other.incarnation);
+        self.target == other.target && lives.is_none_or(|(own, found)| own == found)
+    }
 }
 
 /// Suspicions to record together.
@@ -52,6 +73,8 @@
 pub struct SuspectOptions {
     /// The requests.
     pub digests: Vec<RequestDigest>,
+    /// The death in which they were involved, if it is known.
+    pub death: Option<TargetDeath>,
     /// The lease after which they are forgotten.
     pub lease: LeaseId,
     /// How long lost answers and conflicts may be resolved.
@@ -65,6 +88,8 @@
     Recorded,
     /// There was a record before.
     Known,
+    /// The request was in flight on two targets that died, so it is condemned without a trial.
+    Condemned,
 }
 
 /// A trial to take or to end.
@@ -132,9 +157,25 @@
         Self {
             count: 1,
             stage: SuspectStage::Suspect,
+            death: None,
         }
     }
 
+    /// Names the death.
+    #[must_use]
+    pub fn with_death(mut self, death: Option<TargetDeath>) -> Self {
+        self.death = death;
+        self
+    }
+
+    /// Whether `death` is a second one of a request which waits for a trial. A trial's own end
+    /// decides about it, since its engine may have died before it ran.
+    fn is_second_death(&self, death: Option<TargetDeath>) -> bool {
+        let deaths = self.death.zip(death);
+        self.stage == SuspectStage::Suspect
+            && deaths.is_some_and(|(first, second)| !first.may_equal(&second))
+    }
+
     /// Reads a record's value.
     #[must_use]
     pub fn parse(value: &[u8]) -> Option<Self> {
@@ -153,7 +194,8 @@
 }
 
 impl StoreClient {
-    /// Records suspicions. Each result stands at the position of its digest.
+    /// Records suspicions. Each result stands at the position of its digest. A request that waits
+    /// for a trial because of another death is condemned.
     #[must_use]
     pub fn record_suspects(
         &self,
@@ -162,9 +204,9 @@
         let writes = options.digests.iter().map(|digest| Write {
             key: keys::suspect(digest),
             expected: 0,
-            value: SuspectRecord::new().to_value(),
+            value: SuspectRecord::new().with_death(options.death).to_value(),
         });
-        self.write_together(
+        let mut results = self.write_together(
             writes.collect(),
             Some(options.lease),
             options.patience,
@@ -173,7 +215,41 @@
                 Some(_) => Verdict::Done(SuspectOutcome::Known),
                 None => Verdict::Replace(0),
             },
-        )
+        );
+        for (digest, result) in options.digests.iter().zip(&mut results) {
+            if matches!(result, Ok(SuspectOutcome::Known)) {
+                *result = self.condemn_after_second_death(digest, options);
+            }
+        }
+        results
+    }
+
+    fn condemn_after_second_death(
+        &self,
+        digest: &RequestDigest,
+        options: &SuspectOptions,
+    ) -> Result<SuspectOutcome, WriteError> {
+        let key = keys::suspect(digest);
+        retry(options.patience, || {
+            let read = self.range(RangeOptions::new(&key))?;
+            let Some(entry) = read.entries.first() else {
+                return Ok(Some(SuspectOutcome::Known));
+            };
+            let record = SuspectRecord::parse(&entry.value);
+            if !record.is_some_and(|record| record.is_second_death(options.death)) {
+                return Ok(Some(SuspectOutcome::Known));
+            }
+            let condemned = SuspectRecord {
+                count: 2,
+                stage: SuspectStage::Condemned,
+                death: options.death,
+            };
+            let put = PutOptions::new(&key, condemned.to_value()).with_lease(Some(options.lease));
+            let transaction = TxnOptions::new(vec![compare(&key, entry.mod_revision)])
+                .with_success(vec![Operation::Put(put)]);
+            let outcome = self.txn(transaction)?;
+            Ok(outcome.succeeded.then_some(SuspectOutcome::Condemned))
+        })
     }
 
     /// Takes the trial of a suspect by compare-and-swap, and reserves the engine for it.
@@ -321,6 +397,7 @@
             engine: options.engine,
             nonce: options.nonce.clone(),
         },
+        death: stored_death(records.suspect.as_ref()),
     };
     let reservation = PutOptions::new(&engine_key, options.digest.to_string().into_bytes());
     let success = vec![
@@ -333,6 +410,10 @@
     Plan::Try(Box::new(transaction))
 }
 
+fn stored_death(entry: Option<&KeyValue>) -> Option<TargetDeath> {
+    SuspectRecord::parse(&entry?.value)?.death
+}
+
 fn end_transaction(options: &TrialOptions, end: TrialEnd, entry: &KeyValue) -> TxnOptions {
     let (key, engine_key) = trial_keys(options);
     let put = |record: &SuspectRecord, lease| {
@@ -340,11 +421,15 @@
     };
     let change = match end {
         TrialEnd::Cleared => Operation::Delete(DeleteOptions::new(&key)),
-        TrialEnd::NotRun => put(&SuspectRecord::new(), entry.lease),
+        TrialEnd::NotRun => {
+            let record = SuspectRecord::new().with_death(stored_death(Some(entry)));
+            put(&record, entry.lease)
+        }
         TrialEnd::Condemned(lease) => {
             let record = SuspectRecord {
                 count: 2,
                 stage: SuspectStage::Condemned,
+                death: stored_death(Some(entry)),
             };
             put(&record, Some(lease))
         }
--- a/crates/mimosagap-store/tests/records.rs
+++ b/crates/mimosagap-store/tests/records.rs
@@ -13,7 +13,8 @@
 use mimosagap_store::members::MemberRecord;
 use mimosagap_store::rules::{ApplyOptions, ApplyOutcome, DeltaRecord};
 use mimosagap_store::suspects::{
-    EndOutcome, SuspectOptions, TrialEnd, TrialLeases, TrialOptions, TrialOutcome,
+    EndOutcome, SuspectOptions, SuspectOutcome, TargetDeath, TrialEnd, TrialLeases, TrialOptions,
+    TrialOutcome,
 };
 use mimosagap_store::{GrantOptions, LeaseId, Nonce, StoreClient, WriteError};
 use mimosagap_types::prelude::*;
@@ -291,6 +292,7 @@
     let digests = [b"p1", b"p2"].map(|part| RequestDigest::of(&[part]));
     let recorded = client.record_suspects(&SuspectOptions {
         digests: digests.to_vec(),
+        death: None,
         lease: lease(&client),
         patience: PATIENCE,
     });
@@ -327,6 +329,7 @@
     let digest = RequestDigest::of(&[b"p"]);
     let _ = client.record_suspects(&SuspectOptions {
         digests: vec![digest],
+        death: None,
         lease: lease(&client),
         patience: PATIENCE,
     });
@@ -369,3 +372,43 @@
     };
     assert!(next > fence, "fencing numbers grow");
 }
+
+/// Guards against a request that was sent to several daemons at the same moment, took two targets
+/// down, and then takes down a third in a trial; and against innocent requests that are condemned
+/// because two daemons saw the same death.
+#[test]
+fn a_second_death_condemns_without_a_trial() {
+    let client = MemoryStore::start().client();
+    let digest = RequestDigest::of(&[b"sent twice"]);
+    let record = |target: &str, incarnation: Option<u64>| {
+        let outcomes = client.record_suspects(&SuspectOptions {
+            digests: vec![digest],
+            death: Some(TargetDeath {
+                target: target.parse().expect("an address"),
+                incarnation: incarnation.map(Incarnation),
+            }),
+            lease: lease(&client),
+            patience: PATIENCE,
+        });
+        outcomes.into_iter().next().expect("an outcome")
+    };
+    assert_eq!(
+        record("127.0.0.1:10", Some(1)),
+        Ok(SuspectOutcome::Recorded)
+    );
+    assert_eq!(record("127.0.0.1:10", Some(1)), Ok(SuspectOutcome::Known));
+    assert_eq!(record("127.0.0.1:10", None), Ok(SuspectOutcome::Known));
+    assert_eq!(
+        record("127.0.0.1:20", Some(2)),
+        Ok(SuspectOutcome::Condemned)
+    );
+    let options = trial(digest, "a", "127.0.0.1:30");
+    let leases = TrialLeases {
+        member: lease(&client),
+        suspect: None,
+    };
+    assert_eq!(
+        client.take_trial(&options, leases),
+        Ok(TrialOutcome::Condemned)
+    );
+}
