--- a/crates/mimosagap-core/src/admin.rs
+++ b/crates/mimosagap-core/src/admin.rs
@@ -192,7 +192,7 @@
         views
     }
 
-    /// Suspects and condemned requests.
+    /// Suspects and blocked requests.
     #[must_use]
     pub fn quarantined(&self) -> Vec<(RequestDigest, SuspectState)> {
         self.quarantine.iter().collect()
--- a/crates/mimosagap-core/src/dispatch.rs
+++ b/crates/mimosagap-core/src/dispatch.rs
@@ -24,7 +24,7 @@
         };
         let group = request.group;
         match self.suspicion_of(now, &request.submission) {
-            Some(SuspectState::Condemned) => {
+            Some(SuspectState::Blocked) => {
                 let digest = request.submission.digest;
                 let refusal = self.quarantine_refusal(now, &digest);
                 self.refuse(key, refusal, effects);
@@ -38,7 +38,7 @@
             }
             None => {}
         }
-        if !self.has_hope(now, group) {
+        if !self.may_find_target(now, group) {
             self.give_up(key, RefusalCause::NoTarget, effects);
             return;
         }
@@ -332,8 +332,8 @@
         };
         let (ticket, digest, group) = (request.ticket, request.submission.digest, request.group);
         let suspicion = self.suspicion_of(now, &request.submission);
-        if suspicion.is_none_or(|state| state == SuspectState::Condemned) {
-            // Pardoned, cleared or condemned in the meantime.
+        if suspicion.is_none_or(|state| state == SuspectState::Blocked) {
+            // Unblocked, cleared or blocked in the meantime.
             self.trials.retain(|waiting| *waiting != key);
             self.seek_engine(now, key, effects);
             return;
@@ -343,7 +343,7 @@
             self.give_up(key, RefusalCause::StoreUnavailable, effects);
             return;
         }
-        if !self.has_hope(now, group) {
+        if !self.may_find_target(now, group) {
             self.trials.retain(|waiting| *waiting != key);
             self.give_up(key, RefusalCause::NoTarget, effects);
             return;
@@ -419,8 +419,8 @@
                 self.quarantine.set(digest, SuspectState::Cleared, now);
                 self.seek_engine(now, key, effects);
             }
-            TrialAnswer::Condemned => {
-                self.quarantine.set(digest, SuspectState::Condemned, now);
+            TrialAnswer::Blocked => {
+                self.quarantine.set(digest, SuspectState::Blocked, now);
                 self.seek_engine(now, key, effects);
             }
             TrialAnswer::Unavailable => {
@@ -429,7 +429,7 @@
         }
     }
 
-    /// Records how a trial ended. `Suspect` means without a verdict: another trial is needed.
+    /// Records how a trial ended. `Suspect` means without a result: another trial is needed.
     pub(crate) fn end_trial(
         &mut self,
         now: Instant,
--- a/crates/mimosagap-core/src/effect.rs
+++ b/crates/mimosagap-core/src/effect.rs
@@ -8,7 +8,8 @@
 use crate::event::SuspectState;
 
 /// News which every daemon must hear soon.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum Notice {
     /// A target is leaving.
     TargetLeaving {
@@ -156,7 +157,7 @@
     EndTrial {
         /// The request's digest.
         digest: RequestDigest,
-        /// `Cleared` or `Condemned`.
+        /// `Cleared` or `Blocked`.
         state: SuspectState,
     },
     /// Send news to the peers.
--- a/crates/mimosagap-core/src/endings.rs
+++ b/crates/mimosagap-core/src/endings.rs
@@ -52,9 +52,9 @@
     }
 
     /// Whether a request of the group may find a target now or soon.
-    pub(crate) fn has_hope(&self, now: Instant, group: GroupIndex) -> bool {
+    pub(crate) fn may_find_target(&self, now: Instant, group: GroupIndex) -> bool {
         let region = self.kept_region(group).map(|(region, _)| region);
-        self.targets.has_hope(group, region, now)
+        self.targets.may_find_target(group, region, now)
     }
 
     /// Gives the final answer.
@@ -232,7 +232,7 @@
         request.avoid.push(attempt.target);
         request.phase = Phase::AwaitingSuspicion {
             delivered,
-            condemned: attempt.trial && ran,
+            blocked: attempt.trial && ran,
         };
         if ran {
             effects.push(Effect::CancelAttempt {
@@ -267,23 +267,23 @@
         if !attempt.trial {
             return;
         }
-        let verdict = match end {
+        let outcome = match end {
             AttemptEnd::Completed { .. } => SuspectState::Cleared,
             AttemptEnd::Failed { .. } if !has_died => SuspectState::Cleared,
             // It cannot have killed an engine which it never reached.
-            _ if has_died && !never_ran(attempt, end) => SuspectState::Condemned,
+            _ if has_died && !never_ran(attempt, end) => SuspectState::Blocked,
             _ => SuspectState::Suspect,
         };
-        if verdict == SuspectState::Condemned {
-            self.condemn(now, digest, effects);
+        if outcome == SuspectState::Blocked {
+            self.block(now, digest, effects);
         } else {
-            self.end_trial(now, digest, verdict, effects);
+            self.end_trial(now, digest, outcome, effects);
         }
     }
 
-    /// Condemns a request whose trial ended with the death of its engine.
-    fn condemn(&mut self, now: Instant, digest: RequestDigest, effects: &mut Vec<Effect>) {
-        let state = SuspectState::Condemned;
+    /// Blocks a request whose trial ended with the death of its engine.
+    fn block(&mut self, now: Instant, digest: RequestDigest, effects: &mut Vec<Effect>) {
+        let state = SuspectState::Blocked;
         if self.quarantine.state(&digest, now) == Some(state) {
             return;
         }
@@ -382,7 +382,7 @@
             return false;
         };
         let has_target = if request.is_generation() {
-            self.has_hope(now, request.group)
+            self.may_find_target(now, request.group)
         } else {
             self.find_service(now, key).is_some()
         };
@@ -412,7 +412,7 @@
             // An order goes on, so that its result is recorded.
             Phase::Running(_) if is_order => return,
             Phase::Running(attempt) if attempt.suspicion == Suspicion::Pending => {
-                let (delivered, condemned) = (attempt.tokens, attempt.trial);
+                let (delivered, blocked) = (attempt.tokens, attempt.trial);
                 let is_open_trial = attempt.trial && !attempt.accepted;
                 effects.push(Effect::CancelAttempt {
                     ticket,
@@ -420,10 +420,7 @@
                 });
                 self.detach(key);
                 if let Some(request) = self.requests.get_mut(key) {
-                    request.phase = Phase::AwaitingSuspicion {
-                        delivered,
-                        condemned,
-                    };
+                    request.phase = Phase::AwaitingSuspicion { delivered, blocked };
                 }
                 if is_open_trial {
                     self.end_trial(now, digest, SuspectState::Suspect, effects);
@@ -431,8 +428,8 @@
                 return;
             }
             Phase::Running(attempt) => {
-                let is_condemned = attempt.accepted && attempt.suspicion != Suspicion::Absent;
-                let is_open_trial = attempt.trial && !is_condemned;
+                let is_blocked = attempt.accepted && attempt.suspicion != Suspicion::Absent;
+                let is_open_trial = attempt.trial && !is_blocked;
                 effects.push(Effect::CancelAttempt {
                     ticket,
                     attempt: number,
@@ -465,7 +462,7 @@
         }
         let (address, incarnation) = (target.address, life.or(target.incarnation));
         let mut suspects = Vec::new();
-        let mut verdicts = Vec::new();
+        let mut blocked = Vec::new();
         let mut whole = Vec::new();
         for key in target.requests.clone() {
             let Some(request) = self.requests.get_mut(key) else {
@@ -491,7 +488,7 @@
             if attempt.trial {
                 // Without an acceptance the end of the attempt tells whether it ran there.
                 if attempt.accepted {
-                    verdicts.push(digest);
+                    blocked.push(digest);
                 }
             } else if self.quarantine.hear(digest, SuspectState::Suspect, now) {
                 effects.push(Effect::Log(StateChange::Quarantine {
@@ -511,8 +508,8 @@
             target: address,
             incarnation,
         });
-        for digest in verdicts {
-            self.condemn(now, digest, effects);
+        for digest in blocked {
+            self.block(now, digest, effects);
         }
         for key in whole {
             self.end_whole(now, key, effects);
@@ -549,18 +546,14 @@
             }
             return;
         }
-        let Phase::AwaitingSuspicion {
-            delivered,
-            condemned,
-        } = request.phase
-        else {
+        let Phase::AwaitingSuspicion { delivered, blocked } = request.phase else {
             return;
         };
         request.phase = Phase::Idle;
         let (digest, caller_left) = (request.submission.digest, request.caller_left);
         if caller_left {
             self.give_up(key, RefusalCause::Cancelled, effects);
-        } else if condemned {
+        } else if blocked {
             let refusal = self.quarantine_refusal(now, &digest);
             self.refuse(key, refusal, effects);
         } else if delivered > 0 {
--- a/crates/mimosagap-core/src/event.rs
+++ b/crates/mimosagap-core/src/event.rs
@@ -131,8 +131,8 @@
     Busy,
     /// The record is gone: the request is no longer a suspect.
     Cleared,
-    /// The request is condemned.
-    Condemned,
+    /// The request is blocked.
+    Blocked,
     /// The store could not be reached.
     Unavailable,
 }
@@ -355,14 +355,15 @@
 }
 
 /// What the records say of a suspect.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum SuspectState {
     /// Was in flight on a target which died.
     Suspect,
     /// Runs a trial.
     OnTrial,
     /// Killed a target in its trial.
-    Condemned,
+    Blocked,
     /// Ended a trial well; the record is gone.
     Cleared,
 }
--- a/crates/mimosagap-core/src/intake.rs
+++ b/crates/mimosagap-core/src/intake.rs
@@ -22,7 +22,7 @@
         if self.requests.key_of(ticket).is_some() {
             return;
         }
-        let refusal = self.objection(now, &submission);
+        let refusal = self.intake_refusal(now, &submission);
         let group = self.group_of(&submission.work);
         let (refusal, group) = match (refusal, group) {
             (None, Some(group)) => (None, group),
@@ -52,7 +52,7 @@
     }
 
     /// Why a request cannot be taken at all.
-    fn objection(&mut self, now: Instant, submission: &Submission) -> Option<Refusal> {
+    fn intake_refusal(&mut self, now: Instant, submission: &Submission) -> Option<Refusal> {
         if !self.rules_found || self.contact.is_isolated(now) {
             return Some(self.refusal(RefusalCause::Isolated));
         }
@@ -63,13 +63,13 @@
             let rule = Some(rule.clone());
             return Some(self.refusal(RefusalCause::RefusedByRule).with_rule(rule));
         }
-        if self.suspicion_of(now, submission) == Some(SuspectState::Condemned) {
+        if self.suspicion_of(now, submission) == Some(SuspectState::Blocked) {
             return Some(self.quarantine_refusal(now, &submission.digest));
         }
         None
     }
 
-    /// What the quarantine says about a request, unless a rule pardons it. Only generations are
+    /// What the quarantine says about a request, unless a rule unblocks it. Only generations are
     /// quarantined: engines are what a request can kill by its input, and a plain call without a
     /// body has the same digest as all others of its kind.
     pub(crate) fn suspicion_of(
@@ -78,14 +78,14 @@
         submission: &Submission,
     ) -> Option<SuspectState> {
         if !matches!(submission.work, WorkKind::Generation { .. })
-            || self.rules.is_pardoned(&submission.digest)
+            || self.rules.is_unblocked(&submission.digest)
         {
             return None;
         }
         self.quarantine.state(&submission.digest, now)
     }
 
-    /// A refusal of a condemned request. Another try helps only when the quarantine is over.
+    /// A refusal of a blocked request. Another try helps only when the quarantine is over.
     pub(crate) fn quarantine_refusal(&mut self, now: Instant, digest: &RequestDigest) -> Refusal {
         let left = self.quarantine.time_left(digest, now);
         self.refusal(RefusalCause::Quarantined)
--- a/crates/mimosagap-core/src/lending.rs
+++ b/crates/mimosagap-core/src/lending.rs
@@ -1,4 +1,4 @@
-//! Team limits over all daemons: the token buckets of lenders and the purses of borrowers.
+//! Team limits over all daemons: the token buckets of lenders and the balances of borrowers.
 
 use std::collections::{BTreeMap, VecDeque};
 use std::time::{Duration, Instant};
@@ -102,7 +102,7 @@
 }
 
 #[derive(Debug, Default)]
-struct Purse {
+struct CreditBalance {
     credit: VecDeque<(Instant, u32)>,
     waiting: VecDeque<RequestKey>,
     outstanding: Option<Outstanding>,
@@ -112,7 +112,7 @@
     admitted: u64,
 }
 
-impl Purse {
+impl CreditBalance {
     fn expire(&mut self, now: Instant) {
         while self.credit.front().is_some_and(|(until, _)| *until <= now) {
             self.credit.pop_front();
@@ -197,7 +197,7 @@
     holders: Vec<Option<DaemonId>>,
     held: [Option<HeldSlot>; SLOTS as usize],
     buckets: BTreeMap<TeamName, Bucket>,
-    purses: BTreeMap<TeamName, Purse>,
+    balances: BTreeMap<TeamName, CreditBalance>,
 }
 
 impl Lending {
@@ -266,32 +266,32 @@
     ) -> (CreditDecision, Option<CreditAsk>) {
         if self.lends_from(team, now).is_some() {
             let granted = self.lend(team, limit, 1, now);
-            let purse = self.purses.entry(team.clone()).or_default();
+            let balance = self.balances.entry(team.clone()).or_default();
             if granted == 0 {
                 return (CreditDecision::Refused, None);
             }
-            purse.admitted += 1;
+            balance.admitted += 1;
             return (CreditDecision::Admitted, None);
         }
         let holder = self.holder(team).filter(|holder| holder != me);
-        let purse = self.purses.entry(team.clone()).or_default();
-        purse.count_demand(now);
-        if purse.waiting.is_empty() && purse.take(now) {
-            let is_low = purse.held() < purse.reserve() / 2;
+        let balance = self.balances.entry(team.clone()).or_default();
+        balance.count_demand(now);
+        if balance.waiting.is_empty() && balance.take(now) {
+            let is_low = balance.held() < balance.reserve() / 2;
             let ask = holder
                 .filter(|_| is_low)
-                .and_then(|holder| purse.ask(&holder, limit, now));
+                .and_then(|holder| balance.ask(&holder, limit, now));
             return (CreditDecision::Admitted, ask);
         }
         let Some(holder) = holder else {
             return (CreditDecision::Refused, None);
         };
         let most = usize::try_from(limit.burst.max(1)).unwrap_or(usize::MAX);
-        if purse.waiting.len() >= most {
+        if balance.waiting.len() >= most {
             return (CreditDecision::Refused, None);
         }
-        purse.waiting.push_back(key);
-        let ask = purse.ask(&holder, limit, now);
+        balance.waiting.push_back(key);
+        let ask = balance.ask(&holder, limit, now);
         (CreditDecision::Waits, ask)
     }
 
@@ -314,56 +314,56 @@
     ) -> CreditSettlement {
         let holder = self.holder(team);
         let mut settlement = CreditSettlement::default();
-        let Some(purse) = self.purses.get_mut(team) else {
+        let Some(balance) = self.balances.get_mut(team) else {
             return settlement;
         };
-        let Some(outstanding) = purse.outstanding.filter(|open| open.asked <= asked_at) else {
+        let Some(outstanding) = balance.outstanding.filter(|open| open.asked <= asked_at) else {
             return settlement;
         };
-        purse.outstanding = None;
+        balance.outstanding = None;
         let until = asked_at + CREDIT_LIFETIME;
         let units = granted.min(outstanding.wanted);
         if units > 0 && until > now {
-            purse.credit.push_back((until, units));
+            balance.credit.push_back((until, units));
         }
-        while !purse.waiting.is_empty() && purse.take(now) {
-            settlement.admitted.extend(purse.waiting.pop_front());
+        while !balance.waiting.is_empty() && balance.take(now) {
+            settlement.admitted.extend(balance.waiting.pop_front());
         }
-        if purse.waiting.is_empty() {
+        if balance.waiting.is_empty() {
             return settlement;
         }
         match (holder, limit) {
             (Some(holder), Some(limit)) if granted >= outstanding.wanted => {
-                settlement.ask = purse.ask(&holder, limit, now);
+                settlement.ask = balance.ask(&holder, limit, now);
             }
-            _ => settlement.refused.extend(purse.waiting.drain(..)),
+            _ => settlement.refused.extend(balance.waiting.drain(..)),
         }
         settlement
     }
 
     /// Gives up the open question of a team and returns the requests which waited for it.
     pub fn fail(&mut self, team: &TeamName) -> Vec<RequestKey> {
-        let Some(purse) = self.purses.get_mut(team) else {
+        let Some(balance) = self.balances.get_mut(team) else {
             return Vec::new();
         };
-        purse.outstanding = None;
-        purse.waiting.drain(..).collect()
+        balance.outstanding = None;
+        balance.waiting.drain(..).collect()
     }
 
     /// Removes a request which no longer waits.
     pub fn forget(&mut self, team: &TeamName, key: RequestKey) {
-        if let Some(purse) = self.purses.get_mut(team) {
-            purse.waiting.retain(|waiting| *waiting != key);
+        if let Some(balance) = self.balances.get_mut(team) {
+            balance.waiting.retain(|waiting| *waiting != key);
         }
     }
 
     /// Teams whose question was not answered in time.
     #[must_use]
     pub fn overdue(&self, now: Instant) -> Vec<TeamName> {
-        self.purses
+        self.balances
             .iter()
-            .filter(|(_, purse)| {
-                purse
+            .filter(|(_, balance)| {
+                balance
                     .outstanding
                     .is_some_and(|open| now.saturating_duration_since(open.asked) >= ASK_TIMEOUT)
             })
@@ -383,16 +383,16 @@
             bucket.refill(limit, now);
             bucket.tokens
         });
-        let purse = self.purses.get(team);
+        let balance = self.balances.get(team);
         let live = |(until, units): &(Instant, u32)| if *until > now { *units } else { 0 };
         LimitUse {
             slot: slot_of(team),
             holder: self.holder(team),
             lends: bucket.is_some(),
             bucket,
-            credit: purse.map_or(0, |purse| purse.credit.iter().map(live).sum()),
-            waiting: purse.map_or(0, |purse| purse.waiting.len()),
-            admitted: purse.map_or(0, |purse| purse.admitted),
+            credit: balance.map_or(0, |balance| balance.credit.iter().map(live).sum()),
+            waiting: balance.map_or(0, |balance| balance.waiting.len()),
+            admitted: balance.map_or(0, |balance| balance.admitted),
         }
     }
 }
--- a/crates/mimosagap-core/src/membership.rs
+++ b/crates/mimosagap-core/src/membership.rs
@@ -28,7 +28,7 @@
             self.announce_leaving(now, key, effects);
         }
         self.refresh_targets(now, effects);
-        self.end_hopeless(now, effects);
+        self.refuse_without_target(now, effects);
         self.pump_all(now, effects);
     }
 
@@ -238,9 +238,9 @@
     }
 
     /// Refuses the requests that wait for a group whose last target is gone.
-    fn end_hopeless(&mut self, now: Instant, effects: &mut Vec<Effect>) {
+    fn refuse_without_target(&mut self, now: Instant, effects: &mut Vec<Effect>) {
         for index in self.waiting_groups() {
-            if self.has_hope(now, index) {
+            if self.may_find_target(now, index) {
                 continue;
             }
             for key in self.targets.group(index).queue.keys() {
@@ -333,7 +333,7 @@
         self.targets.expire_peer_placements(now);
         self.quarantine.expire(now);
         self.refresh_targets(now, effects);
-        self.end_hopeless(now, effects);
+        self.refuse_without_target(now, effects);
         self.start_trials(now, effects);
         self.pump_all(now, effects);
     }
--- a/crates/mimosagap-core/src/quarantine.rs
+++ b/crates/mimosagap-core/src/quarantine.rs
@@ -1,4 +1,4 @@
-//! Requests suspected or found guilty of killing engines.
+//! Requests suspected or found to be the cause of killing engines.
 
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
@@ -11,7 +11,7 @@
 pub const QUARANTINE_TIME: Duration = Duration::from_hours(1);
 
 /// Time between a suspicion and the first trial. Copies of the request that were sent at the same
-/// moment end in it: if one of them takes a second target down, the request is condemned without a
+/// moment end in it: if one of them takes a second target down, the request is blocked without a
 /// trial, which would take down a third.
 pub const TRIAL_DELAY: Duration = Duration::from_secs(1);
 
@@ -65,11 +65,11 @@
     }
 
     /// Takes over a state from a peer or from this daemon's own observation. These may come late
-    /// or repeatedly, so they never lift a condemnation, and a suspicion does not end a trial.
+    /// or repeatedly, so they never lift a block, and a suspicion does not end a trial.
     pub fn hear(&mut self, digest: RequestDigest, state: SuspectState, now: Instant) -> bool {
         let known = self.state(&digest, now);
         let outdated = match known {
-            Some(SuspectState::Condemned) => true,
+            Some(SuspectState::Blocked) => true,
             Some(SuspectState::OnTrial) => state == SuspectState::Suspect,
             _ => false,
         };
--- a/crates/mimosagap-core/src/refusals.rs
+++ b/crates/mimosagap-core/src/refusals.rs
@@ -27,7 +27,7 @@
         RefusalCause::NoTarget => "no target takes the request at present; try again later",
         RefusalCause::RetryBudgetSpent => "the attempt failed and no retry is left; try again",
         RefusalCause::Quarantined => {
-            "the request was running when an engine died and is quarantined; ask for a pardon rule"
+            "the request was running when an engine died and is quarantined; ask for an unblock rule"
         }
         RefusalCause::StoreUnavailable => "the store cannot be reached; try again later",
         RefusalCause::Isolated => "the rules in force are not known; use another address",
--- a/crates/mimosagap-core/src/requests.rs
+++ b/crates/mimosagap-core/src/requests.rs
@@ -86,7 +86,7 @@
         /// Tokens that the caller already has.
         delivered: u32,
         /// Whether the engine died in the request's trial.
-        condemned: bool,
+        blocked: bool,
     },
 }
 
--- a/crates/mimosagap-core/src/targets.rs
+++ b/crates/mimosagap-core/src/targets.rs
@@ -175,7 +175,7 @@
     /// When the target was last said to be leaving while its life was not known.
     leaving_since: Option<Instant>,
     /// When a life other than the known one was last said to be leaving.
-    doubted_since: Option<Instant>,
+    uncertain_since: Option<Instant>,
     ended_lives: Vec<(Incarnation, Instant)>,
     refused_at: Option<Instant>,
     avoid_until: Option<Instant>,
@@ -215,7 +215,7 @@
             listing: Listing::Live,
             leaving_lives: Vec::new(),
             leaving_since: None,
-            doubted_since: None,
+            uncertain_since: None,
             ended_lives: Vec::new(),
             refused_at: None,
             avoid_until: None,
@@ -241,7 +241,7 @@
     pub fn announces_leaving(&self) -> bool {
         self.listing == Listing::Leaving
             || self.leaving_since.is_some()
-            || self.doubted_since.is_some()
+            || self.uncertain_since.is_some()
             || self
                 .incarnation
                 .is_some_and(|life| self.leaving_lives.contains(&life))
@@ -352,7 +352,7 @@
         };
         if was_leaving {
             // Until no late report can be on its way, this one may be from before.
-            self.doubted_since = Some(now);
+            self.uncertain_since = Some(now);
         }
         if self.ended_lives.len() == MAX_LIVES {
             self.ended_lives.remove(0);
@@ -378,8 +378,8 @@
         self.refused_at = None;
         self.avoid_until = None;
         let is_settled = |since: Instant| now.saturating_duration_since(since) >= REPORT_DELAY;
-        if self.doubted_since.is_some_and(is_settled) {
-            self.doubted_since = None;
+        if self.uncertain_since.is_some_and(is_settled) {
+            self.uncertain_since = None;
         }
         if report.leaving {
             self.leave(Some(report.incarnation), now);
@@ -404,7 +404,7 @@
                 remember(&mut self.leaving_lives, life);
                 if self.incarnation != Some(life) {
                     // It may be a later life than the known one: incarnations have no order.
-                    self.doubted_since = Some(now);
+                    self.uncertain_since = Some(now);
                 }
             }
             None => self.leaving_since = Some(now),
@@ -421,8 +421,8 @@
         if !listed.leaving && self.leaving_since.is_some_and(is_over) {
             self.leaving_since = None;
         }
-        if !listed.leaving && self.doubted_since.is_some_and(is_over) {
-            self.doubted_since = None;
+        if !listed.leaving && self.uncertain_since.is_some_and(is_over) {
+            self.uncertain_since = None;
         }
     }
 
@@ -689,7 +689,12 @@
     /// Whether the group has a target, in the region if one is given, which takes work now or may
     /// soon do so.
     #[must_use]
-    pub fn has_hope(&self, index: GroupIndex, region: Option<&RegionName>, now: Instant) -> bool {
+    pub fn may_find_target(
+        &self,
+        index: GroupIndex,
+        region: Option<&RegionName>,
+        now: Instant,
+    ) -> bool {
         !self.list_seen
             || self.members(index).any(|target| {
                 let state = target.state(now);
--- a/crates/mimosagap-core/tests/interleavings.rs
+++ b/crates/mimosagap-core/tests/interleavings.rs
@@ -86,7 +86,7 @@
 const FURTHER_ATTEMPTS: usize = 0;
 const SUSPICIONS: usize = 1;
 const TRIALS: usize = 2;
-const CONDEMNED: usize = 3;
+const BLOCKED: usize = 3;
 const ORDERS_RAN: usize = 4;
 const ORDERS_NOT_RUN: usize = 5;
 
@@ -236,7 +236,7 @@
                 daemon.inbox.push(Event::TrialAnswered { ticket, answer });
             }
             Effect::EndTrial { digest, state } => {
-                self.seen[CONDEMNED] += u32::from(state == SuspectState::Condemned);
+                self.seen[BLOCKED] += u32::from(state == SuspectState::Blocked);
                 let event = Event::SuspectsChanged(vec![(digest, state)]);
                 (0..DAEMONS).for_each(|other| self.mail(other, event.clone()));
             }
@@ -592,7 +592,7 @@
     let total = total.into_inner();
     println!(
         "{cases} interleavings, seed {seed}: {total:?} (further attempts, suspicions, trials, \
-         condemned, orders run, orders not run)"
+         blocked, orders run, orders not run)"
     );
     match result {
         Ok(()) => assert!(!total.contains(&0), "a state was never reached"),
--- a/crates/mimosagap-core/tests/quarantine.rs
+++ b/crates/mimosagap-core/tests/quarantine.rs
@@ -22,7 +22,7 @@
         .collect()
 }
 
-fn verdict(effects: &[Effect]) -> Option<SuspectState> {
+fn trial_end(effects: &[Effect]) -> Option<SuspectState> {
     effects.iter().find_map(|effect| match effect {
         Effect::EndTrial { state, .. } => Some(*state),
         _ => None,
@@ -90,7 +90,7 @@
 }
 
 /// Waits until a trial may begin. Before that, a copy of the request that was sent at the same moment
-/// may still be running, and its death has to condemn the request without a trial.
+/// may still be running, and its death has to block the request without a trial.
 fn await_trial(harness: &mut Harness) -> Vec<Effect> {
     let effects = harness.pass(Duration::from_millis(900));
     assert!(!takes_trial(&effects) && dispatched(&effects).is_none());
@@ -113,42 +113,42 @@
 }
 
 /// Fails if a request that killed an engine in its trial runs a third time within the hour, or
-/// if a pardon does not let it.
+/// if an unblock rule does not let it.
 #[test]
-fn a_second_death_condemns() {
+fn a_second_death_blocks() {
     let mut harness = Harness::with_targets("", 3, 0);
     let (ticket, target) = on_trial(&mut harness);
     harness.accept(ticket, 1);
     let effects = die(&mut harness, target);
     assert_eq!(recorded(&effects), [ticket]);
-    assert_eq!(verdict(&effects), Some(SuspectState::Condemned));
+    assert_eq!(trial_end(&effects), Some(SuspectState::Blocked));
     let effects = harness.step(Event::SuspicionRecorded { ticket });
     let refusal = refused(&effects).expect("the final answer");
     assert_eq!(refusal.cause, RefusalCause::Quarantined);
     assert_eq!(refusal.outcome, RunOutcome::Unknown);
 
-    // News from before the verdict does not lift it.
+    // News from before the block does not lift it.
     for state in [SuspectState::Cleared, SuspectState::Suspect] {
         let digest = digest(1);
         harness.step(Event::NoticeHeard(Notice::Suspect { digest, state }));
     }
     let (_, effects) = harness.submit(generation(1, true));
-    let refusal = refused(&effects).expect("the request is condemned");
+    let refusal = refused(&effects).expect("the request is blocked");
     assert_eq!(refusal.cause, RefusalCause::Quarantined);
     assert_eq!(refusal.outcome, RunOutcome::NotRun);
     assert_eq!(refusal.retry_after, Some(Duration::from_hours(1)));
 
-    let text = format!("pardon {} # manager: reviewed", digest(1));
+    let text = format!("unblock {} # manager: reviewed", digest(1));
     harness.step(Event::RulesFound(rules(2, &text)));
     let (_, effects) = harness.submit(generation(1, true));
     assert!(dispatched(&effects).is_some());
 }
 
-/// Fails if a condemned request is refused for longer than an hour.
+/// Fails if a blocked request is refused for longer than an hour.
 #[test]
 fn a_quarantine_ends_after_an_hour() {
     let mut harness = Harness::with_targets("", 1, 0);
-    let state = SuspectState::Condemned;
+    let state = SuspectState::Blocked;
     harness.step(Event::SuspectsChanged(vec![(digest(1), state)]));
     harness.pass(Duration::from_hours(1));
     harness.report(1, load(1));
@@ -156,28 +156,28 @@
     assert!(dispatched(&effects).is_some(), "{effects:?}");
 }
 
-/// Fails if a trial gives the wrong verdict.
+/// Fails if a trial gives the wrong result.
 #[rstest]
 #[case(AttemptEnd::Completed { tokens: 3 }, SuspectState::Cleared)]
 #[case(AttemptEnd::Failed { delivered: 0 }, SuspectState::Cleared)]
 #[case(lost(0, false), SuspectState::Suspect)]
 #[case(AttemptEnd::NotSent, SuspectState::Suspect)]
 #[case(AttemptEnd::Cancelled, SuspectState::Suspect)]
-fn a_trial_without_a_death_does_not_condemn(#[case] end: AttemptEnd, #[case] state: SuspectState) {
+fn a_trial_without_a_death_does_not_block(#[case] end: AttemptEnd, #[case] state: SuspectState) {
     let mut harness = Harness::with_targets("", 2, 0);
     let (ticket, _) = on_trial(&mut harness);
-    assert_eq!(verdict(&harness.end(ticket, 1, end)), Some(state));
+    assert_eq!(trial_end(&harness.end(ticket, 1, end)), Some(state));
 }
 
-/// Fails if a suspect whose trial never reached the dead engine is condemned. Found by the
+/// Fails if a suspect whose trial never reached the dead engine is blocked. Found by the
 /// interleavings: the engine's death became known before the connection failed.
 #[test]
-fn a_trial_that_was_never_sent_does_not_condemn() {
+fn a_trial_that_was_never_sent_does_not_block() {
     let mut harness = Harness::with_targets("", 2, 0);
     let (ticket, target) = on_trial(&mut harness);
-    assert_eq!(verdict(&die(&mut harness, target)), None);
+    assert_eq!(trial_end(&die(&mut harness, target)), None);
     let effects = harness.end(ticket, 1, AttemptEnd::NotSent);
-    assert_eq!(verdict(&effects), Some(SuspectState::Suspect));
+    assert_eq!(trial_end(&effects), Some(SuspectState::Suspect));
     assert!(refused(&effects).is_none(), "told before the record");
     assert!(refused(&harness.step(Event::SuspicionRecorded { ticket })).is_some());
 }
@@ -196,7 +196,7 @@
     assert_eq!(refusal.outcome, RunOutcome::Unknown);
 }
 
-/// Fails if two suspects run on one engine, so that a death would not show the guilty one, or if
+/// Fails if two suspects run on one engine, so that a death would not show the request responsible, or if
 /// other requests cannot use that engine.
 #[test]
 fn an_engine_runs_one_trial_at_a_time() {
@@ -253,7 +253,7 @@
     assert!(takes_trial(&await_trial(&mut harness)));
     assert!(harness.step(Event::CallerLeft { ticket }).is_empty());
     let effects = harness.answer_trial(ticket, TrialAnswer::Taken);
-    assert_eq!(verdict(&effects), Some(SuspectState::Suspect));
+    assert_eq!(trial_end(&effects), Some(SuspectState::Suspect));
     let refusal = refused(&effects).expect("the final effect");
     assert_eq!(refusal.outcome, RunOutcome::NotRun);
     assert_eq!(harness.core.request_count(), 0);
--- a/crates/mimosagap-daemon/src/admin/pages.rs
+++ b/crates/mimosagap-daemon/src/admin/pages.rs
@@ -72,7 +72,7 @@
 pub(super) struct QuarantineEntry {
     digest: String,
     state: &'static str,
-    pardoned: bool,
+    unblocked: bool,
 }
 
 pub(super) fn health(shared: &Shared, snapshot: &Snapshot) -> HealthPage {
@@ -182,10 +182,10 @@
             state: match state {
                 SuspectState::Suspect => "suspect",
                 SuspectState::OnTrial => "on_trial",
-                SuspectState::Condemned => "condemned",
+                SuspectState::Blocked => "blocked",
                 SuspectState::Cleared => "cleared",
             },
-            pardoned: rules.is_pardoned(digest),
+            unblocked: rules.is_unblocked(digest),
         })
         .collect();
     entries.sort_by(|one, other| one.digest.cmp(&other.digest));
--- a/crates/mimosagap-daemon/src/control/rules.rs
+++ b/crates/mimosagap-daemon/src/control/rules.rs
@@ -20,12 +20,12 @@
 
 /// The rules in force and the latest deltas.
 #[derive(Debug, Default)]
-pub(super) struct RulesKeeper {
+pub(super) struct RulesCache {
     current: Option<Arc<RuleSet>>,
     deltas: BTreeMap<RulesRevision, RulesDelta>,
 }
 
-impl RulesKeeper {
+impl RulesCache {
     /// The revision in force; 0 before any is known.
     pub(super) fn revision(&self) -> RulesRevision {
         self.current
@@ -98,21 +98,21 @@
 
 /// The store was read and has no rules.
 fn found_none(control: &Control) {
-    let mut keeper = control.rules();
-    if !keeper.is_known() {
+    let mut cache = control.rules();
+    if !cache.is_known() {
         let set = Arc::new(RuleSet::empty());
-        keeper.current = Some(Arc::clone(&set));
+        cache.current = Some(Arc::clone(&set));
         control.send(Event::RulesFound(set));
     }
 }
 
 /// Adopts a whole text if its revision is newer. Returns whether it is in force now.
 pub(super) fn adopt_text(control: &Control, revision: RulesRevision, text: &str) -> bool {
-    let mut keeper = control.rules();
-    if !keeper.is_news(revision) {
+    let mut cache = control.rules();
+    if !cache.is_news(revision) {
         return false;
     }
-    let adopted = compile(control, &mut keeper, revision, text);
+    let adopted = compile(control, &mut cache, revision, text);
     if adopted {
         control.counters.rules_from_text.add(1);
     }
@@ -121,18 +121,18 @@
 
 /// Keeps a delta for peers, and adopts its revision if it follows the one in force.
 pub(super) fn adopt_delta(control: &Control, delta: RulesDelta) -> bool {
-    let mut keeper = control.rules();
-    let Some(set) = keeper.current.clone() else {
-        keeper.keep_delta(delta);
+    let mut cache = control.rules();
+    let Some(set) = cache.current.clone() else {
+        cache.keep_delta(delta);
         return false;
     };
     let follows = delta.base == set.revision && delta.revision > set.revision;
     let text = follows.then(|| delta.apply(set.revision, &set.text));
     let revision = delta.revision;
-    keeper.keep_delta(delta);
+    cache.keep_delta(delta);
     match text {
         Some(Ok(text)) => {
-            let adopted = compile(control, &mut keeper, revision, &text);
+            let adopted = compile(control, &mut cache, revision, &text);
             if adopted {
                 control.counters.rules_from_delta.add(1);
             }
@@ -147,16 +147,11 @@
     }
 }
 
-fn compile(
-    control: &Control,
-    keeper: &mut RulesKeeper,
-    revision: RulesRevision,
-    text: &str,
-) -> bool {
+fn compile(control: &Control, cache: &mut RulesCache, revision: RulesRevision, text: &str) -> bool {
     match RuleSet::compile(revision, text) {
         Ok(set) => {
             let set = Arc::new(set);
-            keeper.current = Some(Arc::clone(&set));
+            cache.current = Some(Arc::clone(&set));
             control.send(Event::RulesFound(set));
             true
         }
--- a/crates/mimosagap-daemon/src/control/shared.rs
+++ b/crates/mimosagap-daemon/src/control/shared.rs
@@ -22,7 +22,7 @@
 use super::membership::HeldLease;
 use super::notices::SeenNotices;
 use super::results::FinishJob;
-use super::rules::RulesKeeper;
+use super::rules::RulesCache;
 use super::slots::SlotTable;
 use super::store::StoreAccess;
 use super::suspects::SuspectTable;
@@ -56,7 +56,7 @@
     pub(super) lease_gone: watch::Sender<bool>,
     pub(super) results_gone: watch::Sender<bool>,
     fleet: Mutex<FleetView>,
-    rules: Mutex<RulesKeeper>,
+    rules: Mutex<RulesCache>,
     slots: Mutex<SlotTable>,
     lease: Mutex<Option<HeldLease>>,
     placements: Mutex<Vec<(TargetAddress, u64)>>,
@@ -128,7 +128,7 @@
         lock(&self.fleet)
     }
 
-    pub(super) fn rules(&self) -> MutexGuard<'_, RulesKeeper> {
+    pub(super) fn rules(&self) -> MutexGuard<'_, RulesCache> {
         lock(&self.rules)
     }
 
--- a/crates/mimosagap-daemon/src/control/suspects.rs
+++ b/crates/mimosagap-daemon/src/control/suspects.rs
@@ -1,4 +1,4 @@
-//! Suspicions, trials and condemnations, in the store and with the peers.
+//! Suspicions, trials and blocks, in the store and with the peers.
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::{Arc, Mutex};
@@ -93,7 +93,7 @@
     let state = match SuspectRecord::parse(&record.value)?.stage {
         SuspectStage::Suspect => SuspectState::Suspect,
         SuspectStage::Trial { .. } => SuspectState::OnTrial,
-        SuspectStage::Condemned => SuspectState::Condemned,
+        SuspectStage::Blocked => SuspectState::Blocked,
     };
     Some((digest, state))
 }
@@ -246,7 +246,7 @@
     };
     let suspect = match control.suspects.heard_only(&digest, now) {
         None => None,
-        Some(SuspectState::Condemned) => return TrialAnswer::Condemned,
+        Some(SuspectState::Blocked) => return TrialAnswer::Blocked,
         Some(_) => match grant(control).await {
             Ok(lease) => Some(lease),
             Err(_) => return TrialAnswer::Unavailable,
@@ -275,7 +275,7 @@
         }
         Ok(TrialOutcome::Busy) | Err(WriteError::Contended) => TrialAnswer::Busy,
         Ok(TrialOutcome::Cleared) => TrialAnswer::Cleared,
-        Ok(TrialOutcome::Condemned) => TrialAnswer::Condemned,
+        Ok(TrialOutcome::Blocked) => TrialAnswer::Blocked,
         Err(WriteError::NotApplied(_)) => TrialAnswer::Unavailable,
         Err(WriteError::Uncertain) => {
             control
@@ -286,7 +286,7 @@
     }
 }
 
-/// Records how a trial ended; `Suspect` means without a verdict.
+/// Records how a trial ended; `Suspect` means without a result.
 pub(super) fn end_trial(control: &Arc<Control>, digest: RequestDigest, state: SuspectState) {
     let options = lock(&control.suspects.trials).remove(&digest);
     let Some(options) = options else {
@@ -308,8 +308,8 @@
     let end = match state {
         SuspectState::Cleared => TrialEnd::Cleared,
         SuspectState::Suspect | SuspectState::OnTrial => TrialEnd::NotRun,
-        SuspectState::Condemned => match grant(control).await {
-            Ok(lease) => TrialEnd::Condemned(lease),
+        SuspectState::Blocked => match grant(control).await {
+            Ok(lease) => TrialEnd::Blocked(lease),
             Err(_) => return false,
         },
     };
--- a/crates/mimosagap-daemon/src/snapshot.rs
+++ b/crates/mimosagap-daemon/src/snapshot.rs
@@ -16,7 +16,7 @@
     pub targets: Vec<TargetView>,
     /// The teams' limits and their use.
     pub limits: Vec<LimitView>,
-    /// Suspects and condemned requests.
+    /// Suspects and blocked requests.
     pub quarantine: Vec<(RequestDigest, SuspectState)>,
     /// The admission queues that are not empty.
     pub queues: Vec<QueueView>,
--- a/crates/mimosagap-daemon/src/targets/report.rs
+++ b/crates/mimosagap-daemon/src/targets/report.rs
@@ -62,7 +62,8 @@
 }
 
 /// A change of an engine's prefix cache.
-#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Deserialize)]
 pub struct CacheEvent {
     /// Its number; one more than the last unless events are missing.
     pub sequence: u64,
@@ -75,7 +76,8 @@
 }
 
 /// The kinds of cache events.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Deserialize)]
 #[serde(rename_all = "lowercase")]
 pub enum CacheEventKind {
     /// The blocks are now cached.
--- a/crates/mimosagap-daemon/tests/control_store.rs
+++ b/crates/mimosagap-daemon/tests/control_store.rs
@@ -307,7 +307,7 @@
 }
 
 /// Guards against a daemon that runs a suspect another daemon runs already, or one that was
-/// cleared, and against a condemned request that runs again.
+/// cleared, and against a blocked request that runs again.
 #[tokio::test(flavor = "multi_thread")]
 async fn suspects_are_tried_once() {
     let store = MemoryStore::start();
@@ -330,10 +330,10 @@
     b.wait("the suspect", shows(SuspectState::Suspect)).await;
     assert_eq!(a.take_trial(2, digest).await, TrialAnswer::Taken);
     assert_eq!(b.take_trial(3, digest).await, TrialAnswer::Busy);
-    let state = SuspectState::Condemned;
+    let state = SuspectState::Blocked;
     a.control.carry_out(Effect::EndTrial { digest, state });
-    b.wait("the verdict", shows(state)).await;
-    assert_eq!(b.take_trial(4, digest).await, TrialAnswer::Condemned);
+    b.wait("the end of the trial", shows(state)).await;
+    assert_eq!(b.take_trial(4, digest).await, TrialAnswer::Blocked);
     let unknown = RequestDigest::of(&[b"harmless"]);
     assert_eq!(b.take_trial(5, unknown).await, TrialAnswer::Cleared);
 }
--- a/crates/mimosagap-load/src/bench.rs
+++ b/crates/mimosagap-load/src/bench.rs
@@ -42,7 +42,8 @@
 const GOAL_STREAM_KIB: f64 = 100.0;
 
 /// The figures of one route.
-#[derive(Debug, Clone, Serialize, Deserialize)]
+#[derive(Debug, Clone)]
+#[derive(Serialize, Deserialize)]
 pub struct RouteFigures {
     /// To the first token.
     pub first_token_ms: Percentiles,
@@ -69,7 +70,8 @@
 }
 
 /// The figures of one level.
-#[derive(Debug, Clone, Serialize, Deserialize)]
+#[derive(Debug, Clone)]
+#[derive(Serialize, Deserialize)]
 pub struct LevelFigures {
     /// Streams that the load is laid out for.
     pub planned_streams: u64,
--- a/crates/mimosagap-load/src/check.rs
+++ b/crates/mimosagap-load/src/check.rs
@@ -6,7 +6,8 @@
 use serde::Deserialize;
 
 /// The error object of a refusal.
-#[derive(Debug, Clone, Deserialize)]
+#[derive(Debug, Clone)]
+#[derive(Deserialize)]
 pub struct ErrorBody {
     /// The cause.
     pub code: String,
@@ -16,13 +17,15 @@
 }
 
 /// An answer with an error in it.
-#[derive(Debug, Clone, Deserialize)]
+#[derive(Debug, Clone)]
+#[derive(Deserialize)]
 pub struct ErrorAnswer {
     /// The error.
     pub error: ErrorBody,
 }
 
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 struct ResponseHead {
     #[serde(default)]
     id: Option<String>,
@@ -31,7 +34,8 @@
 }
 
 /// One server-sent event.
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 pub struct StreamEvent<'a> {
     #[serde(rename = "type", borrow)]
     kind: Cow<'a, str>,
--- a/crates/mimosagap-load/src/engines.rs
+++ b/crates/mimosagap-load/src/engines.rs
@@ -13,7 +13,8 @@
 const CONTROL_TIMEOUT: Duration = Duration::from_secs(3);
 
 /// One generation that an engine started.
-#[derive(Debug, Clone, Deserialize)]
+#[derive(Debug, Clone)]
+#[derive(Deserialize)]
 pub struct GenerationRecord {
     /// `metadata.request`.
     pub request: Option<String>,
@@ -22,7 +23,8 @@
 }
 
 /// The statistics of one engine, as far as they are used.
-#[derive(Debug, Clone, Deserialize)]
+#[derive(Debug, Clone)]
+#[derive(Deserialize)]
 pub struct EngineStatistics {
     started: u64,
     completed: u64,
@@ -41,7 +43,8 @@
 }
 
 /// Sums over the engines.
-#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct FleetFigures {
     /// Engines that answered.
     pub engines: u64,
--- a/crates/mimosagap-load/src/experiment.rs
+++ b/crates/mimosagap-load/src/experiment.rs
@@ -29,7 +29,8 @@
 const DEFAULT_POLICIES: &str = "forecast,round-robin,least-outstanding,two-choices";
 
 /// One run of an experiment.
-#[derive(Debug, Clone, Serialize, Deserialize)]
+#[derive(Debug, Clone)]
+#[derive(Serialize, Deserialize)]
 pub struct ExperimentRun {
     /// The policy.
     pub policy: String,
@@ -40,7 +41,8 @@
 }
 
 /// All runs with one workload and variant.
-#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default)]
+#[derive(Serialize, Deserialize)]
 pub struct ExperimentResults {
     /// The runs.
     pub runs: Vec<ExperimentRun>,
--- a/crates/mimosagap-load/src/route.rs
+++ b/crates/mimosagap-load/src/route.rs
@@ -20,7 +20,8 @@
     lifetime_ms: u64,
 }
 
-#[derive(Debug, Clone, Deserialize)]
+#[derive(Debug, Clone)]
+#[derive(Deserialize)]
 struct AddressEntry {
     address: SocketAddr,
     zone: String,
--- a/crates/mimosagap-load/src/summary.rs
+++ b/crates/mimosagap-load/src/summary.rs
@@ -23,7 +23,8 @@
 const LISTED_VIOLATIONS: usize = 20;
 
 /// Three percentiles in milliseconds.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct Percentiles {
     /// Values measured.
     pub count: u64,
@@ -73,7 +74,8 @@
 }
 
 /// The figures of one group of requests.
-#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default)]
+#[derive(Serialize, Deserialize)]
 pub struct GroupSummary {
     /// Requests measured.
     pub requests: u64,
@@ -104,7 +106,8 @@
 }
 
 /// The figures of one run.
-#[derive(Debug, Clone, Serialize, Deserialize)]
+#[derive(Debug, Clone)]
+#[derive(Serialize, Deserialize)]
 pub struct RunSummary {
     /// The workload.
     pub workload: String,
--- a/crates/mimosagap-load/src/workload.rs
+++ b/crates/mimosagap-load/src/workload.rs
@@ -11,7 +11,8 @@
 use serde_json::Value;
 
 /// A workload as written in its file.
-#[derive(Debug, Clone, Deserialize)]
+#[derive(Debug, Clone)]
+#[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Workload {
     /// The name in reports.
@@ -37,7 +38,8 @@
 }
 
 /// Poisson arrivals, with a higher rate during bursts.
-#[derive(Debug, Clone, Deserialize)]
+#[derive(Debug, Clone)]
+#[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Arrivals {
     /// Mean rate outside bursts.
@@ -48,7 +50,8 @@
 }
 
 /// Periodic bursts.
-#[derive(Debug, Clone, Deserialize)]
+#[derive(Debug, Clone)]
+#[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Bursts {
     /// Time from one burst's start to the next.
@@ -79,7 +82,8 @@
 }
 
 /// One class of requests.
-#[derive(Debug, Clone, Deserialize)]
+#[derive(Debug, Clone)]
+#[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct ClassMix {
     /// The class.
@@ -121,7 +125,8 @@
 }
 
 /// Prompts begin with one of several texts.
-#[derive(Debug, Clone, Copy, Deserialize)]
+#[derive(Debug, Clone, Copy)]
+#[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct SharedPrefixes {
     /// How many texts.
@@ -131,7 +136,8 @@
 }
 
 /// A distribution of lengths in tokens.
-#[derive(Debug, Clone, Copy, Deserialize)]
+#[derive(Debug, Clone, Copy)]
+#[derive(Deserialize)]
 #[serde(rename_all = "snake_case", tag = "kind", deny_unknown_fields)]
 pub enum LengthDistribution {
     /// Always the same.
@@ -190,7 +196,8 @@
 }
 
 /// A call to the engines' control interface during the run.
-#[derive(Debug, Clone, Deserialize)]
+#[derive(Debug, Clone)]
+#[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Fault {
     /// When, from the start of the run.
@@ -208,7 +215,8 @@
 }
 
 /// The processes that an experiment starts.
-#[derive(Debug, Clone, Deserialize)]
+#[derive(Debug, Clone)]
+#[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct FleetShape {
     /// One engine for each entry.
@@ -231,7 +239,8 @@
 }
 
 /// A place of a process.
-#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Site {
     /// The zone.
--- a/crates/mimosagap-peer/src/message.rs
+++ b/crates/mimosagap-peer/src/message.rs
@@ -8,7 +8,8 @@
 use serde::{Deserialize, Serialize};
 
 /// The addresses and the place of a daemon.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct PeerMember {
     /// Where callers connect.
     pub caller_address: SocketAddr,
@@ -41,7 +42,8 @@
 }
 
 /// What each daemon tells some others every second.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Digest {
     /// The sender.
     pub member: PeerMember,
@@ -54,7 +56,8 @@
 }
 
 /// A notice on its way through the fleet.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct NoticeMessage {
     /// Names the notice, so that a daemon which hears it again drops it.
     pub id: u128,
@@ -65,7 +68,8 @@
 }
 
 /// The first message of an exchange.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum Request {
     /// Asks who listens at an address; the first exchange of every connection.
     Hello,
@@ -88,7 +92,8 @@
 }
 
 /// The answer to [`Request::PullRules`].
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum RulesAnswer {
     /// The answerer has nothing newer.
     NothingNewer,
@@ -104,7 +109,8 @@
 }
 
 /// The second message of an exchange.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum Reply {
     /// Answers [`Request::Hello`]; the envelope names the sender.
     Hello,
--- a/crates/mimosagap-peer/src/seal.rs
+++ b/crates/mimosagap-peer/src/seal.rs
@@ -22,7 +22,8 @@
 const MAX_REMEMBERED: usize = 100_000;
 
 /// The direction of a message, so that a request cannot be passed off as a reply.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum Direction {
     /// From the daemon that opened the connection.
     Request,
@@ -31,7 +32,8 @@
 }
 
 /// A message with what its signature covers.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Envelope<M> {
     /// Whether it asks or answers.
     pub direction: Direction,
--- a/crates/mimosagap-rules/src/delta.rs
+++ b/crates/mimosagap-rules/src/delta.rs
@@ -7,7 +7,8 @@
 use similar::{DiffOp, TextDiff};
 
 /// A run of lines that is replaced.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct LineEdit {
     /// How many lines of the base come before it, counted from 0.
     pub at: usize,
@@ -19,7 +20,8 @@
 
 /// What turns one revision into the next. Much smaller than the text, so it can go to every
 /// daemon for each change.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct RulesDelta {
     /// The revision that it applies to.
     pub base: RulesRevision,
--- a/crates/mimosagap-rules/src/set.rs
+++ b/crates/mimosagap-rules/src/set.rs
@@ -62,7 +62,7 @@
     regions: HashMap<ModelName, (RegionName, RuleReference)>,
     drained: HashMap<TargetAddress, RuleReference>,
     refused: HashMap<TeamName, RuleReference>,
-    pardoned: HashSet<RequestDigest>,
+    unblocked: HashSet<RequestDigest>,
     weights: StallWeights,
     ceiling: MemoryCeiling,
     retry_fraction: f64,
@@ -85,7 +85,7 @@
             regions: HashMap::new(),
             drained: HashMap::new(),
             refused: HashMap::new(),
-            pardoned: HashSet::new(),
+            unblocked: HashSet::new(),
             weights: StallWeights {
                 preemptions: 1.0,
                 stall: 1.0,
@@ -182,8 +182,8 @@
             Statement::RefuseTeam { team } => {
                 self.refused.insert(team, rule);
             }
-            Statement::Pardon { digest } => {
-                self.pardoned.insert(digest);
+            Statement::Unblock { digest } => {
+                self.unblocked.insert(digest);
             }
         }
     }
@@ -251,8 +251,8 @@
 
     /// Whether a rule lifts the quarantine of a request.
     #[must_use]
-    pub fn is_pardoned(&self, digest: &RequestDigest) -> bool {
-        self.pardoned.contains(digest)
+    pub fn is_unblocked(&self, digest: &RequestDigest) -> bool {
+        self.unblocked.contains(digest)
     }
 
     /// How preemptions and stall time count against each other.
@@ -302,6 +302,6 @@
         Statement::KeepRegion { model, .. } => format!("region {model}"),
         Statement::DrainTarget { address } => format!("drain {address}"),
         Statement::RefuseTeam { team } => format!("refuse {team}"),
-        Statement::Pardon { digest } => format!("pardon {digest}"),
+        Statement::Unblock { digest } => format!("unblock {digest}"),
     }
 }
--- a/crates/mimosagap-rules/src/statement.rs
+++ b/crates/mimosagap-rules/src/statement.rs
@@ -13,7 +13,17 @@
 
 /// The urgency of a class. The derived order puts the most urgent first.
 #[derive(
-    Debug, Clone, Copy, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize,
+    Debug,
+    Clone,
+    Copy,
+    Default,
+    PartialEq,
+    Eq,
+    Hash,
+    PartialOrd,
+    Ord,
+    Serialize,
+    Deserialize
 )]
 pub enum Priority {
     /// Served before all others.
@@ -150,8 +160,8 @@
         /// The team whose requests are refused.
         team: TeamName,
     },
-    /// `pardon DIGEST`
-    Pardon {
+    /// `unblock DIGEST`
+    Unblock {
         /// The request whose quarantine is lifted.
         digest: RequestDigest,
     },
@@ -208,7 +218,7 @@
             preceded(("keep", space1, "region", space1), cut_err(keep_region)),
             preceded(("drain", space1, "target", space1), cut_err(drain_target)),
             preceded(("refuse", space1, "team", space1), cut_err(refuse_team)),
-            preceded(("pardon", space1), cut_err(pardon)),
+            preceded(("unblock", space1), cut_err(unblock)),
         )),
     ))
     .parse_next(input)
@@ -393,9 +403,9 @@
     .parse_next(input)
 }
 
-fn pardon(input: &mut &str) -> Result<Statement, Failure> {
+fn unblock(input: &mut &str) -> Result<Statement, Failure> {
     digest
-        .map(|bytes| Statement::Pardon {
+        .map(|bytes| Statement::Unblock {
             digest: RequestDigest(bytes),
         })
         .parse_next(input)
--- a/crates/mimosagap-rules/tests/set.rs
+++ b/crates/mimosagap-rules/tests/set.rs
@@ -29,7 +29,7 @@
          keep region quotes norte-a # insurer: data\n\
          drain target 127.0.0.1:8000 # crew lead: broken fan\n\
          refuse team lisboa # manager: unpaid\n\
-         pardon {DIGEST} # crew lead: fixed\n"
+         unblock {DIGEST} # crew lead: fixed\n"
     );
     let set = compile(&text);
     let team = TeamName::new("porto");
@@ -62,7 +62,7 @@
     assert_eq!((region.as_str(), rule.line), ("norte-a", 13));
     assert!(set.drained(&"127.0.0.1:8000".parse().unwrap()).is_some());
     assert!(set.refused(&TeamName::new("lisboa")).is_some());
-    assert!(set.is_pardoned(&digest));
+    assert!(set.is_unblocked(&digest));
 }
 
 #[rstest]
@@ -74,7 +74,7 @@
 #[case::negative("limit team a -1 requests/s burst 2 # manager: x", "0 to 1000000")]
 #[case::unit("limit team a 1 requests/min burst 2 # manager: x", "requests/s")]
 #[case::percentage("memory ceiling 101% # manager: x", "0% to 100%")]
-#[case::short_digest("pardon 0011 # manager: x", "64 hexadecimal digits")]
+#[case::short_digest("unblock 0011 # manager: x", "64 hexadecimal digits")]
 #[case::host_name("drain target engine-1:80 # manager: x", "an address like")]
 #[case::rest("refuse team a b # manager: x", "the end of the statement")]
 #[case::infinite("share team a inf # manager: x", "a number")]
--- a/crates/mimosagap-settings/src/settings.rs
+++ b/crates/mimosagap-settings/src/settings.rs
@@ -8,7 +8,8 @@
 use serde::Deserialize;
 
 /// The settings of one daemon.
-#[derive(Debug, Clone, Deserialize)]
+#[derive(Debug, Clone)]
+#[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Settings {
     /// Where the daemon runs.
@@ -32,7 +33,8 @@
 }
 
 /// Where the daemon runs.
-#[derive(Debug, Clone, Deserialize)]
+#[derive(Debug, Clone)]
+#[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct LocationSettings {
     /// The zone.
@@ -42,7 +44,8 @@
 }
 
 /// The addresses that the daemon listens on.
-#[derive(Debug, Clone, Copy, Deserialize)]
+#[derive(Debug, Clone, Copy)]
+#[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct ListenSettings {
     /// For callers.
@@ -54,7 +57,8 @@
 }
 
 /// The platform's key-value service.
-#[derive(Debug, Clone, Deserialize)]
+#[derive(Debug, Clone)]
+#[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct StoreSettings {
     /// Its address.
@@ -77,7 +81,8 @@
 }
 
 /// A group of targets which share a name on the host list.
-#[derive(Debug, Clone, Deserialize)]
+#[derive(Debug, Clone)]
+#[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct DeploymentSettings {
     /// The name, as in the host list's `deployment` label.
@@ -129,7 +134,8 @@
 }
 
 /// What the targets of a deployment are.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Deserialize)]
 #[serde(rename_all = "lowercase")]
 pub enum DeploymentKind {
     /// Model engines.
@@ -139,7 +145,8 @@
 }
 
 /// Bounds of a single request, against oversized and slow callers.
-#[derive(Debug, Clone, Copy, Deserialize)]
+#[derive(Debug, Clone, Copy)]
+#[derive(Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct RequestBounds {
     /// Bytes of a body.
--- a/crates/mimosagap-standins/src/engine/commands.rs
+++ b/crates/mimosagap-standins/src/engine/commands.rs
@@ -8,7 +8,8 @@
 use crate::engine::stats::wall_ms;
 
 /// What a command does.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize)]
 #[serde(rename_all = "snake_case")]
 pub(crate) enum CommandKind {
     LoadModel,
@@ -32,7 +33,8 @@
 }
 
 /// A command that was carried out.
-#[derive(Debug, Clone, Serialize)]
+#[derive(Debug, Clone)]
+#[derive(Serialize)]
 pub(crate) struct CommandRecord {
     kind: CommandKind,
     name: String,
--- a/crates/mimosagap-standins/src/engine/publish.rs
+++ b/crates/mimosagap-standins/src/engine/publish.rs
@@ -12,7 +12,8 @@
 /// Events kept for readers that come late.
 const KEPT_EVENTS: usize = 8_192;
 
-#[derive(Debug, Clone, Serialize)]
+#[derive(Debug, Clone)]
+#[derive(Serialize)]
 pub(crate) struct CacheEvent {
     pub(crate) sequence: u64,
     #[serde(rename = "type")]
--- a/crates/mimosagap-standins/src/engine/stats.rs
+++ b/crates/mimosagap-standins/src/engine/stats.rs
@@ -14,7 +14,8 @@
 const LISTED_GENERATIONS: usize = 50_000;
 
 /// One generation that was started.
-#[derive(Debug, Clone, Serialize)]
+#[derive(Debug, Clone)]
+#[derive(Serialize)]
 pub(crate) struct GenerationRecord {
     pub(crate) id: String,
     /// Wall-clock time in milliseconds since 1970.
@@ -24,7 +25,8 @@
 }
 
 /// A histogram of stalls; `counts` has one more entry than `bounds_ms`.
-#[derive(Debug, Clone, Serialize)]
+#[derive(Debug, Clone)]
+#[derive(Serialize)]
 pub(crate) struct StallHistogram {
     bounds_ms: [u64; STALL_BOUNDS_MS.len()],
     counts: [u64; STALL_BOUNDS_MS.len() + 1],
@@ -32,7 +34,8 @@
 }
 
 /// What happened since the process started.
-#[derive(Debug, Clone, Serialize)]
+#[derive(Debug, Clone)]
+#[derive(Serialize)]
 pub(crate) struct EngineStats {
     pub(crate) started: u64,
     pub(crate) completed: u64,
--- a/crates/mimosagap-standins/src/proxy.rs
+++ b/crates/mimosagap-standins/src/proxy.rs
@@ -22,7 +22,8 @@
 const REBIND_PAUSE: Duration = Duration::from_millis(10);
 const EFFECT_LIMIT: Duration = Duration::from_secs(1);
 
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 enum LinkMode {
     Pass,
@@ -33,7 +34,8 @@
     OneWay,
 }
 
-#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy)]
+#[derive(Serialize, Deserialize)]
 struct LinkState {
     mode: LinkMode,
     #[serde(default)]
--- a/crates/mimosagap-standins/src/service.rs
+++ b/crates/mimosagap-standins/src/service.rs
@@ -12,7 +12,8 @@
 
 use crate::http::{self, Answer, RunResult, WholeRequest};
 
-#[derive(Clone, Copy, Deserialize)]
+#[derive(Clone, Copy)]
+#[derive(Deserialize)]
 #[serde(default, deny_unknown_fields)]
 struct Behaviour {
     /// The time between the execution and its answer.
--- a/crates/mimosagap-standins/src/store/fault.rs
+++ b/crates/mimosagap-standins/src/store/fault.rs
@@ -6,7 +6,8 @@
 
 use super::wire;
 
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Deserialize)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub(super) enum FaultKind {
     #[default]
@@ -17,7 +18,8 @@
 }
 
 /// The body of `POST /control/fault`.
-#[derive(Debug, Clone, Default, Deserialize)]
+#[derive(Debug, Clone, Default)]
+#[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 pub(super) struct Fault {
     pub(super) kind: FaultKind,
--- a/crates/mimosagap-standins/src/store/meter.rs
+++ b/crates/mimosagap-standins/src/store/meter.rs
@@ -11,7 +11,8 @@
 const BURST_SECONDS: f64 = 0.25;
 const SMALLEST_BURST: f64 = 10.0;
 
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Serialize)]
 #[serde(rename_all = "snake_case")]
 pub(super) enum CallKind {
     Range,
--- a/crates/mimosagap-standins/src/store/wire.rs
+++ b/crates/mimosagap-standins/src/store/wire.rs
@@ -60,7 +60,8 @@
     !*flag
 }
 
-#[derive(Debug, Clone, Default, Deserialize)]
+#[derive(Debug, Clone, Default)]
+#[derive(Deserialize)]
 #[serde(default)]
 pub(super) struct RangeRequest {
     #[serde(with = "base64_bytes")]
@@ -77,7 +78,8 @@
     pub(super) count_only: bool,
 }
 
-#[derive(Debug, Clone, Default, Deserialize)]
+#[derive(Debug, Clone, Default)]
+#[derive(Deserialize)]
 #[serde(default)]
 pub(super) struct PutRequest {
     #[serde(with = "base64_bytes")]
@@ -90,7 +92,8 @@
     pub(super) prev_kv: bool,
 }
 
-#[derive(Debug, Clone, Default, Deserialize)]
+#[derive(Debug, Clone, Default)]
+#[derive(Deserialize)]
 #[serde(default)]
 pub(super) struct DeleteRequest {
     #[serde(with = "base64_bytes")]
@@ -101,7 +104,8 @@
     pub(super) prev_kv: bool,
 }
 
-#[derive(Debug, Clone, Copy, Default, Deserialize)]
+#[derive(Debug, Clone, Copy, Default)]
+#[derive(Deserialize)]
 #[serde(rename_all = "SCREAMING_SNAKE_CASE")]
 pub(super) enum CompareResult {
     #[default]
@@ -111,7 +115,8 @@
     NotEqual,
 }
 
-#[derive(Debug, Clone, Copy, Default, Deserialize)]
+#[derive(Debug, Clone, Copy, Default)]
+#[derive(Deserialize)]
 #[serde(rename_all = "SCREAMING_SNAKE_CASE")]
 pub(super) enum CompareTarget {
     #[default]
@@ -122,7 +127,8 @@
     Lease,
 }
 
-#[derive(Debug, Clone, Default, Deserialize)]
+#[derive(Debug, Clone, Default)]
+#[derive(Deserialize)]
 #[serde(default)]
 pub(super) struct Compare {
     pub(super) result: CompareResult,
@@ -142,7 +148,8 @@
 }
 
 /// One operation of a transaction; exactly one field is set.
-#[derive(Debug, Clone, Default, Deserialize)]
+#[derive(Debug, Clone, Default)]
+#[derive(Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub(super) struct RequestOp {
     #[serde(rename = "request_range", alias = "requestRange")]
@@ -153,7 +160,8 @@
     pub(super) delete_range: Option<DeleteRequest>,
 }
 
-#[derive(Debug, Clone, Default, Deserialize)]
+#[derive(Debug, Clone, Default)]
+#[derive(Deserialize)]
 #[serde(default)]
 pub(super) struct TxnRequest {
     pub(super) compare: Vec<Compare>,
@@ -161,7 +169,8 @@
     pub(super) failure: Vec<RequestOp>,
 }
 
-#[derive(Debug, Clone, Default, Deserialize)]
+#[derive(Debug, Clone, Default)]
+#[derive(Deserialize)]
 #[serde(default)]
 pub(super) struct LeaseRequest {
     #[serde(rename = "ID", with = "int64")]
@@ -170,7 +179,8 @@
     pub(super) ttl: u64,
 }
 
-#[derive(Debug, Clone, Default, Deserialize)]
+#[derive(Debug, Clone, Default)]
+#[derive(Deserialize)]
 #[serde(default)]
 pub(super) struct WatchCreate {
     #[serde(with = "base64_bytes")]
@@ -183,13 +193,15 @@
     pub(super) prev_kv: bool,
 }
 
-#[derive(Debug, Clone, Deserialize)]
+#[derive(Debug, Clone)]
+#[derive(Deserialize)]
 pub(super) struct WatchRequest {
     #[serde(alias = "createRequest")]
     pub(super) create_request: WatchCreate,
 }
 
-#[derive(Debug, Clone, Copy, Serialize)]
+#[derive(Debug, Clone, Copy)]
+#[derive(Serialize)]
 pub(super) struct ResponseHeader {
     #[serde(with = "int64")]
     cluster_id: u64,
@@ -212,7 +224,8 @@
     }
 }
 
-#[derive(Debug, Clone, Serialize)]
+#[derive(Debug, Clone)]
+#[derive(Serialize)]
 pub(super) struct KeyValue {
     #[serde(with = "base64_bytes")]
     pub(super) key: Vec<u8>,
@@ -228,7 +241,8 @@
     pub(super) lease: u64,
 }
 
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 pub(super) struct RangeResponse {
     pub(super) header: ResponseHeader,
     #[serde(skip_serializing_if = "Vec::is_empty")]
@@ -239,14 +253,16 @@
     pub(super) count: u64,
 }
 
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 pub(super) struct PutResponse {
     pub(super) header: ResponseHeader,
     #[serde(skip_serializing_if = "Option::is_none")]
     pub(super) prev_kv: Option<KeyValue>,
 }
 
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 pub(super) struct DeleteResponse {
     pub(super) header: ResponseHeader,
     #[serde(with = "int64", skip_serializing_if = "is_zero")]
@@ -255,7 +271,8 @@
     pub(super) prev_kvs: Vec<KeyValue>,
 }
 
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 pub(super) enum ResponseOp {
     #[serde(rename = "response_range")]
     Range(RangeResponse),
@@ -265,7 +282,8 @@
     Delete(DeleteResponse),
 }
 
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 pub(super) struct TxnResponse {
     pub(super) header: ResponseHeader,
     #[serde(skip_serializing_if = "is_false")]
@@ -274,7 +292,8 @@
     pub(super) responses: Vec<ResponseOp>,
 }
 
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 pub(super) struct LeaseResponse {
     pub(super) header: ResponseHeader,
     #[serde(rename = "ID", with = "int64", skip_serializing_if = "is_zero")]
@@ -284,7 +303,8 @@
     pub(super) ttl: u64,
 }
 
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 pub(super) struct ErrorBody {
     error: String,
     code: u32,
@@ -301,7 +321,8 @@
     }
 }
 
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 pub(super) struct WatchEvent {
     /// Left out for a put, which is the default value.
     #[serde(rename = "type", skip_serializing_if = "Option::is_none")]
--- a/crates/mimosagap-store/src/claims.rs
+++ b/crates/mimosagap-store/src/claims.rs
@@ -11,7 +11,7 @@
 use crate::lease::LeaseId;
 use crate::nonce::Nonce;
 use crate::wire::base64_bytes;
-use crate::write::{Verdict, Write, WriteError};
+use crate::write::{Resolution, Write, WriteError};
 
 /// The longest body kept in a record, in bytes.
 pub const MAX_RESULT_BYTES: usize = 16 << 10;
@@ -19,7 +19,8 @@
 pub const MAX_BATCH: usize = 64;
 
 /// The answer of a service to an order.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct OrderResult {
     /// The HTTP status.
     pub status: u16,
@@ -30,12 +31,14 @@
 }
 
 /// Bytes in base64.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct ResultBody(#[serde(with = "base64_bytes")] pub Vec<u8>);
 
 /// What became of a claimed order.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum ClaimState {
     /// The winner may send it, may have sent it, or is gone.
@@ -47,7 +50,8 @@
 }
 
 /// The record of an order.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct ClaimRecord {
     /// The winner's mark.
     pub nonce: Nonce,
@@ -166,7 +170,7 @@
             Some(lease),
             patience,
             |mod_revision| ClaimOutcome::Won { mod_revision },
-            |index, found| judge_claim(&requests[index].record, found),
+            |index, found| resolve_claim(&requests[index].record, found),
         )
     }
 
@@ -188,42 +192,42 @@
             Some(lease),
             patience,
             |_| FinishOutcome::Recorded,
-            |index, found| judge_finish(&requests[index].record, found),
+            |index, found| resolve_finish(&requests[index].record, found),
         )
     }
 }
 
-fn judge_claim(own: &ClaimRecord, found: Option<&KeyValue>) -> Verdict<ClaimOutcome> {
+fn resolve_claim(own: &ClaimRecord, found: Option<&KeyValue>) -> Resolution<ClaimOutcome> {
     let Some(entry) = found else {
-        return Verdict::Replace(0);
+        return Resolution::Replace(0);
     };
     let Some(record) = ClaimRecord::parse(&entry.value) else {
-        return Verdict::Done(ClaimOutcome::InProgress);
+        return Resolution::Done(ClaimOutcome::InProgress);
     };
     if record.nonce == own.nonce {
-        return Verdict::Done(ClaimOutcome::Won {
+        return Resolution::Done(ClaimOutcome::Won {
             mod_revision: entry.mod_revision,
         });
     }
     if record.digest != own.digest {
-        return Verdict::Done(ClaimOutcome::OtherBody);
+        return Resolution::Done(ClaimOutcome::OtherBody);
     }
     match record.state {
-        ClaimState::Claimed => Verdict::Done(ClaimOutcome::InProgress),
-        ClaimState::NotRun => Verdict::Replace(entry.mod_revision),
-        ClaimState::Ran(result) => Verdict::Done(ClaimOutcome::Ran(result)),
+        ClaimState::Claimed => Resolution::Done(ClaimOutcome::InProgress),
+        ClaimState::NotRun => Resolution::Replace(entry.mod_revision),
+        ClaimState::Ran(result) => Resolution::Done(ClaimOutcome::Ran(result)),
     }
 }
 
-fn judge_finish(own: &ClaimRecord, found: Option<&KeyValue>) -> Verdict<FinishOutcome> {
+fn resolve_finish(own: &ClaimRecord, found: Option<&KeyValue>) -> Resolution<FinishOutcome> {
     let record = found.and_then(|entry| ClaimRecord::parse(&entry.value));
     match (found, record) {
-        (Some(_), Some(record)) if record == *own => Verdict::Done(FinishOutcome::Recorded),
+        (Some(_), Some(record)) if record == *own => Resolution::Done(FinishOutcome::Recorded),
         (Some(entry), Some(record))
             if record.nonce == own.nonce && record.state == ClaimState::Claimed =>
         {
-            Verdict::Replace(entry.mod_revision)
+            Resolution::Replace(entry.mod_revision)
         }
-        _ => Verdict::Done(FinishOutcome::Superseded),
+        _ => Resolution::Done(FinishOutcome::Superseded),
     }
 }
--- a/crates/mimosagap-store/src/kv.rs
+++ b/crates/mimosagap-store/src/kv.rs
@@ -142,7 +142,8 @@
     pub deleted: u64,
 }
 
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 pub(crate) struct RangeRequest {
     key: Base64,
     #[serde(skip_serializing_if = "Option::is_none")]
@@ -158,7 +159,8 @@
     }
 }
 
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 pub(crate) struct PutRequest {
     key: Base64,
     value: Base64,
@@ -176,7 +178,8 @@
     }
 }
 
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 pub(crate) struct DeleteRequest {
     key: Base64,
     #[serde(skip_serializing_if = "Option::is_none")]
@@ -192,7 +195,8 @@
     }
 }
 
-#[derive(Debug, Default, Deserialize)]
+#[derive(Debug, Default)]
+#[derive(Deserialize)]
 pub(crate) struct RangeAnswer {
     #[serde(default)]
     header: Header,
@@ -209,13 +213,15 @@
     }
 }
 
-#[derive(Debug, Default, Deserialize)]
+#[derive(Debug, Default)]
+#[derive(Deserialize)]
 pub(crate) struct PutAnswer {
     #[serde(default)]
     header: Header,
 }
 
-#[derive(Debug, Default, Deserialize)]
+#[derive(Debug, Default)]
+#[derive(Deserialize)]
 pub(crate) struct DeleteAnswer {
     #[serde(default)]
     header: Header,
--- a/crates/mimosagap-store/src/lease.rs
+++ b/crates/mimosagap-store/src/lease.rs
@@ -52,7 +52,8 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct RevokeOutcome;
 
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 struct GrantRequest {
     #[serde(rename = "TTL")]
     ttl: Int64,
@@ -60,13 +61,15 @@
     id: Int64,
 }
 
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 struct LeaseRequest {
     #[serde(rename = "ID")]
     id: Int64,
 }
 
-#[derive(Debug, Default, Deserialize)]
+#[derive(Debug, Default)]
+#[derive(Deserialize)]
 struct LeaseAnswer {
     #[serde(rename = "ID", default)]
     id: Int64,
@@ -75,13 +78,15 @@
 }
 
 /// The gateway wraps the answers of streaming calls.
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 struct StreamAnswer {
     #[serde(default)]
     result: LeaseAnswer,
 }
 
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 struct RevokeAnswer {}
 
 impl StoreClient {
--- a/crates/mimosagap-store/src/lenders.rs
+++ b/crates/mimosagap-store/src/lenders.rs
@@ -11,10 +11,11 @@
 use crate::kv::DeleteOptions;
 use crate::lease::LeaseId;
 use crate::txn::{Operation, TxnOptions};
-use crate::write::{Verdict, Write, WriteError, compare};
+use crate::write::{Resolution, Write, WriteError, compare};
 
 /// The holder of a slot.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct LenderRecord {
     /// The daemon.
     pub daemon: DaemonId,
@@ -95,12 +96,12 @@
             |fence| TakeSlotOutcome::Taken { fence },
             |_, found| {
                 let Some(entry) = found else {
-                    return Verdict::Replace(0);
+                    return Resolution::Replace(0);
                 };
                 let holder = LenderRecord::parse(&entry.value).map(|record| record.daemon);
                 let own =
                     holder.as_ref() == Some(&options.daemon) && entry.lease == Some(options.lease);
-                Verdict::Done(if own {
+                Resolution::Done(if own {
                     TakeSlotOutcome::Taken {
                         fence: entry.create_revision,
                     }
--- a/crates/mimosagap-store/src/members.rs
+++ b/crates/mimosagap-store/src/members.rs
@@ -12,7 +12,8 @@
 use crate::lease::LeaseId;
 
 /// A daemon as its own record describes it.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct MemberRecord {
     /// Where callers connect.
     pub caller_address: SocketAddr,
--- a/crates/mimosagap-store/src/nonce.rs
+++ b/crates/mimosagap-store/src/nonce.rs
@@ -5,7 +5,8 @@
 use serde::{Deserialize, Serialize};
 
 /// 128 random bits in hexadecimal.
-#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct Nonce(String);
 
--- a/crates/mimosagap-store/src/rules.rs
+++ b/crates/mimosagap-store/src/rules.rs
@@ -26,7 +26,8 @@
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 
 /// The rules as written by the operators.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct RulesRecord {
     /// The revision.
     pub revision: RulesRevision,
@@ -35,7 +36,8 @@
 }
 
 /// The change from one revision to the next.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct DeltaRecord {
     /// The revision to which the delta applies.
     pub base: RulesRevision,
@@ -177,7 +179,7 @@
                 Ok(outcome) if outcome.succeeded => {
                     return Ok(ApplyOutcome::Applied(delta.revision));
                 }
-                Ok(outcome) => return judge_conflict(&outcome.entries(), &delta),
+                Ok(outcome) => return resolve_conflict(&outcome.entries(), &delta),
                 Err(CallError::NotApplied(NotApplied::TooManyCalls)) => {}
                 Err(error @ CallError::NotApplied(_)) if !fate_unknown => return Err(error.into()),
                 Err(CallError::NotApplied(_)) => {}
@@ -230,7 +232,7 @@
 
 /// The compare failed: either an earlier attempt of this very change took effect, which its delta
 /// shows even if somebody applied the next change on top of it, or somebody else was first.
-fn judge_conflict(entries: &[KeyValue], delta: &DeltaRecord) -> Result<ApplyOutcome, RulesError> {
+fn resolve_conflict(entries: &[KeyValue], delta: &DeltaRecord) -> Result<ApplyOutcome, RulesError> {
     let find = |key: &str| entries.iter().find(|entry| entry.key == key);
     let found =
         find(&keys::rules_delta(delta.revision)).and_then(|entry| DeltaRecord::parse(&entry.value));
--- a/crates/mimosagap-store/src/suspects.rs
+++ b/crates/mimosagap-store/src/suspects.rs
@@ -13,14 +13,15 @@
 use crate::lease::LeaseId;
 use crate::nonce::Nonce;
 use crate::txn::{Compare, Operation, TxnOptions};
-use crate::write::{Verdict, Write, WriteError, compare};
+use crate::write::{Resolution, Write, WriteError, compare};
 
 /// How long a suspicion and a quarantine last.
 pub const SUSPECT_LIFETIME: Duration = Duration::from_hours(1);
 const PAUSE: Duration = Duration::from_millis(20);
 
 /// What a record says of a suspect.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum SuspectStage {
     /// Waits for a trial.
@@ -35,13 +36,14 @@
         nonce: Nonce,
     },
     /// Killed a second target in its trial.
-    Condemned,
+    Blocked,
 }
 
 /// The record of a suspect.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct SuspectRecord {
-    /// How many targets died with the request in flight: 1, or 2 once condemned.
+    /// How many targets died with the request in flight: 1, or 2 once blocked.
     pub count: u32,
     /// Where it stands.
     pub stage: SuspectStage,
@@ -51,7 +53,8 @@
 }
 
 /// The death of a target.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct TargetDeath {
     /// The target.
     pub target: SocketAddr,
@@ -88,8 +91,8 @@
     Recorded,
     /// There was a record before.
     Known,
-    /// The request was in flight on two targets that died, so it is condemned without a trial.
-    Condemned,
+    /// The request was in flight on two targets that died, so it is blocked without a trial.
+    Blocked,
 }
 
 /// A trial to take or to end.
@@ -126,8 +129,8 @@
     Busy,
     /// There is no record: the request is not suspected any more.
     Cleared,
-    /// The request is condemned.
-    Condemned,
+    /// The request is blocked.
+    Blocked,
 }
 
 /// How a trial ends.
@@ -136,7 +139,7 @@
     /// Well: the record is deleted.
     Cleared,
     /// The engine died: the record lives on under this lease.
-    Condemned(LeaseId),
+    Blocked(LeaseId),
     /// The trial was not run: the request is a mere suspect again.
     NotRun,
 }
@@ -195,7 +198,7 @@
 
 impl StoreClient {
     /// Records suspicions. Each result stands at the position of its digest. A request that waits
-    /// for a trial because of another death is condemned.
+    /// for a trial because of another death is blocked.
     #[must_use]
     pub fn record_suspects(
         &self,
@@ -212,19 +215,19 @@
             options.patience,
             |_| SuspectOutcome::Recorded,
             |_, found| match found {
-                Some(_) => Verdict::Done(SuspectOutcome::Known),
-                None => Verdict::Replace(0),
+                Some(_) => Resolution::Done(SuspectOutcome::Known),
+                None => Resolution::Replace(0),
             },
         );
         for (digest, result) in options.digests.iter().zip(&mut results) {
             if matches!(result, Ok(SuspectOutcome::Known)) {
-                *result = self.condemn_after_second_death(digest, options);
+                *result = self.block_after_second_death(digest, options);
             }
         }
         results
     }
 
-    fn condemn_after_second_death(
+    fn block_after_second_death(
         &self,
         digest: &RequestDigest,
         options: &SuspectOptions,
@@ -239,16 +242,16 @@
             if !record.is_some_and(|record| record.is_second_death(options.death)) {
                 return Ok(Some(SuspectOutcome::Known));
             }
-            let condemned = SuspectRecord {
+            let blocked = SuspectRecord {
                 count: 2,
-                stage: SuspectStage::Condemned,
+                stage: SuspectStage::Blocked,
                 death: options.death,
             };
-            let put = PutOptions::new(&key, condemned.to_value()).with_lease(Some(options.lease));
+            let put = PutOptions::new(&key, blocked.to_value()).with_lease(Some(options.lease));
             let transaction = TxnOptions::new(vec![compare(&key, entry.mod_revision)])
                 .with_success(vec![Operation::Put(put)]);
             let outcome = self.txn(transaction)?;
-            Ok(outcome.succeeded.then_some(SuspectOutcome::Condemned))
+            Ok(outcome.succeeded.then_some(SuspectOutcome::Blocked))
         })
     }
 
@@ -375,7 +378,7 @@
         Some(entry) if is_own(options, entry) => return Plan::Done(TrialOutcome::Taken),
         Some(entry) => {
             match SuspectRecord::parse(&entry.value).map(|record| record.stage) {
-                Some(SuspectStage::Condemned) => return Plan::Done(TrialOutcome::Condemned),
+                Some(SuspectStage::Blocked) => return Plan::Done(TrialOutcome::Blocked),
                 Some(SuspectStage::Trial { daemon, .. }) => {
                     let key = keys::daemon(&daemon);
                     failure.push(Operation::Range(RangeOptions::new(&key)));
@@ -425,10 +428,10 @@
             let record = SuspectRecord::new().with_death(stored_death(Some(entry)));
             put(&record, entry.lease)
         }
-        TrialEnd::Condemned(lease) => {
+        TrialEnd::Blocked(lease) => {
             let record = SuspectRecord {
                 count: 2,
-                stage: SuspectStage::Condemned,
+                stage: SuspectStage::Blocked,
                 death: stored_death(Some(entry)),
             };
             put(&record, Some(lease))
--- a/crates/mimosagap-store/src/txn.rs
+++ b/crates/mimosagap-store/src/txn.rs
@@ -113,7 +113,8 @@
     }
 }
 
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 struct WireCompare {
     key: Base64,
     result: &'static str,
@@ -145,7 +146,8 @@
     }
 }
 
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 enum WireOperation {
     #[serde(rename = "request_range")]
     Range(RangeRequest),
@@ -165,14 +167,16 @@
     }
 }
 
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 struct TxnRequest {
     compare: Vec<WireCompare>,
     success: Vec<WireOperation>,
     failure: Vec<WireOperation>,
 }
 
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 enum WireResult {
     #[serde(rename = "response_range", alias = "responseRange")]
     Range(RangeAnswer),
@@ -194,7 +198,8 @@
     }
 }
 
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 struct TxnAnswer {
     #[serde(default)]
     header: Header,
--- a/crates/mimosagap-store/src/watch.rs
+++ b/crates/mimosagap-store/src/watch.rs
@@ -109,12 +109,14 @@
     }
 }
 
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 struct WatchRequest {
     create_request: CreateRequest,
 }
 
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 struct CreateRequest {
     key: Base64,
     range_end: Base64,
@@ -122,12 +124,14 @@
     progress_notify: bool,
 }
 
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 struct WatchLine {
     result: WatchResult,
 }
 
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 struct WatchResult {
     #[serde(default)]
     header: Header,
@@ -137,14 +141,16 @@
     events: Vec<WireEvent>,
 }
 
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 struct WireEvent {
     #[serde(rename = "type", default)]
     kind: EventKind,
     kv: WireKeyValue,
 }
 
-#[derive(Debug, Default, Deserialize)]
+#[derive(Debug, Default)]
+#[derive(Deserialize)]
 #[serde(rename_all = "UPPERCASE")]
 enum EventKind {
     #[default]
--- a/crates/mimosagap-store/src/wire.rs
+++ b/crates/mimosagap-store/src/wire.rs
@@ -79,13 +79,15 @@
     }
 }
 
-#[derive(Debug, Default, Deserialize)]
+#[derive(Debug, Default)]
+#[derive(Deserialize)]
 pub(crate) struct Header {
     #[serde(default)]
     pub(crate) revision: Int64,
 }
 
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 pub(crate) struct WireKeyValue {
     pub(crate) key: Base64,
     #[serde(default)]
--- a/crates/mimosagap-store/src/write.rs
+++ b/crates/mimosagap-store/src/write.rs
@@ -54,7 +54,7 @@
 type Indexed = (usize, Write);
 
 /// What a record that differs from the expected one means for a write.
-pub(crate) enum Verdict<T> {
+pub(crate) enum Resolution<T> {
     /// The write is over.
     Done(T),
     /// The write may replace the record of this mod revision.
@@ -91,17 +91,17 @@
 
 impl StoreClient {
     /// Carries out all writes in one transaction. On a conflict its failure branch reads every
-    /// record, `judge` decides about each, and the writes that remain go out again together.
+    /// record, `resolve` decides about each, and the writes that remain go out again together.
     ///
     /// The same rounds resolve a lost answer: a repeated write fails its compare if the first one
-    /// took effect, and `judge` recognizes the caller's own record.
+    /// took effect, and `resolve` recognizes the caller's own record.
     pub(crate) fn write_together<T: Clone>(
         &self,
         writes: Vec<Write>,
         lease: Option<LeaseId>,
         patience: Duration,
         written: impl Fn(u64) -> T,
-        judge: impl Fn(usize, Option<&KeyValue>) -> Verdict<T>,
+        resolve: impl Fn(usize, Option<&KeyValue>) -> Resolution<T>,
     ) -> Vec<Result<T, WriteError>> {
         let mut results: Vec<Option<Result<T, WriteError>>> = vec![None; writes.len()];
         let mut pending: Vec<Indexed> = writes.into_iter().enumerate().collect();
@@ -125,9 +125,9 @@
                     let records = by_key(outcome);
                     pending = Vec::new();
                     for (index, mut write) in batch {
-                        match judge(index, records.get(&write.key)) {
-                            Verdict::Done(result) => results[index] = Some(Ok(result)),
-                            Verdict::Replace(revision) => {
+                        match resolve(index, records.get(&write.key)) {
+                            Resolution::Done(result) => results[index] = Some(Ok(result)),
+                            Resolution::Replace(revision) => {
                                 write.expected = revision;
                                 pending.push((index, write));
                             }
@@ -142,8 +142,8 @@
                     Some(error)
                 }
             };
-            let hopeless = !round.fate_unknown && error.as_ref().is_some_and(is_hopeless);
-            if hopeless || !round.next_after(error.is_some()) {
+            let cannot_succeed = !round.fate_unknown && error.as_ref().is_some_and(cannot_succeed);
+            if cannot_succeed || !round.next_after(error.is_some()) {
                 for (index, _) in pending.drain(..) {
                     results[index] = Some(Err(round.error(error.as_ref())));
                 }
@@ -157,7 +157,7 @@
 }
 
 /// Trying again at once does not help; the caller decides what to do meanwhile.
-fn is_hopeless(error: &CallError) -> bool {
+fn cannot_succeed(error: &CallError) -> bool {
     matches!(
         error,
         CallError::NotApplied(NotApplied::Unreachable | NotApplied::Rejected { .. })
--- a/crates/mimosagap-store/tests/records.rs
+++ b/crates/mimosagap-store/tests/records.rs
@@ -303,11 +303,11 @@
     assert_eq!(client.take_trial(&same_suspect, b), Ok(TrialOutcome::Busy));
     let same_engine = trial(digests[1], "b", "127.0.0.1:10");
     assert_eq!(client.take_trial(&same_engine, b), Ok(TrialOutcome::Busy));
-    let condemned = TrialEnd::Condemned(lease(&client));
-    assert_eq!(client.end_trial(&first, condemned), Ok(EndOutcome::Ended));
+    let blocked = TrialEnd::Blocked(lease(&client));
+    assert_eq!(client.end_trial(&first, blocked), Ok(EndOutcome::Ended));
     assert_eq!(
         client.take_trial(&same_suspect, b),
-        Ok(TrialOutcome::Condemned)
+        Ok(TrialOutcome::Blocked)
     );
     assert_eq!(client.take_trial(&same_engine, b), Ok(TrialOutcome::Taken));
     assert_eq!(
@@ -374,10 +374,10 @@
 }
 
 /// Guards against a request that was sent to several daemons at the same moment, took two targets
-/// down, and then takes down a third in a trial; and against innocent requests that are condemned
+/// down, and then takes down a third in a trial; and against innocent requests that are blocked
 /// because two daemons saw the same death.
 #[test]
-fn a_second_death_condemns_without_a_trial() {
+fn a_second_death_blocks_without_a_trial() {
     let client = MemoryStore::start().client();
     let digest = RequestDigest::of(&[b"sent twice"]);
     let record = |target: &str, incarnation: Option<u64>| {
@@ -398,10 +398,7 @@
     );
     assert_eq!(record("127.0.0.1:10", Some(1)), Ok(SuspectOutcome::Known));
     assert_eq!(record("127.0.0.1:10", None), Ok(SuspectOutcome::Known));
-    assert_eq!(
-        record("127.0.0.1:20", Some(2)),
-        Ok(SuspectOutcome::Condemned)
-    );
+    assert_eq!(record("127.0.0.1:20", Some(2)), Ok(SuspectOutcome::Blocked));
     let options = trial(digest, "a", "127.0.0.1:30");
     let leases = TrialLeases {
         member: lease(&client),
@@ -409,6 +406,6 @@
     };
     assert_eq!(
         client.take_trial(&options, leases),
-        Ok(TrialOutcome::Condemned)
+        Ok(TrialOutcome::Blocked)
     );
 }
--- a/crates/mimosagap-types/src/ids.rs
+++ b/crates/mimosagap-types/src/ids.rs
@@ -72,7 +72,17 @@
 
 /// The number of a rules revision; a later revision has a greater number.
 #[derive(
-    Debug, Clone, Copy, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize,
+    Debug,
+    Clone,
+    Copy,
+    Default,
+    PartialEq,
+    Eq,
+    Hash,
+    PartialOrd,
+    Ord,
+    Serialize,
+    Deserialize
 )]
 #[serde(transparent)]
 pub struct RulesRevision(pub u64);
@@ -84,7 +94,8 @@
 }
 
 /// One life of a target process; a restarted target reports another value.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct Incarnation(pub u64);
 
@@ -93,7 +104,8 @@
 pub struct RequestTicket(pub u64);
 
 /// SHA-256 over the parts of a request which decide what it does.
-#[derive(Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+#[derive(Serialize, Deserialize)]
 pub struct RequestDigest(pub [u8; 32]);
 
 impl RequestDigest {
@@ -150,7 +162,8 @@
 }
 
 /// The name of an order: its team and the hash of the caller's idempotency key.
-#[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord)]
+#[derive(Serialize, Deserialize)]
 pub struct OrderKey {
     /// The team which placed the order; keys of different teams never collide.
     pub team: TeamName,
--- a/crates/mimosagap-types/src/outcome.rs
+++ b/crates/mimosagap-types/src/outcome.rs
@@ -5,7 +5,8 @@
 use serde::{Deserialize, Serialize};
 
 /// Whether the work of a refused request was carried out.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum RunOutcome {
     /// The work was carried out.
--- a/crates/mimosagap-types/src/refusal.rs
+++ b/crates/mimosagap-types/src/refusal.rs
@@ -9,7 +9,8 @@
 use crate::outcome::RunOutcome;
 
 /// Why a request was refused; the caller sees it as `error.code`.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum RefusalCause {
     /// The caller did not prove its team.
@@ -103,7 +104,8 @@
 }
 
 /// The rule line behind a decision.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct RuleReference {
     /// The revision of the rules file.
     pub revision: RulesRevision,
--- a/crates/mimosagap-types/src/resume.rs
+++ b/crates/mimosagap-types/src/resume.rs
@@ -62,7 +62,8 @@
 }
 
 /// Where a generation runs and whose it is.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct ResumeKey {
     /// The engine which runs the generation.
     pub target: TargetAddress,
