fix(rules): refuse a limit with burst 0

Cause: such a limit admits nothing for ever, which the file does not show; "refuse team NAME" says it openly. Found by reading the lender's bucket. A test case names the refusal; tests of rules and core passed.

--- a/crates/mimosagap-rules/src/statement.rs
+++ b/crates/mimosagap-rules/src/statement.rs
@@ -300,7 +300,10 @@
     let rate = preceded(space1, weight).parse_next(input)?;
     word("requests/s").parse_next(input)?;
     word("burst").parse_next(input)?;
-    let burst = preceded(space1, count).parse_next(input)?;
+    // A burst of 0 would admit nothing; "refuse team" says that openly.
+    let burst = preceded(space1, count.verify(|burst| *burst > 0))
+        .context(expected("a whole number above 0"))
+        .parse_next(input)?;
     Ok(Statement::TeamLimit { team, rate, burst })
 }
 
--- a/crates/mimosagap-rules/tests/set.rs
+++ b/crates/mimosagap-rules/tests/set.rs
@@ -73,6 +73,7 @@
 #[case::zero_share("share team a 0 # manager: x", "a number above 0")]
 #[case::negative("limit team a -1 requests/s burst 2 # manager: x", "0 to 1000000")]
 #[case::unit("limit team a 1 requests/min burst 2 # manager: x", "requests/s")]
+#[case::no_burst("limit team a 1 requests/s burst 0 # manager: x", "above 0")]
 #[case::percentage("memory ceiling 101% # manager: x", "0% to 100%")]
 #[case::short_digest("unblock 0011 # manager: x", "64 hexadecimal digits")]
 #[case::host_name("drain target engine-1:80 # manager: x", "an address like")]
