refactor(daemon): no text read from a store whose watch just broke

Leaving it was ruled out: in an outage the call repeats with each attempt to watch.

Change: a break clears the wish. The loop that claims until a daemon notices the store's return stood twice in a test file and is one function now, with the same assertions.

--- a/crates/mimosagap-daemon/src/control/watch.rs
+++ b/crates/mimosagap-daemon/src/control/watch.rs
@@ -103,6 +103,8 @@
             Update::Changes(batch) => is_text_wanted |= apply_changes(&control, &batch),
             Update::Broken(error) => {
                 control.counters.watch_breaks.add(1);
+                // The read after the break asks for the text again.
+                is_text_wanted = false;
                 if control.is_watching.swap(false, Ordering::SeqCst) {
                     log::warn!("event=watch_broken cause={error:?}");
                 }
--- a/crates/mimosagap-daemon/tests/control_store.rs
+++ b/crates/mimosagap-daemon/tests/control_store.rs
@@ -126,6 +126,19 @@
     assert_eq!(a.claim(2, "k2", "b").await, ClaimAnswer::Won);
 }
 
+/// Claims again until the daemon has noticed with a call of its own that the store is back.
+async fn claim_when_available(daemon: &Daemon, key: &str, body: &str) -> ClaimAnswer {
+    let mut answer = ClaimAnswer::Unavailable;
+    for ticket in 1..50 {
+        answer = daemon.claim(ticket, key, body).await;
+        if answer != ClaimAnswer::Unavailable {
+            break;
+        }
+        sleep(Duration::from_millis(100)).await;
+    }
+    answer
+}
+
 /// Guards against a claim of unknown fate reported as not written, and against its order staying
 /// `unknown` for 24 h although this daemon never sent it.
 #[tokio::test(flavor = "multi_thread")]
@@ -141,14 +154,7 @@
         (a.control.counters().results_recorded == 1).then_some(())
     })
     .await;
-    let mut answer = ClaimAnswer::Unavailable;
-    for ticket in 1..50 {
-        answer = b.claim(ticket, "k", "b").await;
-        if answer != ClaimAnswer::Unavailable {
-            break;
-        }
-        sleep(Duration::from_millis(100)).await;
-    }
+    let answer = claim_when_available(&b, "k", "b").await;
     assert_eq!(answer, ClaimAnswer::Won);
 }
 
@@ -243,15 +249,7 @@
         (a.control.counters().results_recorded == 1).then_some(())
     })
     .await;
-    // The other daemon notices the store's return with its own next call.
-    let mut answer = ClaimAnswer::Unavailable;
-    for ticket in 1..50 {
-        answer = b.claim(ticket, "k", "b").await;
-        if answer != ClaimAnswer::Unavailable {
-            break;
-        }
-        sleep(Duration::from_millis(100)).await;
-    }
+    let answer = claim_when_available(&b, "k", "b").await;
     assert_eq!(answer, ClaimAnswer::Ran);
 }
 
