--- a/crates/mimosagap-daemon/src/main.rs
+++ b/crates/mimosagap-daemon/src/main.rs
@@ -7,6 +7,7 @@
 
 use mimosagap_daemon::daemon::{Daemon, new_core, new_identity, termination};
 use mimosagap_daemon::logging;
+use mimosagap_gateway::{Options as GatewayOptions, Outcome as GatewayOutcome};
 use mimosagap_settings::Settings;
 use pico_args::Arguments;
 
@@ -14,13 +15,18 @@
 mimosagapd: the mimosagap daemon for entry hosts
 
 Usage: mimosagapd --settings FILE [--check] [--log-level LEVEL]
+       mimosagapd gateway [--settings FILE] [--check] [--metrics-port PORT]
 
   --settings FILE    JSON settings; see docs/operators.md
   --check            check the settings and end
   --log-level LEVEL  error, warn, info (default), debug or trace
+  --metrics-port PORT  where the gateway serves metrics, on the host's own address
   --help             print this text
   --version          print the version
 
+The gateway serves the users' platform; see docs/platform.md. Its settings are the platform's file,
+by default the one that MIMOSAGAP_SETTINGS names.
+
 SIGTERM drains the daemon. Exit codes: 0 drained or settings correct, 1 failure while running,
 2 wrong options or settings; nothing was started.
 ";
@@ -48,6 +54,18 @@
         println!("mimosagapd {}", env!("CARGO_PKG_VERSION"));
         return ExitCode::SUCCESS;
     }
+    match arguments.subcommand() {
+        Ok(None) => {}
+        Ok(Some(name)) if name == "gateway" => return run_gateway(arguments),
+        Ok(Some(name)) => {
+            eprintln!("mimosagapd: unknown command {name}; see mimosagapd --help");
+            return ExitCode::from(EXIT_NOT_STARTED);
+        }
+        Err(error) => {
+            eprintln!("mimosagapd: {error}; see mimosagapd --help");
+            return ExitCode::from(EXIT_NOT_STARTED);
+        }
+    }
     match read_options(arguments).and_then(|options| Ok((read_settings(&options)?, options))) {
         Ok((_, options)) if options.check => {
             println!("{}: the settings are correct", options.settings.display());
@@ -61,6 +79,43 @@
     }
 }
 
+fn run_gateway(arguments: Arguments) -> ExitCode {
+    let result = gateway_options(arguments)
+        .and_then(|options| mimosagap_gateway::run(&options).map_err(|error| error.to_string()));
+    match result {
+        Ok(GatewayOutcome::Checked) => {
+            println!("the settings are correct");
+            ExitCode::SUCCESS
+        }
+        Ok(GatewayOutcome::Drained) => ExitCode::SUCCESS,
+        Ok(GatewayOutcome::CutOff) => ExitCode::from(EXIT_FAILED),
+        Err(message) => {
+            eprintln!("mimosagapd: {message}");
+            ExitCode::from(EXIT_NOT_STARTED)
+        }
+    }
+}
+
+fn gateway_options(mut arguments: Arguments) -> Result<GatewayOptions, String> {
+    let wrong = |error: pico_args::Error| format!("{error}; see mimosagapd --help");
+    let options = GatewayOptions {
+        settings: arguments
+            .opt_value_from_str("--settings")
+            .map_err(wrong)?,
+        check: arguments.contains("--check"),
+        metrics_port: arguments
+            .opt_value_from_str("--metrics-port")
+            .map_err(wrong)?,
+    };
+    match arguments.finish().first() {
+        None => Ok(options),
+        Some(rest) => Err(format!(
+            "unknown option {}; see mimosagapd --help",
+            rest.display()
+        )),
+    }
+}
+
 fn read_options(mut arguments: Arguments) -> Result<Options, String> {
     let wrong = |error: pico_args::Error| format!("mimosagapd: {error}; see mimosagapd --help");
     let options = Options {
--- /dev/null
+++ b/crates/mimosagap-gateway/src/answer.rs
@@ -0,0 +1,95 @@
+//! Answers to callers.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::header::{self, HeaderValue};
+use http::{HeaderMap, Response, StatusCode};
+use http_body_util::combinators::UnsyncBoxBody;
+use http_body_util::{BodyExt, Full};
+use mimosagap_platform::names;
+use mimosagap_platform::request::end_to_end;
+use mimosagap_routing::refusal::RefusalReason;
+use rand::Rng;
+
+use crate::log::LogEvent;
+use crate::state::{Gateway, millis};
+
+/// A stream that broke; the connection to the caller is closed without the end of the body.
+#[derive(Debug)]
+pub struct BrokenStream;
+
+impl std::fmt::Display for BrokenStream {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("the stream broke before its end")
+    }
+}
+
+impl std::error::Error for BrokenStream {}
+
+/// The body of an answer to a caller.
+pub type AnswerBody = UnsyncBoxBody<Bytes, BrokenStream>;
+
+/// A body that is there.
+pub fn whole(bytes: impl Into<Bytes>) -> AnswerBody {
+    Full::new(bytes.into())
+        .map_err(|never| match never {})
+        .boxed_unsync()
+}
+
+/// An answer without a request, for the gateway's own calls.
+pub fn plain(status: StatusCode, content_type: &'static str, body: Vec<u8>) -> Response<AnswerBody> {
+    let mut response = Response::new(whole(body));
+    *response.status_mut() = status;
+    response
+        .headers_mut()
+        .insert(header::CONTENT_TYPE, HeaderValue::from_static(content_type));
+    response
+}
+
+/// Part by which the time to come back is spread over callers.
+const SPREAD: f64 = 0.5;
+
+/// Refuses a request.
+pub fn refuse(
+    gateway: &Gateway,
+    id: &str,
+    arrived: Duration,
+    reason: RefusalReason,
+) -> Response<AnswerBody> {
+    let (config_version, config_age_ms) = gateway.config_facts();
+    gateway.metrics.refusals.with_label_values(&[reason.name()]).inc();
+    gateway.log.event(&LogEvent::Refused {
+        id,
+        reason: reason.name(),
+        status: reason.status(),
+        after_ms: millis(gateway.now().saturating_sub(arrived)),
+        config_version,
+        config_age_ms,
+    });
+    let body = format!("{{\"error\":\"{}\"}}", reason.name());
+    let status = StatusCode::from_u16(reason.status()).unwrap_or(StatusCode::BAD_GATEWAY);
+    let mut response = plain(status, "application/json", body.into_bytes());
+    let headers = response.headers_mut();
+    if let Ok(id) = HeaderValue::from_str(id) {
+        headers.insert(names::REQUEST_ID, id);
+    }
+    if let Some(after) = reason.retry_after() {
+        let spread = gateway.with(|beliefs| beliefs.random.random_range(1.0..1.0 + SPREAD));
+        let seconds = format!("{:.2}", after.as_secs_f64() * spread);
+        if let Ok(value) = HeaderValue::from_str(&seconds) {
+            headers.insert(header::RETRY_AFTER, value);
+        }
+    }
+    response
+}
+
+/// The head of a target's answer as the caller gets it.
+pub fn target_head(status: StatusCode, headers: &HeaderMap) -> Response<()> {
+    let mut response = Response::new(());
+    *response.status_mut() = status;
+    let mut headers = end_to_end(headers);
+    headers.remove(header::CONTENT_LENGTH);
+    *response.headers_mut() = headers;
+    response
+}
--- /dev/null
+++ b/crates/mimosagap-gateway/src/calls.rs
@@ -0,0 +1,239 @@
+//! Calls of plain services: the whole answer is read before the caller gets any of it.
+
+use std::future::{Future, poll_fn};
+use std::pin::Pin;
+use std::task::Poll;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Response;
+use http::response::Parts;
+use http_body_util::{BodyExt, Limited};
+use mimosagap_routing::placement::place_call;
+use mimosagap_routing::refusal::RefusalReason;
+use mimosagap_routing::targets::{TargetKey, TargetOutcome};
+
+use crate::answer::{AnswerBody, refuse, target_head, whole};
+use crate::claim::LoadClaim;
+use crate::exchange::{ExchangeError, SendOptions, exchange, keep, pause};
+use crate::health;
+use crate::log::LogEvent;
+use crate::request::RoutedRequest;
+use crate::state::{SharedGateway, millis};
+
+/// Longest answer in bytes that is kept in memory.
+const MAX_ANSWER: usize = 8 << 20;
+
+/// A repeatable call is sent a second time when the first has no answer after this part of its
+/// latency target; the slowest calls of a sound target take less.
+const SECOND_SEND: f64 = 0.75;
+
+/// Sends of one request, those included that a target turned away.
+const MAX_SENDS: u32 = 4;
+
+/// A whole answer of a target.
+pub struct WholeAnswer {
+    /// Status and headers.
+    pub head: Parts,
+    /// The body.
+    pub body: Bytes,
+}
+
+struct Attempt {
+    target: TargetKey,
+    result: Result<WholeAnswer, ExchangeError>,
+}
+
+type Running<'a> = Pin<Box<dyn Future<Output = Attempt> + 'a>>;
+
+/// What is known of a call so far.
+struct CallState {
+    tried: Vec<TargetKey>,
+    sends: u32,
+    /// Sends that may have run.
+    runs: u32,
+    turned_away: bool,
+    broke: bool,
+    error_answer: Option<(TargetKey, WholeAnswer)>,
+}
+
+/// Carries a call to its answer.
+pub async fn carry(gateway: &SharedGateway, request: &RoutedRequest) -> Response<AnswerBody> {
+    let mut state = CallState {
+        tried: Vec::new(),
+        sends: 0,
+        runs: 0,
+        turned_away: false,
+        broke: false,
+        error_answer: None,
+    };
+    let mut running: Vec<Running<'_>> = Vec::new();
+    start(gateway, request, &mut state, &mut running);
+    let deadline = pause(request.time_to_answer(gateway.now()));
+    tokio::pin!(deadline);
+    let is_repeatable = request.route.kind.is_idempotent();
+    loop {
+        if running.is_empty() {
+            return conclude(gateway, request, state);
+        }
+        let silence = request.route.target_latency.mul_f64(SECOND_SEND);
+        let may_hedge = is_repeatable && running.len() == 1 && state.sends == 1;
+        tokio::select! {
+            attempt = next_done(&mut running) => {
+                let target = attempt.target;
+                let again = match attempt.result {
+                    Ok(answer) if is_repeatable && answer.head.status.is_server_error() => {
+                        state.error_answer = Some((target, answer));
+                        true
+                    }
+                    Ok(answer) => return deliver(gateway, request, target, answer),
+                    Err(ExchangeError::Unreachable) => {
+                        state.runs -= 1;
+                        true
+                    }
+                    Err(ExchangeError::NotRun) => {
+                        state.runs -= 1;
+                        state.turned_away = true;
+                        true
+                    }
+                    Err(ExchangeError::Broken) => {
+                        state.broke = true;
+                        is_repeatable
+                    }
+                };
+                if again && running.is_empty() {
+                    start(gateway, request, &mut state, &mut running);
+                }
+            }
+            () = pause(silence), if may_hedge => {
+                start(gateway, request, &mut state, &mut running);
+                // Not tried again if there is no second target.
+                state.sends = state.sends.max(2);
+            }
+            () = &mut deadline => {
+                let reason = if state.runs > 0 || state.broke {
+                    RefusalReason::LateSent
+                } else {
+                    RefusalReason::LateUnsent
+                };
+                return refuse(gateway, &request.head.id, request.arrived, reason);
+            }
+        }
+    }
+}
+
+/// Starts one more attempt if route, budget and targets allow it.
+fn start<'a>(
+    gateway: &'a SharedGateway,
+    request: &'a RoutedRequest,
+    state: &mut CallState,
+    running: &mut Vec<Running<'a>>,
+) {
+    let now = gateway.now();
+    if state.sends >= MAX_SENDS || state.runs >= request.route.max_attempts {
+        return;
+    }
+    let place = |avoid: &[TargetKey]| {
+        gateway.with(|beliefs| place_call(&beliefs.targets, &request.service, avoid, now))
+    };
+    let Some(target) = place(&state.tried) else {
+        return;
+    };
+    if state.sends == 0 {
+        gateway.count_request(&request.service);
+    } else if !gateway.try_repeat(&request.service) {
+        return;
+    }
+    state.tried.push(target);
+    state.sends += 1;
+    state.runs += 1;
+    let attempt = state.sends;
+    running.push(Box::pin(async move {
+        let result = read_answer(gateway, request, target, attempt).await;
+        Attempt { target, result }
+    }));
+}
+
+async fn next_done(running: &mut Vec<Running<'_>>) -> Attempt {
+    poll_fn(|context| {
+        for index in 0..running.len() {
+            if let Poll::Ready(attempt) = running[index].as_mut().poll(context) {
+                drop(running.remove(index));
+                return Poll::Ready(attempt);
+            }
+        }
+        Poll::Pending
+    })
+    .await
+}
+
+async fn read_answer(
+    gateway: &SharedGateway,
+    request: &RoutedRequest,
+    target: TargetKey,
+    attempt: u32,
+) -> Result<WholeAnswer, ExchangeError> {
+    let claim = LoadClaim::call(gateway, target);
+    let options = SendOptions {
+        attempt,
+        ..SendOptions::default()
+    };
+    let exchange = exchange(gateway, request, target, options).await?;
+    let body = Limited::new(exchange.body, MAX_ANSWER).collect().await;
+    let Ok(body) = body else {
+        claim.outcome(TargetOutcome::Failed);
+        health::connection_broke(gateway, target, request.mark);
+        return Err(ExchangeError::Broken);
+    };
+    let outcome = if exchange.head.status.is_server_error() {
+        TargetOutcome::Failed
+    } else {
+        TargetOutcome::Answered
+    };
+    claim.outcome(outcome);
+    keep(gateway, target, &exchange.head, exchange.link);
+    Ok(WholeAnswer {
+        head: exchange.head,
+        body: body.to_bytes(),
+    })
+}
+
+fn conclude(
+    gateway: &SharedGateway,
+    request: &RoutedRequest,
+    state: CallState,
+) -> Response<AnswerBody> {
+    if let Some((target, answer)) = state.error_answer {
+        return deliver(gateway, request, target, answer);
+    }
+    let reason = if state.broke {
+        RefusalReason::TargetBroke
+    } else if state.turned_away {
+        RefusalReason::TurnedAway
+    } else {
+        RefusalReason::NoTarget
+    };
+    refuse(gateway, &request.head.id, request.arrived, reason)
+}
+
+/// Gives the caller a target's whole answer.
+pub fn deliver(
+    gateway: &SharedGateway,
+    request: &RoutedRequest,
+    target: TargetKey,
+    answer: WholeAnswer,
+) -> Response<AnswerBody> {
+    let took: Duration = gateway.now().saturating_sub(request.arrived);
+    let status = answer.head.status;
+    let route = request.route.name.as_str();
+    let metrics = &gateway.metrics;
+    metrics.answers.with_label_values(&[route, status.as_str()]).inc();
+    metrics.latency.with_label_values(&[route]).observe(took.as_secs_f64());
+    gateway.log.event(&LogEvent::Answered {
+        id: &request.head.id,
+        target: &gateway.instance(target),
+        status: status.as_u16(),
+        after_ms: millis(took),
+    });
+    target_head(status, &answer.head.headers).map(|()| whole(answer.body))
+}
--- /dev/null
+++ b/crates/mimosagap-gateway/src/claim.rs
@@ -0,0 +1,104 @@
+//! Work of this host at a target, taken off when it ends however it ends.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use mimosagap_routing::placement::StreamNeed;
+use mimosagap_routing::targets::{TargetKey, TargetOutcome};
+
+use crate::state::{Gateway, SharedGateway};
+
+/// A request at a target.
+pub struct LoadClaim {
+    gateway: SharedGateway,
+    /// The target.
+    pub target: TargetKey,
+    rank: usize,
+    tokens: u32,
+    unread: u32,
+    ahead: u32,
+    begun: Duration,
+}
+
+impl LoadClaim {
+    /// Counts a plain call.
+    pub fn call(gateway: &SharedGateway, target: TargetKey) -> Self {
+        Self::new(gateway, target, 0, 0, 0)
+    }
+
+    /// Counts a generation of which `unread` prompt tokens are still to be read.
+    pub fn stream(
+        gateway: &SharedGateway,
+        target: TargetKey,
+        need: &StreamNeed,
+        unread: u32,
+    ) -> Self {
+        Self::new(gateway, target, need.tokens(), unread, need.rank)
+    }
+
+    fn new(
+        gateway: &SharedGateway,
+        target: TargetKey,
+        tokens: u32,
+        unread: u32,
+        rank: usize,
+    ) -> Self {
+        let now = gateway.now();
+        let ahead = gateway.with(|beliefs| {
+            let ahead = beliefs.targets.get(target).map_or(0, |known| {
+                known.load(now).unread[..=rank.min(3)].iter().sum()
+            });
+            beliefs.targets.begin(target, tokens, unread, rank);
+            ahead
+        });
+        Self {
+            gateway: Rc::clone(gateway),
+            target,
+            rank,
+            tokens,
+            unread,
+            ahead,
+            begun: now,
+        }
+    }
+
+    /// The prompt was read: the first event is there.
+    pub fn prompt_read(&mut self) {
+        if self.unread == 0 {
+            return;
+        }
+        let took = self.gateway.now().saturating_sub(self.begun);
+        let (target, unread, rank, ahead) = (self.target, self.unread, self.rank, self.ahead);
+        self.gateway
+            .with(|beliefs| beliefs.targets.prompt_read(target, unread, rank, ahead, took));
+        self.unread = 0;
+    }
+
+    /// The memory that it needs turns out to be more.
+    pub fn resize(&mut self, tokens: u32) {
+        let (target, old) = (self.target, self.tokens);
+        self.gateway
+            .with(|beliefs| beliefs.targets.resize(target, old, tokens));
+        self.tokens = tokens;
+    }
+
+    /// Counts how it ended.
+    pub fn outcome(&self, outcome: TargetOutcome) {
+        count_outcome(&self.gateway, self.target, outcome);
+    }
+}
+
+/// Counts how a request at a target ended.
+pub fn count_outcome(gateway: &Gateway, target: TargetKey, outcome: TargetOutcome) {
+    let now = gateway.now();
+    gateway.with(|beliefs| beliefs.targets.outcome(target, outcome, now));
+}
+
+impl Drop for LoadClaim {
+    fn drop(&mut self) {
+        let (target, tokens, unread, rank) = (self.target, self.tokens, self.unread, self.rank);
+        self.gateway
+            .with(|beliefs| beliefs.targets.end(target, tokens, unread, rank));
+        self.gateway.places.notify_waiters();
+    }
+}
--- /dev/null
+++ b/crates/mimosagap-gateway/src/exchange.rs
@@ -0,0 +1,239 @@
+//! One send of a request to one target.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::response::Parts;
+use http::{Request, StatusCode};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use mimosagap_platform::engine::{AnswerKind, answer_kind, closes, idle_life};
+use mimosagap_platform::request::{Continuation, TargetTerms, target_headers};
+use mimosagap_routing::targets::{TargetEntry, TargetKey, TargetOutcome};
+
+use crate::claim::count_outcome;
+use crate::health;
+use crate::link::{HttpLink, LinkError};
+use crate::log::LogEvent;
+use crate::request::RoutedRequest;
+use crate::state::{Gateway, SharedGateway, millis};
+
+/// The head of a target's answer, and the connection that brings the rest.
+pub struct Exchange {
+    /// Status and headers.
+    pub head: Parts,
+    /// The rest of the answer.
+    pub body: Incoming,
+    /// The connection.
+    pub link: HttpLink,
+}
+
+/// Why a send brought no answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ExchangeError {
+    /// Nothing was sent.
+    Unreachable,
+    /// The target did not run the request and never will.
+    NotRun,
+    /// The connection broke or brought something else; the request may have run.
+    Broken,
+}
+
+impl ExchangeError {
+    /// A fixed name for logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Unreachable => "unreachable",
+            Self::NotRun => "not_run",
+            Self::Broken => "broken",
+        }
+    }
+}
+
+/// How a send differs from the plain one.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct SendOptions<'a> {
+    /// The number of this send, from 1.
+    pub attempt: u32,
+    /// Where a stream goes on.
+    pub continuation: Option<&'a Continuation>,
+    /// The engine which gets a copy of the run's memory.
+    pub backup: Option<SocketAddr>,
+}
+
+/// Sends a request to a target and waits for the head of its answer.
+pub async fn exchange(
+    gateway: &SharedGateway,
+    request: &RoutedRequest,
+    key: TargetKey,
+    options: SendOptions<'_>,
+) -> Result<Exchange, ExchangeError> {
+    let begun = gateway.now();
+    let result = try_exchange(gateway, request, key, options).await;
+    if let Err(error) = &result {
+        let cause = error.name();
+        gateway.metrics.failed_attempts.with_label_values(&[cause]).inc();
+        gateway.log.event(&LogEvent::AttemptFailed {
+            id: &request.head.id,
+            target: &gateway.instance(key),
+            attempt: options.attempt,
+            cause,
+            after_ms: millis(gateway.now().saturating_sub(begun)),
+        });
+        let outcome = match error {
+            ExchangeError::Unreachable => TargetOutcome::Unreachable,
+            ExchangeError::NotRun => TargetOutcome::TurnedAway,
+            ExchangeError::Broken => TargetOutcome::Failed,
+        };
+        count_outcome(gateway, key, outcome);
+    }
+    result
+}
+
+async fn try_exchange(
+    gateway: &SharedGateway,
+    request: &RoutedRequest,
+    key: TargetKey,
+    options: SendOptions<'_>,
+) -> Result<Exchange, ExchangeError> {
+    let known = gateway.with(|beliefs| beliefs.targets.get(key).map(|known| known.entry.clone()));
+    let entry = known.ok_or(ExchangeError::Unreachable)?;
+    log_send(gateway, request, key, &entry, options.attempt);
+    let must_be_fresh = !request.route.kind.is_idempotent();
+    loop {
+        let mut link = connect(gateway, key, entry.address, must_be_fresh).await?;
+        let is_fresh = link.uses == 0;
+        let message = message(gateway, request, &entry, options);
+        match link.send(message).await {
+            Ok(response) => {
+                let (head, body) = response.into_parts();
+                let exchange = Exchange { head, body, link };
+                return judge(gateway, request, key, exchange, is_fresh);
+            }
+            // The target closed an idle connection: another one is tried.
+            Err(LinkError::NotSent) if !is_fresh => {}
+            Err(LinkError::NotSent) => return Err(ExchangeError::Unreachable),
+            Err(LinkError::Broken(_)) => {
+                health::connection_broke(gateway, key, request.mark);
+                return Err(ExchangeError::Broken);
+            }
+        }
+    }
+}
+
+/// Takes an idle connection or opens one.
+pub async fn connect(
+    gateway: &Gateway,
+    key: TargetKey,
+    address: SocketAddr,
+    must_be_fresh: bool,
+) -> Result<HttpLink, ExchangeError> {
+    let now = gateway.now();
+    if let Some(link) = gateway.with(|beliefs| beliefs.pool.take(key, must_be_fresh, now)) {
+        return Ok(link);
+    }
+    let result = HttpLink::open(address).await;
+    let label = if result.is_ok() { "opened" } else { "failed" };
+    gateway.metrics.connections.with_label_values(&[label]).inc();
+    result.map_err(|_| ExchangeError::Unreachable)
+}
+
+/// Keeps a connection whose answer was read to its end, unless the target closes it.
+pub fn keep(gateway: &Gateway, key: TargetKey, head: &Parts, link: HttpLink) {
+    if closes(&head.headers) {
+        return;
+    }
+    let now = gateway.now();
+    let life = idle_life(&head.headers);
+    gateway.with(|beliefs| beliefs.pool.put(key, link, life, now));
+}
+
+fn message(
+    gateway: &Gateway,
+    request: &RoutedRequest,
+    entry: &TargetEntry,
+    options: SendOptions<'_>,
+) -> Request<Full<Bytes>> {
+    let terms = TargetTerms {
+        instance: &entry.instance,
+        team: request.team.as_deref(),
+        left: request.left(gateway.now()),
+        priority: request
+            .route
+            .kind
+            .is_stream()
+            .then(|| request.priority().min(9)),
+        continuation: options.continuation,
+        backup: options.backup,
+    };
+    let mut message = Request::new(Full::new(request.body.clone()));
+    *message.method_mut() = request.method.clone();
+    // The path was a valid URI when the caller sent it.
+    *message.uri_mut() = request.path.parse().unwrap_or_default();
+    *message.headers_mut() = target_headers(&request.headers, &terms);
+    message
+}
+
+fn judge(
+    gateway: &SharedGateway,
+    request: &RoutedRequest,
+    key: TargetKey,
+    exchange: Exchange,
+    is_fresh: bool,
+) -> Result<Exchange, ExchangeError> {
+    let Parts {
+        status, headers, ..
+    } = &exchange.head;
+    match answer_kind(*status, headers, &request.head.id, is_fresh) {
+        AnswerKind::Ran => Ok(exchange),
+        AnswerKind::NotRun => {
+            if *status == StatusCode::MISDIRECTED_REQUEST {
+                gone(gateway, key);
+            }
+            Err(ExchangeError::NotRun)
+        }
+        AnswerKind::Foreign => Err(ExchangeError::Broken),
+    }
+}
+
+/// Another target answers at the address.
+fn gone(gateway: &Gateway, key: TargetKey) {
+    let now = gateway.now();
+    let instance = gateway.instance(key);
+    gateway.with(|beliefs| beliefs.targets.leaves(key, now));
+    gateway.log.event(&LogEvent::TargetLeaving {
+        target: &instance,
+        source: "misdirected",
+    });
+    gateway.leaving.notify_waiters();
+}
+
+fn log_send(
+    gateway: &Gateway,
+    request: &RoutedRequest,
+    key: TargetKey,
+    entry: &TargetEntry,
+    attempt: u32,
+) {
+    let now = gateway.now();
+    let load = gateway.with(|beliefs| beliefs.targets.get(key).map(|known| known.load(now)));
+    let load = load.unwrap_or_default();
+    let (config_version, config_age_ms) = gateway.config_facts();
+    gateway.log.event(&LogEvent::Sent {
+        id: &request.head.id,
+        target: &entry.instance,
+        attempt,
+        requests: load.requests,
+        tokens: load.tokens,
+        config_version,
+        config_age_ms,
+    });
+}
+
+/// Sleeps, but not at all for no time.
+pub async fn pause(duration: Duration) {
+    if !duration.is_zero() {
+        tokio::time::sleep(duration).await;
+    }
+}
--- /dev/null
+++ b/crates/mimosagap-gateway/src/health.rs
@@ -0,0 +1,48 @@
+//! Tells a target that ended from a connection that broke.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use mimosagap_routing::quarantine::{CrashMark, RequestMark};
+use mimosagap_routing::targets::{TargetKey, TargetOutcome};
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+
+use crate::claim::count_outcome;
+use crate::log::LogEvent;
+use crate::state::SharedGateway;
+
+/// A target that accepts no connection within this time after one broke has ended.
+const PROBE: Duration = Duration::from_millis(300);
+
+/// A connection broke while a target may have been at work on a request. If the target has ended,
+/// the request is a suspect.
+pub fn connection_broke(gateway: &SharedGateway, key: TargetKey, request: RequestMark) {
+    let now = gateway.now();
+    let entry = gateway.with(|beliefs| {
+        let target = beliefs.targets.get(key)?;
+        (!target.is_leaving(now)).then(|| target.entry.clone())
+    });
+    let Some(entry) = entry else {
+        return;
+    };
+    let gateway = Rc::clone(gateway);
+    tokio::task::spawn_local(async move {
+        let probe = timeout(PROBE, TcpStream::connect(entry.address)).await;
+        if matches!(probe, Ok(Ok(_))) {
+            return;
+        }
+        count_outcome(&gateway, key, TargetOutcome::Unreachable);
+        let crash = CrashMark::new(&entry.instance, entry.started_unix_ms);
+        let now = gateway.now();
+        if gateway.with(|beliefs| beliefs.quarantine.suspect(request, crash, now)) {
+            gateway.log.event(&LogEvent::TargetCrashed {
+                target: &entry.instance,
+                suspects: 1,
+            });
+            let record = format!("{:016x}/{:016x}", request.0, crash.0);
+            gateway.pending_suspicions.borrow_mut().push(record);
+            gateway.suspicions.notify_one();
+        }
+    });
+}
--- /dev/null
+++ b/crates/mimosagap-gateway/src/ingress.rs
@@ -0,0 +1,183 @@
+//! Requests of callers: route, key, body, and then a target.
+
+use std::convert::Infallible;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::header::{self, HeaderValue};
+use http::request::Parts;
+use http::{Request, Response};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::body::Incoming;
+use mimosagap_platform::request::RequestHead;
+use mimosagap_routing::config::{FleetConfig, Route, Team};
+use mimosagap_routing::quarantine::RequestMark;
+use mimosagap_routing::refusal::RefusalReason;
+use mimosagap_types::prelude::*;
+use rand::Rng;
+
+use crate::answer::{AnswerBody, refuse};
+use crate::request::RoutedRequest;
+use crate::state::SharedGateway;
+use crate::{calls, streams};
+
+/// Counts a request as in flight until it is dropped.
+pub struct InFlight(SharedGateway);
+
+impl InFlight {
+    fn new(gateway: &SharedGateway) -> Self {
+        gateway.in_flight.set(gateway.in_flight.get() + 1);
+        gateway.metrics.in_flight.inc();
+        Self(Rc::clone(gateway))
+    }
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.0.in_flight.set(self.0.in_flight.get().saturating_sub(1));
+        self.0.metrics.in_flight.dec();
+    }
+}
+
+/// Answers one request.
+pub async fn handle(
+    gateway: SharedGateway,
+    request: Request<Incoming>,
+) -> Result<Response<AnswerBody>, Infallible> {
+    let in_flight = InFlight::new(&gateway);
+    let arrived = gateway.now();
+    let (parts, body) = request.into_parts();
+    let head = RequestHead::parse(&parts.headers);
+    let id = head.id.clone();
+    let mut response = match read(&gateway, parts, head, body, arrived).await {
+        Ok(request) if request.route.kind.is_stream() => {
+            streams::carry(&gateway, request, in_flight).await
+        }
+        Ok(request) => calls::carry(&gateway, &request).await,
+        Err(reason) => refuse(&gateway, &id, arrived, reason),
+    };
+    if gateway.is_stopping() {
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(header::CONNECTION, close);
+    }
+    Ok(response)
+}
+
+/// Reads a request and finds its route, team and service.
+async fn read(
+    gateway: &SharedGateway,
+    parts: Parts,
+    head: RequestHead,
+    body: Incoming,
+    arrived: Duration,
+) -> Result<RoutedRequest, RefusalReason> {
+    let config = gateway.config().ok_or(RefusalReason::NoConfig)?;
+    let route = find_route(gateway, &config, &parts)?;
+    find_team(gateway, &config, &route, &head)?;
+    let wait = head.deadline.unwrap_or(route.timeout).min(route.timeout);
+    let body = read_body(body, config.limits.body_bytes, wait).await?;
+    // Reading the body may have taken long, so what is in force is asked again.
+    let config = gateway.config().ok_or(RefusalReason::NoConfig)?;
+    let route = find_route(gateway, &config, &parts)?;
+    let team = find_team(gateway, &config, &route, &head)?;
+    let path = parts
+        .uri
+        .path_and_query()
+        .map_or_else(|| "/".to_owned(), ToString::to_string);
+    let team_name = team.as_ref().map_or("", |team| team.name.as_str());
+    let mark = RequestMark::new(&path, team_name, &body);
+    if gateway.with(|beliefs| beliefs.quarantine.is_blocked(mark)) {
+        return Err(RefusalReason::Quarantined);
+    }
+    Ok(RoutedRequest {
+        method: parts.method,
+        path,
+        headers: parts.headers,
+        service: choose_service(gateway, &route),
+        head,
+        body,
+        route,
+        team,
+        arrived,
+        deadline: arrived + wait,
+        mark,
+    })
+}
+
+fn find_route(
+    gateway: &SharedGateway,
+    config: &FleetConfig,
+    parts: &Parts,
+) -> Result<Arc<Route>, RefusalReason> {
+    let host = parts
+        .headers
+        .get(header::HOST)
+        .and_then(|value| value.to_str().ok())
+        .or_else(|| parts.uri.host())
+        .unwrap_or_default();
+    match config.route(host, parts.uri.path()) {
+        Some(route) => Ok(Arc::clone(route)),
+        None => Err(denial(gateway, RefusalReason::NoRoute)),
+    }
+}
+
+fn find_team(
+    gateway: &SharedGateway,
+    config: &FleetConfig,
+    route: &Route,
+    head: &RequestHead,
+) -> Result<Option<Arc<Team>>, RefusalReason> {
+    if route.is_public || !config.needs_keys() {
+        return Ok(None);
+    }
+    let now = gateway.now();
+    if !gateway.with(|beliefs| beliefs.config.may_run_keyed(now)) {
+        return Err(RefusalReason::StaleConfig);
+    }
+    match head.key.as_deref().and_then(|key| config.team(key)) {
+        Some(team) => Ok(Some(Arc::clone(team))),
+        None => Err(denial(gateway, RefusalReason::UnknownKey)),
+    }
+}
+
+/// A denial is final for the caller, so it needs a configuration that is surely in force.
+fn denial(gateway: &SharedGateway, reason: RefusalReason) -> RefusalReason {
+    let now = gateway.now();
+    if gateway.with(|beliefs| beliefs.config.may_deny(now)) {
+        reason
+    } else {
+        RefusalReason::StaleConfig
+    }
+}
+
+async fn read_body(
+    body: Incoming,
+    most: usize,
+    wait: Duration,
+) -> Result<Bytes, RefusalReason> {
+    match tokio::time::timeout(wait, Limited::new(body, most).collect()).await {
+        Ok(Ok(body)) => Ok(body.to_bytes()),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(RefusalReason::BodyTooLong),
+        Ok(Err(_)) => Err(RefusalReason::Malformed),
+        Err(_) => Err(RefusalReason::LateUnsent),
+    }
+}
+
+/// Chooses among the shares of a route by weight.
+fn choose_service(gateway: &SharedGateway, route: &Route) -> DeploymentName {
+    let sum: u32 = route.shares.iter().map(|share| share.weight).sum();
+    let first = &route.shares[0].service;
+    if route.shares.len() == 1 || sum == 0 {
+        return first.clone();
+    }
+    let mut drawn = gateway.with(|beliefs| beliefs.random.random_range(0..sum));
+    for share in &route.shares {
+        if drawn < share.weight {
+            return share.service.clone();
+        }
+        drawn -= share.weight;
+    }
+    first.clone()
+}
--- /dev/null
+++ b/crates/mimosagap-gateway/src/lib.rs
@@ -0,0 +1,30 @@
+//! The gateway: callers on one side, targets and the store on the other.
+//!
+//! One thread runs everything. `run` starts it; `ingress` takes requests and `calls` and `streams`
+//! carry them; `sync` keeps the configuration, the targets and the hosts up to date; `peers` tells
+//! the other hosts what this one sends where. Decisions are in `mimosagap-routing`, and the names
+//! on the wire in `mimosagap-platform`.
+#![deny(unsafe_code, missing_docs)]
+
+mod answer;
+mod calls;
+mod claim;
+mod copies;
+mod events;
+mod exchange;
+mod health;
+mod ingress;
+mod link;
+mod log;
+mod metrics;
+mod peers;
+mod pool;
+mod request;
+mod run;
+mod serve;
+mod state;
+mod store;
+mod streams;
+mod sync;
+
+pub use run::{Error, Options, Outcome, run};
--- /dev/null
+++ b/crates/mimosagap-gateway/src/link.rs
@@ -0,0 +1,119 @@
+//! One HTTP connection to a target or to the store.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Request, Response};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper_util::rt::TokioIo;
+use socket2::{SockRef, TcpKeepalive};
+use tokio::net::TcpStream;
+use tokio::task::JoinHandle;
+use tokio::time::timeout;
+
+/// How long a connection may take: the longest round trip of 60 ms with two lost packets.
+pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(700);
+
+/// Data that is not acknowledged for this long ends the connection, so that a peer without power
+/// is noticed.
+const UNACKNOWLEDGED: Duration = Duration::from_millis(2500);
+
+/// An idle wait is checked after this time, and again at the interval.
+const KEEPALIVE: Duration = Duration::from_secs(1);
+
+/// Keep-alive probes without an answer that end the connection.
+const KEEPALIVE_PROBES: u32 = 2;
+
+/// Read buffer of a connection in bytes; bounds the memory of a stream.
+const READ_BUFFER: usize = 16 << 10;
+
+/// A connection. Dropping it closes it at once.
+#[derive(Debug)]
+pub struct HttpLink {
+    sender: SendRequest<Full<Bytes>>,
+    driver: JoinHandle<()>,
+    /// Requests sent on it.
+    pub uses: u32,
+}
+
+/// Why a request brought no answer.
+#[derive(Debug)]
+pub enum LinkError {
+    /// Nothing of the request was sent.
+    NotSent,
+    /// The connection broke after some of it may have been sent.
+    Broken(hyper::Error),
+}
+
+impl HttpLink {
+    /// Opens a connection.
+    pub async fn open(address: SocketAddr) -> std::io::Result<Self> {
+        let connect = timeout(CONNECT_TIMEOUT, TcpStream::connect(address));
+        let stream = connect
+            .await
+            .map_err(|_| std::io::Error::from(std::io::ErrorKind::TimedOut))??;
+        set_options(&stream)?;
+        let (sender, connection) = http1::Builder::new()
+            .max_buf_size(READ_BUFFER)
+            .handshake(TokioIo::new(stream))
+            .await
+            .map_err(std::io::Error::other)?;
+        let driver = tokio::task::spawn_local(async move {
+            // The error reaches whoever waits for an answer.
+            let _ = connection.await;
+        });
+        Ok(Self {
+            sender,
+            driver,
+            uses: 0,
+        })
+    }
+
+    /// Sends a request and waits for the head of the answer.
+    pub async fn send(
+        &mut self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, LinkError> {
+        if self.sender.ready().await.is_err() {
+            return Err(LinkError::NotSent);
+        }
+        self.uses += 1;
+        self.sender
+            .try_send_request(request)
+            .await
+            .map_err(|mut error| {
+                if error.take_message().is_some() {
+                    LinkError::NotSent
+                } else {
+                    LinkError::Broken(error.into_error())
+                }
+            })
+    }
+
+    /// Whether it can take another request.
+    pub fn is_open(&self) -> bool {
+        !self.sender.is_closed() && !self.driver.is_finished()
+    }
+}
+
+impl Drop for HttpLink {
+    fn drop(&mut self) {
+        self.driver.abort();
+    }
+}
+
+/// Sets the options that find a silent peer.
+pub fn set_options(stream: &TcpStream) -> std::io::Result<()> {
+    stream.set_nodelay(true)?;
+    let socket = SockRef::from(stream);
+    socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED))?;
+    socket.set_tcp_keepalive(
+        &TcpKeepalive::new()
+            .with_time(KEEPALIVE)
+            .with_interval(KEEPALIVE)
+            .with_retries(KEEPALIVE_PROBES),
+    )
+}
--- /dev/null
+++ b/crates/mimosagap-gateway/src/run.rs
@@ -0,0 +1,249 @@
+//! Start and stop of the process.
+
+use std::fmt;
+use std::path::PathBuf;
+use std::rc::Rc;
+use std::time::Duration;
+
+use mimosagap_platform::settings::{self, HostSettings, PATH_VARIABLE, SettingsError};
+use mimosagap_types::prelude::*;
+use tokio::net::UdpSocket;
+use tokio::signal::unix::{SignalKind, signal};
+
+use crate::log::{EventLog, LogEvent};
+use crate::metrics::GatewayMetrics;
+use crate::serve::{ADDRESS_LIFE, ListenerKind, accept, bind};
+use crate::state::{Gateway, SharedGateway};
+use crate::store::StoreClient;
+use crate::{peers, sync};
+
+/// Time kept for the end of the process before it is killed.
+const END_MARGIN: Duration = Duration::from_millis(600);
+
+/// Callers use an address for up to this many times its life.
+const ADDRESS_LIVES: u32 = 2;
+
+/// How often a process that stops looks whether its last request has ended.
+const STOP_CHECK: Duration = Duration::from_millis(50);
+
+/// How the gateway is started.
+#[derive(Debug, Clone, Default)]
+pub struct Options {
+    /// The settings file; by default the one that the environment names.
+    pub settings: Option<PathBuf>,
+    /// Check the settings and end.
+    pub check: bool,
+    /// Port on which metrics are served, besides the questions of the platform.
+    pub metrics_port: Option<u16>,
+}
+
+/// How the gateway ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Outcome {
+    /// The settings are correct.
+    Checked,
+    /// It was asked to stop and all requests had ended.
+    Drained,
+    /// It was asked to stop and some requests were cut off.
+    CutOff,
+}
+
+/// Why the gateway did not start.
+#[derive(Debug)]
+pub enum Error {
+    /// No settings file is named.
+    NoSettings,
+    /// The settings file cannot be read.
+    Read {
+        /// The file.
+        path: PathBuf,
+        /// What the system said.
+        cause: std::io::Error,
+    },
+    /// The settings are wrong.
+    Settings {
+        /// The file.
+        path: PathBuf,
+        /// What is wrong.
+        cause: SettingsError,
+    },
+    /// A listener or the runtime cannot be started.
+    Start {
+        /// What was to be started.
+        what: String,
+        /// What the system said.
+        cause: std::io::Error,
+    },
+    /// The metrics cannot be registered.
+    Metrics(prometheus::Error),
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::NoSettings => {
+                write!(f, "no settings file; set {PATH_VARIABLE} or use --settings")
+            }
+            Self::Read { path, cause } => {
+                write!(f, "{}: {cause}; name a readable file", path.display())
+            }
+            Self::Settings { path, cause } => write!(f, "{}: {cause}", path.display()),
+            Self::Start { what, cause } => {
+                write!(f, "cannot start {what}: {cause}; free the address or raise the limit")
+            }
+            Self::Metrics(cause) => write!(f, "cannot register metrics: {cause}; report this"),
+        }
+    }
+}
+
+impl std::error::Error for Error {}
+
+/// Runs the gateway until it is asked to stop.
+///
+/// # Errors
+/// If the settings are wrong or something cannot be started; then nothing is left running.
+pub fn run(options: &Options) -> Result<Outcome, Error> {
+    let path = settings_path(options)?;
+    let settings = read_settings(&path)?;
+    if options.check {
+        return Ok(Outcome::Checked);
+    }
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .map_err(|cause| start_error("the runtime", cause))?;
+    let tasks = tokio::task::LocalSet::new();
+    tasks.block_on(&runtime, serve(settings, path, options.metrics_port))
+}
+
+fn settings_path(options: &Options) -> Result<PathBuf, Error> {
+    options
+        .settings
+        .clone()
+        .or_else(|| std::env::var_os(PATH_VARIABLE).map(PathBuf::from))
+        .ok_or(Error::NoSettings)
+}
+
+fn read_settings(path: &PathBuf) -> Result<HostSettings, Error> {
+    let text = std::fs::read_to_string(path).map_err(|cause| Error::Read {
+        path: path.clone(),
+        cause,
+    })?;
+    settings::parse(&text).map_err(|cause| Error::Settings {
+        path: path.clone(),
+        cause,
+    })
+}
+
+fn start_error(what: impl Into<String>, cause: std::io::Error) -> Error {
+    Error::Start {
+        what: what.into(),
+        cause,
+    }
+}
+
+async fn serve(
+    settings: HostSettings,
+    path: PathBuf,
+    metrics_port: Option<u16>,
+) -> Result<Outcome, Error> {
+    let clock = SystemClock;
+    let log = EventLog::new(clock).map_err(|cause| start_error("the log", cause))?;
+    let metrics = GatewayMetrics::new().map_err(Error::Metrics)?;
+    let store = settings.store;
+    let gateway = Rc::new(Gateway::new(settings, log, metrics, clock));
+    let mut terminations =
+        signal(SignalKind::terminate()).map_err(|cause| start_error("signals", cause))?;
+    let mut hangups =
+        signal(SignalKind::hangup()).map_err(|cause| start_error("signals", cause))?;
+    start_listeners(&gateway, metrics_port)?;
+    start_peers(&gateway).await?;
+    let follower = StoreClient::new(store);
+    let writer = StoreClient::new(store);
+    tokio::task::spawn_local(sync::follow(Rc::clone(&gateway), follower));
+    tokio::task::spawn_local(sync::register(Rc::clone(&gateway), writer));
+    let host = gateway.settings.host.as_str();
+    let version = env!("CARGO_PKG_VERSION");
+    gateway.log.event(&LogEvent::Started { host, version });
+    loop {
+        tokio::select! {
+            _ = terminations.recv() => break,
+            _ = hangups.recv() => reload(&gateway, &path),
+        }
+    }
+    Ok(stop(&gateway).await)
+}
+
+fn start_listeners(gateway: &SharedGateway, metrics_port: Option<u16>) -> Result<(), Error> {
+    let settings = &gateway.settings;
+    let mut questions = vec![settings.readiness];
+    questions.extend(settings.addresses);
+    for (address, kind) in std::iter::once((settings.callers, ListenerKind::Callers))
+        .chain(questions.into_iter().map(|address| (address, ListenerKind::Questions)))
+    {
+        let listener = bind(address).map_err(|cause| start_error(address.to_string(), cause))?;
+        tokio::task::spawn_local(accept(Rc::clone(gateway), listener, kind));
+    }
+    if let Some(port) = metrics_port {
+        let address = std::net::SocketAddr::new(settings.ip, port);
+        match bind(address) {
+            Ok(listener) => {
+                let kind = ListenerKind::Questions;
+                tokio::task::spawn_local(accept(Rc::clone(gateway), listener, kind));
+            }
+            // Requests are served without metrics too.
+            Err(error) => gateway.log.event(&LogEvent::Trouble {
+                what: "metrics are not served",
+                cause: format!("{address}: {error}"),
+            }),
+        }
+    }
+    Ok(())
+}
+
+async fn start_peers(gateway: &SharedGateway) -> Result<(), Error> {
+    let address = std::net::SocketAddr::new(gateway.settings.ip, gateway.settings.peer_port);
+    let socket = UdpSocket::bind(address)
+        .await
+        .map_err(|cause| start_error(address.to_string(), cause))?;
+    tokio::task::spawn_local(peers::exchange_loads(Rc::clone(gateway), socket));
+    Ok(())
+}
+
+/// Addresses and bounds hold for the life of a process, so a change is checked and logged only.
+fn reload(gateway: &Gateway, path: &PathBuf) {
+    let text = match read_settings(path) {
+        Ok(settings) if settings == gateway.settings => "unchanged".to_owned(),
+        Ok(_) => "changed; in force after the next start".to_owned(),
+        Err(error) => error.to_string(),
+    };
+    gateway.log.event(&LogEvent::Reloaded { result: &text });
+}
+
+/// Leaves the list of hosts, finishes what is in flight, and ends.
+async fn stop(gateway: &SharedGateway) -> Outcome {
+    let now = gateway.now();
+    let host = gateway.settings.host.as_str();
+    gateway.with(|beliefs| beliefs.stopping_since = Some(now));
+    gateway.suspicions.notify_one();
+    let in_flight = gateway.in_flight.get();
+    gateway.log.event(&LogEvent::Stopping { host, in_flight });
+    let grace = gateway.settings.bounds.grace.saturating_sub(END_MARGIN);
+    let linger = (ADDRESS_LIFE * ADDRESS_LIVES).min(grace);
+    loop {
+        tokio::time::sleep(STOP_CHECK).await;
+        let since = gateway.now().saturating_sub(now);
+        let is_idle = gateway.in_flight.get() == 0;
+        if since >= grace || (since >= linger && is_idle) {
+            break;
+        }
+    }
+    let in_flight = gateway.in_flight.get();
+    gateway.log.event(&LogEvent::Stopped { host, in_flight });
+    gateway.log.flush();
+    if in_flight == 0 {
+        Outcome::Drained
+    } else {
+        Outcome::CutOff
+    }
+}
--- /dev/null
+++ b/crates/mimosagap-gateway/src/serve.rs
@@ -0,0 +1,169 @@
+//! Listeners and what they serve.
+
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use http::{Method, Request, Response, StatusCode};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use mimosagap_platform::addresses::{AddressQuery, encode};
+use mimosagap_platform::names;
+use mimosagap_routing::addresses::addresses_for;
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
+
+use crate::answer::{AnswerBody, plain};
+use crate::ingress;
+use crate::link::set_options;
+use crate::log::LogEvent;
+use crate::state::SharedGateway;
+
+/// Connections that wait to be accepted.
+const BACKLOG: u32 = 1024;
+
+/// Read buffer of a caller's connection in bytes; larger than the longest head allowed.
+const READ_BUFFER: usize = 64 << 10;
+
+/// Idle life of a caller's connection before a configuration names one.
+const DEFAULT_IDLE: Duration = Duration::from_secs(15);
+
+/// Pause after a connection could not be accepted, because descriptors ran out.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// How long callers keep an answer with addresses.
+pub const ADDRESS_LIFE: Duration = Duration::from_secs(2);
+
+/// Where metrics are served.
+pub const METRICS_PATH: &str = "/metrics";
+
+/// What a listener serves.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ListenerKind {
+    /// Requests of callers.
+    Callers,
+    /// Questions of the platform and of callers about this host and the fleet, and metrics.
+    Questions,
+}
+
+/// Opens a listener.
+pub fn bind(address: SocketAddr) -> std::io::Result<TcpListener> {
+    let socket = match address {
+        SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(BACKLOG)
+}
+
+/// Accepts connections for ever.
+pub async fn accept(gateway: SharedGateway, listener: TcpListener, kind: ListenerKind) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let gateway = Rc::clone(&gateway);
+                tokio::task::spawn_local(serve(gateway, stream, kind));
+            }
+            Err(error) => {
+                gateway.log.event(&LogEvent::Trouble {
+                    what: "accept",
+                    cause: error.to_string(),
+                });
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn serve(gateway: SharedGateway, stream: TcpStream, kind: ListenerKind) {
+    if set_options(&stream).is_err() {
+        // The caller closed it already.
+        return;
+    }
+    let idle = gateway
+        .config()
+        .map_or(DEFAULT_IDLE, |config| config.limits.idle);
+    let mut builder = http1::Builder::new();
+    builder
+        .timer(TokioTimer::new())
+        .header_read_timeout(idle)
+        .max_buf_size(READ_BUFFER);
+    // An error here is a caller that left or broke the protocol; requests log their own ends.
+    let _ = match kind {
+        ListenerKind::Callers => {
+            let service = service_fn(move |request| ingress::handle(Rc::clone(&gateway), request));
+            builder
+                .serve_connection(TokioIo::new(stream), service)
+                .await
+        }
+        ListenerKind::Questions => {
+            let service = service_fn(move |request| answer(Rc::clone(&gateway), request));
+            builder
+                .serve_connection(TokioIo::new(stream), service)
+                .await
+        }
+    };
+}
+
+async fn answer(
+    gateway: SharedGateway,
+    request: Request<Incoming>,
+) -> Result<Response<AnswerBody>, Infallible> {
+    let path = request.uri().path();
+    let response = if request.method() != Method::GET {
+        plain(StatusCode::METHOD_NOT_ALLOWED, "text/plain", Vec::new())
+    } else if path == names::READINESS_PATH {
+        let status = if is_ready(&gateway) {
+            StatusCode::OK
+        } else {
+            StatusCode::SERVICE_UNAVAILABLE
+        };
+        plain(status, "text/plain", Vec::new())
+    } else if path == names::ADDRESSES_PATH {
+        let query = AddressQuery::parse(request.uri().query().unwrap_or_default());
+        addresses(&gateway, &query)
+    } else if path == METRICS_PATH {
+        metrics(&gateway)
+    } else {
+        plain(StatusCode::NOT_FOUND, "text/plain", Vec::new())
+    };
+    Ok(response)
+}
+
+/// Whether the host takes requests: it is not stopping and can run requests with keys.
+fn is_ready(gateway: &SharedGateway) -> bool {
+    let now = gateway.now();
+    gateway.with(|beliefs| {
+        beliefs.stopping_since.is_none()
+            && beliefs.config.config().is_some()
+            && beliefs.config.may_run_keyed(now)
+    })
+}
+
+fn addresses(gateway: &SharedGateway, query: &AddressQuery) -> Response<AnswerBody> {
+    let own = gateway.settings.host.as_str();
+    let avoid = (!is_ready(gateway)).then_some(own);
+    let (zone, region) = (query.zone.as_ref(), query.region.as_ref());
+    let mut list = gateway.with(|beliefs| addresses_for(&beliefs.hosts, zone, region, avoid));
+    if list.is_empty() && avoid.is_none() {
+        list.push(gateway.settings.callers);
+    }
+    if list.is_empty() {
+        return plain(StatusCode::SERVICE_UNAVAILABLE, "text/plain", Vec::new());
+    }
+    let life = ADDRESS_LIFE.min(gateway.settings.bounds.address_life);
+    plain(StatusCode::OK, "application/json", encode(&list, life))
+}
+
+fn metrics(gateway: &SharedGateway) -> Response<AnswerBody> {
+    match gateway.metrics.encode() {
+        Ok(text) => plain(StatusCode::OK, "text/plain", text),
+        Err(error) => {
+            let text = error.to_string().into_bytes();
+            plain(StatusCode::INTERNAL_SERVER_ERROR, "text/plain", text)
+        }
+    }
+}
--- /dev/null
+++ b/crates/mimosagap-gateway/src/state.rs
@@ -0,0 +1,196 @@
+//! What the gateway believes, shared by all tasks of its one thread.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use mimosagap_platform::settings::HostSettings;
+use mimosagap_routing::belief::{BeliefBounds, ConfigBelief};
+use mimosagap_routing::config::FleetConfig;
+use mimosagap_routing::hosts::Hosts;
+use mimosagap_routing::quarantine::Quarantine;
+use mimosagap_routing::retries::{RetryBounds, RetryBudget};
+use mimosagap_routing::targets::{Targets, TargetKey};
+use mimosagap_routing::waiting::WaitingList;
+use mimosagap_types::prelude::*;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use tokio::sync::Notify;
+
+use crate::log::EventLog;
+use crate::metrics::GatewayMetrics;
+use crate::pool::LinkPool;
+
+/// Beliefs and counts.
+pub struct Beliefs {
+    /// The configuration.
+    pub config: ConfigBelief,
+    /// The targets.
+    pub targets: Targets,
+    /// The hosts.
+    pub hosts: Hosts,
+    /// Requests that crash targets.
+    pub quarantine: Quarantine,
+    /// Repeats by service.
+    pub budgets: HashMap<DeploymentName, RetryBudget>,
+    /// Requests that wait, by service.
+    pub waiting: HashMap<DeploymentName, WaitingList>,
+    /// Idle connections.
+    pub pool: LinkPool,
+    /// Random choices.
+    pub random: SmallRng,
+    /// When the process was asked to stop.
+    pub stopping_since: Option<Duration>,
+    /// Entries that vanish before this time may be back; see `RETURN_GRACE`.
+    pub grace_until: Option<Duration>,
+    /// Names of requests that wait.
+    pub next_ticket: u64,
+}
+
+/// The gateway.
+pub struct Gateway {
+    /// What the process learned at its start.
+    pub settings: HostSettings,
+    /// Log lines.
+    pub log: EventLog,
+    /// Metrics.
+    pub metrics: GatewayMetrics,
+    /// A target began to leave.
+    pub leaving: Notify,
+    /// A place at a target may be free.
+    pub places: Notify,
+    /// Suspicions that are to be written to the store.
+    pub suspicions: Notify,
+    /// Pending suspicions as store keys.
+    pub pending_suspicions: RefCell<Vec<String>>,
+    /// Requests in flight.
+    pub in_flight: Cell<u32>,
+    beliefs: RefCell<Beliefs>,
+    clock: SystemClock,
+}
+
+/// The gateway as all tasks hold it.
+pub type SharedGateway = Rc<Gateway>;
+
+impl Gateway {
+    /// A gateway that knows nothing yet.
+    pub fn new(
+        settings: HostSettings,
+        log: EventLog,
+        metrics: GatewayMetrics,
+        clock: SystemClock,
+    ) -> Self {
+        let bounds = BeliefBounds {
+            revocation: settings.bounds.revocation,
+            change: settings.bounds.change,
+            strict: settings.bounds.strict_revocation,
+        };
+        Self {
+            settings,
+            log,
+            metrics,
+            leaving: Notify::new(),
+            places: Notify::new(),
+            suspicions: Notify::new(),
+            pending_suspicions: RefCell::default(),
+            in_flight: Cell::new(0),
+            beliefs: RefCell::new(Beliefs {
+                config: ConfigBelief::new(bounds),
+                targets: Targets::default(),
+                hosts: Hosts::default(),
+                quarantine: Quarantine::default(),
+                budgets: HashMap::new(),
+                waiting: HashMap::new(),
+                pool: LinkPool::default(),
+                random: SmallRng::from_os_rng(),
+                stopping_since: None,
+                grace_until: None,
+                next_ticket: 0,
+            }),
+            clock,
+        }
+    }
+
+    /// The time since the host started.
+    pub fn now(&self) -> Duration {
+        self.clock.since_boot()
+    }
+
+    /// Reads or changes the beliefs. The closure must not wait and must not call this again.
+    pub fn with<T>(&self, act: impl FnOnce(&mut Beliefs) -> T) -> T {
+        act(&mut self.beliefs.borrow_mut())
+    }
+
+    /// The configuration in force.
+    pub fn config(&self) -> Option<Arc<FleetConfig>> {
+        self.with(|beliefs| beliefs.config.config().cloned())
+    }
+
+    /// Version and age of the configuration, for log lines.
+    pub fn config_facts(&self) -> (u64, u64) {
+        let now = self.now();
+        self.with(|beliefs| {
+            let version = beliefs.config.config().map_or(0, |config| config.version);
+            let age = beliefs.config.age(now).unwrap_or(now);
+            (version, millis(age))
+        })
+    }
+
+    /// The instance of a target, for log lines.
+    pub fn instance(&self, key: TargetKey) -> String {
+        self.with(|beliefs| {
+            beliefs
+                .targets
+                .get(key)
+                .map_or_else(String::new, |target| target.entry.instance.clone())
+        })
+    }
+
+    /// Counts the first send of a request to a service.
+    pub fn count_request(&self, service: &DeploymentName) {
+        let (now, bounds) = (self.now(), self.retry_bounds());
+        self.with(|beliefs| {
+            let budget = beliefs.budgets.entry(service.clone()).or_default();
+            budget.request(now, &bounds);
+        });
+    }
+
+    /// Takes a repeat from the budget of a service.
+    pub fn try_repeat(&self, service: &DeploymentName) -> bool {
+        let (now, bounds) = (self.now(), self.retry_bounds());
+        self.with(|beliefs| {
+            let hosts = beliefs.hosts.len();
+            let budget = beliefs.budgets.entry(service.clone()).or_default();
+            budget.try_spend(now, &bounds, hosts)
+        })
+    }
+
+    fn retry_bounds(&self) -> RetryBounds {
+        let bounds = &self.settings.bounds;
+        RetryBounds {
+            ratio: bounds.retry_ratio,
+            window: bounds.retry_window,
+            slack: bounds.retry_slack,
+        }
+    }
+
+    /// Whether the process was asked to stop.
+    pub fn is_stopping(&self) -> bool {
+        self.with(|beliefs| beliefs.stopping_since.is_some())
+    }
+
+    /// Time until the process must have ended, if it was asked to stop.
+    pub fn time_to_stop(&self) -> Option<Duration> {
+        let now = self.now();
+        let since = self.with(|beliefs| beliefs.stopping_since)?;
+        let end = since + self.settings.bounds.grace;
+        Some(end.saturating_sub(now))
+    }
+}
+
+/// Whole milliseconds, for log lines.
+pub fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/mimosagap-routing/src/config.rs
@@ -0,0 +1,202 @@
+//! What the operators configured: routes, services, teams and limits.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use mimosagap_types::prelude::*;
+
+/// What may be repeated on a route.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RouteKind {
+    /// A call that may run any number of times.
+    Repeatable,
+    /// A call that may run at most once.
+    Once,
+    /// A stream of events that may be continued after its last event.
+    ResumableStream,
+    /// A stream of events that may run at most once.
+    Stream,
+}
+
+impl RouteKind {
+    /// Whether the answer is a stream of events.
+    #[must_use]
+    pub fn is_stream(self) -> bool {
+        matches!(self, Self::ResumableStream | Self::Stream)
+    }
+
+    /// Whether a request that may have run can be sent again.
+    #[must_use]
+    pub fn is_idempotent(self) -> bool {
+        matches!(self, Self::Repeatable | Self::ResumableStream)
+    }
+}
+
+/// A service that serves part of a route.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RouteShare {
+    /// The service.
+    pub service: DeploymentName,
+    /// Its part of the route's requests, relative to the other shares.
+    pub weight: u32,
+}
+
+/// One route.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Route {
+    /// The route's name; labels metrics and log lines.
+    pub name: ClassName,
+    /// The host header it answers to.
+    pub host: String,
+    /// The leading part of the path, with a slash at both ends.
+    pub path_prefix: String,
+    /// What may be repeated.
+    pub kind: RouteKind,
+    /// The longest time that a request may wait for its whole answer.
+    pub timeout: Duration,
+    /// The time to the answer, or to a stream's first event, that earns full credit.
+    pub target_latency: Duration,
+    /// The longest pause between events of a stream that is still on time.
+    pub target_gap: Duration,
+    /// Rank; 0 is the most urgent.
+    pub priority: u8,
+    /// How many targets one request may be sent to.
+    pub max_attempts: u32,
+    /// Whether requests need no key.
+    pub is_public: bool,
+    /// The services, at least one.
+    pub shares: Vec<RouteShare>,
+}
+
+/// The model engines of a service.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct EngineLimits {
+    /// Requests that run at once.
+    pub slots: u32,
+    /// Memory in tokens.
+    pub memory_tokens: u32,
+    /// Whether a running generation can be moved to another engine.
+    pub can_move: bool,
+    /// Whether an engine can copy a run's memory to another one while it grows.
+    pub can_back_up: bool,
+    /// Tokens in one event of a stream.
+    pub tokens_per_event: u32,
+}
+
+/// A service and how its targets are called.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Service {
+    /// Its name.
+    pub name: DeploymentName,
+    /// The model engines behind it; `None` for a plain service.
+    pub engine: Option<EngineLimits>,
+}
+
+/// Bounds on what a caller may send.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct CallerLimits {
+    /// Longest request body in bytes.
+    pub body_bytes: usize,
+    /// Largest request head in bytes.
+    pub header_bytes: usize,
+    /// How long a kept connection may stay idle.
+    pub idle: Duration,
+}
+
+/// A team and its rank.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Team {
+    /// Its name.
+    pub name: TeamName,
+    /// Rank of its requests, in place of the route's; 0 is the most urgent.
+    pub priority: Option<u8>,
+}
+
+/// One version of the whole configuration.
+#[derive(Debug, Clone)]
+pub struct FleetConfig {
+    /// The operators' version number.
+    pub version: u64,
+    /// Bounds on requests.
+    pub limits: CallerLimits,
+    services: HashMap<DeploymentName, Service>,
+    routes: HashMap<String, Vec<Arc<Route>>>,
+    teams_by_key: HashMap<String, Arc<Team>>,
+    has_teams: bool,
+}
+
+impl FleetConfig {
+    /// Indexes the parts of a configuration.
+    #[must_use]
+    pub fn new(
+        version: u64,
+        limits: CallerLimits,
+        services: Vec<Service>,
+        routes: Vec<Route>,
+        teams: Vec<(Team, Vec<String>)>,
+    ) -> Self {
+        let mut by_host: HashMap<String, Vec<Arc<Route>>> = HashMap::new();
+        for route in routes {
+            by_host
+                .entry(route.host.to_ascii_lowercase())
+                .or_default()
+                .push(Arc::new(route));
+        }
+        for list in by_host.values_mut() {
+            list.sort_by_key(|route| std::cmp::Reverse(route.path_prefix.len()));
+        }
+        let has_teams = !teams.is_empty();
+        let mut teams_by_key = HashMap::new();
+        for (team, keys) in teams {
+            let team = Arc::new(team);
+            for key in keys {
+                teams_by_key.insert(key, Arc::clone(&team));
+            }
+        }
+        Self {
+            version,
+            limits,
+            services: services
+                .into_iter()
+                .map(|service| (service.name.clone(), service))
+                .collect(),
+            routes: by_host,
+            teams_by_key,
+            has_teams,
+        }
+    }
+
+    /// The route of a request: the longest prefix of its host that begins the path.
+    #[must_use]
+    pub fn route(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
+        let name = host.split(':').next().unwrap_or(host).to_ascii_lowercase();
+        self.routes
+            .get(&name)?
+            .iter()
+            .find(|route| path.starts_with(&route.path_prefix))
+    }
+
+    /// The team that holds a key.
+    #[must_use]
+    pub fn team(&self, key: &str) -> Option<&Arc<Team>> {
+        self.teams_by_key.get(key)
+    }
+
+    /// Whether requests on routes that are not public need a key.
+    #[must_use]
+    pub fn needs_keys(&self) -> bool {
+        self.has_teams
+    }
+
+    /// All services.
+    pub fn services(&self) -> impl Iterator<Item = &Service> {
+        self.services.values()
+    }
+
+    /// A service.
+    #[must_use]
+    pub fn service(&self, name: &DeploymentName) -> Option<&Service> {
+        self.services.get(name)
+    }
+}
--- /dev/null
+++ b/crates/mimosagap-routing/src/lib.rs
@@ -0,0 +1,18 @@
+//! The decisions of the gateway, apart from all I/O.
+//!
+//! Every function gets the time and its inputs from the caller, so that a test can replay a load
+//! pattern. Times are durations since the start of the host, see
+//! [`BootClock`](mimosagap_types::clock::BootClock).
+#![deny(unsafe_code, missing_docs)]
+
+pub mod addresses;
+pub mod belief;
+pub mod config;
+pub mod hosts;
+pub mod moves;
+pub mod placement;
+pub mod quarantine;
+pub mod refusal;
+pub mod retries;
+pub mod targets;
+pub mod waiting;
--- /dev/null
+++ b/crates/mimosagap-routing/src/moves.rs
@@ -0,0 +1,71 @@
+//! Which running generations are moved off an engine that leaves, and where to.
+//!
+//! Load pattern: engines are taken away about two seconds after the notice, several at once, each
+//! with some generations of many seconds. A copy of a generation's memory takes about a fifth of a
+//! second within a zone and twice as long between zones, one after the other on a link, so a
+//! generation that ends in time stays, and the nearest engine with room takes the others.
+
+use std::time::Duration;
+
+use mimosagap_types::prelude::*;
+
+use crate::targets::{Distance, Target, TargetKey, Targets};
+
+/// A generation that is expected to end within this time stays on an engine that leaves.
+const STAY: Duration = Duration::from_millis(700);
+
+/// Time for one output token on a busy engine.
+const TOKEN_TIME: Duration = Duration::from_millis(11);
+
+/// Part of the destination's memory that moves may fill. A generation that is lost costs more than
+/// one that is preempted, so this is above the bound for new requests.
+const MEMORY_CEILING: f64 = 1.0;
+
+/// Cost of a copy within the engine's zone, as a part of the destination's memory.
+const ZONE_COST: f64 = 0.0;
+
+/// Cost of a copy to another zone.
+const AWAY_COST: f64 = 0.6;
+
+/// Whether a generation that has made `made` of about `expected` output tokens should be moved.
+#[must_use]
+pub fn is_worth_moving(made: u32, expected: u32) -> bool {
+    let rest = expected.saturating_sub(made);
+    TOKEN_TIME * rest > STAY || made >= expected
+}
+
+/// The engine that takes a generation of `tokens` tokens from `source`.
+#[must_use]
+pub fn destination(
+    targets: &Targets,
+    service: &DeploymentName,
+    source: &Target,
+    tokens: u32,
+    avoid: &[TargetKey],
+    now: Duration,
+) -> Option<TargetKey> {
+    let engine = targets.engine(service)?;
+    let cost = |target: &Target| {
+        let load = target.load(now);
+        let filled = f64::from(load.tokens + tokens) / f64::from(engine.memory_tokens.max(1));
+        let has_room = filled <= MEMORY_CEILING && load.requests < engine.slots;
+        let apart = if target.entry.zone == source.entry.zone {
+            ZONE_COST
+        } else {
+            AWAY_COST
+        };
+        let far = if target.distance == Distance::Elsewhere {
+            0.2
+        } else {
+            0.0
+        };
+        has_room.then_some(filled + apart + far + 2.0 * target.failure_rate(now))
+    };
+    targets
+        .of_service(service)
+        .filter(|(key, target)| target.is_usable(now) && !avoid.contains(key))
+        .filter(|(_, target)| target.entry.instance != source.entry.instance)
+        .filter_map(|(key, target)| cost(target).map(|cost| (cost, key)))
+        .min_by(|(first, _), (second, _)| first.total_cmp(second))
+        .map(|(_, key)| key)
+}
--- /dev/null
+++ b/crates/mimosagap-routing/src/placement.rs
@@ -0,0 +1,135 @@
+//! Which target gets a request.
+//!
+//! Load pattern: many hosts send prompts of thousands of tokens to engines whose memory holds about
+//! ten of them. An engine reads prompts one after the other, so the time to the first token is the
+//! unread work ahead; its memory fills while answers of unknown length grow, and an engine that
+//! runs out preempts. A request is placed where its prompt is read first, among the engines whose
+//! memory holds it to its expected end.
+
+use std::time::Duration;
+
+use mimosagap_types::prelude::*;
+
+use crate::targets::{Distance, Target, TargetKey, Targets};
+
+/// Part of an engine's memory that is filled by expected ends. The rest takes answers that get
+/// longer than expected and the parts of prompts that are shared.
+pub const MEMORY_CEILING: f64 = 0.95;
+
+/// Part of the memory that requests below the highest rank leave to it.
+const URGENT_RESERVE: f64 = 0.08;
+
+/// Cost of an engine in another zone of the region, for its round trip and its bytes.
+const ZONE_COST: Duration = Duration::from_millis(6);
+
+/// Cost of an engine in another region: a round trip of 60 ms and the price of its bytes.
+const REGION_COST: Duration = Duration::from_millis(90);
+
+/// Cost of memory that is full: more running requests make every token slower.
+const FULL_COST: Duration = Duration::from_millis(350);
+
+/// Cost of a target where everything failed lately.
+const FAILURE_COST: Duration = Duration::from_millis(2500);
+
+/// Cost of one request in flight for each slot of a plain service.
+const SLOT_COST: Duration = Duration::from_millis(60);
+
+/// What a generation needs.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct StreamNeed {
+    /// Prompt tokens.
+    pub prompt: u32,
+    /// Expected output tokens.
+    pub output: u32,
+    /// Rank, 0 first.
+    pub rank: usize,
+}
+
+impl StreamNeed {
+    /// The memory that it is expected to need in the end.
+    #[must_use]
+    pub fn tokens(&self) -> u32 {
+        self.prompt + self.output
+    }
+}
+
+fn distance_cost(distance: Distance) -> Duration {
+    match distance {
+        Distance::Zone => Duration::ZERO,
+        Distance::Region => ZONE_COST,
+        Distance::Elsewhere => REGION_COST,
+    }
+}
+
+/// An engine and when it is expected to send the first token.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Placement {
+    /// The engine.
+    pub target: TargetKey,
+    /// Expected time to the first token.
+    pub first_token: Duration,
+}
+
+/// Part of an engine's memory that is promised to requests.
+fn fill(target: &Target, capacity: u32, extra: u32, now: Duration) -> f64 {
+    f64::from(target.load(now).tokens + extra) / f64::from(capacity.max(1))
+}
+
+/// Chooses an engine. `None` means that no engine has room and the request has to wait.
+#[must_use]
+pub fn place_stream(
+    targets: &Targets,
+    service: &DeploymentName,
+    need: StreamNeed,
+    avoid: &[TargetKey],
+    now: Duration,
+) -> Option<Placement> {
+    let engine = targets.engine(service)?;
+    let ceiling = if need.rank == 0 {
+        MEMORY_CEILING
+    } else {
+        MEMORY_CEILING - URGENT_RESERVE
+    };
+    targets
+        .of_service(service)
+        .filter(|(key, target)| target.is_usable(now) && !avoid.contains(key))
+        .filter_map(|(key, target)| {
+            let load = target.load(now);
+            let filled = fill(target, engine.memory_tokens, need.tokens(), now);
+            let has_room = load.requests < engine.slots && (filled <= ceiling || load.requests == 0);
+            has_room.then(|| {
+                let first_token = target.read_time(need.prompt, need.rank, now)
+                    + distance_cost(target.distance);
+                let cost = first_token
+                    + FULL_COST.mul_f64(filled.min(1.0))
+                    + FAILURE_COST.mul_f64(target.failure_rate(now));
+                let placement = Placement {
+                    target: key,
+                    first_token,
+                };
+                (cost, placement)
+            })
+        })
+        .min_by_key(|(cost, _)| *cost)
+        .map(|(_, placement)| placement)
+}
+
+/// Chooses a target of a plain service: near, with few requests for its slots, without failures.
+#[must_use]
+pub fn place_call(
+    targets: &Targets,
+    service: &DeploymentName,
+    avoid: &[TargetKey],
+    now: Duration,
+) -> Option<TargetKey> {
+    targets
+        .of_service(service)
+        .filter(|(key, target)| target.is_usable(now) && !avoid.contains(key))
+        .min_by_key(|(_, target)| {
+            let busy = f64::from(target.load(now).requests) / f64::from(target.entry.slots.max(1));
+            distance_cost(target.distance)
+                + SLOT_COST.mul_f64(busy)
+                + FAILURE_COST.mul_f64(target.failure_rate(now))
+        })
+        .map(|(key, _)| key)
+}
--- /dev/null
+++ b/crates/mimosagap-routing/src/targets.rs
@@ -0,0 +1,403 @@
+//! The targets of all services: what the store lists, what this host sends there, and how it ends.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use mimosagap_types::prelude::*;
+use slotmap::{SlotMap, new_key_type};
+
+use crate::config::EngineLimits;
+
+new_key_type! {
+    /// A target in the arena.
+    pub struct TargetKey;
+}
+
+/// Ranks that are told apart in the load of a target; less urgent ones share the last.
+pub const RANKS: usize = 4;
+
+/// Prompt tokens that an engine reads in a millisecond beside its other work, before any was
+/// measured. From the deployment sheets: 112 tokens in a step of 15 ms.
+const INITIAL_READ_RATE: f64 = 7.0;
+
+/// Bounds on the measured rate, so that one odd answer does not decide.
+const READ_RATE_RANGE: (f64, f64) = (0.5, 14.0);
+
+/// Weight of a new measurement of the read rate.
+const READ_RATE_WEIGHT: f64 = 0.15;
+
+/// Weight of a new outcome in the failure rate.
+const FAILURE_WEIGHT: f64 = 0.15;
+
+/// A failure rate halves in this time without outcomes, so that a target is tried again.
+const FORGIVENESS: Duration = Duration::from_secs(4);
+
+/// First pause after a target could not be reached; doubles up to [`MAX_PAUSE`].
+const FIRST_PAUSE: Duration = Duration::from_millis(400);
+
+/// Longest pause after a target could not be reached.
+const MAX_PAUSE: Duration = Duration::from_secs(3);
+
+/// What another host said of its load counts for this long.
+const PEER_LOAD_LIFE: Duration = Duration::from_millis(1500);
+
+/// An entry that vanished around an outage of the store counts as live for this long after the
+/// store is back. The platform brings back live entries within two seconds.
+pub const RETURN_GRACE: Duration = Duration::from_millis(2200);
+
+/// A target as the store lists it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct TargetEntry {
+    /// Names this target and no other one at its address.
+    pub instance: String,
+    /// Its service.
+    pub service: DeploymentName,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Its zone.
+    pub zone: ZoneName,
+    /// Requests that it works on at once.
+    pub slots: u32,
+    /// Whether it is about to leave.
+    pub is_draining: bool,
+    /// When its process started, in milliseconds since the Unix epoch.
+    pub started_unix_ms: u64,
+}
+
+/// How far away a target is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Distance {
+    /// In this host's zone.
+    Zone,
+    /// In another zone of its region.
+    Region,
+    /// In another region.
+    Elsewhere,
+}
+
+/// Work at a target.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct TargetLoad {
+    /// Requests in flight.
+    pub requests: u32,
+    /// Memory that these requests are expected to need in the end, in tokens.
+    pub tokens: u32,
+    /// Prompt tokens that are still to be read, by rank.
+    pub unread: [u32; RANKS],
+}
+
+impl TargetLoad {
+    fn add(&mut self, other: &Self) {
+        self.requests += other.requests;
+        self.tokens += other.tokens;
+        for (sum, part) in self.unread.iter_mut().zip(other.unread) {
+            *sum += part;
+        }
+    }
+}
+
+/// How a request at a target ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum TargetOutcome {
+    /// It answered.
+    Answered,
+    /// It answered with an error, broke off or kept silent.
+    Failed,
+    /// It turned the request away unrun.
+    TurnedAway,
+    /// No connection could be made.
+    Unreachable,
+}
+
+/// One target.
+#[derive(Debug, Clone)]
+pub struct Target {
+    /// As the store lists it.
+    pub entry: TargetEntry,
+    /// How far away it is.
+    pub distance: Distance,
+    /// When this host learned that it leaves.
+    pub leaving_since: Option<Duration>,
+    /// From when on its entry counts as gone.
+    pub gone_at: Option<Duration>,
+    /// Work that this host sent.
+    pub own: TargetLoad,
+    peers: HashMap<u64, (Duration, TargetLoad)>,
+    read_rate: f64,
+    failure_rate: f64,
+    failure_at: Duration,
+    paused_until: Duration,
+    pause: Duration,
+}
+
+impl Target {
+    fn new(entry: TargetEntry, distance: Distance) -> Self {
+        Self {
+            entry,
+            distance,
+            leaving_since: None,
+            gone_at: None,
+            own: TargetLoad::default(),
+            peers: HashMap::new(),
+            read_rate: INITIAL_READ_RATE,
+            failure_rate: 0.0,
+            failure_at: Duration::ZERO,
+            paused_until: Duration::ZERO,
+            pause: FIRST_PAUSE,
+        }
+    }
+
+    /// Whether new requests may be sent to it.
+    #[must_use]
+    pub fn is_usable(&self, now: Duration) -> bool {
+        self.leaving_since.is_none()
+            && self.gone_at.is_none_or(|at| now < at)
+            && now >= self.paused_until
+    }
+
+    /// Whether it leaves or is gone.
+    #[must_use]
+    pub fn is_leaving(&self, now: Duration) -> bool {
+        self.leaving_since.is_some() || self.gone_at.is_some_and(|at| now >= at)
+    }
+
+    /// The work of all hosts, as far as it is known.
+    #[must_use]
+    pub fn load(&self, now: Duration) -> TargetLoad {
+        let mut sum = self.own;
+        for (heard_at, load) in self.peers.values() {
+            if now.saturating_sub(*heard_at) < PEER_LOAD_LIFE {
+                sum.add(load);
+            }
+        }
+        sum
+    }
+
+    /// Recent part of requests that failed, 0 to 1.
+    #[must_use]
+    pub fn failure_rate(&self, now: Duration) -> f64 {
+        let quiet = now.saturating_sub(self.failure_at).as_secs_f64();
+        self.failure_rate * 0.5_f64.powf(quiet / FORGIVENESS.as_secs_f64())
+    }
+
+    /// Time until a prompt of this length is read, behind what is as urgent or more.
+    #[must_use]
+    pub fn read_time(&self, prompt: u32, rank: usize, now: Duration) -> Duration {
+        let load = self.load(now);
+        let ahead: u32 = load.unread[..=rank.min(RANKS - 1)].iter().sum();
+        let milliseconds = f64::from(ahead + prompt) / self.read_rate;
+        Duration::from_secs_f64(milliseconds / 1000.0)
+    }
+}
+
+/// All targets.
+#[derive(Debug, Clone, Default)]
+pub struct Targets {
+    arena: SlotMap<TargetKey, Target>,
+    by_instance: HashMap<String, TargetKey>,
+    by_service: HashMap<DeploymentName, Vec<TargetKey>>,
+    engines: HashMap<DeploymentName, EngineLimits>,
+}
+
+impl Targets {
+    /// Takes an entry of the store's list. Returns the key and whether the target is new or has
+    /// just begun to leave.
+    pub fn put(
+        &mut self,
+        entry: TargetEntry,
+        distance: Distance,
+        now: Duration,
+    ) -> (TargetKey, bool) {
+        if let Some(key) = self.by_instance.get(&entry.instance).copied() {
+            let target = &mut self.arena[key];
+            let is_same_life = target.entry.started_unix_ms == entry.started_unix_ms
+                && target.entry.address == entry.address
+                && target.entry.service == entry.service;
+            if is_same_life {
+                target.gone_at = None;
+                // A process which leaves does not come back, so an older entry cannot undo it.
+                let begins_to_leave = entry.is_draining && target.leaving_since.is_none();
+                if begins_to_leave {
+                    target.leaving_since = Some(now);
+                }
+                target.entry = entry;
+                return (key, begins_to_leave);
+            }
+            self.forget(key);
+        }
+        let instance = entry.instance.clone();
+        let service = entry.service.clone();
+        let mut target = Target::new(entry, distance);
+        if target.entry.is_draining {
+            target.leaving_since = Some(now);
+        }
+        let key = self.arena.insert(target);
+        self.by_instance.insert(instance, key);
+        self.by_service.entry(service).or_default().push(key);
+        (key, true)
+    }
+
+    /// An entry vanished or names no target any more; it counts as gone from `gone_at` on.
+    pub fn remove(&mut self, instance: &str, gone_at: Duration) -> Option<TargetKey> {
+        let key = *self.by_instance.get(instance)?;
+        self.arena[key].gone_at.get_or_insert(gone_at);
+        Some(key)
+    }
+
+    /// Instances that are listed.
+    pub fn instances(&self) -> impl Iterator<Item = &str> {
+        self.by_instance.keys().map(String::as_str)
+    }
+
+    /// Marks a target as leaving, as its own answer said.
+    pub fn leaves(&mut self, key: TargetKey, now: Duration) {
+        if let Some(target) = self.arena.get_mut(key) {
+            target.leaving_since.get_or_insert(now);
+        }
+    }
+
+    /// Forgets targets that are gone for longer than `keep` and have no request of this host.
+    pub fn expire(&mut self, now: Duration, keep: Duration) {
+        let old: Vec<TargetKey> = self
+            .arena
+            .iter()
+            .filter(|(_, target)| {
+                target.own.requests == 0 && target.gone_at.is_some_and(|at| now > at + keep)
+            })
+            .map(|(key, _)| key)
+            .collect();
+        for key in old {
+            self.forget(key);
+        }
+    }
+
+    fn forget(&mut self, key: TargetKey) {
+        let Some(target) = self.arena.remove(key) else {
+            return;
+        };
+        if self.by_instance.get(&target.entry.instance) == Some(&key) {
+            self.by_instance.remove(&target.entry.instance);
+        }
+        if let Some(list) = self.by_service.get_mut(&target.entry.service) {
+            list.retain(|other| *other != key);
+        }
+    }
+
+    /// Sets what the services' engines can do.
+    pub fn set_engines(&mut self, engines: HashMap<DeploymentName, EngineLimits>) {
+        self.engines = engines;
+    }
+
+    /// What the engines of a service can do; `None` for a plain service.
+    #[must_use]
+    pub fn engine(&self, service: &DeploymentName) -> Option<&EngineLimits> {
+        self.engines.get(service)
+    }
+
+    /// A target.
+    #[must_use]
+    pub fn get(&self, key: TargetKey) -> Option<&Target> {
+        self.arena.get(key)
+    }
+
+    /// The target of an instance.
+    #[must_use]
+    pub fn find(&self, instance: &str) -> Option<TargetKey> {
+        self.by_instance.get(instance).copied()
+    }
+
+    /// All targets.
+    pub fn iter(&self) -> impl Iterator<Item = (TargetKey, &Target)> {
+        self.arena.iter()
+    }
+
+    /// The targets of a service.
+    pub fn of_service(
+        &self,
+        service: &DeploymentName,
+    ) -> impl Iterator<Item = (TargetKey, &Target)> {
+        self.by_service
+            .get(service)
+            .into_iter()
+            .flatten()
+            .filter_map(|key| self.arena.get(*key).map(|target| (*key, target)))
+    }
+
+    /// Adds work of this host.
+    pub fn begin(&mut self, key: TargetKey, tokens: u32, prompt: u32, rank: usize) {
+        if let Some(target) = self.arena.get_mut(key) {
+            target.own.requests += 1;
+            target.own.tokens += tokens;
+            target.own.unread[rank.min(RANKS - 1)] += prompt;
+        }
+    }
+
+    /// A prompt of this host was read in `took`, with `ahead` tokens to read when it was sent.
+    pub fn prompt_read(
+        &mut self,
+        key: TargetKey,
+        prompt: u32,
+        rank: usize,
+        ahead: u32,
+        took: Duration,
+    ) {
+        let Some(target) = self.arena.get_mut(key) else {
+            return;
+        };
+        let unread = &mut target.own.unread[rank.min(RANKS - 1)];
+        *unread = unread.saturating_sub(prompt);
+        let milliseconds = (took.as_secs_f64() * 1000.0).max(1.0);
+        let (least, most) = READ_RATE_RANGE;
+        let rate = (f64::from(ahead + prompt) / milliseconds).clamp(least, most);
+        target.read_rate += READ_RATE_WEIGHT * (rate - target.read_rate);
+    }
+
+    /// Takes work of this host off. `unread` is what was not read yet.
+    pub fn end(&mut self, key: TargetKey, tokens: u32, unread: u32, rank: usize) {
+        if let Some(target) = self.arena.get_mut(key) {
+            let own = &mut target.own;
+            own.requests = own.requests.saturating_sub(1);
+            own.tokens = own.tokens.saturating_sub(tokens);
+            let sum = &mut own.unread[rank.min(RANKS - 1)];
+            *sum = sum.saturating_sub(unread);
+        }
+    }
+
+    /// Changes the memory that a request is expected to need.
+    pub fn resize(&mut self, key: TargetKey, old: u32, new: u32) {
+        if let Some(target) = self.arena.get_mut(key) {
+            target.own.tokens = target.own.tokens.saturating_sub(old) + new;
+        }
+    }
+
+    /// Counts how a request ended.
+    pub fn outcome(&mut self, key: TargetKey, outcome: TargetOutcome, now: Duration) {
+        let Some(target) = self.arena.get_mut(key) else {
+            return;
+        };
+        let sample = match outcome {
+            TargetOutcome::Answered => 0.0,
+            TargetOutcome::TurnedAway => 0.5,
+            TargetOutcome::Failed | TargetOutcome::Unreachable => 1.0,
+        };
+        let known = target.failure_rate(now);
+        target.failure_rate = known + FAILURE_WEIGHT * (sample - known);
+        target.failure_at = now;
+        match outcome {
+            TargetOutcome::Unreachable => {
+                target.paused_until = now + target.pause;
+                target.pause = (target.pause * 2).min(MAX_PAUSE);
+            }
+            TargetOutcome::Answered => target.pause = FIRST_PAUSE,
+            TargetOutcome::Failed | TargetOutcome::TurnedAway => {}
+        }
+    }
+
+    /// Takes the load that another host reports for a target.
+    pub fn peer_load(&mut self, instance: &str, peer: u64, load: TargetLoad, now: Duration) {
+        if let Some(key) = self.find(instance) {
+            self.arena[key].peers.insert(peer, (now, load));
+        }
+    }
+}
--- a/crates/mimosagap-types/src/prelude.rs
+++ b/crates/mimosagap-types/src/prelude.rs
@@ -1,6 +1,6 @@
 //! The types that nearly every module needs.
 
-pub use crate::clock::{Clock, SystemClock};
+pub use crate::clock::{BootClock, Clock, SystemClock};
 pub use crate::ids::{
     ClassName, DaemonId, DeploymentName, Incarnation, ModelName, OrderKey, RegionName,
     RequestDigest, RequestTicket, RulesRevision, TargetAddress, TeamName, ZoneName,
