feat(gateway): generations go on from copies when their engine ends

Change: after the notice a generation is copied within the zone while it runs, and goes on from the copy when its engine ends, without being stopped. Where memory is free, a copy grows along from the start.

--- a/crates/mimosagap-gateway/src/copies.rs
+++ b/crates/mimosagap-gateway/src/copies.rs
@@ -1,4 +1,4 @@
-//! Hands a running generation on to another engine.
+//! Copies of running generations at other engines, from which they go on when their engine ends.
 
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -8,7 +8,7 @@
 use http::header::{self, HeaderValue};
 use http::{Request, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
-use mimosagap_platform::engine::{CopyAnswer, EngineCall, copy_run, decode_copy};
+use mimosagap_platform::engine::{CopyAnswer, EngineCall, copy_run, decode_copy, free_copy};
 use mimosagap_routing::moves;
 use mimosagap_routing::placement::StreamNeed;
 use mimosagap_routing::targets::{TargetEntry, TargetKey};
@@ -32,41 +32,47 @@
 /// Pause before another destination is tried, or the same call again while one is in progress.
 const AGAIN: Duration = Duration::from_millis(60);
 
-/// A generation whose run was stopped and can go on from a copy.
-pub struct HandedOn {
-    /// Where it goes on.
+/// A copy of a running generation at another engine.
+pub struct SecuredCopy {
+    /// The engine that has it.
     pub target: TargetKey,
     /// Its place there.
     pub claim: LoadClaim,
     /// The copy, as the engine wants it named.
-    pub copy: String,
+    pub name: String,
+    /// When it was complete.
+    pub made_at: Duration,
+    handle: String,
+    source: TargetKey,
 }
 
-/// A generation that is to be handed on.
-pub struct Handover {
+/// A generation that is to be copied.
+pub struct CopyOrder {
     /// The engine it runs on.
     pub source: TargetKey,
+    /// The engine which is tried first, because it may have a copy already.
+    pub preferred: Option<TargetKey>,
     /// The run's id.
     pub id: String,
     /// What it needs.
     pub need: StreamNeed,
 }
 
-/// Copies the run while it goes on, then stops it and copies the rest. `None` if it stays.
-pub async fn hand_on(
+/// Copies the run while it goes on. `None` if no engine could take a copy.
+pub async fn secure_copy(
     gateway: SharedGateway,
     request: Rc<RoutedRequest>,
-    handover: Handover,
-) -> Option<HandedOn> {
+    order: CopyOrder,
+) -> Option<SecuredCopy> {
     let begun = gateway.now();
-    let mut avoid = vec![handover.source];
+    let mut avoid = vec![order.source];
     while avoid.len() <= MAX_DESTINATIONS {
-        let (source, target, destination) = choose(&gateway, &request, &handover, &avoid)?;
-        let claim = LoadClaim::stream(&gateway, target, &handover.need, 0);
+        let (source, target, destination) = choose(&gateway, &request, &order, &avoid)?;
+        let claim = LoadClaim::stream(&gateway, target, &order.need, 0);
         let log = |step: &str| {
             gateway.metrics.moves.with_label_values(&[step]).inc();
             gateway.log.event(&LogEvent::Move {
-                id: &handover.id,
+                id: &order.id,
                 from: &source.instance,
                 to: &destination.instance,
                 step,
@@ -74,64 +80,66 @@
             });
         };
         log("copy");
-        let copy = |stop| call_copy(&gateway, &handover, source.address, destination.address, stop);
-        match copy(false).await {
-            Some(CopyAnswer::Copied { .. }) => {}
-            Some(CopyAnswer::NoRoom { .. }) => {
+        match call_copy(&gateway, &order, source.address, destination.address).await {
+            Some(CopyAnswer::Copied { handle }) => {
+                log("copied");
+                return Some(SecuredCopy {
+                    target,
+                    claim,
+                    name: format!("{}/{handle}", source.address),
+                    made_at: gateway.now(),
+                    handle,
+                    source: order.source,
+                });
+            }
+            Some(CopyAnswer::NoRoom) => {
                 log("no_room");
                 avoid.push(target);
-                continue;
-            }
-            Some(CopyAnswer::Busy) => {
-                tokio::time::sleep(AGAIN).await;
-                continue;
             }
+            Some(CopyAnswer::Busy) => tokio::time::sleep(AGAIN).await,
             Some(CopyAnswer::NoRun) | None => {
                 log("no_run");
                 return None;
             }
         }
-        log("stop");
-        return match copy(true).await {
-            Some(CopyAnswer::Copied { handle }) => {
-                log("copied");
-                Some(HandedOn {
-                    target,
-                    claim,
-                    copy: format!("{}/{handle}", source.address),
-                })
-            }
-            Some(CopyAnswer::NoRoom {
-                handle: Some(handle),
-            }) => {
-                log("stays");
-                Some(HandedOn {
-                    target: handover.source,
-                    claim: LoadClaim::stream(&gateway, handover.source, &handover.need, 0),
-                    copy: format!("{}/{handle}", source.address),
-                })
-            }
-            _ => {
-                log("lost");
-                None
-            }
-        };
     }
     None
 }
 
+/// Frees a copy that is not needed any more. One that cannot be freed lapses by itself.
+pub fn free(gateway: &SharedGateway, copy: SecuredCopy) {
+    let gateway = Rc::clone(gateway);
+    tokio::task::spawn_local(async move {
+        let address = gateway.with(|beliefs| {
+            let source = beliefs.targets.get(copy.source)?;
+            Some(source.entry.address)
+        });
+        if let Some(address) = address {
+            let call = call_engine(&gateway, copy.source, address, free_copy(&copy.handle));
+            let _ = timeout(COPY_TIMEOUT, call).await;
+        }
+    });
+}
+
 fn choose(
     gateway: &SharedGateway,
     request: &RoutedRequest,
-    handover: &Handover,
+    order: &CopyOrder,
     avoid: &[TargetKey],
 ) -> Option<(TargetEntry, TargetKey, TargetEntry)> {
     let now = gateway.now();
     gateway.with(|beliefs| {
         let targets = &beliefs.targets;
-        let source = targets.get(handover.source)?;
-        let tokens = handover.need.tokens();
-        let key = moves::destination(targets, &request.service, source, tokens, avoid, now)?;
+        let source = targets.get(order.source)?;
+        let tokens = order.need.tokens();
+        let is_open = |key: &TargetKey| {
+            let known = targets.get(*key);
+            !avoid.contains(key) && known.is_some_and(|known| known.is_usable(now))
+        };
+        let key = match order.preferred.filter(is_open) {
+            Some(preferred) => preferred,
+            None => moves::destination(targets, &request.service, source, tokens, avoid, now)?,
+        };
         let destination = targets.get(key)?;
         Some((source.entry.clone(), key, destination.entry.clone()))
     })
@@ -139,15 +147,14 @@
 
 async fn call_copy(
     gateway: &SharedGateway,
-    handover: &Handover,
+    order: &CopyOrder,
     source: SocketAddr,
     destination: SocketAddr,
-    stop: bool,
 ) -> Option<CopyAnswer> {
-    let call = copy_run(&handover.id, destination, stop);
+    let call = copy_run(&order.id, destination);
     let answer = timeout(
         COPY_TIMEOUT,
-        call_engine(gateway, handover.source, source, call),
+        call_engine(gateway, order.source, source, call),
     );
     match answer.await {
         Ok(Ok((status, body))) => match decode_copy(status, &body) {
--- a/crates/mimosagap-gateway/src/log.rs
+++ b/crates/mimosagap-gateway/src/log.rs
@@ -98,6 +98,21 @@
         longest_gap_ms: u64,
         after_ms: u64,
     },
+    /// A stream broke at its engine.
+    StreamBroke {
+        id: &'a str,
+        target: &'a str,
+        last_event: u64,
+        silent_ms: u64,
+        has_copy: bool,
+    },
+    /// A stream went on elsewhere and its first new event is there.
+    StreamWentOn {
+        id: &'a str,
+        target: &'a str,
+        last_event: u64,
+        silent_ms: u64,
+    },
     /// A generation is copied to another engine.
     Move {
         id: &'a str,
@@ -121,7 +136,7 @@
             Self::Refused { .. } => (3, "refused"),
             Self::Answered { .. } => (4, "answered"),
             Self::StreamEnded { .. } => (5, "stream_ended"),
-            Self::Move { .. } => (6, "move"),
+            Self::Move { .. } | Self::StreamBroke { .. } | Self::StreamWentOn { .. } => (6, "move"),
             Self::TargetListed { .. } | Self::TargetLeaving { .. } => (7, "target"),
             Self::EntryUnreadable { .. } | Self::ConfigUnreadable { .. } => (8, "unreadable"),
             Self::Trouble { .. } => (9, "trouble"),
--- a/crates/mimosagap-gateway/src/streams.rs
+++ b/crates/mimosagap-gateway/src/streams.rs
@@ -1,6 +1,7 @@
 //! Generations: events are passed on as they come, from one run, in order, each once.
 
 use std::future::Future;
+use std::net::SocketAddr;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
@@ -12,6 +13,7 @@
 use http_body_util::{BodyExt, Limited};
 use hyper::body::{Body, Frame, Incoming};
 use mimosagap_platform::request::Continuation;
+use mimosagap_routing::backup::choose_backup;
 use mimosagap_routing::moves::is_worth_moving;
 use mimosagap_routing::placement::{Placement, StreamNeed, place_stream};
 use mimosagap_routing::refusal::RefusalReason;
@@ -22,7 +24,7 @@
 use crate::answer::{AnswerBody, BrokenStream, refuse, target_head};
 use crate::calls::{WholeAnswer, deliver};
 use crate::claim::LoadClaim;
-use crate::copies::{HandedOn, Handover, hand_on};
+use crate::copies::{CopyOrder, SecuredCopy, free, secure_copy};
 use crate::events::{EventSplitter, StreamEvent};
 use crate::exchange::{Exchange, ExchangeError, SendOptions, exchange, keep, pause};
 use crate::health;
@@ -50,8 +52,12 @@
 /// A stopped run must be answered by its copy within this time.
 const CONTINUE_TIMEOUT: Duration = Duration::from_millis(1500);
 
-/// Pause before a generation that found no destination looks for one again.
-const HAND_AGAIN: Duration = Duration::from_millis(150);
+/// Pause before a generation that found no engine for a copy looks for one again.
+const COPY_AGAIN: Duration = Duration::from_millis(150);
+
+/// A copy is brought up to date after this time; it lapses after some seconds, and what it lacks
+/// has to be read when the generation goes on from it.
+const COPY_LIFE: Duration = Duration::from_millis(3500);
 
 enum Part {
     Event(Bytes),
@@ -185,6 +191,7 @@
     source: EventSource,
     first: StreamEvent,
     claim: LoadClaim,
+    backup: Option<LoadClaim>,
     sends: u32,
     runs: u32,
 }
@@ -220,7 +227,7 @@
         let target = place.target;
         let claim = LoadClaim::stream(gateway, target, &need, need.prompt);
         let wait = request.time_to_answer(gateway.now());
-        let attempt = first_event(gateway, request, claim, sends);
+        let attempt = first_event(gateway, request, need, claim, sends);
         match tokio::time::timeout(wait, attempt).await {
             Ok(Ok(FirstItem::Event(mut stream))) => {
                 stream.sends = sends;
@@ -269,12 +276,15 @@
 async fn first_event(
     gateway: &SharedGateway,
     request: &Rc<RoutedRequest>,
+    need: StreamNeed,
     mut claim: LoadClaim,
     attempt: u32,
 ) -> Result<FirstItem, ExchangeError> {
     let target = claim.target;
+    let backup = claim_backup(gateway, request, target, need);
     let options = SendOptions {
         attempt,
+        backup: backup.as_ref().and_then(|backup| address(gateway, backup)),
         ..SendOptions::default()
     };
     let exchange = exchange(gateway, request, target, options).await?;
@@ -289,6 +299,7 @@
                 source,
                 first,
                 claim,
+                backup,
                 sends: attempt,
                 runs: 1,
             })))
@@ -301,6 +312,27 @@
     }
 }
 
+/// Reserves memory for a copy of a generation at another engine.
+fn claim_backup(
+    gateway: &SharedGateway,
+    request: &RoutedRequest,
+    source: TargetKey,
+    need: StreamNeed,
+) -> Option<LoadClaim> {
+    let now = gateway.now();
+    let target = gateway
+        .with(|beliefs| choose_backup(&beliefs.targets, &request.service, source, need, now))?;
+    Some(LoadClaim::stream(gateway, target, &need, 0))
+}
+
+/// Where the target of a claim listens.
+fn address(gateway: &SharedGateway, claim: &LoadClaim) -> Option<SocketAddr> {
+    gateway.with(|beliefs| {
+        let target = beliefs.targets.get(claim.target)?;
+        Some(target.entry.address)
+    })
+}
+
 async fn whole_answer(
     gateway: &SharedGateway,
     claim: &LoadClaim,
@@ -405,7 +437,7 @@
     }
 }
 
-type Handing = Pin<Box<dyn Future<Output = Option<HandedOn>>>>;
+type Copying = Pin<Box<dyn Future<Output = Option<SecuredCopy>>>>;
 
 /// Passes a stream on until it ends.
 struct StreamRelay {
@@ -415,6 +447,7 @@
     source: Option<EventSource>,
     first: Option<StreamEvent>,
     claim: LoadClaim,
+    backup: Option<LoadClaim>,
     sends: u32,
     runs: u32,
     parts: mpsc::Sender<Part>,
@@ -423,7 +456,9 @@
     expected: u32,
     tokens_per_event: u32,
     moves: u32,
-    hand_again_at: Duration,
+    secured: Option<SecuredCopy>,
+    copy_again_at: Duration,
+    went_on: bool,
     last_at: Duration,
     longest_gap: Duration,
 }
@@ -471,13 +506,16 @@
             source: Some(stream.source),
             first: Some(stream.first),
             claim: stream.claim,
+            backup: stream.backup,
             sends: stream.sends,
             runs: stream.runs,
             parts,
             made: 0,
             tokens_per_event,
             moves: 0,
-            hand_again_at: Duration::ZERO,
+            secured: None,
+            copy_again_at: Duration::ZERO,
+            went_on: false,
             longest_gap: Duration::ZERO,
         }
     }
@@ -492,6 +530,9 @@
                 keep(&self.gateway, self.claim.target, &source.head, source.link);
             }
         }
+        if let Some(copy) = self.secured.take() {
+            free(&self.gateway, copy);
+        }
         self.gateway.log.event(&LogEvent::StreamEnded {
             id: &self.request.head.id,
             target: &self.gateway.instance(self.claim.target),
@@ -513,11 +554,11 @@
         tokio::pin!(deadline);
         let gateway = Rc::clone(&self.gateway);
         let parts = self.parts.clone();
-        let mut handing: Option<Handing> = None;
+        let mut copying: Option<Copying> = None;
         loop {
             let leaving = gateway.leaving.notified();
-            if handing.is_none() {
-                handing = self.begin_handing();
+            if copying.is_none() {
+                copying = self.begin_copy();
             }
             let Some(source) = self.source.as_mut() else {
                 return RelayEnd::Broken;
@@ -533,58 +574,63 @@
                     }
                     SourceItem::End => return RelayEnd::Complete,
                     SourceItem::Broken => {
-                        let handed = match handing.take() {
-                            Some(handing) => tokio::select! {
-                                handed = handing => handed,
-                                () = parts.closed() => return RelayEnd::CallerLeft,
-                            },
-                            None => None,
-                        };
-                        if !self.go_on(handed).await {
+                        copying = None;
+                        if !self.go_on().await {
                             return RelayEnd::Broken;
                         }
                     }
                 },
-                handed = async { handing.as_mut().expect("checked").await }, if handing.is_some() => {
-                    handing = None;
-                    // Without a copy the run goes on where it is.
-                    if handed.is_none() {
-                        self.hand_again_at = gateway.now() + HAND_AGAIN;
-                    } else if !self.go_on(handed).await {
-                        return RelayEnd::Broken;
+                copy = async { copying.as_mut().expect("checked").await }, if copying.is_some() => {
+                    copying = None;
+                    if copy.is_some() {
+                        self.secured = copy;
+                    } else {
+                        self.copy_again_at = gateway.now() + COPY_AGAIN;
                     }
                 }
-                () = leaving, if handing.is_none() => {}
+                () = leaving, if copying.is_none() => {}
                 () = &mut deadline => return RelayEnd::Deadline,
             }
         }
     }
 
-    /// Starts to hand the run on if its engine leaves before it can end.
-    fn begin_handing(&mut self) -> Option<Handing> {
+    /// Starts a copy elsewhere if the run's engine leaves before the run can end.
+    fn begin_copy(&mut self) -> Option<Copying> {
         let now = self.gateway.now();
-        let target = self.claim.target;
-        let is_leaving = self.gateway.with(|beliefs| {
-            let can_move = beliefs
-                .targets
-                .engine(&self.request.service)
-                .is_some_and(|engine| engine.can_move);
-            let known = beliefs.targets.get(target);
-            can_move && known.is_some_and(|known| known.is_leaving(now))
-        });
-        if now < self.hand_again_at || !is_leaving || !is_worth_moving(self.made, self.expected) {
+        if now < self.copy_again_at || !is_worth_moving(self.made, self.expected) {
             return None;
         }
-        let handover = Handover {
-            source: target,
+        let source = self.claim.target;
+        let preferred = self.gateway.with(|beliefs| {
+            let targets = &beliefs.targets;
+            let is_leaving = |key| targets.get(key).is_none_or(|known| known.is_leaving(now));
+            let can_move = targets
+                .engine(&self.request.service)
+                .is_some_and(|engine| engine.can_move);
+            if !can_move || !is_leaving(source) {
+                return None;
+            }
+            let secured = self.secured.as_ref().filter(|copy| !is_leaving(copy.target));
+            if secured.is_some_and(|copy| now < copy.made_at + COPY_LIFE) {
+                return None;
+            }
+            let backup = self.backup.as_ref();
+            if backup.is_some_and(|claim| !is_leaving(claim.target)) {
+                return None;
+            }
+            Some(secured.map(|copy| copy.target))
+        })?;
+        let order = CopyOrder {
+            source,
+            preferred,
             id: self.request.head.id.clone(),
             need: StreamNeed {
                 output: self.expected,
                 ..self.need
             },
         };
-        let handing = hand_on(Rc::clone(&self.gateway), Rc::clone(&self.request), handover);
-        Some(Box::pin(handing))
+        let copy = secure_copy(Rc::clone(&self.gateway), Rc::clone(&self.request), order);
+        Some(Box::pin(copy))
     }
 
     /// Passes an event on, unless the caller has it already.
@@ -597,6 +643,14 @@
                 return Err(RelayEnd::OutOfOrder);
             }
         }
+        if std::mem::take(&mut self.went_on) {
+            self.gateway.log.event(&LogEvent::StreamWentOn {
+                id: &self.request.head.id,
+                target: &self.gateway.instance(self.claim.target),
+                last_event: self.last_event.unwrap_or(0),
+                silent_ms: self.silent_ms(),
+            });
+        }
         self.last_event = event.id.or(self.last_event);
         self.made += self.tokens_per_event;
         if self.made > self.expected {
@@ -612,19 +666,48 @@
         sent.map_err(|_| RelayEnd::CallerLeft)
     }
 
+    /// Time since the last event.
+    fn silent_ms(&self) -> u64 {
+        millis(self.gateway.now().saturating_sub(self.last_at))
+    }
+
     /// Goes on from a copy, or from the last event where the route allows it.
-    async fn go_on(&mut self, handed: Option<HandedOn>) -> bool {
-        if self.source.take().is_some() && handed.is_none() {
-            self.claim.outcome(TargetOutcome::Failed);
-            health::connection_broke(&self.gateway, self.claim.target, self.request.mark);
+    async fn go_on(&mut self) -> bool {
+        self.source = None;
+        self.gateway.log.event(&LogEvent::StreamBroke {
+            id: &self.request.head.id,
+            target: &self.gateway.instance(self.claim.target),
+            last_event: self.last_event.unwrap_or(0),
+            silent_ms: self.silent_ms(),
+            has_copy: self.backup.is_some() || self.secured.is_some(),
+        });
+        self.claim.outcome(TargetOutcome::Failed);
+        health::connection_broke(&self.gateway, self.claim.target, self.request.mark);
+        let secured = self.secured.take();
+        let secured = secured.map(|copy| (copy.claim, copy.name));
+        let backup = self.backup.take().and_then(|claim| {
+            let address = address(&self.gateway, &claim)?;
+            Some((claim, format!("{address}/{}", self.request.head.id)))
+        });
+        for (claim, name) in secured.into_iter().chain(backup) {
+            if self.go_on_at(claim, Some(name)).await {
+                return true;
+            }
         }
-        let (target, claim, copy) = match handed {
-            Some(handed) => (handed.target, handed.claim, Some(handed.copy)),
-            None => match self.place_again().await {
-                Some((target, claim)) => (target, claim, None),
-                None => return false,
-            },
+        match self.place_again().await {
+            Some(claim) => self.go_on_at(claim, None).await,
+            None => false,
+        }
+    }
+
+    /// Goes on at one engine.
+    async fn go_on_at(&mut self, claim: LoadClaim, copy: Option<String>) -> bool {
+        let target = claim.target;
+        let need = StreamNeed {
+            output: self.expected,
+            ..self.need
         };
+        let backup = claim_backup(&self.gateway, &self.request, target, need);
         let continuation = Continuation {
             last_event: self.last_event.unwrap_or(0),
             copy,
@@ -633,7 +716,9 @@
         let options = SendOptions {
             attempt: self.sends,
             continuation: Some(&continuation),
-            backup: None,
+            backup: backup
+                .as_ref()
+                .and_then(|backup| address(&self.gateway, backup)),
         };
         let request = Rc::clone(&self.request);
         let sent = exchange(&self.gateway, &request, target, options);
@@ -641,7 +726,9 @@
             Ok(Ok(exchange)) if exchange.head.status.is_success() => {
                 self.source = Some(EventSource::new(exchange));
                 self.claim = claim;
-                self.moves = self.moves.saturating_add(1);
+                self.backup = backup;
+                self.moves += 1;
+                self.went_on = true;
                 true
             }
             _ => false,
@@ -649,7 +736,7 @@
     }
 
     /// A place at another engine for a stream that may be continued after its last event.
-    async fn place_again(&mut self) -> Option<(TargetKey, LoadClaim)> {
+    async fn place_again(&mut self) -> Option<LoadClaim> {
         let route = &self.request.route;
         if !route.kind.is_idempotent() || self.runs >= route.max_attempts {
             return None;
@@ -661,8 +748,12 @@
             return None;
         }
         self.runs += 1;
-        let claim = LoadClaim::stream(&self.gateway, place.target, &self.need, self.need.prompt);
-        Some((place.target, claim))
+        Some(LoadClaim::stream(
+            &self.gateway,
+            place.target,
+            &self.need,
+            self.need.prompt,
+        ))
     }
 }
 
--- a/crates/mimosagap-routing/src/lib.rs
+++ b/crates/mimosagap-routing/src/lib.rs
@@ -6,6 +6,7 @@
 #![deny(unsafe_code, missing_docs)]
 
 pub mod addresses;
+pub mod backup;
 pub mod belief;
 pub mod config;
 pub mod hosts;
--- a/crates/mimosagap-routing/src/moves.rs
+++ b/crates/mimosagap-routing/src/moves.rs
@@ -21,11 +21,14 @@
 /// one that is preempted, so this is above the bound for new requests.
 const MEMORY_CEILING: f64 = 1.0;
 
-/// Cost of a copy within the engine's zone, as a part of the destination's memory.
-const ZONE_COST: f64 = 0.0;
+/// Cost of a copy to another zone, as a part of the destination's memory: it takes twice as long.
+const AWAY_COST: f64 = 0.4;
 
-/// Cost of a copy to another zone.
-const AWAY_COST: f64 = 0.6;
+/// Cost of an engine in another region than this host, for the round trips until the first event.
+const FAR_COST: f64 = 0.15;
+
+/// Cost of unread prompts at the destination: an engine with waiting requests takes no copies.
+const UNREAD_COST: f64 = 0.5;
 
 /// Whether a generation that has made `made` of about `expected` output tokens should be moved.
 #[must_use]
@@ -49,17 +52,13 @@
         let load = target.load(now);
         let filled = f64::from(load.tokens + tokens) / f64::from(engine.memory_tokens.max(1));
         let has_room = filled <= MEMORY_CEILING && load.requests < engine.slots;
-        let apart = if target.entry.zone == source.entry.zone {
-            ZONE_COST
-        } else {
-            AWAY_COST
-        };
-        let far = if target.distance == Distance::Elsewhere {
-            0.2
-        } else {
-            0.0
-        };
-        has_room.then_some(filled + apart + far + 2.0 * target.failure_rate(now))
+        let cost_if = |applies: bool, cost: f64| if applies { cost } else { 0.0 };
+        let cost = filled
+            + cost_if(target.entry.zone != source.entry.zone, AWAY_COST)
+            + cost_if(target.distance == Distance::Elsewhere, FAR_COST)
+            + cost_if(load.unread.iter().any(|unread| *unread > 0), UNREAD_COST)
+            + 2.0 * target.failure_rate(now);
+        has_room.then_some(cost)
     };
     targets
         .of_service(service)
