feat(gateway): tell hosts of the region of a changed load at once

Change: a change of a generation's load goes to the hosts of the region within 10 ms, to the others every 500 ms, and the whole load every second.

--- a/crates/mimosagap-gateway/src/claim.rs
+++ b/crates/mimosagap-gateway/src/claim.rs
@@ -51,6 +51,9 @@
             beliefs.targets.begin(target, tokens, unread, rank);
             ahead
         });
+        if tokens > 0 {
+            gateway.loads.notify_one();
+        }
         Self {
             gateway: Rc::clone(gateway),
             target,
@@ -72,6 +75,7 @@
         self.gateway
             .with(|beliefs| beliefs.targets.prompt_read(target, unread, rank, ahead, took));
         self.unread = 0;
+        self.gateway.loads.notify_one();
     }
 
     /// The memory that it needs turns out to be more.
@@ -99,6 +103,9 @@
         let (target, tokens, unread, rank) = (self.target, self.tokens, self.unread, self.rank);
         self.gateway
             .with(|beliefs| beliefs.targets.end(target, tokens, unread, rank));
+        if tokens > 0 {
+            self.gateway.loads.notify_one();
+        }
         self.gateway.places.notify_waiters();
     }
 }
--- a/crates/mimosagap-gateway/src/peers.rs
+++ b/crates/mimosagap-gateway/src/peers.rs
@@ -1,7 +1,8 @@
 //! Tells the other hosts what this host sends to which target.
 //!
-//! Datagrams carry the whole state, so one that is lost is made good by the next. Hosts of the
-//! region hear of it more often, because they send to the same targets.
+//! Hosts of the region hear of a change at once, because they send to the same targets and would
+//! all choose the one that looked free a moment ago. The whole load is told again every second, so
+//! that a lost datagram is made good.
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -14,15 +15,21 @@
 use crate::log::LogEvent;
 use crate::state::SharedGateway;
 
-/// Interval of datagrams to hosts of the region.
-const INTERVAL: Duration = Duration::from_millis(200);
+/// Changes are collected for this long, so that one datagram carries what one request changes.
+const COLLECT: Duration = Duration::from_millis(10);
 
-/// Every this many intervals hosts of other regions hear of it too.
-const FAR_INTERVALS: u32 = 2;
+/// Interval of datagrams to hosts of other regions, which seldom send to the same targets.
+const FAR_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Every this many far intervals the whole load is told, so that lost datagrams are made good.
+const WHOLE_INTERVALS: u32 = 2;
 
 /// Longest datagram in bytes, so that none is split on its way.
 const MAX_DATAGRAM: usize = 1400;
 
+/// Targets in one datagram.
+const MAX_ENTRIES: usize = 40;
+
 #[derive(Debug, PartialEq)]
 #[derive(Serialize, Deserialize)]
 struct LoadMessage {
@@ -32,21 +39,33 @@
     loads: Vec<(String, u32, u32, [u32; RANKS])>,
 }
 
+/// What the hosts of one group were told last.
+type ToldLoads = HashMap<String, TargetLoad>;
+
 /// Sends this host's load and takes that of the others, for ever.
 pub async fn exchange_loads(gateway: SharedGateway, socket: UdpSocket) {
     let host = name_mark(&gateway.settings.host);
     let mut buffer = [0; 2 * MAX_DATAGRAM];
-    let mut ticks = tokio::time::interval(INTERVAL);
+    let mut ticks = tokio::time::interval(FAR_INTERVAL);
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     let mut round = 0_u32;
-    let mut said: HashMap<String, TargetLoad> = HashMap::new();
+    let mut told_near = ToldLoads::new();
+    let mut told_far = ToldLoads::new();
     loop {
         tokio::select! {
             _ = ticks.tick() => {
                 round = round.wrapping_add(1);
-                send(&gateway, &socket, host, round, &mut said).await;
+                if round.is_multiple_of(WHOLE_INTERVALS) {
+                    told_near.retain(|_, load| load.requests == 0);
+                    told_far.retain(|_, load| load.requests == 0);
+                }
+                tell(&gateway, &socket, host, HostGroup::Near, &mut told_near).await;
+                tell(&gateway, &socket, host, HostGroup::Far, &mut told_far).await;
                 gateway.log.flush();
             }
+            () = changes(&gateway) => {
+                tell(&gateway, &socket, host, HostGroup::Near, &mut told_near).await;
+            }
             received = socket.recv_from(&mut buffer) => {
                 if let Ok((length, sender)) = received {
                     receive(&gateway, &buffer[..length], sender);
@@ -56,60 +75,68 @@
     }
 }
 
+async fn changes(gateway: &SharedGateway) {
+    gateway.loads.notified().await;
+    tokio::time::sleep(COLLECT).await;
+}
+
 fn name_mark(name: &str) -> u64 {
     mimosagap_routing::quarantine::CrashMark::new(name, 0).0
 }
 
-async fn send(
+/// The hosts of this host's region, or all others.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum HostGroup {
+    Near,
+    Far,
+}
+
+/// Tells a group of hosts what changed since it was told last.
+async fn tell(
     gateway: &SharedGateway,
     socket: &UdpSocket,
     host: u64,
-    round: u32,
-    said: &mut HashMap<String, TargetLoad>,
+    group: HostGroup,
+    told: &mut ToldLoads,
 ) {
-    let own = gateway.settings.host.as_str();
-    let includes_far = round.is_multiple_of(FAR_INTERVALS);
-    let (loads, peers) = gateway.with(|beliefs| {
-        let loads: HashMap<String, TargetLoad> = beliefs
+    let settings = &gateway.settings;
+    let is_near = group == HostGroup::Near;
+    let (mut changed, peers) = gateway.with(|beliefs| {
+        let changed: Vec<(String, TargetLoad)> = beliefs
             .targets
             .iter()
-            .filter(|(_, target)| target.own.requests > 0)
-            .map(|(_, target)| (target.entry.instance.clone(), target.own))
+            .map(|(_, target)| (&target.entry.instance, target.own))
+            .filter(|(instance, load)| {
+                told.get(*instance)
+                    .map_or(load.requests > 0, |told| told != load)
+            })
+            .map(|(instance, load)| (instance.clone(), load))
             .collect();
         let peers: Vec<SocketAddr> = beliefs
             .hosts
             .live()
-            .filter(|(name, _)| *name != own)
-            .filter(|(_, record)| includes_far || record.region == gateway.settings.region)
+            .filter(|(name, _)| *name != settings.host)
+            .filter(|(_, record)| (record.region == settings.region) == is_near)
             .map(|(_, record)| record.peers)
             .collect();
-        (loads, peers)
+        (changed, peers)
     });
-    // A target without work is named once more, so that the others hear of its end.
-    let ended = said.keys().filter(|name| !loads.contains_key(*name));
-    let mut entries: Vec<_> = loads
-        .iter()
-        .map(|(name, load)| (name.clone(), load.requests, load.tokens, load.unread))
-        .chain(ended.map(|name| (name.clone(), 0, 0, [0; RANKS])))
-        .collect();
-    if entries.is_empty() {
-        return;
-    }
-    if includes_far {
-        *said = loads;
-    }
-    while !entries.is_empty() {
-        let rest = entries.split_off(entries.len().min(40));
+    told.extend(changed.iter().cloned());
+    while !changed.is_empty() {
+        let rest = changed.split_off(changed.len().min(MAX_ENTRIES));
         let message = LoadMessage {
             host,
-            loads: entries,
+            loads: changed
+                .into_iter()
+                .map(|(name, load)| (name, load.requests, load.tokens, load.unread))
+                .collect(),
         };
-        entries = rest;
+        changed = rest;
         let Ok(bytes) = bincode::serde::encode_to_vec(&message, bincode::config::standard()) else {
             return;
         };
         for peer in &peers {
-            // A datagram that cannot be sent is made good by the next.
+            // A datagram that cannot be sent is made good by the next whole load.
             let _ = socket.send_to(&bytes, peer).await;
         }
     }
--- a/crates/mimosagap-gateway/src/state.rs
+++ b/crates/mimosagap-gateway/src/state.rs
@@ -61,6 +61,8 @@
     pub leaving: Notify,
     /// A place at a target may be free.
     pub places: Notify,
+    /// The load of a target by this host changed.
+    pub loads: Notify,
     /// Suspicions that are to be written to the store.
     pub suspicions: Notify,
     /// Pending suspicions as store keys.
@@ -93,6 +95,7 @@
             metrics,
             leaving: Notify::new(),
             places: Notify::new(),
+            loads: Notify::new(),
             suspicions: Notify::new(),
             pending_suspicions: RefCell::default(),
             in_flight: Cell::new(0),
--- a/crates/mimosagap-routing/src/targets.rs
+++ b/crates/mimosagap-routing/src/targets.rs
@@ -40,7 +40,7 @@
 const MAX_PAUSE: Duration = Duration::from_secs(3);
 
 /// What another host said of its load counts for this long.
-const PEER_LOAD_LIFE: Duration = Duration::from_millis(1500);
+const PEER_LOAD_LIFE: Duration = Duration::from_millis(2500);
 
 /// An entry that vanished around an outage of the store counts as live for this long after the
 /// store is back. The platform brings back live entries within two seconds.
