feat(gateway): one host of each zone reads the store for the others

A trace showed that entries of targets change only when more than their sequence does, so a waiting watch brings news at once and costs little.

Change: the host of a zone with the lowest hash keeps a waiting watch, the others ask that host, and whoever gets no fresh answer asks the store. A denial needs a store that was asked lately; a request with a key needs the older proof that a silent watch gives.

--- /dev/null
+++ b/crates/mimosagap-gateway/src/feed.rs
@@ -0,0 +1,238 @@
+//! Changes of the store as one host hands them to the others of its zone.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Request, Response, StatusCode};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use mimosagap_platform::store::{StoreChange, StoreChanges};
+use mimosagap_routing::readers::MAX_AGE;
+use serde::{Deserialize, Serialize};
+use tokio::time::timeout;
+
+use crate::answer::{AnswerBody, plain};
+use crate::link::HttpLink;
+use crate::state::{SharedGateway, millis};
+
+/// The path of the call between hosts.
+pub const PATH: &str = "/changes";
+
+/// Changes that are kept for hosts which ask for those after a revision.
+const KEPT_CHANGES: usize = 2000;
+
+/// A question waits this long for a change.
+const WAIT: Duration = Duration::from_millis(500);
+
+/// A reader that does not answer in this time is not asked again for a while.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(1000);
+
+/// Longest answer in bytes.
+const MAX_ANSWER: usize = 16 << 20;
+
+/// The store's keys as this host knows them.
+#[derive(Debug, Default)]
+pub struct StoreMirror {
+    items: BTreeMap<String, (u64, Vec<u8>)>,
+    recent: VecDeque<StoreChange>,
+    floor: u64,
+    revision: u64,
+}
+
+impl StoreMirror {
+    /// Takes changes up to a revision.
+    pub fn apply(&mut self, changes: &[StoreChange], revision: u64) {
+        for change in changes {
+            match &change.value {
+                Some(value) => {
+                    let item = (change.revision, value.clone());
+                    self.items.insert(change.key.clone(), item);
+                }
+                None => {
+                    self.items.remove(&change.key);
+                }
+            }
+            self.recent.push_back(change.clone());
+        }
+        while self.recent.len() > KEPT_CHANGES {
+            if let Some(oldest) = self.recent.pop_front() {
+                self.floor = oldest.revision;
+            }
+        }
+        self.revision = self.revision.max(revision);
+    }
+
+    /// Starts anew from everything that the store lists.
+    pub fn reset(&mut self, items: &[StoreChange], revision: u64) {
+        *self = Self {
+            floor: revision,
+            ..Self::default()
+        };
+        self.apply(items, revision);
+        self.recent.clear();
+    }
+
+    /// The last revision.
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    fn after(&self, revision: u64) -> (bool, Vec<StoreChange>) {
+        let is_whole = revision < self.floor;
+        let changes = if is_whole {
+            self.items
+                .iter()
+                .map(|(key, (revision, value))| StoreChange {
+                    key: key.clone(),
+                    revision: *revision,
+                    value: Some(value.clone()),
+                })
+                .collect()
+        } else {
+            self.recent
+                .iter()
+                .filter(|change| change.revision > revision)
+                .cloned()
+                .collect()
+        };
+        (is_whole, changes)
+    }
+}
+
+#[derive(Debug)]
+#[derive(Serialize, Deserialize)]
+struct FeedMessage {
+    /// Time since the store was asked, in milliseconds.
+    age_ms: u64,
+    /// Time since the store was back after an outage that the reader saw, in milliseconds.
+    returned_ms: Option<u64>,
+    revision: u64,
+    is_whole: bool,
+    /// Key, revision and value.
+    changes: Vec<(String, u64, Option<Vec<u8>>)>,
+}
+
+/// What a reader answered.
+pub struct FeedAnswer {
+    /// The changes.
+    pub changes: StoreChanges,
+    /// Whether they are all items rather than what changed.
+    pub is_whole: bool,
+    /// Time from the reader's question to the store until its answer here.
+    pub age: Duration,
+    /// Time since the store was back after an outage.
+    pub returned: Option<Duration>,
+}
+
+/// Answers another host.
+pub async fn answer(gateway: &SharedGateway, query: &str) -> Response<AnswerBody> {
+    let after = query
+        .strip_prefix("after=")
+        .and_then(|value| value.parse().ok())
+        .unwrap_or(0);
+    let deadline = tokio::time::sleep(WAIT);
+    tokio::pin!(deadline);
+    loop {
+        let news = gateway.news.notified();
+        if gateway.with(|beliefs| beliefs.mirror.revision()) > after {
+            break;
+        }
+        tokio::select! {
+            () = news => {}
+            () = &mut deadline => break,
+        }
+    }
+    let now = gateway.now();
+    let message = gateway.with(|beliefs| {
+        let age = beliefs.config.silence(now).filter(|age| *age < MAX_AGE)?;
+        let (is_whole, changes) = beliefs.mirror.after(after);
+        let returned = beliefs.store_returned_at;
+        Some(FeedMessage {
+            age_ms: millis(age) + 1,
+            returned_ms: returned
+                .filter(|at| *at <= now)
+                .map(|at| millis(now - at)),
+            // A host that asked the store itself may know more than its reader.
+            revision: beliefs.mirror.revision().max(after),
+            is_whole,
+            changes: changes
+                .into_iter()
+                .map(|change| (change.key, change.revision, change.value))
+                .collect(),
+        })
+    });
+    let bytes = message.and_then(|message| {
+        bincode::serde::encode_to_vec(&message, bincode::config::standard()).ok()
+    });
+    match bytes {
+        Some(bytes) => plain(StatusCode::OK, "application/octet-stream", bytes),
+        None => plain(StatusCode::SERVICE_UNAVAILABLE, "text/plain", Vec::new()),
+    }
+}
+
+/// Asks readers, keeping the connection to the last one.
+#[derive(Default)]
+pub struct FeedClient {
+    link: Option<(SocketAddr, HttpLink)>,
+}
+
+impl FeedClient {
+    /// Asks a reader for what follows a revision.
+    pub async fn ask(&mut self, reader: SocketAddr, after: u64) -> Result<FeedAnswer, String> {
+        timeout(WAIT + ANSWER_TIMEOUT, self.try_ask(reader, after))
+            .await
+            .map_err(|_| "no answer in time".to_owned())?
+    }
+
+    async fn try_ask(&mut self, reader: SocketAddr, after: u64) -> Result<FeedAnswer, String> {
+        let kept = self
+            .link
+            .take()
+            .filter(|(address, link)| *address == reader && link.is_open());
+        let mut link = match kept {
+            Some((_, link)) => link,
+            None => HttpLink::open(reader)
+                .await
+                .map_err(|error| error.to_string())?,
+        };
+        let mut request = Request::new(Full::new(Bytes::new()));
+        *request.uri_mut() = format!("{PATH}?after={after}").parse().unwrap_or_default();
+        let response: Response<Incoming> = link
+            .send(request)
+            .await
+            .map_err(|error| format!("{error:?}"))?;
+        let (head, body) = response.into_parts();
+        let body = Limited::new(body, MAX_ANSWER)
+            .collect()
+            .await
+            .map_err(|error| error.to_string())?
+            .to_bytes();
+        self.link = Some((reader, link));
+        if head.status != StatusCode::OK {
+            return Err("the reader has no fresh changes".to_owned());
+        }
+        let config = bincode::config::standard();
+        let (message, _) = bincode::serde::decode_from_slice::<FeedMessage, _>(&body, config)
+            .map_err(|error| error.to_string())?;
+        Ok(FeedAnswer {
+            changes: StoreChanges {
+                changes: message
+                    .changes
+                    .into_iter()
+                    .map(|(key, revision, value)| StoreChange {
+                        key,
+                        revision,
+                        value,
+                    })
+                    .collect(),
+                revision: message.revision,
+                has_more: false,
+            },
+            is_whole: message.is_whole,
+            age: Duration::from_millis(message.age_ms),
+            returned: message.returned_ms.map(Duration::from_millis),
+        })
+    }
+}
--- a/crates/mimosagap-gateway/src/lib.rs
+++ b/crates/mimosagap-gateway/src/lib.rs
@@ -12,6 +12,7 @@
 mod copies;
 mod events;
 mod exchange;
+mod feed;
 mod health;
 mod ingress;
 mod link;
--- a/crates/mimosagap-gateway/src/run.rs
+++ b/crates/mimosagap-gateway/src/run.rs
@@ -203,6 +203,8 @@
 
 async fn start_peers(gateway: &SharedGateway) -> Result<(), Error> {
     let address = std::net::SocketAddr::new(gateway.settings.ip, gateway.settings.peer_port);
+    let listener = bind(address).map_err(|cause| start_error(address.to_string(), cause))?;
+    tokio::task::spawn_local(accept(Rc::clone(gateway), listener, ListenerKind::Peers));
     let socket = UdpSocket::bind(address)
         .await
         .map_err(|cause| start_error(address.to_string(), cause))?;
--- a/crates/mimosagap-gateway/src/serve.rs
+++ b/crates/mimosagap-gateway/src/serve.rs
@@ -16,6 +16,7 @@
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 
 use crate::answer::{AnswerBody, plain};
+use crate::feed;
 use crate::ingress;
 use crate::link::set_options;
 use crate::log::LogEvent;
@@ -46,6 +47,8 @@
     Callers,
     /// Questions of the platform and of callers about this host and the fleet, and metrics.
     Questions,
+    /// Questions of other hosts.
+    Peers,
 }
 
 /// Opens a listener.
@@ -99,6 +102,12 @@
                 .serve_connection(TokioIo::new(stream), service)
                 .await
         }
+        ListenerKind::Peers => {
+            let service = service_fn(move |request| answer_peer(Rc::clone(&gateway), request));
+            builder
+                .serve_connection(TokioIo::new(stream), service)
+                .await
+        }
         ListenerKind::Questions => {
             let service = service_fn(move |request| answer(Rc::clone(&gateway), request));
             builder
@@ -133,6 +142,18 @@
     Ok(response)
 }
 
+async fn answer_peer(
+    gateway: SharedGateway,
+    request: Request<Incoming>,
+) -> Result<Response<AnswerBody>, Infallible> {
+    let uri = request.uri();
+    Ok(if uri.path() == feed::PATH {
+        feed::answer(&gateway, uri.query().unwrap_or_default()).await
+    } else {
+        plain(StatusCode::NOT_FOUND, "text/plain", Vec::new())
+    })
+}
+
 /// Whether the host takes requests: it is not stopping and can run requests with keys.
 fn is_ready(gateway: &SharedGateway) -> bool {
     let now = gateway.now();
--- a/crates/mimosagap-gateway/src/state.rs
+++ b/crates/mimosagap-gateway/src/state.rs
@@ -19,6 +19,7 @@
 use rand::rngs::SmallRng;
 use tokio::sync::Notify;
 
+use crate::feed::StoreMirror;
 use crate::log::EventLog;
 use crate::metrics::GatewayMetrics;
 use crate::pool::LinkPool;
@@ -43,8 +44,10 @@
     pub random: SmallRng,
     /// When the process was asked to stop.
     pub stopping_since: Option<Duration>,
-    /// Entries that vanish before this time may be back; see `RETURN_GRACE`.
-    pub grace_until: Option<Duration>,
+    /// When the store was back after an outage; [`Duration::MAX`] while it is away.
+    pub store_returned_at: Option<Duration>,
+    /// The store's keys, for the other hosts of the zone.
+    pub mirror: StoreMirror,
     /// Names of requests that wait.
     pub next_ticket: u64,
 }
@@ -61,6 +64,8 @@
     pub leaving: Notify,
     /// A place at a target may be free.
     pub places: Notify,
+    /// Changes of the store arrived.
+    pub news: Notify,
     /// The load of a target by this host changed.
     pub loads: Notify,
     /// Suspicions that are to be written to the store.
@@ -95,6 +100,7 @@
             metrics,
             leaving: Notify::new(),
             places: Notify::new(),
+            news: Notify::new(),
             loads: Notify::new(),
             suspicions: Notify::new(),
             pending_suspicions: RefCell::default(),
@@ -109,7 +115,8 @@
                 pool: LinkPool::default(),
                 random: SmallRng::from_os_rng(),
                 stopping_since: None,
-                grace_until: None,
+                store_returned_at: None,
+                mirror: StoreMirror::default(),
                 next_ticket: 0,
             }),
             clock,
--- a/crates/mimosagap-gateway/src/sync.rs
+++ b/crates/mimosagap-gateway/src/sync.rs
@@ -1,18 +1,20 @@
 //! Keeps configuration, targets, hosts and suspects up to date from the store.
 
 use std::collections::{HashMap, HashSet};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use mimosagap_platform::store::{StoreCall, StoreChange, StoreChanges, StoreRefusal};
 use mimosagap_platform::{config, entry, names, store};
-use mimosagap_routing::belief::WATCH_SILENCE;
 use mimosagap_routing::hosts::{self, HostRecord};
 use mimosagap_routing::quarantine::{CrashMark, MEMORY, RequestMark};
+use mimosagap_routing::readers::{ChangeSource, SourceChoice};
 use mimosagap_routing::targets::{self, Distance};
 use mimosagap_types::prelude::*;
 use rand::Rng;
 
+use crate::feed::{FeedAnswer, FeedClient};
 use crate::log::LogEvent;
 use crate::state::{Gateway, SharedGateway};
 use crate::store::{StoreClient, StoreError};
@@ -26,12 +28,15 @@
 /// Store keys of requests that were at a crash.
 const SUSPECTS_PREFIX: &str = "mimosagap/suspects/";
 
-/// A watch waits for a change this long. Entries are renewed every second, so it rarely does.
-const WATCH_WAIT: Duration = Duration::from_millis(1000);
+/// A watch waits for a change this long. Its answer is also the proof that nothing changed, which
+/// has to be a few times younger than the bound on revoked keys.
+const WATCH_WAIT: Duration = Duration::from_millis(700);
 
-/// Pause between two questions, so that a call brings the changes of several targets. Engines are
-/// taken away 1.5 s after their notice, and copies take most of that.
-const POLL_PAUSE: Duration = Duration::from_millis(200);
+/// Pause between two questions, so that a call brings the changes of several targets.
+const POLL_PAUSE: Duration = Duration::from_millis(40);
+
+/// Pause between two questions to the reader of the zone.
+const READER_PAUSE: Duration = Duration::from_millis(20);
 
 /// Pauses after a failed call, first and longest.
 const FAILURE_PAUSE: (Duration, Duration) = (Duration::from_millis(100), Duration::from_millis(500));
@@ -45,51 +50,130 @@
 /// Targets that are gone are kept for this long, for the log and for requests in flight.
 const KEEP_GONE: Duration = Duration::from_secs(10);
 
-/// Follows the store for ever.
+/// Follows the store for ever, by itself or through the reader of its zone.
 pub async fn follow(gateway: SharedGateway, client: StoreClient) {
-    let mut failures = 0;
-    let mut is_reachable = true;
-    let mut revision = None;
+    let mut follower = Follower {
+        gateway,
+        client,
+        feed: FeedClient::default(),
+        choice: SourceChoice::default(),
+        revision: None,
+        failures: 0,
+        is_reachable: true,
+    };
     loop {
-        let result = match revision {
-            None => read_all(&gateway, &client).await,
-            Some(after) => read_changes(&gateway, &client, after).await,
+        follower.step().await;
+    }
+}
+
+struct Follower {
+    gateway: SharedGateway,
+    client: StoreClient,
+    feed: FeedClient,
+    choice: SourceChoice,
+    /// Up to which revision everything is known.
+    revision: Option<u64>,
+    failures: u32,
+    is_reachable: bool,
+}
+
+impl Follower {
+    async fn step(&mut self) {
+        let now = self.gateway.now();
+        let settings = &self.gateway.settings;
+        let source = self.gateway.with(|beliefs| {
+            let hosts = &beliefs.hosts;
+            self.choice
+                .source(hosts, &settings.host, &settings.zone, now)
+        });
+        match (source, self.revision) {
+            (ChangeSource::Reader(reader), Some(after)) => self.ask_reader(reader, after).await,
+            _ => self.ask_store().await,
+        }
+    }
+
+    async fn ask_reader(&mut self, reader: SocketAddr, after: u64) {
+        let asked_at = self.gateway.now();
+        match self.feed.ask(reader, after).await {
+            Ok(answer) => {
+                self.revision = Some(answer.changes.revision);
+                take_answer(&self.gateway, &answer, asked_at);
+                tokio::time::sleep(READER_PAUSE).await;
+            }
+            Err(cause) => {
+                let what = "changes of the zone's reader";
+                self.gateway.log.event(&LogEvent::Trouble { what, cause });
+                let now = self.gateway.now();
+                self.choice.reader_failed(now);
+            }
+        }
+    }
+
+    async fn ask_store(&mut self) {
+        let result = match self.revision {
+            None => read_all(&self.gateway, &self.client).await,
+            Some(after) => read_changes(&self.gateway, &self.client, after).await,
         };
-        let result = result.inspect(|_| gateway.metrics.store_calls.with_label_values(&["ok"]).inc());
+        let label = result.as_ref().map_or_else(StoreError::name, |_| "ok");
+        let calls = &self.gateway.metrics.store_calls;
+        calls.with_label_values(&[label]).inc();
         match result {
             Ok(at) => {
-                revision = Some(at);
-                failures = 0;
-                if !is_reachable {
-                    is_reachable = true;
-                    let cause = String::new();
-                    gateway.log.event(&LogEvent::Store { reachable: true, cause });
-                }
+                self.revision = Some(at);
+                self.failures = 0;
+                self.set_reachable(true, String::new());
                 tokio::time::sleep(POLL_PAUSE).await;
             }
+            Err(StoreError::Refused(StoreRefusal::HistoryGone)) => self.revision = None,
             Err(error) => {
-                gateway.metrics.store_calls.with_label_values(&[error.name()]).inc();
-                if matches!(error, StoreError::Refused(StoreRefusal::HistoryGone)) {
-                    revision = None;
-                    continue;
-                }
-                gateway.with(|beliefs| beliefs.grace_until = None);
-                if is_reachable {
-                    is_reachable = false;
-                    let cause = error.to_string();
-                    gateway.log.event(&LogEvent::Store { reachable: false, cause });
-                }
-                failures += 1;
-                tokio::time::sleep(failure_pause(&gateway, failures)).await;
+                self.set_reachable(false, error.to_string());
+                // What vanishes from now on may only have lapsed; see `settle`.
+                let away = Some(Duration::MAX);
+                self.gateway.with(|beliefs| beliefs.store_returned_at = away);
+                self.failures += 1;
+                tokio::time::sleep(failure_pause(&self.gateway, self.failures)).await;
             }
         }
-        if !is_reachable {
-            // What vanished in the meantime may only have lapsed; see `settle`.
-            gateway.with(|beliefs| beliefs.grace_until = Some(Duration::MAX));
+    }
+
+    fn set_reachable(&mut self, reachable: bool, cause: String) {
+        if self.is_reachable != reachable {
+            self.is_reachable = reachable;
+            self.gateway.log.event(&LogEvent::Store { reachable, cause });
         }
     }
 }
 
+/// Takes what a reader answered to a question of `asked_at`.
+fn take_answer(gateway: &SharedGateway, answer: &FeedAnswer, asked_at: Duration) {
+    let now = gateway.now();
+    let returned = answer.returned.map(|since| now.saturating_sub(since));
+    gateway.with(|beliefs| beliefs.store_returned_at = returned);
+    let changes = &answer.changes;
+    if answer.is_whole {
+        take_all(gateway, &changes.changes, changes.revision);
+    } else {
+        take_changes(gateway, &changes.changes, changes.revision);
+    }
+    // The reader had asked this long before it answered, which was after the question.
+    let heard = asked_at.saturating_sub(answer.age);
+    gateway.with(|beliefs| beliefs.config.hear(heard));
+}
+
+fn take_changes(gateway: &SharedGateway, changes: &[StoreChange], revision: u64) {
+    apply(gateway, changes);
+    gateway.with(|beliefs| beliefs.mirror.apply(changes, revision));
+    gateway.news.notify_waiters();
+}
+
+fn take_all(gateway: &SharedGateway, items: &[StoreChange], revision: u64) {
+    let keys: HashSet<String> = items.iter().map(|change| change.key.clone()).collect();
+    apply(gateway, items);
+    remove_unlisted(gateway, &keys);
+    gateway.with(|beliefs| beliefs.mirror.reset(items, revision));
+    gateway.news.notify_waiters();
+}
+
 /// The pause after a number of failures in a row, spread over hosts.
 fn failure_pause(gateway: &Gateway, failures: u32) -> Duration {
     let (first, longest) = FAILURE_PAUSE;
@@ -117,12 +201,11 @@
             _ => break,
         }
     }
-    let keys: HashSet<String> = listed.iter().map(|change| change.key.clone()).collect();
+    let revision = first_revision.unwrap_or(0);
     settle(gateway);
-    apply(gateway, listed);
-    remove_unlisted(gateway, &keys);
+    take_all(gateway, &listed, revision);
     gateway.with(|beliefs| beliefs.config.prove(asked_at));
-    Ok(first_revision.unwrap_or(0))
+    Ok(revision)
 }
 
 async fn read_changes(
@@ -137,11 +220,11 @@
         wait: WATCH_WAIT,
     };
     let changes = decode(&client.call(&call).await?)?;
+    let revision = changes.revision.max(after);
     settle(gateway);
-    apply(gateway, changes.changes);
-    let proven = asked_at.saturating_sub(WATCH_SILENCE);
-    gateway.with(|beliefs| beliefs.config.prove(proven));
-    Ok(changes.revision.max(after))
+    take_changes(gateway, &changes.changes, revision);
+    gateway.with(|beliefs| beliefs.config.hear(asked_at));
+    Ok(revision)
 }
 
 fn decode(body: &[u8]) -> Result<StoreChanges, StoreError> {
@@ -152,8 +235,8 @@
 fn settle(gateway: &Gateway) {
     let now = gateway.now();
     gateway.with(|beliefs| {
-        if beliefs.grace_until == Some(Duration::MAX) {
-            beliefs.grace_until = Some(now);
+        if beliefs.store_returned_at == Some(Duration::MAX) {
+            beliefs.store_returned_at = Some(now);
         }
     });
 }
@@ -161,14 +244,14 @@
 /// When an entry that has just vanished counts as gone.
 fn gone_at(gateway: &Gateway, grace: Duration) -> Duration {
     let now = gateway.now();
-    let returned = gateway.with(|beliefs| beliefs.grace_until);
-    returned.map_or(now, |at| now.max(at + grace))
+    let returned = gateway.with(|beliefs| beliefs.store_returned_at);
+    returned.map_or(now, |at| now.max(at.saturating_add(grace)))
 }
 
-fn apply(gateway: &SharedGateway, changes: Vec<StoreChange>) {
+fn apply(gateway: &SharedGateway, changes: &[StoreChange]) {
     for change in changes {
         if change.key == names::CONFIG_KEY {
-            apply_config(gateway, &change);
+            apply_config(gateway, change);
         } else if let Some(instance) = entry::instance(&change.key) {
             apply_target(gateway, instance, change.value.as_deref());
         } else if let Some(name) = change.key.strip_prefix(HOSTS_PREFIX) {
--- a/crates/mimosagap-routing/src/belief.rs
+++ b/crates/mimosagap-routing/src/belief.rs
@@ -34,6 +34,7 @@
 pub struct ConfigBelief {
     bounds: BeliefBounds,
     current: Option<(u64, Arc<FleetConfig>)>,
+    heard_at: Option<Duration>,
     proven_at: Option<Duration>,
 }
 
@@ -44,6 +45,7 @@
         Self {
             bounds,
             current: None,
+            heard_at: None,
             proven_at: None,
         }
     }
@@ -60,11 +62,17 @@
         is_newer
     }
 
-    /// The store confirmed that the current configuration was the newest at `as_of`.
+    /// A read of the store confirmed that the current configuration was the newest at `as_of`.
     pub fn prove(&mut self, as_of: Duration) {
-        if self.proven_at.is_none_or(|known| as_of > known) {
-            self.proven_at = Some(as_of);
-        }
+        self.heard_at = self.heard_at.max(Some(as_of));
+        self.proven_at = self.proven_at.max(Some(as_of));
+    }
+
+    /// A watch that was asked at `as_of` brought nothing newer.
+    pub fn hear(&mut self, as_of: Duration) {
+        self.heard_at = self.heard_at.max(Some(as_of));
+        let proven = as_of.saturating_sub(WATCH_SILENCE);
+        self.proven_at = self.proven_at.max(Some(proven));
     }
 
     /// The configuration.
@@ -85,6 +93,12 @@
         self.proven_at.map(|at| now.saturating_sub(at))
     }
 
+    /// How long ago the store was last asked with success.
+    #[must_use]
+    pub fn silence(&self, now: Duration) -> Option<Duration> {
+        self.heard_at.map(|at| now.saturating_sub(at))
+    }
+
     /// Whether a request with a key may run.
     #[must_use]
     pub fn may_run_keyed(&self, now: Duration) -> bool {
@@ -96,7 +110,7 @@
     /// by a version which this host has not heard of.
     #[must_use]
     pub fn may_deny(&self, now: Duration) -> bool {
-        self.age(now)
-            .is_some_and(|age| age < self.bounds.change.mul_f64(REFUSAL_SHARE))
+        let most = self.bounds.change.mul_f64(REFUSAL_SHARE);
+        self.silence(now).is_some_and(|silence| silence < most)
     }
 }
--- a/crates/mimosagap-routing/src/lib.rs
+++ b/crates/mimosagap-routing/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod moves;
 pub mod placement;
 pub mod quarantine;
+pub mod readers;
 pub mod refusal;
 pub mod retries;
 pub mod targets;
