feat(gateway): followers ask their reader again while the store is away

Cause: in an outage every follower asked the store by itself, 79 hosts several times a second. Change: when the store does not answer either, the reader is asked again, which notices the return first.

--- a/crates/mimosagap-gateway/src/sync.rs
+++ b/crates/mimosagap-gateway/src/sync.rs
@@ -33,13 +33,13 @@
 const WATCH_WAIT: Duration = Duration::from_millis(700);
 
 /// Pause between two questions, so that a call brings the changes of several targets.
-const POLL_PAUSE: Duration = Duration::from_millis(40);
+const POLL_PAUSE: Duration = Duration::from_millis(80);
 
 /// Pause between two questions to the reader of the zone.
 const READER_PAUSE: Duration = Duration::from_millis(20);
 
 /// Pauses after a failed call, first and longest.
-const FAILURE_PAUSE: (Duration, Duration) = (Duration::from_millis(100), Duration::from_millis(500));
+const FAILURE_PAUSE: (Duration, Duration) = (Duration::from_millis(100), Duration::from_millis(600));
 
 /// Time to live of this host's record. A host that is killed is listed for this long.
 const HOST_TTL: Duration = Duration::from_millis(4000);
@@ -126,6 +126,8 @@
             }
             Err(StoreError::Refused(StoreRefusal::HistoryGone)) => self.revision = None,
             Err(error) => {
+                // Without the store the reader is the first to notice its return.
+                self.choice.store_failed();
                 self.set_reachable(false, error.to_string());
                 // What vanishes from now on may only have lapsed; see `settle`.
                 let away = Some(Duration::MAX);
--- a/crates/mimosagap-routing/src/readers.rs
+++ b/crates/mimosagap-routing/src/readers.rs
@@ -17,7 +17,7 @@
 
 /// A reader that has not heard of the store for this long may have lost it, and its answers are of
 /// no use: two waits of its watch and a slow answer.
-pub const MAX_AGE: Duration = Duration::from_millis(2200);
+pub const MAX_AGE: Duration = Duration::from_millis(2500);
 
 /// Where a host gets changes from.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -40,6 +40,11 @@
         self.failed_at = Some(now);
     }
 
+    /// The store did not answer either, so the reader is asked again.
+    pub fn store_failed(&mut self) {
+        self.failed_at = None;
+    }
+
     /// The source for the next question.
     #[must_use]
     pub fn source(&self, hosts: &Hosts, own: &str, zone: &ZoneName, now: Duration) -> ChangeSource {
