--- a/crates/mimosagap-gateway/src/log.rs
+++ b/crates/mimosagap-gateway/src/log.rs
@@ -94,6 +94,10 @@
         target: &'a str,
         how: &'a str,
         last_event: u64,
+        /// Output tokens that the caller estimated, its bound, and what was made.
+        hinted_tokens: u32,
+        most_tokens: u32,
+        made_tokens: u32,
         moves: u32,
         longest_gap_ms: u64,
         after_ms: u64,
--- a/crates/mimosagap-gateway/src/state.rs
+++ b/crates/mimosagap-gateway/src/state.rs
@@ -10,6 +10,7 @@
 use mimosagap_routing::belief::{BeliefBounds, ConfigBelief};
 use mimosagap_routing::config::FleetConfig;
 use mimosagap_routing::hosts::Hosts;
+use mimosagap_routing::lengths::LengthEstimator;
 use mimosagap_routing::quarantine::Quarantine;
 use mimosagap_routing::retries::{RetryBounds, RetryBudget};
 use mimosagap_routing::targets::{Targets, TargetKey};
@@ -34,6 +35,8 @@
     pub hosts: Hosts,
     /// Requests that crash targets.
     pub quarantine: Quarantine,
+    /// Lengths of generations by route.
+    pub lengths: HashMap<ClassName, LengthEstimator>,
     /// Repeats by service.
     pub budgets: HashMap<DeploymentName, RetryBudget>,
     /// Requests that wait, by service.
@@ -110,6 +113,7 @@
                 targets: Targets::default(),
                 hosts: Hosts::default(),
                 quarantine: Quarantine::default(),
+                lengths: HashMap::new(),
                 budgets: HashMap::new(),
                 waiting: HashMap::new(),
                 pool: LinkPool::default(),
--- a/crates/mimosagap-gateway/src/streams.rs
+++ b/crates/mimosagap-gateway/src/streams.rs
@@ -136,15 +136,16 @@
     }
 }
 
-/// What a generation needs, from what the caller says of it.
-fn need_of(request: &RoutedRequest) -> StreamNeed {
+/// What a generation needs, from what the caller says of it and its route's requests needed.
+fn need_of(gateway: &SharedGateway, request: &RoutedRequest) -> StreamNeed {
     let head = &request.head;
-    let most = if head.max_output == 0 {
-        u32::MAX
-    } else {
-        head.max_output
-    };
-    let output = head.output_hint.unwrap_or(head.max_output / 2).min(most);
+    let output = gateway.with(|beliefs| {
+        let lengths = beliefs.lengths.entry(request.route.name.clone()).or_default();
+        if let Some(hint) = head.output_hint {
+            lengths.arrived(hint);
+        }
+        lengths.expected(head.output_hint, head.max_output)
+    });
     StreamNeed {
         prompt: head.prompt_tokens,
         output,
@@ -159,7 +160,7 @@
     in_flight: InFlight,
 ) -> Response<AnswerBody> {
     let request = Rc::new(request);
-    let need = need_of(&request);
+    let need = need_of(gateway, &request);
     match begin(gateway, &request, need).await {
         Begun::Refused(reason) => {
             refuse(gateway, &request.head.id, request.arrived, reason)
@@ -524,6 +525,7 @@
         let end = self.relay().await;
         if matches!(end, RelayEnd::Complete) {
             self.claim.outcome(TargetOutcome::Answered);
+            self.count_length();
             // A caller that left needs no end.
             let _ = self.parts.send(Part::End).await;
             if let Some(source) = self.source.take() {
@@ -538,6 +540,9 @@
             target: &self.gateway.instance(self.claim.target),
             how: end.name(),
             last_event: self.last_event.unwrap_or(0),
+            hinted_tokens: self.request.head.output_hint.unwrap_or(0),
+            most_tokens: self.request.head.max_output,
+            made_tokens: self.made,
             moves: self.moves,
             longest_gap_ms: millis(self.longest_gap),
             after_ms: millis(self.gateway.now().saturating_sub(self.request.arrived)),
@@ -666,6 +671,16 @@
         sent.map_err(|_| RelayEnd::CallerLeft)
     }
 
+    fn count_length(&self) {
+        if let Some(hint) = self.request.head.output_hint {
+            self.gateway.with(|beliefs| {
+                if let Some(lengths) = beliefs.lengths.get_mut(&self.request.route.name) {
+                    lengths.completed(hint, self.made);
+                }
+            });
+        }
+    }
+
     /// Time since the last event.
     fn silent_ms(&self) -> u64 {
         millis(self.gateway.now().saturating_sub(self.last_at))
--- a/crates/mimosagap-routing/src/lib.rs
+++ b/crates/mimosagap-routing/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod belief;
 pub mod config;
 pub mod hosts;
+pub mod lengths;
 pub mod moves;
 pub mod placement;
 pub mod quarantine;
