fix(gateway): no lost notice of a changed load

Cause: one task waited for changes and for datagrams; a datagram dropped the wait after its permit was taken, so most changes were told only by the next tick. Found by first-event times of 4 to 6 s where 0.5 s was expected. Change: one task tells, another hears. The log has a line for each first event with what was expected of it.

--- a/crates/mimosagap-gateway/src/claim.rs
+++ b/crates/mimosagap-gateway/src/claim.rs
@@ -16,7 +16,8 @@
     rank: usize,
     tokens: u32,
     unread: u32,
-    ahead: u32,
+    /// Prompt tokens that were to be read before this request's.
+    pub ahead: u32,
     begun: Duration,
 }
 
@@ -65,17 +66,15 @@
         }
     }
 
-    /// The prompt was read: the first event is there.
-    pub fn prompt_read(&mut self) {
-        if self.unread == 0 {
-            return;
-        }
+    /// The prompt was read: the first event is there. Returns the time since the send.
+    pub fn prompt_read(&mut self) -> Duration {
         let took = self.gateway.now().saturating_sub(self.begun);
         let (target, unread, rank, ahead) = (self.target, self.unread, self.rank, self.ahead);
         self.gateway
             .with(|beliefs| beliefs.targets.prompt_read(target, unread, rank, ahead, took));
         self.unread = 0;
         self.gateway.loads.notify_one();
+        took
     }
 
     /// The memory that it needs turns out to be more.
--- a/crates/mimosagap-gateway/src/log.rs
+++ b/crates/mimosagap-gateway/src/log.rs
@@ -102,6 +102,17 @@
         longest_gap_ms: u64,
         after_ms: u64,
     },
+    /// The first event of a stream is there.
+    FirstEvent {
+        id: &'a str,
+        target: &'a str,
+        /// Time since the send, and what was expected when the engine was chosen.
+        after_ms: u64,
+        expected_ms: u64,
+        /// Prompt tokens of this request, and those that were to be read before them.
+        prompt: u32,
+        ahead: u32,
+    },
     /// A stream broke at its engine.
     StreamBroke {
         id: &'a str,
@@ -138,7 +149,7 @@
             Self::Waits { .. } => (1, "waits"),
             Self::AttemptFailed { .. } => (2, "attempt_failed"),
             Self::Refused { .. } => (3, "refused"),
-            Self::Answered { .. } => (4, "answered"),
+            Self::Answered { .. } | Self::FirstEvent { .. } => (4, "answered"),
             Self::StreamEnded { .. } => (5, "stream_ended"),
             Self::Move { .. } | Self::StreamBroke { .. } | Self::StreamWentOn { .. } => (6, "move"),
             Self::TargetListed { .. } | Self::TargetLeaving { .. } => (7, "target"),
--- a/crates/mimosagap-gateway/src/peers.rs
+++ b/crates/mimosagap-gateway/src/peers.rs
@@ -6,6 +6,7 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use mimosagap_routing::targets::{RANKS, TargetLoad};
@@ -42,16 +43,26 @@
 /// What the hosts of one group were told last.
 type ToldLoads = HashMap<String, TargetLoad>;
 
-/// Sends this host's load and takes that of the others, for ever.
-pub async fn exchange_loads(gateway: SharedGateway, socket: UdpSocket) {
-    let host = name_mark(&gateway.settings.host);
+/// Takes the load of the other hosts, for ever.
+pub async fn hear_loads(gateway: SharedGateway, socket: Rc<UdpSocket>) {
     let mut buffer = [0; 2 * MAX_DATAGRAM];
+    loop {
+        if let Ok((length, sender)) = socket.recv_from(&mut buffer).await {
+            receive(&gateway, &buffer[..length], sender);
+        }
+    }
+}
+
+/// Tells the other hosts this host's load, for ever.
+pub async fn tell_loads(gateway: SharedGateway, socket: Rc<UdpSocket>) {
+    let host = name_mark(&gateway.settings.host);
     let mut ticks = tokio::time::interval(FAR_INTERVAL);
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     let mut round = 0_u32;
     let mut told_near = ToldLoads::new();
     let mut told_far = ToldLoads::new();
     loop {
+        // A change that is dropped here in favour of a tick is told by the tick.
         tokio::select! {
             _ = ticks.tick() => {
                 round = round.wrapping_add(1);
@@ -66,11 +77,6 @@
             () = changes(&gateway) => {
                 tell(&gateway, &socket, host, HostGroup::Near, &mut told_near).await;
             }
-            received = socket.recv_from(&mut buffer) => {
-                if let Ok((length, sender)) = received {
-                    receive(&gateway, &buffer[..length], sender);
-                }
-            }
         }
     }
 }
--- a/crates/mimosagap-gateway/src/run.rs
+++ b/crates/mimosagap-gateway/src/run.rs
@@ -208,7 +208,9 @@
     let socket = UdpSocket::bind(address)
         .await
         .map_err(|cause| start_error(address.to_string(), cause))?;
-    tokio::task::spawn_local(peers::exchange_loads(Rc::clone(gateway), socket));
+    let socket = Rc::new(socket);
+    tokio::task::spawn_local(peers::hear_loads(Rc::clone(gateway), Rc::clone(&socket)));
+    tokio::task::spawn_local(peers::tell_loads(Rc::clone(gateway), socket));
     Ok(())
 }
 
--- a/crates/mimosagap-gateway/src/streams.rs
+++ b/crates/mimosagap-gateway/src/streams.rs
@@ -228,7 +228,7 @@
         let target = place.target;
         let claim = LoadClaim::stream(gateway, target, &need, need.prompt);
         let wait = request.time_to_answer(gateway.now());
-        let attempt = first_event(gateway, request, need, claim, sends);
+        let attempt = first_event(gateway, request, need, claim, place.first_token, sends);
         match tokio::time::timeout(wait, attempt).await {
             Ok(Ok(FirstItem::Event(mut stream))) => {
                 stream.sends = sends;
@@ -279,6 +279,7 @@
     request: &Rc<RoutedRequest>,
     need: StreamNeed,
     mut claim: LoadClaim,
+    expected: Duration,
     attempt: u32,
 ) -> Result<FirstItem, ExchangeError> {
     let target = claim.target;
@@ -295,7 +296,15 @@
     let mut source = EventSource::new(exchange);
     match source.next().await {
         SourceItem::Event(first) => {
-            claim.prompt_read();
+            let took = claim.prompt_read();
+            gateway.log.event(&LogEvent::FirstEvent {
+                id: &request.head.id,
+                target: &gateway.instance(target),
+                after_ms: millis(took),
+                expected_ms: millis(expected),
+                prompt: need.prompt,
+                ahead: claim.ahead,
+            });
             Ok(FirstItem::Event(Box::new(BegunStream {
                 source,
                 first,
