feat(routing): spread choices that are made at the same moment

Urgent prompts were also expected to be read before others, which engines do not do.

Change: costs are spread at random by up to 8 ms for each host of the region, waiting requests take turns over the same time, another region costs 250 ms because its loads are half a second old, and all unread prompts count.

--- a/crates/mimosagap-gateway/src/claim.rs
+++ b/crates/mimosagap-gateway/src/claim.rs
@@ -46,9 +46,8 @@
     ) -> Self {
         let now = gateway.now();
         let ahead = gateway.with(|beliefs| {
-            let ahead = beliefs.targets.get(target).map_or(0, |known| {
-                known.load(now).unread[..=rank.min(3)].iter().sum()
-            });
+            let known = beliefs.targets.get(target);
+            let ahead = known.map_or(0, |known| known.unread(now));
             beliefs.targets.begin(target, tokens, unread, rank);
             ahead
         });
--- a/crates/mimosagap-gateway/src/streams.rs
+++ b/crates/mimosagap-gateway/src/streams.rs
@@ -15,10 +15,11 @@
 use mimosagap_platform::request::Continuation;
 use mimosagap_routing::backup::choose_backup;
 use mimosagap_routing::moves::is_worth_moving;
-use mimosagap_routing::placement::{Placement, StreamNeed, place_stream};
+use mimosagap_routing::placement::{Placement, StreamNeed, place_stream, spread};
 use mimosagap_routing::refusal::RefusalReason;
 use mimosagap_routing::targets::{RANKS, TargetKey, TargetOutcome};
 use mimosagap_routing::waiting::{Waiting, WaitingList};
+use rand::Rng;
 use tokio::sync::mpsc;
 
 use crate::answer::{AnswerBody, BrokenStream, refuse, target_head};
@@ -32,7 +33,7 @@
 use crate::link::HttpLink;
 use crate::log::LogEvent;
 use crate::request::RoutedRequest;
-use crate::state::{SharedGateway, millis};
+use crate::state::{Beliefs, SharedGateway, millis};
 
 /// Events between the relay and a caller that reads slowly; bounds the memory of a stream.
 const QUEUED_EVENTS: usize = 16;
@@ -387,8 +388,14 @@
     tried: &[TargetKey],
 ) -> Result<Placement, RefusalReason> {
     let now = gateway.now();
+    let spread = gateway.with(|beliefs| spread(beliefs.hosts.in_region(&gateway.settings.region)));
     let place = |now| {
-        gateway.with(|beliefs| place_stream(&beliefs.targets, &request.service, need, tried, now))
+        gateway.with(|beliefs| {
+            let Beliefs {
+                targets, random, ..
+            } = beliefs;
+            place_stream(targets, &request.service, need, tried, now, spread, random)
+        })
     };
     let is_behind = gateway.with(|beliefs| {
         let list = beliefs.waiting.entry(request.service.clone()).or_default();
@@ -444,6 +451,9 @@
             return Err(RefusalReason::Overload);
         }
         let _ = tokio::time::timeout(until.saturating_sub(now), changed).await;
+        // All hosts hear of a free place at once, and one request has room there.
+        let turn = gateway.with(|beliefs| spread.mul_f64(beliefs.random.random()));
+        pause(turn).await;
     }
 }
 
--- a/crates/mimosagap-routing/src/hosts.rs
+++ b/crates/mimosagap-routing/src/hosts.rs
@@ -73,6 +73,14 @@
         self.states.len()
     }
 
+    /// How many take part in a region.
+    #[must_use]
+    pub fn in_region(&self, region: &RegionName) -> usize {
+        self.live()
+            .filter(|(_, record)| record.region == *region)
+            .count()
+    }
+
     /// Whether none is known.
     #[must_use]
     pub fn is_empty(&self) -> bool {
--- a/crates/mimosagap-routing/src/placement.rs
+++ b/crates/mimosagap-routing/src/placement.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use mimosagap_types::prelude::*;
+use rand::Rng;
 
 use crate::targets::{Distance, Target, TargetKey, Targets};
 
@@ -22,8 +23,16 @@
 /// Cost of an engine in another zone of the region, for its round trip and its bytes.
 const ZONE_COST: Duration = Duration::from_millis(6);
 
-/// Cost of an engine in another region: a round trip of 60 ms and the price of its bytes.
-const REGION_COST: Duration = Duration::from_millis(90);
+/// Cost of an engine in another region: a round trip of 60 ms, the price of its bytes, and loads
+/// that are half a second old, in which several prompts may have been sent there.
+const REGION_COST: Duration = Duration::from_millis(250);
+
+/// Costs are spread at random by up to this much for each host of the region, because hosts that
+/// choose at the same moment do not see each other's choice: about the time until they hear of it.
+const SPREAD_PER_HOST: Duration = Duration::from_millis(8);
+
+/// Most that costs are spread: a fraction of the time to read one prompt.
+const MOST_SPREAD: Duration = Duration::from_millis(200);
 
 /// Cost of memory that is full: more running requests make every token slower.
 const FULL_COST: Duration = Duration::from_millis(350);
@@ -61,6 +70,13 @@
     }
 }
 
+/// How widely the choices of a number of hosts that share engines are spread.
+#[must_use]
+pub fn spread(hosts: usize) -> Duration {
+    let hosts = u32::try_from(hosts.saturating_sub(1)).unwrap_or(u32::MAX);
+    SPREAD_PER_HOST.saturating_mul(hosts).min(MOST_SPREAD)
+}
+
 /// An engine and when it is expected to send the first token.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Placement {
@@ -83,6 +99,8 @@
     need: StreamNeed,
     avoid: &[TargetKey],
     now: Duration,
+    spread: Duration,
+    random: &mut impl Rng,
 ) -> Option<Placement> {
     let engine = targets.engine(service)?;
     let ceiling = if need.rank == 0 {
@@ -98,11 +116,12 @@
             let filled = fill(target, engine.memory_tokens, need.tokens(), now);
             let has_room = load.requests < engine.slots && (filled <= ceiling || load.requests == 0);
             has_room.then(|| {
-                let first_token = target.read_time(need.prompt, need.rank, now)
+                let first_token = target.read_time(need.prompt, now)
                     + distance_cost(target.distance);
                 let cost = first_token
                     + FULL_COST.mul_f64(filled.min(1.0))
-                    + FAILURE_COST.mul_f64(target.failure_rate(now));
+                    + FAILURE_COST.mul_f64(target.failure_rate(now))
+                    + spread.mul_f64(random.random());
                 let placement = Placement {
                     target: key,
                     first_token,
--- a/crates/mimosagap-routing/src/targets.rs
+++ b/crates/mimosagap-routing/src/targets.rs
@@ -181,12 +181,17 @@
         self.failure_rate * 0.5_f64.powf(quiet / FORGIVENESS.as_secs_f64())
     }
 
-    /// Time until a prompt of this length is read, behind what is as urgent or more.
+    /// Prompt tokens to be read. An engine reads the prompts that it has admitted in the order of
+    /// their arrival, whatever their rank.
     #[must_use]
-    pub fn read_time(&self, prompt: u32, rank: usize, now: Duration) -> Duration {
-        let load = self.load(now);
-        let ahead: u32 = load.unread[..=rank.min(RANKS - 1)].iter().sum();
-        let milliseconds = f64::from(ahead + prompt) / self.read_rate;
+    pub fn unread(&self, now: Duration) -> u32 {
+        self.load(now).unread.iter().sum()
+    }
+
+    /// Time until a prompt of this length is read, behind all others.
+    #[must_use]
+    pub fn read_time(&self, prompt: u32, now: Duration) -> Duration {
+        let milliseconds = f64::from(self.unread(now) + prompt) / self.read_rate;
         Duration::from_secs_f64(milliseconds / 1000.0)
     }
 }
