--- a/crates/mimosagap-gateway/src/streams.rs
+++ b/crates/mimosagap-gateway/src/streams.rs
@@ -679,7 +679,11 @@
         self.made += self.tokens_per_event;
         if self.made > self.expected {
             self.expected = grown(self.made);
-            self.claim.resize(self.need.prompt + self.expected);
+            let need = StreamNeed {
+                output: self.expected,
+                ..self.need
+            };
+            self.claim.resize(need.tokens());
         }
         let now = self.gateway.now();
         if self.made > self.tokens_per_event {
--- a/crates/mimosagap-routing/src/placement.rs
+++ b/crates/mimosagap-routing/src/placement.rs
@@ -55,10 +55,11 @@
 }
 
 impl StreamNeed {
-    /// The memory that it is expected to need in the end.
+    /// The memory that it is expected to need on average over its life. Requests on one engine
+    /// end at different times, so their sum stays near the sum of the averages.
     #[must_use]
     pub fn tokens(&self) -> u32 {
-        self.prompt + self.output
+        self.prompt + self.output / 2
     }
 }
 
