--- a/crates/mimosagap-gateway/src/sync.rs
+++ b/crates/mimosagap-gateway/src/sync.rs
@@ -35,6 +35,10 @@
 /// Pause between two questions, so that a call brings the changes of several targets.
 const POLL_PAUSE: Duration = Duration::from_millis(80);
 
+/// Pause after everything was read: many hosts may start at once, and their records would be one
+/// change each.
+const FIRST_PAUSE: Duration = Duration::from_millis(600);
+
 /// Pause between two questions to the reader of the zone.
 const READER_PAUSE: Duration = Duration::from_millis(20);
 
@@ -45,7 +49,7 @@
 const HOST_TTL: Duration = Duration::from_millis(4000);
 
 /// The record is renewed at this interval, so that one lost renewal does not end it.
-const RENEWAL: Duration = Duration::from_millis(1300);
+const RENEWAL: Duration = Duration::from_millis(1800);
 
 /// Targets that are gone are kept for this long, for the log and for requests in flight.
 const KEEP_GONE: Duration = Duration::from_secs(10);
@@ -110,6 +114,7 @@
     }
 
     async fn ask_store(&mut self) {
+        let is_first = self.revision.is_none();
         let result = match self.revision {
             None => read_all(&self.gateway, &self.client).await,
             Some(after) => read_changes(&self.gateway, &self.client, after).await,
@@ -122,7 +127,8 @@
                 self.revision = Some(at);
                 self.failures = 0;
                 self.set_reachable(true, String::new());
-                tokio::time::sleep(POLL_PAUSE).await;
+                let pause = if is_first { FIRST_PAUSE } else { POLL_PAUSE };
+                tokio::time::sleep(pause).await;
             }
             Err(StoreError::Refused(StoreRefusal::HistoryGone)) => self.revision = None,
             Err(error) => {
