--- a/crates/mimosagap-daemon/src/main.rs
+++ b/crates/mimosagap-daemon/src/main.rs
@@ -99,9 +99,7 @@
 fn gateway_options(mut arguments: Arguments) -> Result<GatewayOptions, String> {
     let wrong = |error: pico_args::Error| format!("{error}; see mimosagapd --help");
     let options = GatewayOptions {
-        settings: arguments
-            .opt_value_from_str("--settings")
-            .map_err(wrong)?,
+        settings: arguments.opt_value_from_str("--settings").map_err(wrong)?,
         check: arguments.contains("--check"),
         metrics_port: arguments
             .opt_value_from_str("--metrics-port")
--- a/crates/mimosagap-gateway/src/answer.rs
+++ b/crates/mimosagap-gateway/src/answer.rs
@@ -38,7 +38,11 @@
 }
 
 /// An answer without a request, for the gateway's own calls.
-pub fn plain(status: StatusCode, content_type: &'static str, body: Vec<u8>) -> Response<AnswerBody> {
+pub fn plain(
+    status: StatusCode,
+    content_type: &'static str,
+    body: Vec<u8>,
+) -> Response<AnswerBody> {
     let mut response = Response::new(whole(body));
     *response.status_mut() = status;
     response
@@ -58,7 +62,11 @@
     reason: RefusalReason,
 ) -> Response<AnswerBody> {
     let (config_version, config_age_ms) = gateway.config_facts();
-    gateway.metrics.refusals.with_label_values(&[reason.name()]).inc();
+    gateway
+        .metrics
+        .refusals
+        .with_label_values(&[reason.name()])
+        .inc();
     gateway.log.event(&LogEvent::Refused {
         id,
         reason: reason.name(),
--- a/crates/mimosagap-gateway/src/calls.rs
+++ b/crates/mimosagap-gateway/src/calls.rs
@@ -227,8 +227,14 @@
     let status = answer.head.status;
     let route = request.route.name.as_str();
     let metrics = &gateway.metrics;
-    metrics.answers.with_label_values(&[route, status.as_str()]).inc();
-    metrics.latency.with_label_values(&[route]).observe(took.as_secs_f64());
+    metrics
+        .answers
+        .with_label_values(&[route, status.as_str()])
+        .inc();
+    metrics
+        .latency
+        .with_label_values(&[route])
+        .observe(took.as_secs_f64());
     gateway.log.event(&LogEvent::Answered {
         id: &request.head.id,
         target: &gateway.instance(target),
--- a/crates/mimosagap-gateway/src/claim.rs
+++ b/crates/mimosagap-gateway/src/claim.rs
@@ -69,8 +69,11 @@
     pub fn prompt_read(&mut self) -> Duration {
         let took = self.gateway.now().saturating_sub(self.begun);
         let (target, unread, rank, ahead) = (self.target, self.unread, self.rank, self.ahead);
-        self.gateway
-            .with(|beliefs| beliefs.targets.prompt_read(target, unread, rank, ahead, took));
+        self.gateway.with(|beliefs| {
+            beliefs
+                .targets
+                .prompt_read(target, unread, rank, ahead, took)
+        });
         self.unread = 0;
         self.gateway.loads.notify_one();
         took
--- a/crates/mimosagap-gateway/src/copies.rs
+++ b/crates/mimosagap-gateway/src/copies.rs
@@ -193,7 +193,10 @@
     *request.method_mut() = call.method;
     *request.uri_mut() = call.path.parse().unwrap_or_default();
     let headers = request.headers_mut();
-    headers.insert(header::CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    headers.insert(
+        header::CONTENT_TYPE,
+        HeaderValue::from_static("application/json"),
+    );
     if let Ok(host) = HeaderValue::from_str(&address.to_string()) {
         headers.insert(header::HOST, host);
     }
--- a/crates/mimosagap-gateway/src/exchange.rs
+++ b/crates/mimosagap-gateway/src/exchange.rs
@@ -73,7 +73,11 @@
     let result = try_exchange(gateway, request, key, options).await;
     if let Err(error) = &result {
         let cause = error.name();
-        gateway.metrics.failed_attempts.with_label_values(&[cause]).inc();
+        gateway
+            .metrics
+            .failed_attempts
+            .with_label_values(&[cause])
+            .inc();
         gateway.log.event(&LogEvent::AttemptFailed {
             id: &request.head.id,
             target: &gateway.instance(key),
@@ -135,7 +139,11 @@
     }
     let result = HttpLink::open(address).await;
     let label = if result.is_ok() { "opened" } else { "failed" };
-    gateway.metrics.connections.with_label_values(&[label]).inc();
+    gateway
+        .metrics
+        .connections
+        .with_label_values(&[label])
+        .inc();
     result.map_err(|_| ExchangeError::Unreachable)
 }
 
--- a/crates/mimosagap-gateway/src/feed.rs
+++ b/crates/mimosagap-gateway/src/feed.rs
@@ -151,9 +151,7 @@
         let returned = beliefs.store_returned_at;
         Some(FeedMessage {
             age_ms: millis(age) + 1,
-            returned_ms: returned
-                .filter(|at| *at <= now)
-                .map(|at| millis(now - at)),
+            returned_ms: returned.filter(|at| *at <= now).map(|at| millis(now - at)),
             // A host that asked the store itself may know more than its reader.
             revision: beliefs.mirror.revision().max(after),
             is_whole,
--- a/crates/mimosagap-gateway/src/ingress.rs
+++ b/crates/mimosagap-gateway/src/ingress.rs
@@ -36,7 +36,9 @@
 
 impl Drop for InFlight {
     fn drop(&mut self) {
-        self.0.in_flight.set(self.0.in_flight.get().saturating_sub(1));
+        self.0
+            .in_flight
+            .set(self.0.in_flight.get().saturating_sub(1));
         self.0.metrics.in_flight.dec();
     }
 }
@@ -152,11 +154,7 @@
     }
 }
 
-async fn read_body(
-    body: Incoming,
-    most: usize,
-    wait: Duration,
-) -> Result<Bytes, RefusalReason> {
+async fn read_body(body: Incoming, most: usize, wait: Duration) -> Result<Bytes, RefusalReason> {
     match tokio::time::timeout(wait, Limited::new(body, most).collect()).await {
         Ok(Ok(body)) => Ok(body.to_bytes()),
         Ok(Err(error)) if error.is::<LengthLimitError>() => Err(RefusalReason::BodyTooLong),
--- a/crates/mimosagap-gateway/src/log.rs
+++ b/crates/mimosagap-gateway/src/log.rs
@@ -63,7 +63,11 @@
         config_age_ms: u64,
     },
     /// A request waits for a place.
-    Waits { id: &'a str, rank: usize, ahead: usize },
+    Waits {
+        id: &'a str,
+        rank: usize,
+        ahead: usize,
+    },
     /// An attempt did not bring an answer.
     AttemptFailed {
         id: &'a str,
--- a/crates/mimosagap-gateway/src/metrics.rs
+++ b/crates/mimosagap-gateway/src/metrics.rs
@@ -68,8 +68,11 @@
         let known = IntGaugeVec::new(Opts::new("mimosagap_known", "Known peers"), &["what"])?;
         registry.register(Box::new(known.clone()))?;
         let latency = HistogramVec::new(
-            HistogramOpts::new("mimosagap_latency_seconds", "Time to the first event or answer")
-                .buckets(LATENCY_BUCKETS.to_vec()),
+            HistogramOpts::new(
+                "mimosagap_latency_seconds",
+                "Time to the first event or answer",
+            )
+            .buckets(LATENCY_BUCKETS.to_vec()),
             &["route"],
         )?;
         registry.register(Box::new(latency.clone()))?;
--- a/crates/mimosagap-gateway/src/run.rs
+++ b/crates/mimosagap-gateway/src/run.rs
@@ -89,7 +89,10 @@
             }
             Self::Settings { path, cause } => write!(f, "{}: {cause}", path.display()),
             Self::Start { what, cause } => {
-                write!(f, "cannot start {what}: {cause}; free the address or raise the limit")
+                write!(
+                    f,
+                    "cannot start {what}: {cause}; free the address or raise the limit"
+                )
             }
             Self::Metrics(cause) => write!(f, "cannot register metrics: {cause}; report this"),
         }
@@ -178,9 +181,11 @@
     let settings = &gateway.settings;
     let mut questions = vec![settings.readiness];
     questions.extend(settings.addresses);
-    for (address, kind) in std::iter::once((settings.callers, ListenerKind::Callers))
-        .chain(questions.into_iter().map(|address| (address, ListenerKind::Questions)))
-    {
+    for (address, kind) in std::iter::once((settings.callers, ListenerKind::Callers)).chain(
+        questions
+            .into_iter()
+            .map(|address| (address, ListenerKind::Questions)),
+    ) {
         let listener = bind(address).map_err(|cause| start_error(address.to_string(), cause))?;
         tokio::task::spawn_local(accept(Rc::clone(gateway), listener, kind));
     }
--- a/crates/mimosagap-gateway/src/state.rs
+++ b/crates/mimosagap-gateway/src/state.rs
@@ -13,7 +13,7 @@
 use mimosagap_routing::lengths::LengthEstimator;
 use mimosagap_routing::quarantine::Quarantine;
 use mimosagap_routing::retries::{RetryBounds, RetryBudget};
-use mimosagap_routing::targets::{Targets, TargetKey};
+use mimosagap_routing::targets::{TargetKey, Targets};
 use mimosagap_routing::waiting::WaitingList;
 use mimosagap_types::prelude::*;
 use rand::SeedableRng;
--- a/crates/mimosagap-gateway/src/store.rs
+++ b/crates/mimosagap-gateway/src/store.rs
@@ -128,7 +128,10 @@
         *request.method_mut() = method;
         *request.uri_mut() = path.parse().unwrap_or_default();
         let headers = request.headers_mut();
-        headers.insert(header::CONTENT_TYPE, HeaderValue::from_static("application/json"));
+        headers.insert(
+            header::CONTENT_TYPE,
+            HeaderValue::from_static("application/json"),
+        );
         if let Ok(host) = HeaderValue::from_str(&self.address.to_string()) {
             headers.insert(header::HOST, host);
         }
--- a/crates/mimosagap-gateway/src/streams.rs
+++ b/crates/mimosagap-gateway/src/streams.rs
@@ -141,7 +141,10 @@
 fn need_of(gateway: &SharedGateway, request: &RoutedRequest) -> StreamNeed {
     let head = &request.head;
     let output = gateway.with(|beliefs| {
-        let lengths = beliefs.lengths.entry(request.route.name.clone()).or_default();
+        let lengths = beliefs
+            .lengths
+            .entry(request.route.name.clone())
+            .or_default();
         if let Some(hint) = head.output_hint {
             lengths.arrived(hint);
         }
@@ -163,9 +166,7 @@
     let request = Rc::new(request);
     let need = need_of(gateway, &request);
     match begin(gateway, &request, need).await {
-        Begun::Refused(reason) => {
-            refuse(gateway, &request.head.id, request.arrived, reason)
-        }
+        Begun::Refused(reason) => refuse(gateway, &request.head.id, request.arrived, reason),
         Begun::Answered(target, answer) => deliver(gateway, &request, target, answer),
         Begun::Stream(stream) => {
             let (sender, receiver) = mpsc::channel(QUEUED_EVENTS);
@@ -174,7 +175,10 @@
             let took = gateway.now().saturating_sub(request.arrived);
             let metrics = &gateway.metrics;
             metrics.answers.with_label_values(&[route, "stream"]).inc();
-            metrics.latency.with_label_values(&[route]).observe(took.as_secs_f64());
+            metrics
+                .latency
+                .with_label_values(&[route])
+                .observe(took.as_secs_f64());
             let relay = StreamRelay::new(Rc::clone(gateway), request, need, stream, sender);
             tokio::task::spawn_local(async move {
                 relay.run().await;
@@ -634,7 +638,10 @@
             if !can_move || !is_leaving(source) {
                 return None;
             }
-            let secured = self.secured.as_ref().filter(|copy| !is_leaving(copy.target));
+            let secured = self
+                .secured
+                .as_ref()
+                .filter(|copy| !is_leaving(copy.target));
             if secured.is_some_and(|copy| now < copy.made_at + COPY_LIFE) {
                 return None;
             }
--- a/crates/mimosagap-gateway/src/sync.rs
+++ b/crates/mimosagap-gateway/src/sync.rs
@@ -43,7 +43,8 @@
 const READER_PAUSE: Duration = Duration::from_millis(20);
 
 /// Pauses after a failed call, first and longest.
-const FAILURE_PAUSE: (Duration, Duration) = (Duration::from_millis(100), Duration::from_millis(600));
+const FAILURE_PAUSE: (Duration, Duration) =
+    (Duration::from_millis(100), Duration::from_millis(600));
 
 /// Time to live of this host's record. A host that is killed is listed for this long.
 const HOST_TTL: Duration = Duration::from_millis(4000);
@@ -137,7 +138,8 @@
                 self.set_reachable(false, error.to_string());
                 // What vanishes from now on may only have lapsed; see `settle`.
                 let away = Some(Duration::MAX);
-                self.gateway.with(|beliefs| beliefs.store_returned_at = away);
+                self.gateway
+                    .with(|beliefs| beliefs.store_returned_at = away);
                 self.failures += 1;
                 tokio::time::sleep(failure_pause(&self.gateway, self.failures)).await;
             }
@@ -147,7 +149,9 @@
     fn set_reachable(&mut self, reachable: bool, cause: String) {
         if self.is_reachable != reachable {
             self.is_reachable = reachable;
-            self.gateway.log.event(&LogEvent::Store { reachable, cause });
+            self.gateway
+                .log
+                .event(&LogEvent::Store { reachable, cause });
         }
     }
 }
@@ -305,8 +309,13 @@
                 is_new
             });
             if is_new {
-                gateway.metrics.config_version.set(i64::try_from(version).unwrap_or(i64::MAX));
-                gateway.log.event(&LogEvent::ConfigInForce { version, revision });
+                gateway
+                    .metrics
+                    .config_version
+                    .set(i64::try_from(version).unwrap_or(i64::MAX));
+                gateway
+                    .log
+                    .event(&LogEvent::ConfigInForce { version, revision });
             }
         }
         Err(error) => gateway.log.event(&LogEvent::ConfigUnreadable {
@@ -359,7 +368,9 @@
 }
 
 fn leaves(gateway: &SharedGateway, target: &str, source: &str) {
-    gateway.log.event(&LogEvent::TargetLeaving { target, source });
+    gateway
+        .log
+        .event(&LogEvent::TargetLeaving { target, source });
     gateway.leaving.notify_waiters();
 }
 
--- a/crates/mimosagap-routing/src/belief.rs
+++ b/crates/mimosagap-routing/src/belief.rs
@@ -53,9 +53,10 @@
     /// Takes a configuration as of a store revision. An older one is left alone; returns whether
     /// it is in force now.
     pub fn apply(&mut self, revision: u64, config: FleetConfig) -> bool {
-        let is_newer = self.current.as_ref().is_none_or(|(known, old)| {
-            revision > *known && config.version >= old.version
-        });
+        let is_newer = self
+            .current
+            .as_ref()
+            .is_none_or(|(known, old)| revision > *known && config.version >= old.version);
         if is_newer {
             self.current = Some((revision, Arc::new(config)));
         }
--- a/crates/mimosagap-routing/src/hosts.rs
+++ b/crates/mimosagap-routing/src/hosts.rs
@@ -9,7 +9,7 @@
 
 /// A host whose record vanished around an outage of the store stays listed for this long after
 /// the store is back, because its lease may have lapsed unnoticed.
-pub const RETURN_GRACE: Duration = Duration::from_millis(3000);
+pub const RETURN_GRACE: Duration = Duration::from_secs(3);
 
 /// What a host publishes of itself.
 #[derive(Debug, Clone, PartialEq, Eq)]
--- a/crates/mimosagap-routing/src/lengths.rs
+++ b/crates/mimosagap-routing/src/lengths.rs
@@ -77,9 +77,7 @@
         let assumed = (f64::from(bound.min(8192)) * PRIOR_PART).max(1.0).ln();
         let center = self.estimates.mean(assumed);
         let error = self.errors.variance(0.0, PRIOR_ERROR);
-        let total = self
-            .estimates
-            .variance(center, PRIOR_SPREAD + PRIOR_ERROR);
+        let total = self.estimates.variance(center, PRIOR_SPREAD + PRIOR_ERROR);
         let spread = (total - error).max(LEAST_SPREAD);
         let (mean, variance) = match hint {
             Some(hint) => {
--- a/crates/mimosagap-routing/src/placement.rs
+++ b/crates/mimosagap-routing/src/placement.rs
@@ -115,10 +115,11 @@
         .filter_map(|(key, target)| {
             let load = target.load(now);
             let filled = fill(target, engine.memory_tokens, need.tokens(), now);
-            let has_room = load.requests < engine.slots && (filled <= ceiling || load.requests == 0);
+            let has_room =
+                load.requests < engine.slots && (filled <= ceiling || load.requests == 0);
             has_room.then(|| {
-                let first_token = target.read_time(need.prompt, now)
-                    + distance_cost(target.distance);
+                let first_token =
+                    target.read_time(need.prompt, now) + distance_cost(target.distance);
                 let cost = first_token
                     + FULL_COST.mul_f64(filled.min(1.0))
                     + FAILURE_COST.mul_f64(target.failure_rate(now))
--- a/crates/mimosagap-routing/src/quarantine.rs
+++ b/crates/mimosagap-routing/src/quarantine.rs
@@ -13,7 +13,7 @@
 const MAX_CRASHES: usize = 3;
 
 /// Crashes are remembered for this long.
-pub const MEMORY: Duration = Duration::from_secs(120);
+pub const MEMORY: Duration = Duration::from_mins(2);
 
 /// Names a request by what the caller would send again.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
--- /dev/null
+++ b/crates/mimosagap-routing/tests/moves.rs
@@ -0,0 +1,91 @@
+//! Engines that are taken away two seconds after their notice.
+
+mod support;
+
+use std::time::Duration;
+
+use mimosagap_routing::backup::choose_backup;
+use mimosagap_routing::moves::{destination, is_worth_moving};
+use mimosagap_routing::placement::StreamNeed;
+use mimosagap_routing::targets::TargetKey;
+use support::{MEMORY, engines, service};
+
+const NOW: Duration = Duration::from_secs(1000);
+
+const QUOTE: StreamNeed = StreamNeed {
+    prompt: 3000,
+    output: 800,
+    rank: 1,
+};
+
+fn chosen(
+    zones: &[&str],
+    fill: &[(usize, u32)],
+    unread: &[(usize, u32)],
+) -> (Option<TargetKey>, Vec<TargetKey>) {
+    let (mut targets, keys) = engines(zones);
+    for (index, tokens) in fill {
+        targets.begin(keys[*index], *tokens, 0, 1);
+    }
+    for (index, tokens) in unread {
+        targets.begin(keys[*index], *tokens, *tokens, 1);
+    }
+    let source = targets.get(keys[0]).unwrap();
+    let key = destination(
+        &targets,
+        &service(),
+        source,
+        QUOTE.tokens(),
+        &[keys[0]],
+        NOW,
+    );
+    (key, keys)
+}
+
+#[test]
+fn a_generation_that_ends_in_time_stays() {
+    assert!(!is_worth_moving(780, 800));
+    assert!(is_worth_moving(100, 800));
+    // One that is longer than expected may go on for long.
+    assert!(is_worth_moving(900, 800));
+}
+
+#[test]
+fn a_copy_stays_within_the_zone_while_it_has_room() {
+    let (key, keys) = chosen(&["a", "b", "a"], &[(2, 9000)], &[]);
+    assert_eq!(key, Some(keys[2]));
+}
+
+#[test]
+fn a_copy_leaves_a_zone_that_is_full() {
+    let (key, keys) = chosen(&["a", "b", "a"], &[(2, MEMORY)], &[]);
+    assert_eq!(key, Some(keys[1]));
+}
+
+#[test]
+fn an_engine_with_unread_prompts_is_avoided() {
+    let (key, keys) = chosen(&["a", "a", "a"], &[(2, 9000)], &[(1, 3000)]);
+    assert_eq!(key, Some(keys[2]));
+}
+
+#[test]
+fn copies_from_the_start_use_only_free_memory() {
+    let (mut targets, keys) = engines(&["a", "a"]);
+    let backup = |targets: &_| choose_backup(targets, &service(), keys[0], QUOTE, NOW);
+    assert_eq!(backup(&targets), Some(keys[1]));
+    targets.begin(keys[1], MEMORY / 2, 0, 1);
+    assert_eq!(backup(&targets), None);
+}
+
+#[test]
+fn a_short_answer_gets_no_copy_from_the_start() {
+    let (targets, keys) = engines(&["a", "a"]);
+    let short = StreamNeed {
+        output: 20,
+        ..QUOTE
+    };
+    assert_eq!(
+        choose_backup(&targets, &service(), keys[0], short, NOW),
+        None
+    );
+}
--- /dev/null
+++ b/crates/mimosagap-routing/tests/placement.rs
@@ -0,0 +1,165 @@
+//! Prompts of thousands of tokens, sent by many hosts to engines that hold about ten of them.
+
+mod support;
+
+use std::collections::HashSet;
+use std::time::Duration;
+
+use mimosagap_routing::placement::{StreamNeed, place_call, place_stream, spread};
+use mimosagap_routing::targets::{Distance, TargetKey, TargetLoad, TargetOutcome, Targets};
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use support::{MEMORY, engines, entry, service};
+
+const NOW: Duration = Duration::from_secs(1000);
+
+const QUOTE: StreamNeed = StreamNeed {
+    prompt: 3000,
+    output: 800,
+    rank: 1,
+};
+
+fn place(targets: &Targets, need: StreamNeed) -> Option<TargetKey> {
+    let mut random = SmallRng::seed_from_u64(1);
+    place_stream(
+        targets,
+        &service(),
+        need,
+        &[],
+        NOW,
+        Duration::ZERO,
+        &mut random,
+    )
+    .map(|placement| placement.target)
+}
+
+#[test]
+fn a_burst_goes_round_the_engines_instead_of_queueing_on_one() {
+    let (mut targets, keys) = engines(&["a", "a", "a"]);
+    for _ in 0..6 {
+        let key = place(&targets, QUOTE).expect("there is room");
+        targets.begin(key, QUOTE.tokens(), QUOTE.prompt, QUOTE.rank);
+    }
+    for key in keys {
+        assert_eq!(targets.get(key).unwrap().own.requests, 2);
+    }
+}
+
+#[test]
+fn unread_prompts_of_other_hosts_count() {
+    let (mut targets, keys) = engines(&["a", "a"]);
+    let load = TargetLoad {
+        requests: 3,
+        tokens: 9000,
+        unread: [0, 9000, 0, 0],
+    };
+    targets.peer_load("i-0", 77, load, NOW);
+    assert_eq!(place(&targets, QUOTE), Some(keys[1]));
+}
+
+#[test]
+fn an_urgent_prompt_is_read_after_less_urgent_ones() {
+    let (mut targets, keys) = engines(&["a", "a"]);
+    targets.begin(keys[0], 6000, 6000, 2);
+    let urgent = StreamNeed { rank: 0, ..QUOTE };
+    assert_eq!(place(&targets, urgent), Some(keys[1]));
+}
+
+#[test]
+fn full_memory_makes_a_request_wait() {
+    let (mut targets, keys) = engines(&["a"]);
+    targets.begin(keys[0], MEMORY, 0, 1);
+    assert_eq!(place(&targets, QUOTE), None);
+}
+
+#[test]
+fn an_idle_engine_takes_a_request_of_any_size() {
+    let (targets, keys) = engines(&["a"]);
+    let huge = StreamNeed {
+        prompt: MEMORY,
+        ..QUOTE
+    };
+    assert_eq!(place(&targets, huge), Some(keys[0]));
+}
+
+#[test]
+fn hosts_that_choose_at_the_same_moment_do_not_all_choose_the_same_engine() {
+    let (targets, _) = engines(&["a"; 10]);
+    let chosen: HashSet<TargetKey> = (0..28)
+        .filter_map(|seed| {
+            let mut random = SmallRng::seed_from_u64(seed);
+            let spread = spread(28);
+            place_stream(&targets, &service(), QUOTE, &[], NOW, spread, &mut random)
+        })
+        .map(|placement| placement.target)
+        .collect();
+    assert!(chosen.len() >= 6, "{} engines chosen", chosen.len());
+}
+
+#[test]
+fn a_target_that_fails_its_work_loses_it_although_nothing_else_tells() {
+    let (mut targets, keys) = engines(&["a", "a"]);
+    for _ in 0..8 {
+        targets.outcome(keys[0], TargetOutcome::Failed, NOW);
+    }
+    assert_eq!(place_call(&targets, &service(), &[], NOW), Some(keys[1]));
+    let later = NOW + Duration::from_mins(1);
+    let failure_rate = targets.get(keys[0]).unwrap().failure_rate(later);
+    assert!(failure_rate < 0.01, "{failure_rate} is not forgiven");
+}
+
+#[test]
+fn a_target_that_cannot_be_reached_is_left_alone_and_tried_again() {
+    let (mut targets, keys) = engines(&["a"]);
+    targets.outcome(keys[0], TargetOutcome::Unreachable, NOW);
+    assert_eq!(place(&targets, QUOTE), None);
+    let key = keys[0];
+    assert!(
+        targets
+            .get(key)
+            .unwrap()
+            .is_usable(NOW + Duration::from_secs(1))
+    );
+}
+
+#[test]
+fn a_target_that_leaves_gets_nothing_and_does_not_come_back() {
+    let (mut targets, keys) = engines(&["a"]);
+    let mut draining = entry(0, "a");
+    draining.is_draining = true;
+    assert_eq!(targets.put(draining, Distance::Zone, NOW), (keys[0], true));
+    assert_eq!(place(&targets, QUOTE), None);
+    targets.put(entry(0, "a"), Distance::Zone, NOW);
+    assert_eq!(place(&targets, QUOTE), None);
+}
+
+#[test]
+fn a_target_that_started_again_under_its_id_is_a_new_one() {
+    let (mut targets, keys) = engines(&["a"]);
+    targets.begin(keys[0], MEMORY, 0, 1);
+    let mut again = entry(0, "a");
+    again.started_unix_ms = 2;
+    let (key, is_news) = targets.put(again, Distance::Zone, NOW);
+    assert!(is_news && key != keys[0]);
+    assert_eq!(place(&targets, QUOTE), Some(key));
+}
+
+#[test]
+fn an_entry_that_lapsed_in_an_outage_counts_until_its_time_to_come_back_is_over() {
+    let (mut targets, keys) = engines(&["a"]);
+    targets.remove("i-0", NOW + Duration::from_secs(2));
+    assert!(targets.get(keys[0]).unwrap().is_usable(NOW));
+    assert!(
+        !targets
+            .get(keys[0])
+            .unwrap()
+            .is_usable(NOW + Duration::from_secs(2))
+    );
+    targets.put(entry(0, "a"), Distance::Zone, NOW);
+    assert!(
+        targets
+            .get(keys[0])
+            .unwrap()
+            .is_usable(NOW + Duration::from_secs(3))
+    );
+}
--- /dev/null
+++ b/crates/mimosagap-routing/tests/support/mod.rs
@@ -0,0 +1,53 @@
+//! Targets for the tests of decisions.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use mimosagap_routing::config::EngineLimits;
+use mimosagap_routing::targets::{Distance, TargetEntry, TargetKey, Targets};
+use mimosagap_types::prelude::*;
+
+/// Memory of the engines of the sites.
+pub const MEMORY: u32 = 34_000;
+
+/// The service of all targets here.
+pub fn service() -> DeploymentName {
+    DeploymentName::new("model")
+}
+
+/// An entry as a target writes it.
+pub fn entry(number: u16, zone: &str) -> TargetEntry {
+    TargetEntry {
+        instance: format!("i-{number}"),
+        service: service(),
+        address: ([10, 0, 0, 1], 8000 + number).into(),
+        zone: ZoneName::new(zone),
+        slots: 24,
+        is_draining: false,
+        started_unix_ms: 1,
+    }
+}
+
+/// Engines in the zones named, all near.
+pub fn engines(zones: &[&str]) -> (Targets, Vec<TargetKey>) {
+    let mut targets = Targets::default();
+    targets.set_engines(HashMap::from([(
+        service(),
+        EngineLimits {
+            slots: 24,
+            memory_tokens: MEMORY,
+            can_move: true,
+            can_back_up: true,
+            tokens_per_event: 4,
+        },
+    )]));
+    let keys = zones
+        .iter()
+        .zip(0..)
+        .map(|(zone, number)| {
+            let entry = entry(number, zone);
+            targets.put(entry, Distance::Zone, Duration::ZERO).0
+        })
+        .collect();
+    (targets, keys)
+}
