test(soak): real gateways under injected faults

Three gateways run as processes beside stand-ins of the store and six targets. A plan drawn from a seed kills, stops, pauses and restarts them, crashes, drains and spoils targets, makes the store busy, silent, slow or forgetful, and revokes keys. A ledger checks from what callers and targets see: at most one run, true refusals, whole answers and streams, teams, revoked keys, drained targets, and service after the faults.

--- a/crates/mimosagap-gateway/src/claim.rs
+++ b/crates/mimosagap-gateway/src/claim.rs
@@ -70,9 +70,8 @@
         let took = self.gateway.now().saturating_sub(self.begun);
         let (target, unread, rank, ahead) = (self.target, self.unread, self.rank, self.ahead);
         self.gateway.with(|beliefs| {
-            beliefs
-                .targets
-                .prompt_read(target, unread, rank, ahead, took)
+            let targets = &mut beliefs.targets;
+            targets.prompt_read(target, unread, rank, ahead, took);
         });
         self.unread = 0;
         self.gateway.loads.notify_one();
--- a/crates/mimosagap-gateway/src/copies.rs
+++ b/crates/mimosagap-gateway/src/copies.rs
@@ -21,7 +21,7 @@
 use crate::state::{SharedGateway, millis};
 
 /// An engine that leaves is gone before a copy that takes longer than this ends.
-const COPY_TIMEOUT: Duration = Duration::from_millis(4000);
+const COPY_TIMEOUT: Duration = Duration::from_secs(4);
 
 /// Longest answer of an engine to a call, in bytes.
 const MAX_ANSWER: usize = 64 << 10;
--- a/crates/mimosagap-gateway/src/events.rs
+++ b/crates/mimosagap-gateway/src/events.rs
@@ -32,7 +32,10 @@
     }
 
     /// Takes the next whole event.
-    pub fn next(&mut self) -> Result<Option<StreamEvent>, EventTooLong> {
+    ///
+    /// # Errors
+    /// If what is there is longer than any event.
+    pub fn next_event(&mut self) -> Result<Option<StreamEvent>, EventTooLong> {
         let Some(end) = self.find_end() else {
             return if self.buffer.len() > MAX_EVENT {
                 Err(EventTooLong)
@@ -49,6 +52,7 @@
     }
 
     /// Whether nothing is left over.
+    #[must_use]
     pub fn is_empty(&self) -> bool {
         self.buffer.is_empty()
     }
--- a/crates/mimosagap-gateway/src/feed.rs
+++ b/crates/mimosagap-gateway/src/feed.rs
@@ -27,7 +27,7 @@
 const WAIT: Duration = Duration::from_millis(500);
 
 /// A reader that does not answer in this time is not asked again for a while.
-const ANSWER_TIMEOUT: Duration = Duration::from_millis(1000);
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Longest answer in bytes.
 const MAX_ANSWER: usize = 16 << 20;
@@ -151,7 +151,7 @@
         let returned = beliefs.store_returned_at;
         Some(FeedMessage {
             age_ms: millis(age) + 1,
-            returned_ms: returned.filter(|at| *at <= now).map(|at| millis(now - at)),
+            returned_ms: returned.and_then(|at| now.checked_sub(at)).map(millis),
             // A host that asked the store itself may know more than its reader.
             revision: beliefs.mirror.revision().max(after),
             is_whole,
--- a/crates/mimosagap-gateway/src/lib.rs
+++ b/crates/mimosagap-gateway/src/lib.rs
@@ -10,7 +10,7 @@
 mod calls;
 mod claim;
 mod copies;
-mod events;
+pub mod events;
 mod exchange;
 mod feed;
 mod health;
--- a/crates/mimosagap-gateway/src/serve.rs
+++ b/crates/mimosagap-gateway/src/serve.rs
@@ -1,6 +1,7 @@
 //! Listeners and what they serve.
 
 use std::convert::Infallible;
+use std::future::ready;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -109,7 +110,8 @@
                 .await
         }
         ListenerKind::Questions => {
-            let service = service_fn(move |request| answer(Rc::clone(&gateway), request));
+            let service =
+                service_fn(move |request| ready(Ok::<_, Infallible>(answer(&gateway, &request))));
             builder
                 .serve_connection(TokioIo::new(stream), service)
                 .await
@@ -117,15 +119,12 @@
     };
 }
 
-async fn answer(
-    gateway: SharedGateway,
-    request: Request<Incoming>,
-) -> Result<Response<AnswerBody>, Infallible> {
+fn answer(gateway: &SharedGateway, request: &Request<Incoming>) -> Response<AnswerBody> {
     let path = request.uri().path();
-    let response = if request.method() != Method::GET {
+    if request.method() != Method::GET {
         plain(StatusCode::METHOD_NOT_ALLOWED, "text/plain", Vec::new())
     } else if path == names::READINESS_PATH {
-        let status = if is_ready(&gateway) {
+        let status = if is_ready(gateway) {
             StatusCode::OK
         } else {
             StatusCode::SERVICE_UNAVAILABLE
@@ -133,13 +132,12 @@
         plain(status, "text/plain", Vec::new())
     } else if path == names::ADDRESSES_PATH {
         let query = AddressQuery::parse(request.uri().query().unwrap_or_default());
-        addresses(&gateway, &query)
+        addresses(gateway, &query)
     } else if path == METRICS_PATH {
-        metrics(&gateway)
+        metrics(gateway)
     } else {
         plain(StatusCode::NOT_FOUND, "text/plain", Vec::new())
-    };
-    Ok(response)
+    }
 }
 
 async fn answer_peer(
--- a/crates/mimosagap-gateway/src/streams.rs
+++ b/crates/mimosagap-gateway/src/streams.rs
@@ -119,7 +119,7 @@
     /// The next whole event. Nothing is lost if the caller stops waiting.
     async fn next(&mut self) -> SourceItem {
         loop {
-            match self.splitter.next() {
+            match self.splitter.next_event() {
                 Ok(Some(event)) => return SourceItem::Event(event),
                 Ok(None) => {}
                 Err(_) => return SourceItem::Broken,
--- a/crates/mimosagap-gateway/src/sync.rs
+++ b/crates/mimosagap-gateway/src/sync.rs
@@ -47,7 +47,7 @@
     (Duration::from_millis(100), Duration::from_millis(600));
 
 /// Time to live of this host's record. A host that is killed is listed for this long.
-const HOST_TTL: Duration = Duration::from_millis(4000);
+const HOST_TTL: Duration = Duration::from_secs(4);
 
 /// The record is renewed at this interval, so that one lost renewal does not end it.
 const RENEWAL: Duration = Duration::from_millis(1800);
--- /dev/null
+++ b/crates/mimosagap-gateway/tests/events.rs
@@ -0,0 +1,51 @@
+//! Streams that arrive in pieces, end early or never end an event.
+
+use mimosagap_gateway::events::{EventSplitter, EventTooLong};
+use rstest::rstest;
+
+fn split(pieces: &[&[u8]]) -> (Vec<(Option<u64>, Vec<u8>)>, bool) {
+    let mut splitter = EventSplitter::default();
+    let mut events = Vec::new();
+    for piece in pieces {
+        splitter.push(piece);
+        while let Some(event) = splitter.next_event().expect("no event is too long") {
+            events.push((event.id, event.bytes.to_vec()));
+        }
+    }
+    (events, splitter.is_empty())
+}
+
+#[rstest]
+#[case::whole(&[b"id: 1\ndata: a\n\n"])]
+#[case::in_two(&[b"id: 1\nda", b"ta: a\n\n"])]
+#[case::between_the_line_ends(&[b"id: 1\ndata: a\n", b"\n"])]
+fn an_event_is_taken_when_it_is_whole(#[case] pieces: &[&[u8]]) {
+    let (events, is_empty) = split(pieces);
+    assert_eq!(events, [(Some(1), b"id: 1\ndata: a\n\n".to_vec())]);
+    assert!(is_empty);
+}
+
+#[test]
+fn every_cut_gives_the_same_events() {
+    let text = b"id: 1\r\ndata: a\r\n\r\nmodel: 2\nid: 2\ndata: b\n\ndata: c\n\n";
+    let whole = split(&[text]);
+    assert_eq!(whole.0.len(), 3);
+    assert_eq!(whole.0[1].0, Some(2));
+    for cut in 0..text.len() {
+        assert_eq!(split(&[&text[..cut], &text[cut..]]), whole, "cut at {cut}");
+    }
+}
+
+#[test]
+fn the_beginning_of_an_event_is_kept_back() {
+    let (events, is_empty) = split(&[b"id: 1\ndata: a\n\nid: 2\nda"]);
+    assert_eq!(events.len(), 1);
+    assert!(!is_empty);
+}
+
+#[test]
+fn an_event_without_end_is_refused() {
+    let mut splitter = EventSplitter::default();
+    splitter.push(&vec![b'x'; (1 << 20) + 1]);
+    assert_eq!(splitter.next_event(), Err(EventTooLong));
+}
--- a/crates/mimosagap-routing/tests/belief.rs
+++ b/crates/mimosagap-routing/tests/belief.rs
@@ -40,9 +40,9 @@
     let mut belief = belief(true);
     belief.apply(7, config(1));
     belief.hear(seconds(100));
-    let last = seconds(100) + seconds(5) - WATCH_SILENCE;
+    let last = (seconds(100) + seconds(5)).saturating_sub(WATCH_SILENCE);
     assert!(!belief.may_run_keyed(last));
-    assert!(belief.may_run_keyed(last - seconds(1)));
+    assert!(belief.may_run_keyed(last.saturating_sub(seconds(1))));
 }
 
 #[test]
--- a/crates/mimosagap-routing/tests/fleet.rs
+++ b/crates/mimosagap-routing/tests/fleet.rs
@@ -58,7 +58,7 @@
 fn a_host_that_vanished_in_an_outage_stays_until_its_time_to_come_back_is_over() {
     let mut fleet = fleet(&[("h1", "a1"), ("h2", "a1")]);
     fleet.remove("h2", NOW);
-    fleet.expire(NOW - Duration::from_millis(1));
+    fleet.expire(NOW.saturating_sub(Duration::from_millis(1)));
     assert_eq!(ask(&fleet, "a1", None), [1, 2]);
     fleet.expire(NOW);
     assert_eq!(ask(&fleet, "a1", None), [1]);
--- /dev/null
+++ b/crates/mimosagap-soak/src/lib.rs
@@ -0,0 +1,12 @@
+//! A randomized soak: real gateways as processes on loopback addresses, stand-ins for the store and
+//! the targets, and faults that are injected from outside by a plan that a seed determines.
+#![deny(unsafe_code, missing_docs)]
+
+pub mod caller;
+pub mod ledger;
+pub mod plan;
+pub mod process;
+pub mod run;
+pub mod store;
+pub mod target;
+mod web;
--- /dev/null
+++ b/crates/mimosagap-soak/tests/ledger.rs
@@ -0,0 +1,53 @@
+//! The ledger notices each promise that is broken.
+
+use mimosagap_soak::ledger::{CallKind, RunLedger};
+use rstest::rstest;
+
+fn ledger(kind: CallKind) -> RunLedger {
+    let ledger = RunLedger::default();
+    ledger.sent("a", kind, "key");
+    ledger
+}
+
+#[test]
+fn one_run_and_its_answer_are_fine() {
+    let ledger = ledger(CallKind::Once);
+    ledger.ran("a", "i-1", Some("team"), false);
+    ledger.answered("a", 200);
+    assert!(ledger.violations().is_empty());
+    assert_eq!(ledger.counts(), (1, 1));
+}
+
+#[rstest]
+#[case::once(CallKind::Once, 1)]
+#[case::stream(CallKind::Stream, 1)]
+#[case::repeatable(CallKind::Repeatable, 0)]
+fn a_second_run_is_noticed(#[case] kind: CallKind, #[case] violations: usize) {
+    let ledger = ledger(kind);
+    ledger.ran("a", "i-1", Some("team"), false);
+    ledger.ran("a", "i-2", Some("team"), false);
+    assert_eq!(ledger.violations().len(), violations);
+}
+
+#[rstest]
+#[case::refused_after_the_run(true)]
+#[case::run_after_the_refusal(false)]
+fn an_untrue_refusal_is_noticed(#[case] ran_first: bool) {
+    let ledger = ledger(CallKind::Once);
+    if ran_first {
+        ledger.ran("a", "i-1", Some("team"), false);
+    }
+    ledger.answered("a", 503);
+    if !ran_first {
+        ledger.ran("a", "i-1", Some("team"), false);
+    }
+    assert_eq!(ledger.violations().len(), 1);
+}
+
+#[test]
+fn a_request_that_nobody_sent_a_key_and_a_missing_team_are_noticed() {
+    let ledger = ledger(CallKind::Once);
+    ledger.ran("b", "i-1", Some("team"), false);
+    ledger.ran("a", "i-1", None, true);
+    assert_eq!(ledger.violations().len(), 3);
+}
