--- a/crates/mimosagap-gateway/tests/events.rs
+++ b/crates/mimosagap-gateway/tests/events.rs
@@ -3,11 +3,11 @@
 use mimosagap_gateway::events::{EventSplitter, EventTooLong};
 use rstest::rstest;
 
-fn split(pieces: &[&[u8]]) -> (Vec<(Option<u64>, Vec<u8>)>, bool) {
+fn split(pieces: &[&str]) -> (Vec<(Option<u64>, Vec<u8>)>, bool) {
     let mut splitter = EventSplitter::default();
     let mut events = Vec::new();
     for piece in pieces {
-        splitter.push(piece);
+        splitter.push(piece.as_bytes());
         while let Some(event) = splitter.next_event().expect("no event is too long") {
             events.push((event.id, event.bytes.to_vec()));
         }
@@ -16,10 +16,10 @@
 }
 
 #[rstest]
-#[case::whole(&[b"id: 1\ndata: a\n\n"])]
-#[case::in_two(&[b"id: 1\nda", b"ta: a\n\n"])]
-#[case::between_the_line_ends(&[b"id: 1\ndata: a\n", b"\n"])]
-fn an_event_is_taken_when_it_is_whole(#[case] pieces: &[&[u8]]) {
+#[case::whole(&["id: 1\ndata: a\n\n"])]
+#[case::in_two(&["id: 1\nda", "ta: a\n\n"])]
+#[case::between_the_line_ends(&["id: 1\ndata: a\n", "\n"])]
+fn an_event_is_taken_when_it_is_whole(#[case] pieces: &[&str]) {
     let (events, is_empty) = split(pieces);
     assert_eq!(events, [(Some(1), b"id: 1\ndata: a\n\n".to_vec())]);
     assert!(is_empty);
@@ -27,7 +27,7 @@
 
 #[test]
 fn every_cut_gives_the_same_events() {
-    let text = b"id: 1\r\ndata: a\r\n\r\nmodel: 2\nid: 2\ndata: b\n\ndata: c\n\n";
+    let text = "id: 1\r\ndata: a\r\n\r\nmodel: 2\nid: 2\ndata: b\n\ndata: c\n\n";
     let whole = split(&[text]);
     assert_eq!(whole.0.len(), 3);
     assert_eq!(whole.0[1].0, Some(2));
@@ -38,7 +38,7 @@
 
 #[test]
 fn the_beginning_of_an_event_is_kept_back() {
-    let (events, is_empty) = split(&[b"id: 1\ndata: a\n\nid: 2\nda"]);
+    let (events, is_empty) = split(&["id: 1\ndata: a\n\nid: 2\nda"]);
     assert_eq!(events.len(), 1);
     assert!(!is_empty);
 }
