--- a/crates/mimosagap-gateway/src/sync.rs
+++ b/crates/mimosagap-gateway/src/sync.rs
@@ -44,7 +44,7 @@
 
 /// Pauses after a failed call, first and longest.
 const FAILURE_PAUSE: (Duration, Duration) =
-    (Duration::from_millis(100), Duration::from_millis(600));
+    (Duration::from_millis(150), Duration::from_millis(1000));
 
 /// Time to live of this host's record. A host that is killed is listed for this long.
 const HOST_TTL: Duration = Duration::from_secs(4);
@@ -189,7 +189,7 @@
 /// The pause after a number of failures in a row, spread over hosts.
 fn failure_pause(gateway: &Gateway, failures: u32) -> Duration {
     let (first, longest) = FAILURE_PAUSE;
-    let pause = (first * failures).min(longest);
+    let pause = (first * 2_u32.saturating_pow(failures - 1)).min(longest);
     gateway.with(|beliefs| pause.mul_f64(beliefs.random.random_range(0.7..1.3)))
 }
 
