fix(soak): hold only hosts in touch to the bound on leaving targets

The bound holds for hosts in touch with a store that is not disrupted.

Change: the ledger knows disruptions of the store and of processes and counts from four seconds after them; revoked keys stay strict. Tests show that the check still fails without a disruption.

--- a/crates/mimosagap-soak/src/ledger.rs
+++ b/crates/mimosagap-soak/src/ledger.rs
@@ -1,6 +1,6 @@
 //! What targets ran and what callers were told, and the promises that both must keep.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
@@ -31,15 +31,19 @@
     entries: RefCell<HashMap<String, Entry>>,
     revoked: RefCell<HashMap<String, Instant>>,
     leaving: RefCell<HashMap<String, Instant>>,
+    disturbed_until: Cell<Option<Instant>>,
     violations: RefCell<Vec<String>>,
 }
 
 /// A revoked key must not run a request that was sent later than this.
 pub const REVOCATION: Duration = Duration::from_secs(5);
 
-/// A target that leaves must get nothing later than this.
+/// A target that leaves must get nothing later than this, from hosts in touch with the store.
 pub const DRAIN: Duration = Duration::from_secs(3);
 
+/// Hosts are in touch again this long after a disruption of the store or of their process.
+pub const CONTACT: Duration = Duration::from_secs(4);
+
 impl RunLedger {
     /// A caller sends a request.
     pub fn sent(&self, id: &str, kind: CallKind, key: &str) {
@@ -84,7 +88,9 @@
             self.violation(format!("request {id} ran with a revoked key"));
         }
         let left_at = self.leaving.borrow().get(target).copied();
-        if left_at.is_some_and(|at| sent_at > at + DRAIN) {
+        let in_touch_from = self.disturbed_until.get().map(|until| until + CONTACT);
+        let is_in_touch = in_touch_from.is_none_or(|from| sent_at > from);
+        if is_in_touch && left_at.is_some_and(|at| sent_at > at + DRAIN) {
             self.violation(format!(
                 "request {id} reached {target}, which left long ago"
             ));
@@ -126,6 +132,12 @@
             .insert(target.to_owned(), Instant::now());
     }
 
+    /// The store, or a host's process, is disrupted until this time.
+    pub fn disturbed(&self, until: Instant) {
+        let known = self.disturbed_until.get();
+        self.disturbed_until.set(known.max(Some(until)));
+    }
+
     /// Notes a broken promise.
     pub fn violation(&self, text: String) {
         self.violations.borrow_mut().push(text);
--- a/crates/mimosagap-soak/src/plan.rs
+++ b/crates/mimosagap-soak/src/plan.rs
@@ -37,6 +37,25 @@
     NewConfig,
 }
 
+impl Fault {
+    /// How long it disrupts the store or a gateway's process; `None` if it does neither.
+    #[must_use]
+    pub fn disturbs(self) -> Option<Duration> {
+        match self {
+            Self::PauseGateway(_, time) | Self::Store(_, time) => Some(time),
+            Self::KillGateway(_) | Self::StopGateway(_) | Self::KillAll | Self::Compact => {
+                Some(Duration::ZERO)
+            }
+            Self::HangUp(_)
+            | Self::CrashTarget(_)
+            | Self::DrainTarget(_)
+            | Self::Target(..)
+            | Self::Revoke
+            | Self::NewConfig => None,
+        }
+    }
+}
+
 /// When a fault strikes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct FaultStep {
--- a/crates/mimosagap-soak/src/run.rs
+++ b/crates/mimosagap-soak/src/run.rs
@@ -192,6 +192,9 @@
 
     async fn inject(&mut self, fault: Fault) -> std::io::Result<()> {
         let now = Instant::now();
+        if let Some(time) = fault.disturbs() {
+            self.ledger.disturbed(now + time);
+        }
         match fault {
             Fault::KillGateway(number) => self.gateways[number].kill(),
             Fault::StopGateway(number) => self.gateways[number].signal(Signal::TERM),
--- a/crates/mimosagap-soak/tests/ledger.rs
+++ b/crates/mimosagap-soak/tests/ledger.rs
@@ -1,6 +1,8 @@
 //! The ledger notices each promise that is broken.
 
-use mimosagap_soak::ledger::{CallKind, RunLedger};
+use std::time::{Duration, Instant};
+
+use mimosagap_soak::ledger::{CallKind, DRAIN, RunLedger};
 use rstest::rstest;
 
 fn ledger(kind: CallKind) -> RunLedger {
@@ -44,6 +46,24 @@
     assert_eq!(ledger.violations().len(), 1);
 }
 
+#[rstest]
+#[case::hosts_in_touch(Duration::ZERO, 1)]
+#[case::store_away_until_now(DRAIN, 0)]
+fn a_target_that_left_long_ago_gets_nothing_from_hosts_in_touch(
+    #[case] disturbed: Duration,
+    #[case] violations: usize,
+) {
+    let ledger = RunLedger::default();
+    ledger.leaves("i-1");
+    if !disturbed.is_zero() {
+        ledger.disturbed(Instant::now() + disturbed);
+    }
+    std::thread::sleep(DRAIN + Duration::from_millis(100));
+    ledger.sent("a", CallKind::Once, "key");
+    ledger.ran("a", "i-1", Some("team"), false);
+    assert_eq!(ledger.violations().len(), violations);
+}
+
 #[test]
 fn a_request_that_nobody_sent_a_key_and_a_missing_team_are_noticed() {
     let ledger = ledger(CallKind::Once);
