feat(gateway): open the connection to a copy before it is needed

Change: when a copy is made, or an engine with a standing copy is about to be needed, the connection is opened; engines of other regions cost more.

--- a/crates/mimosagap-gateway/src/exchange.rs
+++ b/crates/mimosagap-gateway/src/exchange.rs
@@ -1,6 +1,7 @@
 //! One send of a request to one target.
 
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -147,6 +148,28 @@
     result.map_err(|_| ExchangeError::Unreachable)
 }
 
+/// Opens a connection that will be needed soon, so that a stream does not wait for it.
+pub fn prepare(gateway: &SharedGateway, key: TargetKey) {
+    let known = gateway.with(|beliefs| beliefs.targets.get(key).map(|known| known.entry.address));
+    let Some(address) = known else {
+        return;
+    };
+    let gateway = Rc::clone(gateway);
+    tokio::task::spawn_local(async move {
+        let result = HttpLink::open(address).await;
+        let label = if result.is_ok() { "opened" } else { "failed" };
+        gateway
+            .metrics
+            .connections
+            .with_label_values(&[label])
+            .inc();
+        if let Ok(link) = result {
+            let now = gateway.now();
+            gateway.with(|beliefs| beliefs.pool.put(key, link, None, now));
+        }
+    });
+}
+
 /// Keeps a connection whose answer was read to its end, unless the target closes it.
 pub fn keep(gateway: &Gateway, key: TargetKey, head: &Parts, link: HttpLink) {
     if closes(&head.headers) {
--- a/crates/mimosagap-gateway/src/pool.rs
+++ b/crates/mimosagap-gateway/src/pool.rs
@@ -38,7 +38,9 @@
     pub fn take(&mut self, key: TargetKey, must_be_fresh: bool, now: Duration) -> Option<HttpLink> {
         let list = self.idle.get_mut(&key)?;
         while let Some(idle) = list.pop() {
-            let is_fresh = !must_be_fresh || now < idle.since + FRESH_ENOUGH;
+            // One that was never used has no answer that may cross.
+            let is_unused = idle.link.uses == 0;
+            let is_fresh = !must_be_fresh || is_unused || now < idle.since + FRESH_ENOUGH;
             if idle.link.is_open() && now < idle.until && is_fresh {
                 return Some(idle.link);
             }
--- a/crates/mimosagap-gateway/src/streams.rs
+++ b/crates/mimosagap-gateway/src/streams.rs
@@ -27,7 +27,7 @@
 use crate::claim::LoadClaim;
 use crate::copies::{CopyOrder, SecuredCopy, free, secure_copy};
 use crate::events::{EventSplitter, StreamEvent};
-use crate::exchange::{Exchange, ExchangeError, SendOptions, exchange, keep, pause};
+use crate::exchange::{Exchange, ExchangeError, SendOptions, exchange, keep, pause, prepare};
 use crate::health;
 use crate::ingress::InFlight;
 use crate::link::HttpLink;
@@ -463,6 +463,14 @@
 
 type Copying = Pin<Box<dyn Future<Output = Option<SecuredCopy>>>>;
 
+/// What a generation needs whose engine leaves.
+enum CopyNeed {
+    /// The engine that has had a copy from the start is there.
+    InPlace(TargetKey),
+    /// A copy has to be made, if possible at the engine named.
+    Another(Option<TargetKey>),
+}
+
 /// Passes a stream on until it ends.
 struct StreamRelay {
     gateway: SharedGateway,
@@ -483,6 +491,8 @@
     secured: Option<SecuredCopy>,
     copy_again_at: Duration,
     went_on: bool,
+    /// Whether a connection to the engine with the copy was opened.
+    is_prepared: bool,
     last_at: Duration,
     longest_gap: Duration,
 }
@@ -540,6 +550,7 @@
             secured: None,
             copy_again_at: Duration::ZERO,
             went_on: false,
+            is_prepared: false,
             longest_gap: Duration::ZERO,
         }
     }
@@ -610,8 +621,9 @@
                 },
                 copy = async { copying.as_mut().expect("checked").await }, if copying.is_some() => {
                     copying = None;
-                    if copy.is_some() {
-                        self.secured = copy;
+                    if let Some(copy) = copy {
+                        prepare(&gateway, copy.target);
+                        self.secured = Some(copy);
                     } else {
                         self.copy_again_at = gateway.now() + COPY_AGAIN;
                     }
@@ -645,12 +657,21 @@
             if secured.is_some_and(|copy| now < copy.made_at + COPY_LIFE) {
                 return None;
             }
-            let backup = self.backup.as_ref();
-            if backup.is_some_and(|claim| !is_leaving(claim.target)) {
-                return None;
+            let backup = self.backup.as_ref().map(|claim| claim.target);
+            if let Some(backup) = backup.filter(|key| !is_leaving(*key)) {
+                return Some(CopyNeed::InPlace(backup));
             }
-            Some(secured.map(|copy| copy.target))
+            Some(CopyNeed::Another(secured.map(|copy| copy.target)))
         })?;
+        let preferred = match preferred {
+            CopyNeed::Another(preferred) => preferred,
+            CopyNeed::InPlace(backup) => {
+                if !std::mem::replace(&mut self.is_prepared, true) {
+                    prepare(&self.gateway, backup);
+                }
+                return None;
+            }
+        };
         let order = CopyOrder {
             source,
             preferred,
@@ -774,6 +795,7 @@
                 self.backup = backup;
                 self.moves += 1;
                 self.went_on = true;
+                self.is_prepared = false;
                 true
             }
             _ => false,
--- a/crates/mimosagap-routing/src/backup.rs
+++ b/crates/mimosagap-routing/src/backup.rs
@@ -10,7 +10,7 @@
 use mimosagap_types::prelude::*;
 
 use crate::placement::StreamNeed;
-use crate::targets::{TargetKey, Targets};
+use crate::targets::{Distance, TargetKey, Targets};
 
 /// A shorter answer is not worth a copy, in output tokens: it is made in about a second.
 const MIN_OUTPUT: u32 = 100;
@@ -21,6 +21,10 @@
 /// Cost of an engine in another zone than the generation's, as a part of an engine's memory.
 const AWAY_COST: f64 = 0.15;
 
+/// Cost of an engine in another region than this host: its first event after a break comes two
+/// round trips later.
+const FAR_COST: f64 = 0.3;
+
 /// Chooses the engine for a copy of a generation that runs at `source`.
 #[must_use]
 pub fn choose_backup(
@@ -47,8 +51,13 @@
             } else {
                 AWAY_COST
             };
+            let far = if target.distance == Distance::Elsewhere {
+                FAR_COST
+            } else {
+                0.0
+            };
             let has_room = filled <= MEMORY_CEILING && load.requests < engine.slots;
-            has_room.then_some((filled + away + target.failure_rate(now), key))
+            has_room.then_some((filled + away + far + target.failure_rate(now), key))
         })
         .min_by(|(first, _), (second, _)| first.total_cmp(second))
         .map(|(_, key)| key)
--- a/crates/mimosagap-routing/src/moves.rs
+++ b/crates/mimosagap-routing/src/moves.rs
@@ -25,7 +25,7 @@
 const AWAY_COST: f64 = 0.4;
 
 /// Cost of an engine in another region than this host, for the round trips until the first event.
-const FAR_COST: f64 = 0.15;
+const FAR_COST: f64 = 0.3;
 
 /// Cost of unread prompts at the destination: an engine with waiting requests takes no copies.
 const UNREAD_COST: f64 = 0.5;
