feat(gateway): a small fleet tells loads to all hosts at once

Cause: on the sites of today each zone is a region of its own, so loads reached the other hosts after up to half a second.

--- a/crates/mimosagap-gateway/src/peers.rs
+++ b/crates/mimosagap-gateway/src/peers.rs
@@ -22,6 +22,10 @@
 /// Interval of datagrams to hosts of other regions, which seldom send to the same targets.
 const FAR_INTERVAL: Duration = Duration::from_millis(500);
 
+/// In a fleet of at most this many hosts all count as near: telling everybody costs little, and
+/// requests often go to other regions when a region has few engines.
+const SMALL_FLEET: usize = 16;
+
 /// Every this many far intervals the whole load is told, so that lost datagrams are made good.
 const WHOLE_INTERVALS: u32 = 2;
 
@@ -90,7 +94,7 @@
     mimosagap_routing::quarantine::CrashMark::new(name, 0).0
 }
 
-/// The hosts of this host's region, or all others.
+/// The hosts of this host's region, or all others. In a small fleet all are near.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum HostGroup {
     Near,
@@ -118,11 +122,12 @@
             })
             .map(|(instance, load)| (instance.clone(), load))
             .collect();
+        let is_small = beliefs.hosts.len() <= SMALL_FLEET;
         let peers: Vec<SocketAddr> = beliefs
             .hosts
             .live()
             .filter(|(name, _)| *name != settings.host)
-            .filter(|(_, record)| (record.region == settings.region) == is_near)
+            .filter(|(_, record)| (is_small || record.region == settings.region) == is_near)
             .map(|(_, record)| record.peers)
             .collect();
         (changed, peers)
