refactor: one call function on a link, marks and stand-ins of their own

No change of behaviour: sending a request and reading its answer stood three times, a crash's mark served as a hash of host names, and the soak's stand-ins lie in a folder of their own.

--- a/crates/mimosagap-gateway/src/copies.rs
+++ b/crates/mimosagap-gateway/src/copies.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use http::header::{self, HeaderValue};
 use http::{Request, StatusCode};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use mimosagap_platform::engine::{CopyAnswer, EngineCall, copy_run, decode_copy, free_copy};
 use mimosagap_routing::moves;
 use mimosagap_routing::placement::StreamNeed;
@@ -200,16 +200,10 @@
     if let Ok(host) = HeaderValue::from_str(&address.to_string()) {
         headers.insert(header::HOST, host);
     }
-    let response = link
-        .send(request)
+    let (head, body) = link
+        .call(request, MAX_ANSWER)
         .await
-        .map_err(|error| format!("{error:?}"))?;
-    let (head, body) = response.into_parts();
-    let body = Limited::new(body, MAX_ANSWER)
-        .collect()
-        .await
-        .map_err(|error| error.to_string())?
-        .to_bytes();
+        .map_err(|error| error.to_string())?;
     crate::exchange::keep(gateway, key, &head, link);
     Ok((head.status, body))
 }
--- a/crates/mimosagap-gateway/src/exchange.rs
+++ b/crates/mimosagap-gateway/src/exchange.rs
@@ -138,13 +138,14 @@
     if let Some(link) = gateway.with(|beliefs| beliefs.pool.take(key, must_be_fresh, now)) {
         return Ok(link);
     }
+    open(gateway, address).await
+}
+
+async fn open(gateway: &Gateway, address: SocketAddr) -> Result<HttpLink, ExchangeError> {
     let result = HttpLink::open(address).await;
     let label = if result.is_ok() { "opened" } else { "failed" };
-    gateway
-        .metrics
-        .connections
-        .with_label_values(&[label])
-        .inc();
+    let connections = &gateway.metrics.connections;
+    connections.with_label_values(&[label]).inc();
     result.map_err(|_| ExchangeError::Unreachable)
 }
 
@@ -156,14 +157,7 @@
     };
     let gateway = Rc::clone(gateway);
     tokio::task::spawn_local(async move {
-        let result = HttpLink::open(address).await;
-        let label = if result.is_ok() { "opened" } else { "failed" };
-        gateway
-            .metrics
-            .connections
-            .with_label_values(&[label])
-            .inc();
-        if let Ok(link) = result {
+        if let Ok(link) = open(&gateway, address).await {
             let now = gateway.now();
             gateway.with(|beliefs| beliefs.pool.put(key, link, None, now));
         }
--- a/crates/mimosagap-gateway/src/feed.rs
+++ b/crates/mimosagap-gateway/src/feed.rs
@@ -6,8 +6,7 @@
 
 use bytes::Bytes;
 use http::{Request, Response, StatusCode};
-use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::Incoming;
+use http_body_util::Full;
 use mimosagap_platform::store::{StoreChange, StoreChanges};
 use mimosagap_routing::readers::MAX_AGE;
 use serde::{Deserialize, Serialize};
@@ -197,16 +196,10 @@
         };
         let mut request = Request::new(Full::new(Bytes::new()));
         *request.uri_mut() = format!("{PATH}?after={after}").parse().unwrap_or_default();
-        let response: Response<Incoming> = link
-            .send(request)
+        let (head, body) = link
+            .call(request, MAX_ANSWER)
             .await
-            .map_err(|error| format!("{error:?}"))?;
-        let (head, body) = response.into_parts();
-        let body = Limited::new(body, MAX_ANSWER)
-            .collect()
-            .await
-            .map_err(|error| error.to_string())?
-            .to_bytes();
+            .map_err(|error| error.to_string())?;
         self.link = Some((reader, link));
         if head.status != StatusCode::OK {
             return Err("the reader has no fresh changes".to_owned());
--- a/crates/mimosagap-gateway/src/link.rs
+++ b/crates/mimosagap-gateway/src/link.rs
@@ -1,11 +1,13 @@
 //! One HTTP connection to a target or to the store.
 
+use std::fmt;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use bytes::Bytes;
+use http::response::Parts;
 use http::{Request, Response};
-use http_body_util::Full;
+use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
@@ -48,6 +50,25 @@
     Broken(hyper::Error),
 }
 
+/// Why a call brought no whole answer.
+#[derive(Debug)]
+pub enum CallError {
+    /// There is no head of an answer.
+    Link(LinkError),
+    /// The body broke off or is too long.
+    Body(String),
+}
+
+impl fmt::Display for CallError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Link(LinkError::NotSent) => f.write_str("the connection was closed"),
+            Self::Link(LinkError::Broken(error)) => error.fmt(f),
+            Self::Body(cause) => f.write_str(cause),
+        }
+    }
+}
+
 impl HttpLink {
     /// Opens a connection.
     pub async fn open(address: SocketAddr) -> std::io::Result<Self> {
@@ -93,6 +114,24 @@
             })
     }
 
+    /// Sends a request and reads the whole answer, up to `most` bytes.
+    pub async fn call(
+        &mut self,
+        request: Request<Full<Bytes>>,
+        most: usize,
+    ) -> Result<(Parts, Bytes), CallError> {
+        let (head, body) = self
+            .send(request)
+            .await
+            .map_err(CallError::Link)?
+            .into_parts();
+        let body = Limited::new(body, most)
+            .collect()
+            .await
+            .map_err(|error| CallError::Body(error.to_string()))?;
+        Ok((head, body.to_bytes()))
+    }
+
     /// Whether it can take another request.
     pub fn is_open(&self) -> bool {
         !self.sender.is_closed() && !self.driver.is_finished()
--- a/crates/mimosagap-gateway/src/peers.rs
+++ b/crates/mimosagap-gateway/src/peers.rs
@@ -9,6 +9,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use mimosagap_routing::marks::stable_mark;
 use mimosagap_routing::targets::{RANKS, TargetLoad};
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
@@ -59,7 +60,7 @@
 
 /// Tells the other hosts this host's load, for ever.
 pub async fn tell_loads(gateway: SharedGateway, socket: Rc<UdpSocket>) {
-    let host = name_mark(&gateway.settings.host);
+    let host = stable_mark(&[gateway.settings.host.as_bytes()]);
     let mut ticks = tokio::time::interval(FAR_INTERVAL);
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     let mut round = 0_u32;
@@ -90,10 +91,6 @@
     tokio::time::sleep(COLLECT).await;
 }
 
-fn name_mark(name: &str) -> u64 {
-    mimosagap_routing::quarantine::CrashMark::new(name, 0).0
-}
-
 /// The hosts of this host's region, or all others. In a small fleet all are near.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum HostGroup {
--- a/crates/mimosagap-gateway/src/store.rs
+++ b/crates/mimosagap-gateway/src/store.rs
@@ -8,12 +8,12 @@
 use bytes::Bytes;
 use http::Request;
 use http::header::{self, HeaderValue};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use mimosagap_platform::DecodeError;
 use mimosagap_platform::store::{StoreCall, StoreRefusal, check_status};
 use tokio::time::timeout;
 
-use crate::link::{HttpLink, LinkError};
+use crate::link::{CallError, HttpLink, LinkError};
 
 /// Longest answer in bytes: a page holds at most about a megabyte of items.
 const MAX_ANSWER: usize = 8 << 20;
@@ -95,25 +95,17 @@
             Some(link) => link,
             None => self.open().await?,
         };
-        let response = match link.send(self.message(call)).await {
-            Err(LinkError::NotSent) => {
+        let answer = match link.call(self.message(call), MAX_ANSWER).await {
+            Err(CallError::Link(LinkError::NotSent)) => {
                 link = self.open().await?;
-                link.send(self.message(call)).await
+                link.call(self.message(call), MAX_ANSWER).await
             }
             other => other,
         };
-        let response = response.map_err(|error| match error {
-            LinkError::NotSent => StoreError::Link("closed".to_owned()),
-            LinkError::Broken(error) => StoreError::Link(error.to_string()),
-        })?;
-        let (head, body) = response.into_parts();
-        let body = Limited::new(body, MAX_ANSWER)
-            .collect()
-            .await
-            .map_err(|error| StoreError::Link(error.to_string()))?;
+        let (head, body) = answer.map_err(|error| StoreError::Link(error.to_string()))?;
         self.link.replace(Some(link));
         check_status(head.status).map_err(StoreError::Refused)?;
-        Ok(body.to_bytes())
+        Ok(body)
     }
 
     async fn open(&self) -> Result<HttpLink, StoreError> {
--- a/crates/mimosagap-gateway/src/sync.rs
+++ b/crates/mimosagap-gateway/src/sync.rs
@@ -43,8 +43,7 @@
 const READER_PAUSE: Duration = Duration::from_millis(20);
 
 /// Pauses after a failed call, first and longest.
-const FAILURE_PAUSE: (Duration, Duration) =
-    (Duration::from_millis(150), Duration::from_millis(1000));
+const FAILURE_PAUSE: (Duration, Duration) = (Duration::from_millis(150), Duration::from_secs(1));
 
 /// Time to live of this host's record. A host that is killed is listed for this long.
 const HOST_TTL: Duration = Duration::from_secs(4);
--- a/crates/mimosagap-routing/src/lib.rs
+++ b/crates/mimosagap-routing/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod config;
 pub mod hosts;
 pub mod lengths;
+pub mod marks;
 pub mod moves;
 pub mod placement;
 pub mod quarantine;
--- a/crates/mimosagap-routing/src/quarantine.rs
+++ b/crates/mimosagap-routing/src/quarantine.rs
@@ -7,7 +7,7 @@
 use std::collections::{HashMap, HashSet};
 use std::time::Duration;
 
-use sha2::{Digest, Sha256};
+use crate::marks::stable_mark;
 
 /// A request is not run again after it was at this many crashes.
 const MAX_CRASHES: usize = 3;
@@ -23,7 +23,7 @@
     /// The mark of a request.
     #[must_use]
     pub fn new(path: &str, team: &str, body: &[u8]) -> Self {
-        Self(mark(&[path.as_bytes(), team.as_bytes(), body]))
+        Self(stable_mark(&[path.as_bytes(), team.as_bytes(), body]))
     }
 }
 
@@ -35,23 +35,13 @@
     /// The mark of the end of a target's life.
     #[must_use]
     pub fn new(instance: &str, started_unix_ms: u64) -> Self {
-        Self(mark(&[instance.as_bytes(), &started_unix_ms.to_be_bytes()]))
+        Self(stable_mark(&[
+            instance.as_bytes(),
+            &started_unix_ms.to_be_bytes(),
+        ]))
     }
 }
 
-fn mark(parts: &[&[u8]]) -> u64 {
-    let mut hash = Sha256::new();
-    for part in parts {
-        hash.update((part.len() as u64).to_be_bytes());
-        hash.update(part);
-    }
-    let digest = hash.finalize();
-    digest
-        .iter()
-        .take(8)
-        .fold(0, |value, byte| (value << 8) | u64::from(*byte))
-}
-
 /// The crashes at which each request was present.
 #[derive(Debug, Clone, Default)]
 pub struct Quarantine {
--- a/crates/mimosagap-routing/src/readers.rs
+++ b/crates/mimosagap-routing/src/readers.rs
@@ -10,7 +10,7 @@
 use mimosagap_types::prelude::*;
 
 use crate::hosts::Hosts;
-use crate::quarantine::CrashMark;
+use crate::marks::stable_mark;
 
 /// After a reader failed, the store is asked for this long.
 const AVOID: Duration = Duration::from_secs(3);
@@ -55,7 +55,7 @@
         let reader = hosts
             .live()
             .filter(|(_, record)| record.zone == *zone)
-            .min_by_key(|(name, _)| CrashMark::new(name, 0).0);
+            .min_by_key(|(name, _)| stable_mark(&[name.as_bytes()]));
         match reader {
             Some((name, record)) if name != own => ChangeSource::Reader(record.peers),
             _ => ChangeSource::Store,
--- a/crates/mimosagap-soak/src/caller.rs
+++ b/crates/mimosagap-soak/src/caller.rs
@@ -13,7 +13,7 @@
 use rand::{Rng, SeedableRng};
 
 use crate::ledger::{CallKind, RunLedger};
-use crate::target::EVENTS;
+use crate::standins::target::EVENTS;
 use crate::web::{WebLink, WholeBody, read};
 
 /// The host name of all routes.
--- a/crates/mimosagap-soak/src/lib.rs
+++ b/crates/mimosagap-soak/src/lib.rs
@@ -7,6 +7,5 @@
 pub mod plan;
 pub mod process;
 pub mod run;
-pub mod store;
-pub mod target;
+pub mod standins;
 mod web;
--- a/crates/mimosagap-soak/src/plan.rs
+++ b/crates/mimosagap-soak/src/plan.rs
@@ -5,8 +5,8 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
-use crate::store::StoreMode;
-use crate::target::TargetMode;
+use crate::standins::store::StoreMode;
+use crate::standins::target::TargetMode;
 
 /// Something that happens to the fleet.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/mimosagap-soak/src/run.rs
+++ b/crates/mimosagap-soak/src/run.rs
@@ -15,8 +15,8 @@
 use crate::ledger::{CallKind, RunLedger};
 use crate::plan::{Fault, FaultStep, GATEWAYS, TARGETS, plan};
 use crate::process::GatewayProcess;
-use crate::store::{StoreMode, StoreStandin};
-use crate::target::{TargetMode, TargetStandin};
+use crate::standins::store::{StoreMode, StoreStandin};
+use crate::standins::target::{TargetMode, TargetStandin};
 
 /// Callers of a run.
 const CALLERS: u64 = 12;
--- /dev/null
+++ b/crates/mimosagap-soak/src/standins/mod.rs
@@ -0,0 +1,4 @@
+//! Stand-ins of the platform's store and of targets.
+
+pub mod store;
+pub mod target;
--- a/crates/mimosagap-soak/src/target.rs
+++ b/crates/mimosagap-soak/src/standins/target.rs
@@ -17,7 +17,7 @@
 use tokio::task::JoinHandle;
 
 use crate::ledger::RunLedger;
-use crate::store::StoreStandin;
+use crate::standins::store::StoreStandin;
 use crate::web::{read, serve};
 
 /// Work of a plain call.
