--- a/crates/mimosagap-gateway/tests/events.rs
+++ b/crates/mimosagap-gateway/tests/events.rs
@@ -3,7 +3,9 @@
 use mimosagap_gateway::events::{EventSplitter, EventTooLong};
 use rstest::rstest;
 
-fn split(pieces: &[&str]) -> (Vec<(Option<u64>, Vec<u8>)>, bool) {
+type IdAndBytes = (Option<u64>, Vec<u8>);
+
+fn split(pieces: &[&str]) -> (Vec<IdAndBytes>, bool) {
     let mut splitter = EventSplitter::default();
     let mut events = Vec::new();
     for piece in pieces {
