fix(soak): test recovery with a key that is not revoked

Cause: seed 530 failed with 29 of 40 requests served after the faults. The logs show that all eleven others were refused with 401: the test draws one of two keys for each request, one of which the plan revokes, and drew it eleven times where five were expected. Ruled out: targets, store and gateways, which had all recovered two seconds before.

Change: recovery is tested with the lasting key only and held to 36 of 40, where it was 31. The seed stays as a regression case. No change of the gateway.

--- a/crates/mimosagap-soak/src/caller.rs
+++ b/crates/mimosagap-soak/src/caller.rs
@@ -59,7 +59,8 @@
             1 => CallKind::Stream,
             _ => CallKind::Once,
         };
-        call(&context, &mut random, &mut link, kind).await;
+        let key = KEYS[usize::from(random.random_range(0..8) == 0)];
+        call(&context, &mut random, &mut link, kind, key).await;
         tokio::time::sleep(Duration::from_millis(random.random_range(5..60))).await;
     }
 }
@@ -70,6 +71,7 @@
     random: &mut SmallRng,
     link: &mut Option<WebLink>,
     kind: CallKind,
+    key: &str,
 ) -> bool {
     let gateway = context.gateways[random.random_range(0..context.gateways.len())];
     let mut open = match link.take() {
@@ -82,7 +84,6 @@
     let number = context.next_id.get();
     context.next_id.set(number + 1);
     let id = format!("{number:08x}");
-    let key = KEYS[usize::from(random.random_range(0..8) == 0)];
     context.ledger.sent(&id, kind, key);
     let exchange = async {
         let response = open.send(message(&id, kind, key)).await?;
--- a/crates/mimosagap-soak/src/run.rs
+++ b/crates/mimosagap-soak/src/run.rs
@@ -293,11 +293,9 @@
                 CallKind::Once
             };
             self.store.expire();
-            let is_served = call(context, &mut random, &mut None, kind).await;
+            let is_served = call(context, &mut random, &mut None, kind, KEYS[0]).await;
             served += u32::from(is_served);
         }
-        // One request in eight may carry the revoked key.
-        let least = least - probes / 8;
         if served < least {
             let text = format!("{served} of {probes} requests are served after the faults");
             self.ledger.violation(text);
--- a/crates/mimosagap-soak/tests/soak.rs
+++ b/crates/mimosagap-soak/tests/soak.rs
@@ -33,6 +33,8 @@
 // A target left while the store was silent; the check held hosts to the bound although none of
 // them could have heard of it.
 #[case::left_in_an_outage(107, 22_300)]
+// The test of recovery drew the revoked key for 11 of its 40 requests, which were refused with 401.
+#[case::revoked_key_after_the_faults(530, 22_400)]
 fn a_seed_that_failed_stays_clean(#[case] seed: u64, #[case] base_port: u16) {
     soak(seed, base_port, HAND_LENGTH);
 }
