test(soak): seed 536 as a regression case

Cause: the same as of seed 530. Both draw the revoked key for 11 of the 40 requests that test recovery, as a scratch program that repeats the draws shows, and the 29 others were served.

--- a/crates/mimosagap-soak/tests/soak.rs
+++ b/crates/mimosagap-soak/tests/soak.rs
@@ -35,6 +35,7 @@
 #[case::left_in_an_outage(107, 22_300)]
 // The test of recovery drew the revoked key for 11 of its 40 requests, which were refused with 401.
 #[case::revoked_key_after_the_faults(530, 22_400)]
+#[case::revoked_key_again(536, 22_500)]
 fn a_seed_that_failed_stays_clean(#[case] seed: u64, #[case] base_port: u16) {
     soak(seed, base_port, HAND_LENGTH);
 }
