feat(cli): explain a request from the gateways' logs

Cause: an engineer with a request's id had to search the logs of all hosts by hand, and a repeat of the caller could not be linked to its first try. Lines of failed requests shared a budget with successes, so a flood of successes could leave out the one line that names a cause; a caller that left before its answer had no line at all.

Each send, wait and refusal now names the request over its tries; failures have a budget of their own; `mimosagap explain ID FILE...` reads the logs of several hosts, places them by their boot clocks and prints the tries, the cause, and what happened to their targets and hosts meanwhile.

Ruled out: one field with the caller's own number of the try; the platform has none, and a new id comes with each try.

--- a/crates/mimosagap-cli/src/arguments.rs
+++ b/crates/mimosagap-cli/src/arguments.rs
@@ -24,6 +24,7 @@
   rules status --daemon ADDR [--revision N]
                                        say which daemons have the newest (or the given) revision in force
   settings check FILE                  check a daemon's settings file
+  explain ID FILE...                   tell a request's story from the gateways' logs; FILE may be -
   token TEAM                           make a token for a team and print its rule line
   daemons | targets | limits | quarantine | health --daemon ADDR
                                        ask a daemon's administration API
@@ -35,7 +36,7 @@
   --help          print this, or the help of a command
   --version       print the version
 
-EXIT CODES: 0 done, 1 refused or not yet in force everywhere, 2 bad input, 3 not reachable,
+EXIT CODES: 0 done, 1 refused, not found or not yet in force everywhere, 2 bad input, 3 not reachable,
 4 the fate of a change is not known";
 
 const RULES_HELP: &str = "\
@@ -86,6 +87,10 @@
     SettingsCheck {
         file: PathBuf,
     },
+    Explain {
+        id: String,
+        files: Vec<PathBuf>,
+    },
     Token {
         team: String,
     },
@@ -108,6 +113,7 @@
         _ if help => Command::Help(HELP),
         Some("rules") => parse_rules(&mut arguments)?,
         Some("settings") => parse_settings(&mut arguments)?,
+        Some("explain") => parse_explain(&mut arguments)?,
         Some("token") => Command::Token {
             team: free_text(&mut arguments, "TEAM")?,
         },
@@ -191,6 +197,15 @@
     }
 }
 
+fn parse_explain(arguments: &mut Arguments) -> Result<Command, CommandError> {
+    let id = free_text(arguments, "ID")?;
+    let mut files = vec![file(arguments)?];
+    while let Some(path) = arguments.opt_free_from_str::<PathBuf>().map_err(usage)? {
+        files.push(path);
+    }
+    Ok(Command::Explain { id, files })
+}
+
 fn address(arguments: &mut Arguments, option: &'static str) -> Result<SocketAddr, CommandError> {
     arguments.value_from_str(option).map_err(usage)
 }
@@ -202,7 +217,7 @@
 fn free_text(arguments: &mut Arguments, name: &str) -> Result<String, CommandError> {
     let text: Option<String> = arguments.opt_free_from_str().map_err(usage)?;
     match text {
-        Some(text) if !text.starts_with('-') => Ok(text),
+        Some(text) if text == "-" || !text.starts_with('-') => Ok(text),
         Some(text) => Err(CommandError::Usage(format!("not understood: {text}"))),
         None => Err(CommandError::Usage(format!("{name} is missing"))),
     }
--- /dev/null
+++ b/crates/mimosagap-cli/src/explain.rs
@@ -0,0 +1,141 @@
+//! `mimosagap explain`: the story of one request from the gateways' logs.
+
+use std::fs::File;
+use std::io::{BufReader, stdin};
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+use mimosagap_explain::{LogRecord, LogSet, Options, Outcome, Story, explain};
+use serde_json::{Value, json};
+
+use crate::error::CommandError;
+use crate::output::{Report, align};
+
+/// The name of standard input among the files.
+const STANDARD_INPUT: &str = "-";
+
+/// Exit code if no line has the id.
+const NOT_FOUND: u8 = 1;
+
+/// Tells the story of a request.
+pub fn run(id: &str, files: &[PathBuf]) -> Result<Report, CommandError> {
+    let mut logs = LogSet::default();
+    for file in files {
+        read(&mut logs, file).map_err(|cause| CommandError::File {
+            path: file.clone(),
+            cause: cause.to_string(),
+        })?;
+    }
+    Ok(match explain(&logs, id, Options::default()) {
+        Ok(outcome) => Report::new(render(&outcome), as_json(&outcome)),
+        Err(error) => Report::text(&error.to_string()).with_code(NOT_FOUND),
+    })
+}
+
+fn read(logs: &mut LogSet, file: &Path) -> std::io::Result<()> {
+    if file == Path::new(STANDARD_INPUT) {
+        return logs.read(STANDARD_INPUT, stdin().lock());
+    }
+    let name = file.file_stem().unwrap_or_default().to_string_lossy();
+    logs.read(&name, BufReader::new(File::open(file)?))
+}
+
+fn render(outcome: &Outcome) -> String {
+    let origin = origin(outcome);
+    let mut text = String::new();
+    for story in &outcome.tries {
+        text += &verdict(story);
+        text += &table(&story.lines, origin);
+        text += "\n\n";
+    }
+    if !outcome.meanwhile.is_empty() {
+        text += "meanwhile\n";
+        text += &table(&outcome.meanwhile, origin);
+        text += "\n\n";
+    }
+    for caution in &outcome.cautions {
+        text += &format!("note: {caution}\n");
+    }
+    text
+}
+
+fn origin(outcome: &Outcome) -> Duration {
+    let lines = outcome.tries.iter().flat_map(|story| &story.lines);
+    lines.map(|line| line.at).min().unwrap_or_default()
+}
+
+fn verdict(story: &Story) -> String {
+    let id = &story.id;
+    match (story.cause(), story.end()) {
+        (Some(cause), _) => format!(
+            "request {id}: failed\ncause: {}: {}\nmay have run: {}\nnext: {}\n",
+            cause.name,
+            cause.what,
+            cause.may_have_run.name(),
+            cause.next
+        ),
+        (None, Some(_)) => format!("request {id}: served\n"),
+        (None, None) => format!("request {id}: no end\n"),
+    }
+}
+
+fn table(lines: &[LogRecord], origin: Duration) -> String {
+    let rows: Vec<Vec<String>> = lines
+        .iter()
+        .map(|line| {
+            let fields = line.fields.iter().filter(|(name, _)| *name != "id");
+            let fields: Vec<String> = fields
+                .map(|(name, value)| format!("{name}={}", plain(value)))
+                .collect();
+            vec![
+                offset(line.at, origin),
+                line.host.clone(),
+                line.event.clone(),
+                fields.join(" "),
+            ]
+        })
+        .collect();
+    align(&rows)
+}
+
+fn offset(at: Duration, origin: Duration) -> String {
+    match at.checked_sub(origin) {
+        Some(after) => format!("+{:.3} s", after.as_secs_f64()),
+        None => format!("-{:.3} s", origin.saturating_sub(at).as_secs_f64()),
+    }
+}
+
+fn plain(value: &Value) -> String {
+    match value {
+        Value::String(text) => text.clone(),
+        other => other.to_string(),
+    }
+}
+
+fn as_json(outcome: &Outcome) -> Value {
+    let line = |line: &LogRecord| {
+        let at_ms = u64::try_from(line.at.as_millis()).unwrap_or(u64::MAX);
+        json!({"host": line.host, "at_ms": at_ms, "event": line.event, "fields": line.fields})
+    };
+    let lines = |lines: &[LogRecord]| lines.iter().map(line).collect::<Vec<_>>();
+    let tries: Vec<Value> = outcome
+        .tries
+        .iter()
+        .map(|story| {
+            let cause = story.cause().map(|cause| {
+                json!({
+                    "name": cause.name,
+                    "what": cause.what,
+                    "may_have_run": cause.may_have_run.name(),
+                    "next": cause.next,
+                })
+            });
+            json!({"id": story.id, "cause": cause, "lines": lines(&story.lines)})
+        })
+        .collect();
+    json!({
+        "tries": tries,
+        "meanwhile": lines(&outcome.meanwhile),
+        "cautions": outcome.cautions,
+    })
+}
--- a/crates/mimosagap-cli/src/main.rs
+++ b/crates/mimosagap-cli/src/main.rs
@@ -3,6 +3,7 @@
 
 mod arguments;
 mod error;
+mod explain;
 mod http;
 mod output;
 mod query;
@@ -48,6 +49,7 @@
         } => rules::apply(store, &file, daemon),
         Command::RulesStatus { daemon, revision } => status::rules(daemon, revision),
         Command::SettingsCheck { file } => settings::check(&file),
+        Command::Explain { id, files } => explain::run(&id, &files),
         Command::Token { team } => token::create(&team),
         Command::Query { daemon, subject } => query::run(daemon, subject),
     }
--- a/crates/mimosagap-cli/tests/offline.rs
+++ b/crates/mimosagap-cli/tests/offline.rs
@@ -25,6 +25,8 @@
 #[case::missing_file(&["rules", "check"])]
 #[case::missing_store(&["rules", "show"])]
 #[case::bad_address(&["targets", "--daemon", "entry-1:7002"])]
+#[case::explain_without_logs(&["explain", "a"])]
+#[case::explain_a_missing_log(&["explain", "a", "no-such-file"])]
 #[case::unknown_option(&["rules", "check", "x", "--frobnicate"])]
 fn bad_command_lines_exit_with_2(#[case] arguments: &[&str]) {
     let output = run(arguments);
@@ -86,3 +88,21 @@
         Some(0)
     );
 }
+
+#[rstest]
+#[case::failed("a", 0, "cause: overload")]
+#[case::unknown("b", 1, "no line has the id")]
+fn a_request_is_explained_from_the_logs(
+    #[case] id: &str,
+    #[case] code: i32,
+    #[case] expected: &str,
+) {
+    let log = file(
+        &format!("host-{id}.log"),
+        "{\"time_ms\":9,\"boot_ms\":1,\"event\":\"refused\",\"id\":\"a\",\"reason\":\"overload\"}\n",
+    );
+    let output = run(&["explain", id, &log.display().to_string()]);
+    assert_eq!(output.status.code(), Some(code), "{output:?}");
+    let text = String::from_utf8_lossy(&output.stdout);
+    assert!(text.contains(expected), "{text}");
+}
--- /dev/null
+++ b/crates/mimosagap-explain/src/lib.rs
@@ -0,0 +1,13 @@
+//! Tells the story of one request from the logs of several gateways.
+//!
+//! `records` reads log lines, `story` chooses those that concern a request, and `cause` says why it
+//! ended as it did.
+#![deny(unsafe_code, missing_docs)]
+
+mod cause;
+mod records;
+mod story;
+
+pub use cause::{Cause, MayHaveRun};
+pub use records::{LogRecord, LogSet};
+pub use story::{Error, Options, Outcome, Story, explain};
--- /dev/null
+++ b/crates/mimosagap-explain/tests/cause.rs
@@ -0,0 +1,50 @@
+//! The cause of each end of a request.
+
+use mimosagap_explain::{Cause, LogRecord, LogSet, MayHaveRun};
+use mimosagap_routing::refusal::RefusalReason;
+use rstest::rstest;
+
+fn record(fields: &str) -> LogRecord {
+    let line = format!("{{\"time_ms\":1000,\"boot_ms\":10,\"id\":\"a\",{fields}}}");
+    let mut logs = LogSet::default();
+    logs.read("h", line.as_bytes()).expect("memory can be read");
+    logs.records()[0].clone()
+}
+
+#[test]
+fn each_refusal_names_its_reason_and_says_not_run_only_with_such_a_status() {
+    for reason in RefusalReason::ALL {
+        let line = format!("\"event\":\"refused\",\"reason\":\"{}\"", reason.name());
+        let cause = Cause::of(&record(&line)).expect("a refusal is a failure");
+        assert_eq!(cause.name, reason.name());
+        if matches!(reason.status(), 503 | 429) {
+            assert_eq!(cause.may_have_run, MayHaveRun::No, "{reason:?}");
+        }
+        if matches!(reason, RefusalReason::LateSent | RefusalReason::TargetBroke) {
+            assert_eq!(cause.may_have_run, MayHaveRun::Unknown, "{reason:?}");
+        }
+    }
+}
+
+#[rstest]
+#[case::served(r#""event":"answered","target":"i-1","status":200"#, None)]
+#[case::failed_by_the_target(
+    r#""event":"answered","target":"i-1","status":500"#,
+    Some("target_answered")
+)]
+#[case::whole_stream(r#""event":"stream_ended","how":"complete","last_event":9"#, None)]
+#[case::broken_stream(
+    r#""event":"stream_ended","how":"broken","last_event":9"#,
+    Some("stream_broken")
+)]
+#[case::left_in_a_stream(
+    r#""event":"stream_ended","how":"caller_left","last_event":9"#,
+    Some("stream_caller_left")
+)]
+#[case::left_before_an_answer(r#""event":"caller_left","after_ms":7"#, Some("caller_left"))]
+#[case::a_newer_reason(r#""event":"refused","reason":"too_blue""#, Some("too_blue"))]
+#[case::no_end(r#""event":"sent","target":"i-1""#, None)]
+fn an_end_has_its_cause(#[case] line: &str, #[case] name: Option<&str>) {
+    let cause = Cause::of(&record(line));
+    assert_eq!(cause.map(|cause| cause.name).as_deref(), name);
+}
--- /dev/null
+++ b/crates/mimosagap-explain/tests/story.rs
@@ -0,0 +1,79 @@
+//! The story of a request over hosts and tries.
+
+use mimosagap_explain::{Error, LogSet, Options, Outcome, explain};
+use rstest::rstest;
+
+/// An order that a target took with it, its repeat at another host, and what happened meanwhile.
+const FIRST_HOST: &str = r#"
+{"time_ms":49900,"boot_ms":0,"event":"started","host":"h1","version":"0"}
+{"time_ms":60000,"boot_ms":10100,"event":"sent","id":"a","request":"77","target":"i-1","attempt":1}
+{"time_ms":60010,"boot_ms":10110,"event":"sent","id":"other","request":"78","target":"i-2","attempt":1}
+{"time_ms":60300,"boot_ms":10400,"event":"attempt_failed","id":"a","target":"i-1","cause":"broken"}
+{"time_ms":60300,"boot_ms":10400,"event":"refused","id":"a","request":"77","reason":"target_broke","status":502}
+{"time_ms":61000,"boot_ms":11100,"event":"lines_left_out","kind":"sent","count":4}
+"#;
+const SECOND_HOST: &str = r#"
+{"time_ms":49900,"boot_ms":0,"event":"started","host":"h2","version":"0"}
+{"time_ms":59400,"boot_ms":9500,"event":"target_leaving","target":"i-1","source":"entry"}
+{"time_ms":59500,"boot_ms":9600,"event":"target_leaving","target":"i-9","source":"entry"}
+{"time_ms":60900,"boot_ms":11000,"event":"sent","id":"b","request":"77","target":"i-2","attempt":1}
+{"time_ms":60950,"boot_ms":11050,"event":"answered","id":"b","target":"i-2","status":200}
+{"time_ms":60960,"boot_ms":11060,"event":"sent","id":"c","request":"77","target":"i-2","attempt":1}
+"#;
+
+fn logs() -> LogSet {
+    let mut logs = LogSet::default();
+    for log in [SECOND_HOST, FIRST_HOST] {
+        logs.read("file", log.as_bytes())
+            .expect("memory can be read");
+    }
+    logs
+}
+
+fn ids(outcome: &Outcome) -> Vec<&str> {
+    outcome.tries.iter().map(|one| one.id.as_str()).collect()
+}
+
+#[rstest]
+#[case::from_the_failed_try("a")]
+#[case::from_its_repeat("b")]
+fn a_failed_try_and_its_repeat_are_one_story(#[case] id: &str) {
+    let outcome = explain(&logs(), id, Options::default()).expect("the id is there");
+    assert_eq!(ids(&outcome), ["a", "b"]);
+    let cause = outcome.tries[0].cause().expect("it failed");
+    assert_eq!(cause.name, "target_broke");
+    assert!(outcome.tries[1].cause().is_none(), "it was served");
+}
+
+#[test]
+fn an_equal_request_after_a_success_is_another_story() {
+    let outcome = explain(&logs(), "c", Options::default()).expect("the id is there");
+    assert_eq!(ids(&outcome), ["c"]);
+    assert!(outcome.cautions[0].contains("has no end"), "{outcome:?}");
+}
+
+#[test]
+fn what_happened_to_its_target_is_told_from_any_host() {
+    let outcome = explain(&logs(), "a", Options::default()).expect("the id is there");
+    let told: Vec<(&str, Option<&str>)> = outcome
+        .meanwhile
+        .iter()
+        .map(|line| (line.event.as_str(), line.text("target")))
+        .collect();
+    assert_eq!(
+        told,
+        [("target_leaving", Some("i-1")), ("lines_left_out", None)]
+    );
+    assert!(outcome.cautions[0].contains("left out 4 lines"));
+}
+
+#[test]
+fn an_unknown_id_is_an_error_that_tells_what_was_left_out() {
+    let error = explain(&logs(), "zz", Options::default()).expect_err("no line has it");
+    let expected = Error::NotFound {
+        id: "zz".to_owned(),
+        left_out: 4,
+    };
+    assert_eq!(error, expected);
+    assert!(error.to_string().contains("all hosts"), "{error}");
+}
--- a/crates/mimosagap-gateway/src/answer.rs
+++ b/crates/mimosagap-gateway/src/answer.rs
@@ -9,10 +9,12 @@
 use http_body_util::{BodyExt, Full};
 use mimosagap_platform::names;
 use mimosagap_platform::request::end_to_end;
+use mimosagap_routing::quarantine::RequestMark;
 use mimosagap_routing::refusal::RefusalReason;
 use rand::Rng;
 
 use crate::log::LogEvent;
+use crate::request::RoutedRequest;
 use crate::state::{Gateway, millis};
 
 /// A stream that broke; the connection to the caller is closed without the end of the body.
@@ -54,13 +56,34 @@
 /// Part by which the time to come back is spread over callers.
 const SPREAD: f64 = 0.5;
 
+/// What a refusal says of its request.
+#[derive(Debug, Clone, Copy)]
+pub struct RefusedRequest<'a> {
+    /// The id of this try.
+    pub id: &'a str,
+    /// Names the request over its tries, once its body was read.
+    pub mark: Option<RequestMark>,
+    /// When the head arrived.
+    pub arrived: Duration,
+}
+
+impl<'a> From<&'a RoutedRequest> for RefusedRequest<'a> {
+    fn from(request: &'a RoutedRequest) -> Self {
+        Self {
+            id: &request.head.id,
+            mark: Some(request.mark),
+            arrived: request.arrived,
+        }
+    }
+}
+
 /// Refuses a request.
 pub fn refuse(
     gateway: &Gateway,
-    id: &str,
-    arrived: Duration,
+    request: RefusedRequest<'_>,
     reason: RefusalReason,
 ) -> Response<AnswerBody> {
+    let id = request.id;
     let (config_version, config_age_ms) = gateway.config_facts();
     gateway
         .metrics
@@ -69,9 +92,12 @@
         .inc();
     gateway.log.event(&LogEvent::Refused {
         id,
+        request: request
+            .mark
+            .map_or_else(String::new, |mark| mark.to_string()),
         reason: reason.name(),
         status: reason.status(),
-        after_ms: millis(gateway.now().saturating_sub(arrived)),
+        after_ms: millis(gateway.now().saturating_sub(request.arrived)),
         config_version,
         config_age_ms,
     });
--- a/crates/mimosagap-gateway/src/calls.rs
+++ b/crates/mimosagap-gateway/src/calls.rs
@@ -116,7 +116,7 @@
                 } else {
                     RefusalReason::LateUnsent
                 };
-                return refuse(gateway, &request.head.id, request.arrived, reason);
+                return refuse(gateway, request.into(), reason);
             }
         }
     }
@@ -212,7 +212,7 @@
     } else {
         RefusalReason::NoTarget
     };
-    refuse(gateway, &request.head.id, request.arrived, reason)
+    refuse(gateway, request.into(), reason)
 }
 
 /// Gives the caller a target's whole answer.
--- a/crates/mimosagap-gateway/src/exchange.rs
+++ b/crates/mimosagap-gateway/src/exchange.rs
@@ -247,6 +247,7 @@
     let (config_version, config_age_ms) = gateway.config_facts();
     gateway.log.event(&LogEvent::Sent {
         id: &request.head.id,
+        request: request.mark.to_string(),
         target: &entry.instance,
         attempt,
         requests: load.requests,
--- a/crates/mimosagap-gateway/src/ingress.rs
+++ b/crates/mimosagap-gateway/src/ingress.rs
@@ -18,9 +18,10 @@
 use mimosagap_types::prelude::*;
 use rand::Rng;
 
-use crate::answer::{AnswerBody, refuse};
+use crate::answer::{AnswerBody, RefusedRequest, refuse};
+use crate::log::LogEvent;
 use crate::request::RoutedRequest;
-use crate::state::SharedGateway;
+use crate::state::{SharedGateway, millis};
 use crate::{calls, streams};
 
 /// Counts a request as in flight until it is dropped.
@@ -43,6 +44,26 @@
     }
 }
 
+/// Notes a request whose caller leaves before it has an answer, which drops the task.
+struct UnansweredRequest<'a> {
+    gateway: &'a SharedGateway,
+    id: &'a str,
+    arrived: Duration,
+    is_answered: bool,
+}
+
+impl Drop for UnansweredRequest<'_> {
+    fn drop(&mut self) {
+        if !self.is_answered {
+            let waited = self.gateway.now().saturating_sub(self.arrived);
+            self.gateway.log.event(&LogEvent::CallerLeft {
+                id: self.id,
+                after_ms: millis(waited),
+            });
+        }
+    }
+}
+
 /// Answers one request.
 pub async fn handle(
     gateway: SharedGateway,
@@ -53,13 +74,27 @@
     let (parts, body) = request.into_parts();
     let head = RequestHead::parse(&parts.headers);
     let id = head.id.clone();
+    let mut unanswered = UnansweredRequest {
+        gateway: &gateway,
+        id: &id,
+        arrived,
+        is_answered: false,
+    };
     let mut response = match read(&gateway, parts, head, body, arrived).await {
         Ok(request) if request.route.kind.is_stream() => {
             streams::carry(&gateway, request, in_flight).await
         }
         Ok(request) => calls::carry(&gateway, &request).await,
-        Err(reason) => refuse(&gateway, &id, arrived, reason),
+        Err(reason) => {
+            let request = RefusedRequest {
+                id: &id,
+                mark: None,
+                arrived,
+            };
+            refuse(&gateway, request, reason)
+        }
     };
+    unanswered.is_answered = true;
     if gateway.is_stopping() {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(header::CONNECTION, close);
--- a/crates/mimosagap-gateway/src/log.rs
+++ b/crates/mimosagap-gateway/src/log.rs
@@ -1,7 +1,8 @@
 //! Structured log lines on standard output.
 //!
 //! A thread writes, so that a reader who stops reading blocks nothing; lines that do not fit into
-//! its queue, or exceed the budget of their kind, are counted and left out.
+//! its queue, or exceed the budget of their kind, are counted and left out. The ends of failed
+//! requests have a budget of their own, which successes cannot use up.
 
 use std::cell::RefCell;
 use std::io::Write;
@@ -12,138 +13,277 @@
 use mimosagap_types::prelude::*;
 use serde::Serialize;
 
-/// Batches that wait for the writer.
+/// Batches that wait for the writer. With batches a little over [`BATCH`] this bounds the memory
+/// of a reader that stopped reading to about a megabyte.
 const QUEUE: usize = 64;
 
-/// Lines of one kind in a second; more are counted and left out.
-const LINES_PER_SECOND: u32 = 60;
+/// Lines of one kind in a second; more are counted and left out. All kinds together stay below
+/// 200 KB a second, a fifth of the slowest host's link.
+pub const LINES_PER_SECOND: u32 = 60;
 
 /// A batch is handed to the writer when it is this long, in bytes.
 const BATCH: usize = 16 << 10;
 
+/// The lowest status of an answer that is logged as a failure.
+const FIRST_FAILURE: u16 = 400;
+
+/// How a stream ended that its caller got whole.
+pub const COMPLETE: &str = "complete";
+
 /// What is logged. The variants and their fields are the format of the log.
 #[derive(Debug, Clone)]
 #[derive(Serialize)]
 #[serde(tag = "event", rename_all = "snake_case")]
 pub enum LogEvent<'a> {
     /// The process started.
-    Started { host: &'a str, version: &'a str },
+    Started {
+        /// The host's name.
+        host: &'a str,
+        /// Version of the program.
+        version: &'a str,
+    },
     /// The process was asked to stop.
-    Stopping { host: &'a str, in_flight: u32 },
+    Stopping {
+        /// The host's name.
+        host: &'a str,
+        /// Requests in flight.
+        in_flight: u32,
+    },
     /// The process ended.
-    Stopped { host: &'a str, in_flight: u32 },
+    Stopped {
+        /// The host's name.
+        host: &'a str,
+        /// Requests in flight.
+        in_flight: u32,
+    },
     /// The settings were read again after SIGHUP.
-    Reloaded { result: &'a str },
+    Reloaded {
+        /// What became of the settings.
+        result: &'a str,
+    },
     /// A configuration is in force.
-    ConfigInForce { version: u64, revision: u64 },
+    ConfigInForce {
+        /// Version of the configuration.
+        version: u64,
+        /// The store's revision of the entry.
+        revision: u64,
+    },
     /// A configuration could not be read; the one before stays in force.
-    ConfigUnreadable { revision: u64, cause: String },
+    ConfigUnreadable {
+        /// The store's revision of the entry.
+        revision: u64,
+        /// What went wrong.
+        cause: String,
+    },
     /// The store became reachable or unreachable.
-    Store { reachable: bool, cause: String },
+    Store {
+        /// Whether the store answers.
+        reachable: bool,
+        /// What went wrong.
+        cause: String,
+    },
     /// A target can be used.
-    TargetListed { target: &'a str, address: String },
+    TargetListed {
+        /// The target's instance.
+        target: &'a str,
+        /// Where the target listens.
+        address: String,
+    },
     /// A target leaves or is gone.
-    TargetLeaving { target: &'a str, source: &'a str },
+    TargetLeaving {
+        /// The target's instance.
+        target: &'a str,
+        /// How this host learned of it.
+        source: &'a str,
+    },
     /// An entry names no target.
-    EntryUnreadable { key: &'a str, cause: String },
+    EntryUnreadable {
+        /// The store's key.
+        key: &'a str,
+        /// What went wrong.
+        cause: String,
+    },
     /// Another host joined or left.
-    Host { name: &'a str, listed: bool },
+    Host {
+        /// The host's name.
+        name: &'a str,
+        /// Whether the store lists it.
+        listed: bool,
+    },
     /// A target ended while it ran requests.
-    TargetCrashed { target: &'a str, suspects: usize },
+    TargetCrashed {
+        /// The target's instance.
+        target: &'a str,
+        /// Requests that ran there.
+        suspects: usize,
+    },
     /// A request was sent to a target.
     Sent {
+        /// The id of this try, as the caller sent it.
         id: &'a str,
+        /// Equal for all tries of a caller's request.
+        request: String,
+        /// The target's instance.
         target: &'a str,
+        /// The number of the send, from 1.
         attempt: u32,
         /// Requests in flight at the target, as far as known.
         requests: u32,
         /// Part of the target's memory that is promised, in tokens.
         tokens: u32,
+        /// Version of the configuration in force.
         config_version: u64,
+        /// Time since the configuration was proved to be the newest.
         config_age_ms: u64,
     },
     /// A request waits for a place.
     Waits {
+        /// The id of this try, as the caller sent it.
         id: &'a str,
+        /// Equal for all tries of a caller's request.
+        request: String,
+        /// Its rank; 0 is the most urgent.
         rank: usize,
+        /// Requests that were there before.
         ahead: usize,
     },
     /// An attempt did not bring an answer.
     AttemptFailed {
+        /// The id of this try, as the caller sent it.
         id: &'a str,
+        /// The target's instance.
         target: &'a str,
+        /// The number of the send, from 1.
         attempt: u32,
+        /// What went wrong.
         cause: &'a str,
+        /// Time since the request arrived or its step began.
         after_ms: u64,
     },
     /// A request got an answer of the gateway's own.
     Refused {
+        /// The id of this try, as the caller sent it.
         id: &'a str,
+        /// Empty if the request was refused before its body was read.
+        request: String,
+        /// The reason's name.
         reason: &'a str,
+        /// The HTTP status.
         status: u16,
+        /// Time since the request arrived or its step began.
         after_ms: u64,
+        /// Version of the configuration in force.
         config_version: u64,
+        /// Time since the configuration was proved to be the newest.
         config_age_ms: u64,
     },
     /// A request got a target's answer.
     Answered {
+        /// The id of this try, as the caller sent it.
         id: &'a str,
+        /// The target's instance.
         target: &'a str,
+        /// The HTTP status.
         status: u16,
+        /// Time since the request arrived or its step began.
+        after_ms: u64,
+    },
+    /// The caller left before it had an answer.
+    CallerLeft {
+        /// The id of this try, as the caller sent it.
+        id: &'a str,
+        /// Time since the request arrived or its step began.
         after_ms: u64,
     },
     /// A stream ended.
     StreamEnded {
+        /// The id of this try, as the caller sent it.
         id: &'a str,
+        /// The target's instance.
         target: &'a str,
+        /// How it ended; [`COMPLETE`] if the caller got all.
         how: &'a str,
+        /// The last event that the caller got.
         last_event: u64,
-        /// Output tokens that the caller estimated, its bound, and what was made.
+        /// Output tokens that the caller estimated.
         hinted_tokens: u32,
+        /// The caller's bound on the output.
         most_tokens: u32,
+        /// Output tokens that were made.
         made_tokens: u32,
+        /// How often it went on at another engine.
         moves: u32,
+        /// The longest pause between two events.
         longest_gap_ms: u64,
+        /// Time since the request arrived or its step began.
         after_ms: u64,
     },
     /// The first event of a stream is there.
     FirstEvent {
+        /// The id of this try, as the caller sent it.
         id: &'a str,
+        /// The target's instance.
         target: &'a str,
-        /// Time since the send, and what was expected when the engine was chosen.
+        /// Time since the send.
         after_ms: u64,
+        /// What was expected when the engine was chosen.
         expected_ms: u64,
-        /// Prompt tokens of this request, and those that were to be read before them.
+        /// Prompt tokens of this request.
         prompt: u32,
+        /// Prompt tokens that were to be read before them.
         ahead: u32,
     },
     /// A stream broke at its engine.
     StreamBroke {
+        /// The id of this try, as the caller sent it.
         id: &'a str,
+        /// The target's instance.
         target: &'a str,
+        /// The last event that the caller got.
         last_event: u64,
+        /// Time since the last event.
         silent_ms: u64,
+        /// Whether a copy of the run is elsewhere.
         has_copy: bool,
     },
     /// A stream went on elsewhere and its first new event is there.
     StreamWentOn {
+        /// The id of this try, as the caller sent it.
         id: &'a str,
+        /// The target's instance.
         target: &'a str,
+        /// The last event that the caller got.
         last_event: u64,
+        /// Time since the last event.
         silent_ms: u64,
     },
     /// A generation is copied to another engine.
     Move {
+        /// The id of this try, as the caller sent it.
         id: &'a str,
+        /// The engine that runs it.
         from: &'a str,
+        /// The engine that gets the copy.
         to: &'a str,
+        /// What became of the copy.
         step: &'a str,
+        /// Time since the request arrived or its step began.
         after_ms: u64,
     },
     /// Lines of a kind were left out.
-    LinesLeftOut { kind: &'a str, count: u32 },
+    LinesLeftOut {
+        /// The kind of lines.
+        kind: &'a str,
+        /// How many.
+        count: u32,
+    },
     /// Something that needs no decision failed.
-    Trouble { what: &'a str, cause: String },
+    Trouble {
+        /// What failed.
+        what: &'a str,
+        /// What went wrong.
+        cause: String,
+    },
 }
 
 impl LogEvent<'_> {
@@ -152,7 +292,9 @@
             Self::Sent { .. } => (0, "sent"),
             Self::Waits { .. } => (1, "waits"),
             Self::AttemptFailed { .. } => (2, "attempt_failed"),
-            Self::Refused { .. } => (3, "refused"),
+            Self::Refused { .. } | Self::CallerLeft { .. } => (3, "failed"),
+            Self::Answered { status, .. } if *status >= FIRST_FAILURE => (3, "failed"),
+            Self::StreamEnded { how, .. } if *how != COMPLETE => (3, "failed"),
             Self::Answered { .. } | Self::FirstEvent { .. } => (4, "answered"),
             Self::StreamEnded { .. } => (5, "stream_ended"),
             Self::Move { .. } | Self::StreamBroke { .. } | Self::StreamWentOn { .. } => (6, "move"),
@@ -185,7 +327,7 @@
     lost_batches: u32,
 }
 
-/// Takes log lines.
+/// Takes log lines. Clones share their budget and their writer.
 #[derive(Clone)]
 pub struct EventLog {
     buffer: Rc<RefCell<Buffer>>,
@@ -195,13 +337,18 @@
 
 impl EventLog {
     /// Starts the writer.
-    pub fn new(clock: SystemClock) -> std::io::Result<Self> {
+    ///
+    /// # Errors
+    /// If no thread can be started.
+    pub fn new(
+        clock: SystemClock,
+        mut output: impl Write + Send + 'static,
+    ) -> std::io::Result<Self> {
         let (sender, receiver) = sync_channel::<Vec<u8>>(QUEUE);
         std::thread::Builder::new()
             .name("log".to_owned())
             .stack_size(64 << 10)
             .spawn(move || {
-                let mut output = std::io::stdout();
                 for batch in receiver {
                     // Nobody is left to tell that standard output is gone.
                     let _ = output.write_all(&batch).and_then(|()| output.flush());
--- a/crates/mimosagap-gateway/src/relay.rs
+++ b/crates/mimosagap-gateway/src/relay.rs
@@ -20,7 +20,7 @@
 use crate::events::StreamEvent;
 use crate::exchange::{SendOptions, exchange, keep, pause, prepare};
 use crate::health;
-use crate::log::LogEvent;
+use crate::log::{COMPLETE, LogEvent};
 use crate::request::RoutedRequest;
 use crate::source::{EventSource, SourceItem};
 use crate::state::{SharedGateway, millis};
@@ -121,7 +121,7 @@
 impl RelayEnd {
     fn name(&self) -> &'static str {
         match self {
-            Self::Complete => "complete",
+            Self::Complete => COMPLETE,
             Self::CallerLeft => "caller_left",
             Self::Deadline => "deadline",
             Self::Broken => "broken",
--- a/crates/mimosagap-gateway/src/run.rs
+++ b/crates/mimosagap-gateway/src/run.rs
@@ -151,7 +151,8 @@
     metrics_port: Option<u16>,
 ) -> Result<Outcome, Error> {
     let clock = SystemClock;
-    let log = EventLog::new(clock).map_err(|cause| start_error("the log", cause))?;
+    let log =
+        EventLog::new(clock, std::io::stdout()).map_err(|cause| start_error("the log", cause))?;
     let metrics = GatewayMetrics::new().map_err(Error::Metrics)?;
     let store = settings.store;
     let gateway = Rc::new(Gateway::new(settings, log, metrics, clock));
--- a/crates/mimosagap-gateway/src/streams.rs
+++ b/crates/mimosagap-gateway/src/streams.rs
@@ -64,7 +64,7 @@
     let request = Rc::new(request);
     let need = need_of(gateway, &request);
     match begin(gateway, &request, need).await {
-        Begun::Refused(reason) => refuse(gateway, &request.head.id, request.arrived, reason),
+        Begun::Refused(reason) => refuse(gateway, request.as_ref().into(), reason),
         Begun::Answered(target, answer) => deliver(gateway, &request, target, answer),
         Begun::Stream(stream) => {
             let head = target_head(stream.source.head.status, &stream.source.head.headers);
@@ -321,6 +321,7 @@
         let waiting = Waiting::new(ticket, need.rank, now, request.route.target_latency);
         gateway.log.event(&LogEvent::Waits {
             id: &request.head.id,
+            request: request.mark.to_string(),
             rank: need.rank,
             ahead: list.len(),
         });
--- a/crates/mimosagap-routing/src/quarantine.rs
+++ b/crates/mimosagap-routing/src/quarantine.rs
@@ -5,6 +5,7 @@
 //! is not run again.
 
 use std::collections::{HashMap, HashSet};
+use std::fmt;
 use std::time::Duration;
 
 use crate::marks::stable_mark;
@@ -27,6 +28,12 @@
     }
 }
 
+impl fmt::Display for RequestMark {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
+
 /// Names one crash: a target and the life that ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub struct CrashMark(pub u64);
--- a/crates/mimosagap-routing/src/refusal.rs
+++ b/crates/mimosagap-routing/src/refusal.rs
@@ -37,6 +37,30 @@
 }
 
 impl RefusalReason {
+    /// All reasons.
+    pub const ALL: [Self; 14] = [
+        Self::NoConfig,
+        Self::StaleConfig,
+        Self::NoRoute,
+        Self::UnknownKey,
+        Self::Malformed,
+        Self::BodyTooLong,
+        Self::NoTarget,
+        Self::Overload,
+        Self::TurnedAway,
+        Self::LateUnsent,
+        Self::LateSent,
+        Self::TargetBroke,
+        Self::Quarantined,
+        Self::Leaving,
+    ];
+
+    /// The reason with a name.
+    #[must_use]
+    pub fn parse(name: &str) -> Option<Self> {
+        Self::ALL.into_iter().find(|reason| reason.name() == name)
+    }
+
     /// The HTTP status.
     #[must_use]
     pub fn status(self) -> u16 {
