feat(routing): no standing copies while the whole fleet is loaded

Change: no standing copy is begun while more than 30% of the memory of all usable engines together is promised. Copies after a notice are as before.

--- a/crates/mimosagap-routing/src/backup.rs
+++ b/crates/mimosagap-routing/src/backup.rs
@@ -3,7 +3,8 @@
 //! Load pattern: engines are taken away or crash every few seconds, while generations run for many
 //! seconds. A copy that is kept elsewhere from the start lets a generation go on after a pause of
 //! some tens of milliseconds; a copy that is begun after the notice waits behind those of all other
-//! generations on the link. A copy fills memory, so none is made where new requests need it.
+//! generations on the link. A copy fills memory that new requests need when load is high, wherever
+//! it is, so none is made then.
 
 use std::time::Duration;
 
@@ -18,6 +19,10 @@
 /// Part of an engine's memory up to which it takes copies.
 const MEMORY_CEILING: f64 = 0.45;
 
+/// Part of the memory of all engines together up to which copies are made. Above it the engines
+/// that look free now are needed for new requests before the generation ends.
+const FLEET_CEILING: f64 = 0.3;
+
 /// Cost of an engine in another zone than the generation's, as a part of an engine's memory.
 const AWAY_COST: f64 = 0.15;
 
@@ -38,6 +43,9 @@
     if !engine.can_back_up || need.output < MIN_OUTPUT {
         return None;
     }
+    if fleet_fill(targets, service, engine.memory_tokens, now) > FLEET_CEILING {
+        return None;
+    }
     let zone = &targets.get(source)?.entry.zone;
     targets
         .of_service(service)
@@ -62,3 +70,13 @@
         .min_by(|(first, _), (second, _)| first.total_cmp(second))
         .map(|(_, key)| key)
 }
+
+/// Part of the memory of all usable engines that is promised.
+fn fleet_fill(targets: &Targets, service: &DeploymentName, capacity: u32, now: Duration) -> f64 {
+    let usable = targets.of_service(service);
+    let usable = usable.filter(|(_, target)| target.is_usable(now));
+    let (promised, engines) = usable.fold((0.0, 0.0), |(promised, engines), (_, target)| {
+        (promised + f64::from(target.load(now).tokens), engines + 1.0)
+    });
+    promised / (engines * f64::from(capacity)).max(1.0)
+}
--- a/crates/mimosagap-routing/tests/moves.rs
+++ b/crates/mimosagap-routing/tests/moves.rs
@@ -77,6 +77,18 @@
     assert_eq!(backup(&targets), None);
 }
 
+/// Load pattern: engines are taken away while the others fill; the ones that are empty now take the
+/// next requests.
+#[test]
+fn a_loaded_fleet_makes_no_copies_from_the_start_on_its_last_free_engine() {
+    let (mut targets, keys) = engines(&["a", "a", "a"]);
+    let backup = |targets: &_| choose_backup(targets, &service(), keys[0], QUOTE, NOW);
+    targets.begin(keys[0], MEMORY / 2, 0, 1);
+    assert_eq!(backup(&targets), Some(keys[1]));
+    targets.begin(keys[1], MEMORY / 2, 0, 1);
+    assert_eq!(backup(&targets), None);
+}
+
 #[test]
 fn a_short_answer_gets_no_copy_from_the_start() {
     let (targets, keys) = engines(&["a", "a"]);
