feat(gateway): changes of the store reach a large fleet with fewer calls and bytes

With readers that stand in for each other instead, hosts refused 82 to 98 requests for stale configurations in config storms: a configuration is 13 KB, the reader sent every version to every host, and 35 of 63 hosts have links of 10 Mbit/s, which were full. The same bytes delayed loads and streams before, unseen.

Ruled out: the store (stable in that time); one reader a region without regard to its link (98 refusals); one reader a zone without pacing (84).

Change: three hosts of a zone stand in for each other as readers, the strongest first by the processor share and link that the settings name; a reader that lost the store says so at once; a host whose readers all fail asks the store at most every three seconds; of a key that changed several times only the newest value is sent; a host waits after a long answer.

--- a/crates/mimosagap-gateway/src/feed.rs
+++ b/crates/mimosagap-gateway/src/feed.rs
@@ -1,6 +1,6 @@
 //! Changes of the store as one host hands them to the others of its zone.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, HashSet, VecDeque};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -14,7 +14,7 @@
 
 use crate::answer::{AnswerBody, plain};
 use crate::link::HttpLink;
-use crate::state::{SharedGateway, millis};
+use crate::state::{STORE_AWAY, SharedGateway, millis};
 
 /// The path of the call between hosts.
 pub const PATH: &str = "/changes";
@@ -25,8 +25,13 @@
 /// A question waits this long for a change.
 const WAIT: Duration = Duration::from_millis(500);
 
-/// A reader that does not answer in this time is not asked again for a while.
-const ANSWER_TIMEOUT: Duration = Duration::from_secs(1);
+/// A reader that does not answer this long after its wait is not asked again for a while. It is in
+/// the same zone, so an answer takes milliseconds.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Bytes a second that one host takes from its reader while configurations follow each other
+/// quickly: a twelfth of the link of a host with 10 Mbit/s.
+const BYTES_PER_SECOND: f64 = 100_000.0;
 
 /// Longest answer in bytes.
 const MAX_ANSWER: usize = 16 << 20;
@@ -90,11 +95,18 @@
                 })
                 .collect()
         } else {
-            self.recent
+            // Of a key that changed several times only the newest value counts.
+            let mut seen = HashSet::new();
+            let mut changes: Vec<StoreChange> = self
+                .recent
                 .iter()
-                .filter(|change| change.revision > revision)
+                .rev()
+                .take_while(|change| change.revision > revision)
+                .filter(|change| seen.insert(&change.key))
                 .cloned()
-                .collect()
+                .collect();
+            changes.reverse();
+            changes
         };
         (is_whole, changes)
     }
@@ -123,6 +135,8 @@
     pub age: Duration,
     /// Time since the store was back after an outage.
     pub returned: Option<Duration>,
+    /// Time until the next question, by the length of this answer.
+    pub pause: Duration,
 }
 
 /// Answers another host.
@@ -135,7 +149,10 @@
     tokio::pin!(deadline);
     loop {
         let news = gateway.news.notified();
-        if gateway.with(|beliefs| beliefs.mirror.revision()) > after {
+        let has_answer = gateway.with(|beliefs| {
+            beliefs.mirror.revision() > after || beliefs.store_returned_at == Some(STORE_AWAY)
+        });
+        if has_answer {
             break;
         }
         tokio::select! {
@@ -145,6 +162,9 @@
     }
     let now = gateway.now();
     let message = gateway.with(|beliefs| {
+        if beliefs.store_returned_at == Some(STORE_AWAY) {
+            return None;
+        }
         let age = beliefs.config.silence(now).filter(|age| *age < MAX_AGE)?;
         let (is_whole, changes) = beliefs.mirror.after(after);
         let returned = beliefs.store_returned_at;
@@ -204,6 +224,7 @@
         if head.status != StatusCode::OK {
             return Err("the reader has no fresh changes".to_owned());
         }
+        let length = f64::from(u32::try_from(body.len()).unwrap_or(u32::MAX));
         let config = bincode::config::standard();
         let (message, _) = bincode::serde::decode_from_slice::<FeedMessage, _>(&body, config)
             .map_err(|error| error.to_string())?;
@@ -224,6 +245,7 @@
             is_whole: message.is_whole,
             age: Duration::from_millis(message.age_ms),
             returned: message.returned_ms.map(Duration::from_millis),
+            pause: Duration::from_secs_f64(length / BYTES_PER_SECOND),
         })
     }
 }
--- a/crates/mimosagap-gateway/src/state.rs
+++ b/crates/mimosagap-gateway/src/state.rs
@@ -25,6 +25,9 @@
 use crate::metrics::GatewayMetrics;
 use crate::pool::LinkPool;
 
+/// The time of return of a store that is still away.
+pub const STORE_AWAY: Duration = Duration::MAX;
+
 /// Beliefs and counts.
 pub struct Beliefs {
     /// The configuration.
@@ -47,7 +50,7 @@
     pub random: SmallRng,
     /// When the process was asked to stop.
     pub stopping_since: Option<Duration>,
-    /// When the store was back after an outage; [`Duration::MAX`] while it is away.
+    /// When the store was back after an outage; [`STORE_AWAY`] while it is away.
     pub store_returned_at: Option<Duration>,
     /// The store's keys, for the other hosts of the zone.
     pub mirror: StoreMirror,
--- a/crates/mimosagap-gateway/src/sync.rs
+++ b/crates/mimosagap-gateway/src/sync.rs
@@ -1,22 +1,21 @@
 //! Keeps configuration, targets, hosts and suspects up to date from the store.
 
 use std::collections::{HashMap, HashSet};
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use mimosagap_platform::store::{StoreCall, StoreChange, StoreChanges, StoreRefusal};
 use mimosagap_platform::{config, entry, names, store};
-use mimosagap_routing::hosts::{self, HostRecord};
+use mimosagap_routing::hosts::{self, HostCapacity, HostRecord};
 use mimosagap_routing::quarantine::{CrashMark, MEMORY, RequestMark};
-use mimosagap_routing::readers::{ChangeSource, SourceChoice};
+use mimosagap_routing::readers::{ChangeSource, ReaderHost, SourceChoice};
 use mimosagap_routing::targets::{self, Distance};
 use mimosagap_types::prelude::*;
 use rand::Rng;
 
 use crate::feed::{FeedAnswer, FeedClient};
 use crate::log::LogEvent;
-use crate::state::{Gateway, SharedGateway};
+use crate::state::{Gateway, STORE_AWAY, SharedGateway};
 use crate::store::{StoreClient, StoreError};
 
 /// Everything in the store: configuration, targets, hosts and suspects take one watch.
@@ -42,6 +41,10 @@
 /// Pause between two questions to the reader of the zone.
 const READER_PAUSE: Duration = Duration::from_millis(20);
 
+/// Pause before a reader is asked that failed, as all others did: a few questions a second notice
+/// the end of an outage as soon as the reader does.
+const FAILED_READER_PAUSE: Duration = Duration::from_millis(300);
+
 /// Pauses after a failed call, first and longest.
 const FAILURE_PAUSE: (Duration, Duration) = (Duration::from_millis(150), Duration::from_secs(1));
 
@@ -54,7 +57,7 @@
 /// Targets that are gone are kept for this long, for the log and for requests in flight.
 const KEEP_GONE: Duration = Duration::from_secs(10);
 
-/// Follows the store for ever, by itself or through the reader of its zone.
+/// Follows the store for ever, by itself or through a reader of its zone.
 pub async fn follow(gateway: SharedGateway, client: StoreClient) {
     let mut follower = Follower {
         gateway,
@@ -91,24 +94,27 @@
                 .source(hosts, &settings.host, &settings.zone, now)
         });
         match (source, self.revision) {
-            (ChangeSource::Reader(reader), Some(after)) => self.ask_reader(reader, after).await,
+            (ChangeSource::Reader(reader), Some(after)) => self.ask_reader(&reader, after).await,
             _ => self.ask_store().await,
         }
     }
 
-    async fn ask_reader(&mut self, reader: SocketAddr, after: u64) {
+    async fn ask_reader(&mut self, reader: &ReaderHost, after: u64) {
+        if reader.has_failed {
+            tokio::time::sleep(FAILED_READER_PAUSE).await;
+        }
         let asked_at = self.gateway.now();
-        match self.feed.ask(reader, after).await {
+        match self.feed.ask(reader.address, after).await {
             Ok(answer) => {
                 self.revision = Some(answer.changes.revision);
                 take_answer(&self.gateway, &answer, asked_at);
-                tokio::time::sleep(READER_PAUSE).await;
+                tokio::time::sleep(READER_PAUSE.max(answer.pause)).await;
             }
             Err(cause) => {
                 let what = "changes of the zone's reader";
                 self.gateway.log.event(&LogEvent::Trouble { what, cause });
                 let now = self.gateway.now();
-                self.choice.reader_failed(now);
+                self.choice.reader_failed(&reader.host, now);
             }
         }
     }
@@ -126,19 +132,20 @@
             Ok(at) => {
                 self.revision = Some(at);
                 self.failures = 0;
+                self.choice.store_answered();
                 self.set_reachable(true, String::new());
                 let pause = if is_first { FIRST_PAUSE } else { POLL_PAUSE };
                 tokio::time::sleep(pause).await;
             }
             Err(StoreError::Refused(StoreRefusal::HistoryGone)) => self.revision = None,
             Err(error) => {
-                // Without the store the reader is the first to notice its return.
-                self.choice.store_failed();
+                self.choice.store_failed(self.gateway.now());
                 self.set_reachable(false, error.to_string());
                 // What vanishes from now on may only have lapsed; see `settle`.
-                let away = Some(Duration::MAX);
                 self.gateway
-                    .with(|beliefs| beliefs.store_returned_at = away);
+                    .with(|beliefs| beliefs.store_returned_at = Some(STORE_AWAY));
+                // Hosts that ask this one look for another reader.
+                self.gateway.news.notify_waiters();
                 self.failures += 1;
                 tokio::time::sleep(failure_pause(&self.gateway, self.failures)).await;
             }
@@ -246,7 +253,7 @@
 fn settle(gateway: &Gateway) {
     let now = gateway.now();
     gateway.with(|beliefs| {
-        if beliefs.store_returned_at == Some(Duration::MAX) {
+        if beliefs.store_returned_at == Some(STORE_AWAY) {
             beliefs.store_returned_at = Some(now);
         }
     });
@@ -442,6 +449,10 @@
         peers: std::net::SocketAddr::new(settings.ip, settings.peer_port),
         zone: settings.zone.clone(),
         region: settings.region.clone(),
+        capacity: HostCapacity {
+            processor_permille: settings.processor_permille,
+            link_mbps: settings.link_mbps,
+        },
     };
     let value = serde_json::to_vec(&record).unwrap_or_default();
     let key = format!("{HOSTS_PREFIX}{}", settings.host);
--- a/crates/mimosagap-routing/src/hosts.rs
+++ b/crates/mimosagap-routing/src/hosts.rs
@@ -23,6 +23,18 @@
     pub zone: ZoneName,
     /// Its region.
     pub region: RegionName,
+    /// What it can do for others.
+    pub capacity: HostCapacity,
+}
+
+/// What a host may use; the greater one does more for others.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Serialize, Deserialize)]
+pub struct HostCapacity {
+    /// Share of a processor, in thousandths of a core.
+    pub processor_permille: u32,
+    /// Link in Mbit/s.
+    pub link_mbps: u32,
 }
 
 #[derive(Debug, Clone)]
--- a/crates/mimosagap-routing/src/readers.rs
+++ b/crates/mimosagap-routing/src/readers.rs
@@ -2,62 +2,104 @@
 //!
 //! Load pattern: every host of a large fleet follows the same keys, which change many times a
 //! second, and every call to the store is limited and paid for. One host of each zone asks the
-//! store, and the others of the zone ask that host. Whoever gets no fresh answer asks the store.
+//! store, and the others of the zone ask that host. A few hosts stand in for it in turn. Only when
+//! all of them fail does a host ask the store itself, and seldom while that fails too: an outage of
+//! the store would otherwise bring a call of every host each second.
 
+use std::cmp::Reverse;
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use mimosagap_types::prelude::*;
 
-use crate::hosts::Hosts;
+use crate::hosts::{HostRecord, Hosts};
 use crate::marks::stable_mark;
 
-/// After a reader failed, the store is asked for this long.
+/// Hosts of a zone that may be its reader. If a store turns away a third of all hosts, all of
+/// them are turned away in one case of 27.
+const READERS: usize = 3;
+
+/// After a reader failed, the next one is asked for this long.
 const AVOID: Duration = Duration::from_secs(3);
 
+/// A host whose readers fail and which the store failed too asks the store again after this long:
+/// within the time in which a host has to prove its configuration.
+const OWN_RETRY: Duration = Duration::from_secs(3);
+
 /// A reader that has not heard of the store for this long may have lost it, and its answers are of
 /// no use: two waits of its watch and a slow answer.
 pub const MAX_AGE: Duration = Duration::from_millis(2500);
 
 /// Where a host gets changes from.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub enum ChangeSource {
     /// From the store.
     Store,
-    /// From the reader of its zone.
-    Reader(SocketAddr),
+    /// From a reader.
+    Reader(ReaderHost),
+}
+
+/// A host that asks the store for others.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ReaderHost {
+    /// Its name.
+    pub host: String,
+    /// Where it answers.
+    pub address: SocketAddr,
+    /// Whether it failed lately, as all others did, so that there is no hurry to ask it.
+    pub has_failed: bool,
 }
 
 /// Chooses the source of changes of one host.
 #[derive(Debug, Clone, Default)]
 pub struct SourceChoice {
-    failed_at: Option<Duration>,
+    failed: HashMap<String, Duration>,
+    store_failed_at: Option<Duration>,
 }
 
 impl SourceChoice {
-    /// The reader did not answer, or not with fresh changes.
-    pub fn reader_failed(&mut self, now: Duration) {
-        self.failed_at = Some(now);
+    /// A reader did not answer, or not with fresh changes.
+    pub fn reader_failed(&mut self, host: &str, now: Duration) {
+        self.failed.retain(|_, at| now < *at + AVOID);
+        self.failed.insert(host.to_owned(), now);
     }
 
-    /// The store did not answer either, so the reader is asked again.
-    pub fn store_failed(&mut self) {
-        self.failed_at = None;
+    /// The store did not answer this host.
+    pub fn store_failed(&mut self, now: Duration) {
+        self.store_failed_at = Some(now);
+    }
+
+    /// The store answered this host.
+    pub fn store_answered(&mut self) {
+        self.store_failed_at = None;
     }
 
     /// The source for the next question.
     #[must_use]
     pub fn source(&self, hosts: &Hosts, own: &str, zone: &ZoneName, now: Duration) -> ChangeSource {
-        if self.failed_at.is_some_and(|at| now < at + AVOID) {
-            return ChangeSource::Store;
-        }
-        // Ordered by a hash, so that the first host of a zone by name has no other duty.
-        let reader = hosts
+        // The strongest first, because a reader sends every change to all others. Equal ones are
+        // ordered by a hash, so that the first host of a zone by name has no other duty.
+        let mut readers: Vec<(&str, &HostRecord)> = hosts
             .live()
             .filter(|(_, record)| record.zone == *zone)
-            .min_by_key(|(name, _)| stable_mark(&[name.as_bytes()]));
-        match reader {
-            Some((name, record)) if name != own => ChangeSource::Reader(record.peers),
+            .collect();
+        readers.sort_by_key(|(name, record)| {
+            (Reverse(record.capacity), stable_mark(&[name.as_bytes()]))
+        });
+        readers.truncate(READERS);
+        let has_failed = |name: &str| self.failed.get(name).is_some_and(|at| now < *at + AVOID);
+        let may_ask_store = readers.iter().any(|(name, _)| *name == own)
+            || self.store_failed_at.is_none_or(|at| now >= at + OWN_RETRY);
+        let sound = readers.iter().find(|(name, _)| !has_failed(name));
+        match sound.or(readers.first()) {
+            Some((name, record)) if *name != own && (sound.is_some() || !may_ask_store) => {
+                ChangeSource::Reader(ReaderHost {
+                    host: (*name).to_owned(),
+                    address: record.peers,
+                    has_failed: sound.is_none(),
+                })
+            }
             _ => ChangeSource::Store,
         }
     }
