feat(gateway): one host of each region places its generations

Change: hosts ask the strongest host of their region, which decides one after the other and counts each decision at once. Without an answer in 20 ms they decide by themselves as before; on other regions they always do.

Tests replay the burst.

--- a/crates/mimosagap-gateway/src/peers.rs
+++ b/crates/mimosagap-gateway/src/peers.rs
@@ -15,6 +15,7 @@
 use tokio::net::UdpSocket;
 
 use crate::log::LogEvent;
+use crate::placers::{self, PlaceAnswer, PlaceQuestion};
 use crate::state::SharedGateway;
 
 /// Changes are collected for this long, so that one datagram carries what one request changes.
@@ -36,9 +37,29 @@
 /// Targets in one datagram.
 const MAX_ENTRIES: usize = 40;
 
+/// A datagram between hosts.
+#[derive(Debug)]
+#[derive(Serialize, Deserialize)]
+pub enum PeerMessage {
+    /// What a host sends to which target.
+    Load(LoadMessage),
+    /// A host asks for an engine.
+    Question(PlaceQuestion),
+    /// The answer.
+    Answer(PlaceAnswer),
+}
+
+impl PeerMessage {
+    /// Its bytes; `None` if it cannot be written.
+    pub fn encode(&self) -> Option<Vec<u8>> {
+        bincode::serde::encode_to_vec(self, bincode::config::standard()).ok()
+    }
+}
+
+/// The load of a host.
 #[derive(Debug, PartialEq)]
 #[derive(Serialize, Deserialize)]
-struct LoadMessage {
+pub struct LoadMessage {
     /// Names the host.
     host: u64,
     /// Requests, promised tokens and unread prompt tokens by rank, for each target.
@@ -48,12 +69,24 @@
 /// What the hosts of one group were told last.
 type ToldLoads = HashMap<String, TargetLoad>;
 
-/// Takes the load of the other hosts, for ever.
-pub async fn hear_loads(gateway: SharedGateway, socket: Rc<UdpSocket>) {
+/// Takes what the other hosts say, for ever.
+pub async fn hear(gateway: SharedGateway, socket: Rc<UdpSocket>) {
     let mut buffer = [0; 2 * MAX_DATAGRAM];
     loop {
-        if let Ok((length, sender)) = socket.recv_from(&mut buffer).await {
-            receive(&gateway, &buffer[..length], sender);
+        let Ok((length, sender)) = socket.recv_from(&mut buffer).await else {
+            continue;
+        };
+        match receive(&gateway, &buffer[..length], sender) {
+            Some(PeerMessage::Load(message)) => take_load(&gateway, &message),
+            Some(PeerMessage::Question(question)) => {
+                let answer = PeerMessage::Answer(placers::answer(&gateway, &question));
+                if let Some(bytes) = answer.encode() {
+                    // Who gets no answer decides by itself.
+                    let _ = socket.send_to(&bytes, sender).await;
+                }
+            }
+            Some(PeerMessage::Answer(answer)) => gateway.placers.take(answer),
+            None => {}
         }
     }
 }
@@ -140,7 +173,7 @@
                 .collect(),
         };
         changed = rest;
-        let Ok(bytes) = bincode::serde::encode_to_vec(&message, bincode::config::standard()) else {
+        let Some(bytes) = PeerMessage::Load(message).encode() else {
             return;
         };
         for peer in &peers {
@@ -150,7 +183,7 @@
     }
 }
 
-fn receive(gateway: &SharedGateway, bytes: &[u8], sender: SocketAddr) {
+fn receive(gateway: &SharedGateway, bytes: &[u8], sender: SocketAddr) -> Option<PeerMessage> {
     let is_host = gateway.with(|beliefs| {
         beliefs
             .hosts
@@ -158,17 +191,20 @@
             .any(|(_, record)| record.peers.ip() == sender.ip())
     });
     if !is_host {
-        return;
+        return None;
     }
     let config = bincode::config::standard();
-    let message = bincode::serde::decode_from_slice::<LoadMessage, _>(bytes, config);
-    let Ok((message, _)) = message else {
-        gateway.log.event(&LogEvent::Trouble {
-            what: "datagram of a host",
-            cause: format!("unreadable, from {sender}"),
-        });
-        return;
-    };
+    if let Ok((message, _)) = bincode::serde::decode_from_slice(bytes, config) {
+        return Some(message);
+    }
+    gateway.log.event(&LogEvent::Trouble {
+        what: "datagram of a host",
+        cause: format!("unreadable, from {sender}"),
+    });
+    None
+}
+
+fn take_load(gateway: &SharedGateway, message: &LoadMessage) {
     let now = gateway.now();
     gateway.with(|beliefs| {
         for (instance, requests, tokens, unread) in &message.loads {
--- /dev/null
+++ b/crates/mimosagap-gateway/src/placers.rs
@@ -0,0 +1,241 @@
+//! Asks the placer of the own region for an engine, and answers the other hosts of the region.
+
+use std::cell::{Cell, OnceCell, RefCell};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use mimosagap_routing::marks::stable_mark;
+use mimosagap_routing::placement::{PlaceOptions, Placement, StreamNeed, place_stream};
+use mimosagap_routing::placers::PlacerChoice;
+use mimosagap_routing::targets::{Distance, RANKS, Target, TargetKey, TargetLoad};
+use mimosagap_types::prelude::*;
+use serde::{Deserialize, Serialize};
+use tokio::net::UdpSocket;
+use tokio::sync::oneshot;
+use tokio::time::timeout;
+
+use crate::peers::PeerMessage;
+use crate::request::RoutedRequest;
+use crate::state::{Beliefs, Gateway, SharedGateway};
+
+/// A placer answers within this time, or the host decides by itself: a round trip within a region
+/// takes a millisecond, and a small host some more for its work.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(20);
+
+/// A question to a placer.
+#[derive(Debug)]
+#[derive(Serialize, Deserialize)]
+pub struct PlaceQuestion {
+    number: u64,
+    /// Names the host that asks.
+    host: u64,
+    service: DeploymentName,
+    home: ZoneName,
+    prompt: u32,
+    output: u32,
+    rank: usize,
+    /// Instances that must not be used.
+    avoid: Vec<String>,
+}
+
+/// What a placer answers.
+#[derive(Debug)]
+#[derive(Serialize, Deserialize)]
+pub struct PlaceAnswer {
+    number: u64,
+    verdict: Verdict,
+}
+
+#[derive(Debug)]
+#[derive(Serialize, Deserialize)]
+enum Verdict {
+    /// The engine may be used.
+    Granted {
+        instance: String,
+        first_token: Duration,
+        cost: Duration,
+    },
+    /// No engine has room.
+    Full,
+}
+
+/// The questions that wait for their answer.
+#[derive(Default)]
+pub struct PlacerClient {
+    socket: OnceCell<Rc<UdpSocket>>,
+    next: Cell<u64>,
+    pending: RefCell<HashMap<u64, oneshot::Sender<Verdict>>>,
+    choice: RefCell<PlacerChoice>,
+}
+
+impl PlacerClient {
+    /// Sets the socket on which questions are sent.
+    pub fn connect(&self, socket: Rc<UdpSocket>) {
+        // There is one socket for the life of the process.
+        let _ = self.socket.set(socket);
+    }
+
+    /// Takes an answer.
+    pub fn take(&self, answer: PlaceAnswer) {
+        if let Some(waiting) = self.pending.borrow_mut().remove(&answer.number) {
+            // Whoever asked may have stopped waiting.
+            let _ = waiting.send(answer.verdict);
+        }
+    }
+}
+
+/// What came of a question.
+pub enum Placed {
+    /// The engine to use.
+    At(Placement),
+    /// No engine of the region has room.
+    Full,
+    /// No placer answered.
+    Unknown,
+}
+
+/// Asks the placer of this host's region.
+pub async fn ask(
+    gateway: &SharedGateway,
+    request: &RoutedRequest,
+    need: StreamNeed,
+    avoid: &[TargetKey],
+) -> Placed {
+    let settings = &gateway.settings;
+    let now = gateway.now();
+    let client = &gateway.placers;
+    let placer = gateway.with(|beliefs| {
+        let choice = client.choice.borrow();
+        let (name, record) = choice.placer(&beliefs.hosts, &settings.region, now)?;
+        Some((name.to_owned(), record.peers))
+    });
+    let Some((name, address)) = placer else {
+        return Placed::Unknown;
+    };
+    if name == settings.host {
+        let options = PlaceOptions {
+            service: &request.service,
+            need,
+            home: &settings.zone,
+            spread: Duration::ZERO,
+        };
+        return gateway.with(|beliefs| decide(beliefs, &options, avoid, now));
+    }
+    let number = client.next.get();
+    client.next.set(number + 1);
+    let question = PlaceQuestion {
+        number,
+        host: stable_mark(&[settings.host.as_bytes()]),
+        service: request.service.clone(),
+        home: settings.zone.clone(),
+        prompt: need.prompt,
+        output: need.output,
+        rank: need.rank,
+        avoid: avoid.iter().map(|key| gateway.instance(*key)).collect(),
+    };
+    let answer = timeout(ANSWER_TIMEOUT, send(client, address, question)).await;
+    client.pending.borrow_mut().remove(&number);
+    match answer {
+        Ok(Some(Verdict::Granted {
+            instance,
+            first_token,
+            cost,
+        })) => {
+            let now = gateway.now();
+            let known = gateway.with(|beliefs| {
+                let key = beliefs.targets.find(&instance)?;
+                beliefs.targets.get(key)?.is_usable(now).then_some(key)
+            });
+            // Otherwise this host knows better, or does not know it yet.
+            known.map_or(Placed::Unknown, |target| {
+                Placed::At(Placement {
+                    target,
+                    first_token,
+                    cost,
+                })
+            })
+        }
+        Ok(Some(Verdict::Full)) => Placed::Full,
+        Ok(None) | Err(_) => {
+            client.choice.borrow_mut().failed(&name, gateway.now());
+            Placed::Unknown
+        }
+    }
+}
+
+async fn send(
+    client: &PlacerClient,
+    address: SocketAddr,
+    question: PlaceQuestion,
+) -> Option<Verdict> {
+    let socket = client.socket.get()?;
+    let (sender, receiver) = oneshot::channel();
+    client.pending.borrow_mut().insert(question.number, sender);
+    let bytes = PeerMessage::Question(question).encode()?;
+    socket.send_to(&bytes, address).await.ok()?;
+    receiver.await.ok()
+}
+
+/// Decides on the engines of this host's region.
+fn decide(
+    beliefs: &mut Beliefs,
+    options: &PlaceOptions<'_>,
+    avoid: &[TargetKey],
+    now: Duration,
+) -> Placed {
+    let Beliefs {
+        targets, random, ..
+    } = beliefs;
+    let may_use = |key: TargetKey, target: &Target| {
+        target.distance != Distance::Elsewhere && !avoid.contains(&key)
+    };
+    place_stream(targets, options, may_use, now, random).map_or(Placed::Full, Placed::At)
+}
+
+/// Answers a question of another host, and counts the work that it is about to send.
+pub fn answer(gateway: &Gateway, question: &PlaceQuestion) -> PlaceAnswer {
+    let now = gateway.now();
+    let need = StreamNeed {
+        prompt: question.prompt,
+        output: question.output,
+        rank: question.rank.min(RANKS - 1),
+    };
+    let options = PlaceOptions {
+        service: &question.service,
+        need,
+        home: &question.home,
+        spread: Duration::ZERO,
+    };
+    let verdict = gateway.with(|beliefs| {
+        let avoid: Vec<TargetKey> = question
+            .avoid
+            .iter()
+            .filter_map(|instance| beliefs.targets.find(instance))
+            .collect();
+        let Placed::At(place) = decide(beliefs, &options, &avoid, now) else {
+            return Verdict::Full;
+        };
+        let mut work = TargetLoad {
+            requests: 1,
+            tokens: need.tokens(),
+            unread: [0; RANKS],
+        };
+        work.unread[need.rank] = need.prompt;
+        let targets = &mut beliefs.targets;
+        targets.promise(place.target, question.host, work, now);
+        match targets.get(place.target) {
+            Some(target) => Verdict::Granted {
+                instance: target.entry.instance.clone(),
+                first_token: place.first_token,
+                cost: place.cost,
+            },
+            None => Verdict::Full,
+        }
+    });
+    PlaceAnswer {
+        number: question.number,
+        verdict,
+    }
+}
--- a/crates/mimosagap-gateway/src/run.rs
+++ b/crates/mimosagap-gateway/src/run.rs
@@ -215,7 +215,8 @@
         .await
         .map_err(|cause| start_error(address.to_string(), cause))?;
     let socket = Rc::new(socket);
-    tokio::task::spawn_local(peers::hear_loads(Rc::clone(gateway), Rc::clone(&socket)));
+    gateway.placers.connect(Rc::clone(&socket));
+    tokio::task::spawn_local(peers::hear(Rc::clone(gateway), Rc::clone(&socket)));
     tokio::task::spawn_local(peers::tell_loads(Rc::clone(gateway), socket));
     Ok(())
 }
--- a/crates/mimosagap-gateway/src/state.rs
+++ b/crates/mimosagap-gateway/src/state.rs
@@ -23,6 +23,7 @@
 use crate::feed::StoreMirror;
 use crate::log::EventLog;
 use crate::metrics::GatewayMetrics;
+use crate::placers::PlacerClient;
 use crate::pool::LinkPool;
 
 /// The time of return of a store that is still away.
@@ -78,6 +79,8 @@
     pub suspicions: Notify,
     /// Pending suspicions as store keys.
     pub pending_suspicions: RefCell<Vec<String>>,
+    /// Questions to the placer of the region.
+    pub placers: PlacerClient,
     /// Requests in flight.
     pub in_flight: Cell<u32>,
     beliefs: RefCell<Beliefs>,
@@ -110,6 +113,7 @@
             loads: Notify::new(),
             suspicions: Notify::new(),
             pending_suspicions: RefCell::default(),
+            placers: PlacerClient::default(),
             in_flight: Cell::new(0),
             beliefs: RefCell::new(Beliefs {
                 config: ConfigBelief::new(bounds),
--- a/crates/mimosagap-gateway/src/streams.rs
+++ b/crates/mimosagap-gateway/src/streams.rs
@@ -7,9 +7,9 @@
 use http::Response;
 use http_body_util::{BodyExt, Limited};
 use mimosagap_routing::backup::choose_backup;
-use mimosagap_routing::placement::{Placement, StreamNeed, place_stream, spread};
+use mimosagap_routing::placement::{PlaceOptions, Placement, StreamNeed, place_stream, spread};
 use mimosagap_routing::refusal::RefusalReason;
-use mimosagap_routing::targets::{RANKS, TargetKey, TargetOutcome};
+use mimosagap_routing::targets::{Distance, RANKS, Target, TargetKey, TargetOutcome};
 use mimosagap_routing::waiting::{Waiting, WaitingList};
 use rand::Rng;
 
@@ -21,6 +21,7 @@
 use crate::health;
 use crate::ingress::InFlight;
 use crate::log::LogEvent;
+use crate::placers::{self, Placed};
 use crate::relay::StreamRelay;
 use crate::request::RoutedRequest;
 use crate::source::{EventSource, SourceItem};
@@ -277,28 +278,61 @@
     }
 }
 
-/// Finds an engine with room, waiting for one if there is a prospect.
-pub async fn find_place(
+/// Chooses an engine: this host compares its region with the others, and within its region the
+/// placer decides.
+async fn place(
     gateway: &SharedGateway,
     request: &RoutedRequest,
     need: StreamNeed,
     tried: &[TargetKey],
-) -> Result<Placement, RefusalReason> {
-    let now = gateway.now();
-    let spread = gateway.with(|beliefs| spread(beliefs.hosts.in_region(&gateway.settings.region)));
-    let place = |now| {
+    spread: Duration,
+) -> Option<Placement> {
+    let known = |is_far: bool, spread: Duration| {
+        let options = PlaceOptions {
+            service: &request.service,
+            need,
+            home: &gateway.settings.zone,
+            spread,
+        };
+        let may_use = |key: TargetKey, target: &Target| {
+            (target.distance == Distance::Elsewhere) == is_far && !tried.contains(&key)
+        };
+        let now = gateway.now();
         gateway.with(|beliefs| {
             let Beliefs {
                 targets, random, ..
             } = beliefs;
-            place_stream(targets, &request.service, need, tried, now, spread, random)
+            place_stream(targets, &options, may_use, now, random)
         })
     };
+    let far = known(true, spread);
+    let Some(near) = known(false, Duration::ZERO) else {
+        return far;
+    };
+    if far.is_some_and(|far| far.cost < near.cost) {
+        return far;
+    }
+    match placers::ask(gateway, request, need, tried).await {
+        Placed::At(place) => Some(place),
+        Placed::Full => far,
+        Placed::Unknown => known(false, spread),
+    }
+}
+
+/// Finds an engine with room, waiting for one if there is a prospect.
+pub async fn find_place(
+    gateway: &SharedGateway,
+    request: &RoutedRequest,
+    need: StreamNeed,
+    tried: &[TargetKey],
+) -> Result<Placement, RefusalReason> {
+    let now = gateway.now();
+    let spread = gateway.with(|beliefs| spread(beliefs.hosts.in_region(&gateway.settings.region)));
     let is_behind = gateway.with(|beliefs| {
         let list = beliefs.waiting.entry(request.service.clone()).or_default();
         list.is_behind(need.rank)
     });
-    if !is_behind && let Some(found) = place(now) {
+    if !is_behind && let Some(found) = place(gateway, request, need, tried, spread).await {
         return Ok(found);
     }
     let (ticket, until) = gateway.with(|beliefs| {
@@ -342,7 +376,7 @@
                 .get(&request.service)
                 .is_some_and(|list| list.is_first(ticket))
         });
-        if is_first && let Some(found) = place(now) {
+        if is_first && let Some(found) = place(gateway, request, need, tried, spread).await {
             return Ok(found);
         }
         if now >= until {
--- a/crates/mimosagap-routing/src/lib.rs
+++ b/crates/mimosagap-routing/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod marks;
 pub mod moves;
 pub mod placement;
+pub mod placers;
 pub mod quarantine;
 pub mod readers;
 pub mod refusal;
--- a/crates/mimosagap-routing/src/placement.rs
+++ b/crates/mimosagap-routing/src/placement.rs
@@ -71,6 +71,15 @@
     }
 }
 
+/// How far a target is from a zone that may be another one than this host's.
+fn distance_from(target: &Target, home: &ZoneName) -> Distance {
+    if target.entry.zone == *home {
+        Distance::Zone
+    } else {
+        target.distance.max(Distance::Region)
+    }
+}
+
 /// How widely the choices of a number of hosts that share engines are spread.
 #[must_use]
 pub fn spread(hosts: usize) -> Duration {
@@ -78,6 +87,19 @@
     SPREAD_PER_HOST.saturating_mul(hosts).min(MOST_SPREAD)
 }
 
+/// A generation that looks for an engine.
+#[derive(Debug, Clone, Copy)]
+pub struct PlaceOptions<'a> {
+    /// Its service.
+    pub service: &'a DeploymentName,
+    /// What it needs.
+    pub need: StreamNeed,
+    /// The zone of the host that serves it.
+    pub home: &'a ZoneName,
+    /// Costs are spread at random by up to this much.
+    pub spread: Duration,
+}
+
 /// An engine and when it is expected to send the first token.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Placement {
@@ -85,6 +107,8 @@
     pub target: TargetKey,
     /// Expected time to the first token.
     pub first_token: Duration,
+    /// What the choice was made by; the least one wins.
+    pub cost: Duration,
 }
 
 /// Part of an engine's memory that is promised to requests.
@@ -92,47 +116,45 @@
     f64::from(target.load(now).tokens + extra) / f64::from(capacity.max(1))
 }
 
-/// Chooses an engine. `None` means that no engine has room and the request has to wait.
+/// Chooses among the engines that may be used. `None` means that none of them has room.
 #[must_use]
 pub fn place_stream(
     targets: &Targets,
-    service: &DeploymentName,
-    need: StreamNeed,
-    avoid: &[TargetKey],
+    options: &PlaceOptions<'_>,
+    may_use: impl Fn(TargetKey, &Target) -> bool,
     now: Duration,
-    spread: Duration,
     random: &mut impl Rng,
 ) -> Option<Placement> {
-    let engine = targets.engine(service)?;
+    let need = options.need;
+    let engine = targets.engine(options.service)?;
     let ceiling = if need.rank == 0 {
         MEMORY_CEILING
     } else {
         MEMORY_CEILING - URGENT_RESERVE
     };
     targets
-        .of_service(service)
-        .filter(|(key, target)| target.is_usable(now) && !avoid.contains(key))
+        .of_service(options.service)
+        .filter(|(key, target)| target.is_usable(now) && may_use(*key, target))
         .filter_map(|(key, target)| {
             let load = target.load(now);
             let filled = fill(target, engine.memory_tokens, need.tokens(), now);
             let has_room =
                 load.requests < engine.slots && (filled <= ceiling || load.requests == 0);
             has_room.then(|| {
-                let first_token =
-                    target.read_time(need.prompt, now) + distance_cost(target.distance);
+                let distance = distance_from(target, options.home);
+                let first_token = target.read_time(need.prompt, now) + distance_cost(distance);
                 let cost = first_token
                     + FULL_COST.mul_f64(filled.min(1.0))
                     + FAILURE_COST.mul_f64(target.failure_rate(now))
-                    + spread.mul_f64(random.random());
-                let placement = Placement {
+                    + options.spread.mul_f64(random.random());
+                Placement {
                     target: key,
                     first_token,
-                };
-                (cost, placement)
+                    cost,
+                }
             })
         })
-        .min_by_key(|(cost, _)| *cost)
-        .map(|(_, placement)| placement)
+        .min_by_key(|placement| placement.cost)
 }
 
 /// Chooses a target of a plain service: near, with few requests for its slots, without failures.
--- a/crates/mimosagap-routing/src/targets.rs
+++ b/crates/mimosagap-routing/src/targets.rs
@@ -42,6 +42,10 @@
 /// What another host said of its load counts for this long.
 const PEER_LOAD_LIFE: Duration = Duration::from_millis(2500);
 
+/// A promise counts for this long: until the next report of a host of another region, and a little
+/// longer.
+const PROMISE_LIFE: Duration = Duration::from_millis(700);
+
 /// An entry that vanished around an outage of the store counts as live for this long after the
 /// store is back. The platform brings back live entries within two seconds.
 pub const RETURN_GRACE: Duration = Duration::from_millis(2200);
@@ -124,6 +128,8 @@
     /// Work that this host sent.
     pub own: TargetLoad,
     peers: HashMap<u64, (Duration, TargetLoad)>,
+    /// Work that other hosts are about to send, and until when it counts.
+    promises: Vec<(Duration, u64, TargetLoad)>,
     read_rate: f64,
     failure_rate: f64,
     failure_at: Duration,
@@ -140,6 +146,7 @@
             gone_at: None,
             own: TargetLoad::default(),
             peers: HashMap::new(),
+            promises: Vec::new(),
             read_rate: INITIAL_READ_RATE,
             failure_rate: 0.0,
             failure_at: Duration::ZERO,
@@ -171,6 +178,11 @@
                 sum.add(load);
             }
         }
+        for (until, _, work) in &self.promises {
+            if now < *until {
+                sum.add(work);
+            }
+        }
         sum
     }
 
@@ -402,7 +414,18 @@
     /// Takes the load that another host reports for a target.
     pub fn peer_load(&mut self, instance: &str, peer: u64, load: TargetLoad, now: Duration) {
         if let Some(key) = self.find(instance) {
-            self.arena[key].peers.insert(peer, (now, load));
+            let target = &mut self.arena[key];
+            target.peers.insert(peer, (now, load));
+            target.promises.retain(|(_, host, _)| *host != peer);
+        }
+    }
+
+    /// Counts work that another host is about to send, until it reports its load the next time.
+    pub fn promise(&mut self, key: TargetKey, peer: u64, work: TargetLoad, now: Duration) {
+        if let Some(target) = self.arena.get_mut(key) {
+            let promises = &mut target.promises;
+            promises.retain(|(until, _, _)| now < *until);
+            promises.push((now + PROMISE_LIFE, peer, work));
         }
     }
 }
--- a/crates/mimosagap-routing/tests/placement.rs
+++ b/crates/mimosagap-routing/tests/placement.rs
@@ -5,8 +5,9 @@
 use std::collections::HashSet;
 use std::time::Duration;
 
-use mimosagap_routing::placement::{StreamNeed, place_call, place_stream, spread};
+use mimosagap_routing::placement::{PlaceOptions, StreamNeed, place_call, place_stream, spread};
 use mimosagap_routing::targets::{Distance, TargetKey, TargetLoad, TargetOutcome, Targets};
+use mimosagap_types::prelude::*;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use support::{MEMORY, engines, entry, service};
@@ -19,18 +20,25 @@
     rank: 1,
 };
 
+fn place_with(
+    targets: &Targets,
+    need: StreamNeed,
+    spread: Duration,
+    random: &mut SmallRng,
+) -> Option<TargetKey> {
+    let options = PlaceOptions {
+        service: &service(),
+        need,
+        home: &ZoneName::new("a"),
+        spread,
+    };
+    let place = place_stream(targets, &options, |_, _| true, NOW, random);
+    place.map(|placement| placement.target)
+}
+
 fn place(targets: &Targets, need: StreamNeed) -> Option<TargetKey> {
     let mut random = SmallRng::seed_from_u64(1);
-    place_stream(
-        targets,
-        &service(),
-        need,
-        &[],
-        NOW,
-        Duration::ZERO,
-        &mut random,
-    )
-    .map(|placement| placement.target)
+    place_with(targets, need, Duration::ZERO, &mut random)
 }
 
 #[test]
@@ -88,10 +96,8 @@
     let chosen: HashSet<TargetKey> = (0..28)
         .filter_map(|seed| {
             let mut random = SmallRng::seed_from_u64(seed);
-            let spread = spread(28);
-            place_stream(&targets, &service(), QUOTE, &[], NOW, spread, &mut random)
+            place_with(&targets, QUOTE, spread(28), &mut random)
         })
-        .map(|placement| placement.target)
         .collect();
     assert!(chosen.len() >= 6, "{} engines chosen", chosen.len());
 }
--- /dev/null
+++ b/crates/mimosagap-routing/tests/placers.rs
@@ -0,0 +1,124 @@
+//! Dozens of hosts that place prompts in the same moment.
+
+mod support;
+
+use std::time::Duration;
+
+use mimosagap_routing::hosts::{HostCapacity, HostRecord, Hosts};
+use mimosagap_routing::placement::{PlaceOptions, StreamNeed, place_stream};
+use mimosagap_routing::placers::PlacerChoice;
+use mimosagap_routing::targets::{RANKS, TargetKey, TargetLoad, Targets};
+use mimosagap_types::prelude::*;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use support::{engines, service};
+
+const NOW: Duration = Duration::from_secs(1000);
+
+const QUOTE: StreamNeed = StreamNeed {
+    prompt: 3000,
+    output: 800,
+    rank: 1,
+};
+
+fn work() -> TargetLoad {
+    TargetLoad {
+        requests: 1,
+        tokens: QUOTE.tokens(),
+        unread: [0, QUOTE.prompt, 0, 0],
+    }
+}
+
+fn place(targets: &Targets, now: Duration) -> TargetKey {
+    let options = PlaceOptions {
+        service: &service(),
+        need: QUOTE,
+        home: &ZoneName::new("a"),
+        spread: Duration::ZERO,
+    };
+    let mut random = SmallRng::seed_from_u64(1);
+    place_stream(targets, &options, |_, _| true, now, &mut random)
+        .expect("there is room")
+        .target
+}
+
+fn unread(targets: &Targets, key: TargetKey, now: Duration) -> u32 {
+    targets.get(key).expect("it is listed").unread(now)
+}
+
+/// From a trace: an engine that had just been listed got seven prompts of seven hosts within 81 ms,
+/// before any of them heard of another.
+#[test]
+fn prompts_of_many_hosts_in_one_moment_go_round_the_engines() {
+    let (mut targets, keys) = engines(&["a"; 10]);
+    for key in &keys[1..] {
+        targets.begin(*key, QUOTE.tokens(), QUOTE.prompt, QUOTE.rank);
+    }
+    for host in 0..30 {
+        let key = place(&targets, NOW);
+        targets.promise(key, host, work(), NOW);
+    }
+    let most = keys.iter().map(|key| unread(&targets, *key, NOW)).max();
+    assert_eq!(most, Some(4 * QUOTE.prompt));
+}
+
+#[test]
+fn a_report_takes_the_place_of_the_promises_of_its_host() {
+    let (mut targets, keys) = engines(&["a"]);
+    targets.promise(keys[0], 7, work(), NOW);
+    targets.promise(keys[0], 8, work(), NOW);
+    targets.peer_load("i-0", 7, work(), NOW);
+    assert_eq!(unread(&targets, keys[0], NOW), 2 * QUOTE.prompt);
+}
+
+#[test]
+fn a_promise_to_a_host_that_never_sends_lapses() {
+    let (mut targets, keys) = engines(&["a"]);
+    targets.promise(keys[0], 7, work(), NOW);
+    assert_eq!(unread(&targets, keys[0], NOW + Duration::from_secs(1)), 0);
+    assert_eq!(work().unread.len(), RANKS);
+}
+
+fn fleet(names: &[&str]) -> Hosts {
+    let mut fleet = Hosts::default();
+    for (name, number) in names.iter().zip(1..) {
+        let record = HostRecord {
+            callers: ([10, 0, 0, number], 8740).into(),
+            peers: ([10, 0, 0, number], 7200).into(),
+            zone: ZoneName::new(&name[..2]),
+            capacity: HostCapacity::default(),
+            region: RegionName::new(&name[..1]),
+        };
+        fleet.put(name, record);
+    }
+    fleet
+}
+
+fn placer(choice: &PlacerChoice, fleet: &Hosts, now: Duration) -> Option<String> {
+    let placer = choice.placer(fleet, &RegionName::new("a"), now);
+    placer.map(|(name, _)| name.to_owned())
+}
+
+#[test]
+fn all_hosts_ask_the_same_placer_until_it_fails_them() {
+    let fleet = fleet(&["a1-1", "a1-2", "a2-1", "b1-1"]);
+    let mut choice = PlacerChoice::default();
+    let first = placer(&choice, &fleet, NOW).expect("the region has hosts");
+    assert_eq!(
+        placer(&PlacerChoice::default(), &fleet, NOW),
+        Some(first.clone())
+    );
+    choice.failed(&first, NOW);
+    let second = placer(&choice, &fleet, NOW).expect("another host takes its place");
+    assert!(second != first && second.starts_with('a'), "{second}");
+    let later = NOW + Duration::from_secs(3);
+    assert_eq!(placer(&choice, &fleet, later), Some(first));
+}
+
+#[test]
+fn a_region_whose_hosts_all_fail_has_no_placer() {
+    let fleet = fleet(&["a1-1", "b1-1"]);
+    let mut choice = PlacerChoice::default();
+    choice.failed("a1-1", NOW);
+    assert_eq!(placer(&choice, &fleet, NOW), None);
+}
