fix(gateway): wait longer for a generation to go on from its copy

Callers stay for four times the latency target.

Change: the wait is 3.5 times the latency target of the route.

Ruled out: the other broken streams with a copy, whose second engine was gone too.

--- a/crates/mimosagap-gateway/src/relay.rs
+++ b/crates/mimosagap-gateway/src/relay.rs
@@ -32,8 +32,10 @@
 /// How much longer than expected an answer is taken to be once it is as long as expected.
 const GROWTH: f64 = 1.25;
 
-/// A stopped run must be answered by its copy within this time.
-const CONTINUE_TIMEOUT: Duration = Duration::from_millis(1500);
+/// A stopped run must be answered by its copy within this many times the route's latency target.
+/// Callers leave a stream after a gap of four times the target, and an engine whose memory is full
+/// takes some of that time until it goes on.
+const CONTINUE_PATIENCE: f64 = 3.5;
 
 /// Pause before a generation that found no engine for a copy looks for one again.
 const COPY_AGAIN: Duration = Duration::from_millis(150);
@@ -406,7 +408,8 @@
         };
         let request = Rc::clone(&self.request);
         let sent = exchange(&self.gateway, &request, target, options);
-        match tokio::time::timeout(CONTINUE_TIMEOUT, sent).await {
+        let patience = request.route.target_latency.mul_f64(CONTINUE_PATIENCE);
+        match tokio::time::timeout(patience, sent).await {
             Ok(Ok(exchange)) if exchange.head.status.is_success() => {
                 self.source = Some(EventSource::new(exchange));
                 self.claim = claim;
