feat(routing): leave new engines of other regions to their own hosts at first

In the first half second after the listing 211 prompts went to such engines and took 1,037 ms where 696 were expected: hosts of all regions saw the same empty engine, and hear of each other's prompts there after up to 530 ms.

Ruled out: slow starts; from 0.5 to 3 s prompts took as long as expected.

Change: an engine of another region is not used for 700 ms after its listing.

The test fails without the change. What is left comes at 0.7 to 1.5 s after the listing.

--- a/crates/mimosagap-routing/src/placement.rs
+++ b/crates/mimosagap-routing/src/placement.rs
@@ -27,6 +27,10 @@
 /// that are half a second old, in which several prompts may have been sent there.
 const REGION_COST: Duration = Duration::from_millis(250);
 
+/// An engine of another region is not used this long after it was listed. All hosts see it empty
+/// then, and what they send is known to the others only after the next report and a trip of 30 ms.
+const FIRST_REPORTS: Duration = Duration::from_millis(700);
+
 /// Costs are spread at random by up to this much for each host of the region, because hosts that
 /// choose at the same moment do not see each other's choice: about the time until they hear of it.
 const SPREAD_PER_HOST: Duration = Duration::from_millis(8);
@@ -135,6 +139,9 @@
     targets
         .of_service(options.service)
         .filter(|(key, target)| target.is_usable(now) && may_use(*key, target))
+        .filter(|(_, target)| {
+            target.distance != Distance::Elsewhere || now >= target.listed_at + FIRST_REPORTS
+        })
         .filter_map(|(key, target)| {
             let load = target.load(now);
             let filled = fill(target, engine.memory_tokens, need.tokens(), now);
--- a/crates/mimosagap-routing/src/targets.rs
+++ b/crates/mimosagap-routing/src/targets.rs
@@ -121,6 +121,8 @@
     pub entry: TargetEntry,
     /// How far away it is.
     pub distance: Distance,
+    /// When this host learned of it.
+    pub listed_at: Duration,
     /// When this host learned that it leaves.
     pub leaving_since: Option<Duration>,
     /// From when on its entry counts as gone.
@@ -138,10 +140,11 @@
 }
 
 impl Target {
-    fn new(entry: TargetEntry, distance: Distance) -> Self {
+    fn new(entry: TargetEntry, distance: Distance, now: Duration) -> Self {
         Self {
             entry,
             distance,
+            listed_at: now,
             leaving_since: None,
             gone_at: None,
             own: TargetLoad::default(),
@@ -245,7 +248,7 @@
         }
         let instance = entry.instance.clone();
         let service = entry.service.clone();
-        let mut target = Target::new(entry, distance);
+        let mut target = Target::new(entry, distance, now);
         if target.entry.is_draining {
             target.leaving_since = Some(now);
         }
--- a/crates/mimosagap-routing/tests/placement.rs
+++ b/crates/mimosagap-routing/tests/placement.rs
@@ -102,6 +102,21 @@
     assert!(chosen.len() >= 6, "{} engines chosen", chosen.len());
 }
 
+/// From a trace: a newly listed engine got prompts of hosts of three other regions within 81 ms.
+#[test]
+fn an_engine_of_another_region_is_left_to_its_own_hosts_at_first() {
+    let (mut targets, keys) = engines(&["a"]);
+    targets.begin(keys[0], MEMORY / 2, 9000, 1);
+    let (far, _) = targets.put(entry(7, "b"), Distance::Elsewhere, NOW);
+    assert_eq!(place(&targets, QUOTE), Some(keys[0]));
+    let earlier = NOW.saturating_sub(Duration::from_secs(1));
+    let mut again = entry(7, "b");
+    again.started_unix_ms = 2;
+    let (known, _) = targets.put(again, Distance::Elsewhere, earlier);
+    assert_ne!(known, far);
+    assert_eq!(place(&targets, QUOTE), Some(known));
+}
+
 #[test]
 fn a_target_that_fails_its_work_loses_it_although_nothing_else_tells() {
     let (mut targets, keys) = engines(&["a", "a"]);
