feat(routing): hosts share out the engines of other regions

Change: in a fleet of more than 16 hosts each host uses a fourth of the engines of other regions, chosen by a hash of both.

--- a/crates/mimosagap-gateway/src/peers.rs
+++ b/crates/mimosagap-gateway/src/peers.rs
@@ -26,7 +26,7 @@
 
 /// In a fleet of at most this many hosts all count as near: telling everybody costs little, and
 /// requests often go to other regions when a region has few engines.
-const SMALL_FLEET: usize = 16;
+pub const SMALL_FLEET: usize = 16;
 
 /// Every this many far intervals the whole load is told, so that lost datagrams are made good.
 const WHOLE_INTERVALS: u32 = 2;
--- a/crates/mimosagap-gateway/src/placers.rs
+++ b/crates/mimosagap-gateway/src/placers.rs
@@ -120,6 +120,7 @@
             need,
             home: &settings.zone,
             spread: Duration::ZERO,
+            far_host: None,
         };
         return gateway.with(|beliefs| decide(beliefs, &options, avoid, now));
     }
@@ -207,6 +208,7 @@
         need,
         home: &question.home,
         spread: Duration::ZERO,
+        far_host: None,
     };
     let verdict = gateway.with(|beliefs| {
         let avoid: Vec<TargetKey> = question
--- a/crates/mimosagap-gateway/src/streams.rs
+++ b/crates/mimosagap-gateway/src/streams.rs
@@ -7,6 +7,7 @@
 use http::Response;
 use http_body_util::{BodyExt, Limited};
 use mimosagap_routing::backup::choose_backup;
+use mimosagap_routing::marks::stable_mark;
 use mimosagap_routing::placement::{PlaceOptions, Placement, StreamNeed, place_stream, spread};
 use mimosagap_routing::refusal::RefusalReason;
 use mimosagap_routing::targets::{Distance, RANKS, Target, TargetKey, TargetOutcome};
@@ -21,6 +22,7 @@
 use crate::health;
 use crate::ingress::InFlight;
 use crate::log::LogEvent;
+use crate::peers::SMALL_FLEET;
 use crate::placers::{self, Placed};
 use crate::relay::StreamRelay;
 use crate::request::RoutedRequest;
@@ -287,12 +289,15 @@
     tried: &[TargetKey],
     spread: Duration,
 ) -> Option<Placement> {
+    let host = stable_mark(&[gateway.settings.host.as_bytes()]);
+    let is_large = gateway.with(|beliefs| beliefs.hosts.len() > SMALL_FLEET);
     let known = |is_far: bool, spread: Duration| {
         let options = PlaceOptions {
             service: &request.service,
             need,
             home: &gateway.settings.zone,
             spread,
+            far_host: is_large.then_some(host),
         };
         let may_use = |key: TargetKey, target: &Target| {
             (target.distance == Distance::Elsewhere) == is_far && !tried.contains(&key)
--- a/crates/mimosagap-routing/src/placement.rs
+++ b/crates/mimosagap-routing/src/placement.rs
@@ -11,6 +11,7 @@
 use mimosagap_types::prelude::*;
 use rand::Rng;
 
+use crate::marks::stable_mark;
 use crate::targets::{Distance, Target, TargetKey, Targets};
 
 /// Part of an engine's memory that is filled by expected ends. The rest takes answers that get
@@ -31,6 +32,10 @@
 /// then, and what they send is known to the others only after the next report and a trip of 30 ms.
 const FIRST_REPORTS: Duration = Duration::from_millis(700);
 
+/// Of the engines of other regions a host uses one in this many, so that few hosts see the same
+/// engine free between two reports.
+const FAR_PARTS: u64 = 4;
+
 /// Costs are spread at random by up to this much for each host of the region, because hosts that
 /// choose at the same moment do not see each other's choice: about the time until they hear of it.
 const SPREAD_PER_HOST: Duration = Duration::from_millis(8);
@@ -102,6 +107,8 @@
     pub home: &'a ZoneName,
     /// Costs are spread at random by up to this much.
     pub spread: Duration,
+    /// The host that chooses, if it chooses among engines of other regions by old loads.
+    pub far_host: Option<u64>,
 }
 
 /// An engine and when it is expected to send the first token.
@@ -120,6 +127,12 @@
     f64::from(target.load(now).tokens + extra) / f64::from(capacity.max(1))
 }
 
+/// Whether a host may use an engine of another region.
+fn is_shared(host: u64, target: &Target) -> bool {
+    let mark = stable_mark(&[&host.to_be_bytes(), target.entry.instance.as_bytes()]);
+    target.distance != Distance::Elsewhere || mark % FAR_PARTS == 0
+}
+
 /// Chooses among the engines that may be used. `None` means that none of them has room.
 #[must_use]
 pub fn place_stream(
@@ -142,6 +155,7 @@
         .filter(|(_, target)| {
             target.distance != Distance::Elsewhere || now >= target.listed_at + FIRST_REPORTS
         })
+        .filter(|(_, target)| options.far_host.is_none_or(|host| is_shared(host, target)))
         .filter_map(|(key, target)| {
             let load = target.load(now);
             let filled = fill(target, engine.memory_tokens, need.tokens(), now);
--- a/crates/mimosagap-routing/tests/placement.rs
+++ b/crates/mimosagap-routing/tests/placement.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use std::collections::HashSet;
+use std::collections::{HashMap, HashSet};
 use std::time::Duration;
 
 use mimosagap_routing::placement::{PlaceOptions, StreamNeed, place_call, place_stream, spread};
@@ -31,6 +31,7 @@
         need,
         home: &ZoneName::new("a"),
         spread,
+        far_host: None,
     };
     let place = place_stream(targets, &options, |_, _| true, NOW, random);
     place.map(|placement| placement.target)
@@ -117,6 +118,31 @@
     assert_eq!(place(&targets, QUOTE), Some(known));
 }
 
+/// Load pattern: 40 hosts of other regions see the same engines free between two reports.
+#[test]
+fn few_hosts_of_other_regions_choose_the_same_engine_between_two_reports() {
+    let (mut targets, _) = engines(&[]);
+    for number in 0..36 {
+        targets.put(entry(number, "b"), Distance::Elsewhere, Duration::ZERO);
+    }
+    let mut random = SmallRng::seed_from_u64(1);
+    let mut chosen: HashMap<TargetKey, u32> = HashMap::new();
+    for host in 0..40 {
+        let options = PlaceOptions {
+            service: &service(),
+            need: QUOTE,
+            home: &ZoneName::new("a"),
+            spread: Duration::ZERO,
+            far_host: Some(host),
+        };
+        let place = place_stream(&targets, &options, |_, _| true, NOW, &mut random);
+        let place = place.expect("each host has engines that it may use");
+        *chosen.entry(place.target).or_default() += 1;
+    }
+    let most = chosen.values().max().copied();
+    assert!(most <= Some(15), "{most:?} of 40 chose one engine");
+}
+
 #[test]
 fn a_target_that_fails_its_work_loses_it_although_nothing_else_tells() {
     let (mut targets, keys) = engines(&["a", "a"]);
--- a/crates/mimosagap-routing/tests/placers.rs
+++ b/crates/mimosagap-routing/tests/placers.rs
@@ -35,6 +35,7 @@
         need: QUOTE,
         home: &ZoneName::new("a"),
         spread: Duration::ZERO,
+        far_host: None,
     };
     let mut random = SmallRng::seed_from_u64(1);
     place_stream(targets, &options, |_, _| true, now, &mut random)
