--- a/crates/mimosagap-routing/src/placement.rs
+++ b/crates/mimosagap-routing/src/placement.rs
@@ -130,7 +130,7 @@
 /// Whether a host may use an engine of another region.
 fn is_shared(host: u64, target: &Target) -> bool {
     let mark = stable_mark(&[&host.to_be_bytes(), target.entry.instance.as_bytes()]);
-    target.distance != Distance::Elsewhere || mark % FAR_PARTS == 0
+    target.distance != Distance::Elsewhere || mark.is_multiple_of(FAR_PARTS)
 }
 
 /// Chooses among the engines that may be used. `None` means that none of them has room.
