feat(gateway): metrics by team, pauses, waits, repeats, memory, with bounded labels

At most 32 routes and 64 teams have labels of their own; a test with 1,100 teams and 300 routes holds the bound.

--- a/crates/mimosagap-gateway/src/calls.rs
+++ b/crates/mimosagap-gateway/src/calls.rs
@@ -236,12 +236,8 @@
 /// Counts an answer, or the first event of one. Returns the time since the request arrived.
 pub fn count_answer(gateway: &SharedGateway, request: &RoutedRequest, status: &str) -> Duration {
     let took = gateway.now().saturating_sub(request.arrived);
+    let team = request.team.as_ref().map_or("", |team| team.name.as_str());
     let route = request.route.name.as_str();
-    let metrics = &gateway.metrics;
-    metrics.answers.with_label_values(&[route, status]).inc();
-    metrics
-        .latency
-        .with_label_values(&[route])
-        .observe(took.as_secs_f64());
+    gateway.metrics.answered(route, team, status, took);
     took
 }
--- a/crates/mimosagap-gateway/src/lib.rs
+++ b/crates/mimosagap-gateway/src/lib.rs
@@ -17,7 +17,7 @@
 mod ingress;
 mod link;
 pub mod log;
-mod metrics;
+pub mod metrics;
 mod peers;
 mod placers;
 mod pool;
--- a/crates/mimosagap-gateway/src/relay.rs
+++ b/crates/mimosagap-gateway/src/relay.rs
@@ -191,6 +191,8 @@
         if let Some(copy) = self.secured.take() {
             free(&self.gateway, copy);
         }
+        let route = self.request.route.name.as_str();
+        self.gateway.metrics.paused(route, self.longest_gap);
         self.gateway.log.event(&LogEvent::StreamEnded {
             id: &self.request.head.id,
             target: &self.gateway.instance(self.claim.target),
--- a/crates/mimosagap-gateway/src/run.rs
+++ b/crates/mimosagap-gateway/src/run.rs
@@ -162,8 +162,9 @@
         signal(SignalKind::hangup()).map_err(|cause| start_error("signals", cause))?;
     start_listeners(&gateway, metrics_port)?;
     start_peers(&gateway).await?;
-    let follower = StoreClient::new(store);
-    let writer = StoreClient::new(store);
+    let calls = &gateway.metrics.store_calls;
+    let follower = StoreClient::new(store, calls.clone());
+    let writer = StoreClient::new(store, calls.clone());
     tokio::task::spawn_local(sync::follow(Rc::clone(&gateway), follower));
     tokio::task::spawn_local(sync::register(Rc::clone(&gateway), writer));
     let host = gateway.settings.host.as_str();
--- a/crates/mimosagap-gateway/src/serve.rs
+++ b/crates/mimosagap-gateway/src/serve.rs
@@ -98,10 +98,14 @@
     // An error here is a caller that left or broke the protocol; requests log their own ends.
     let _ = match kind {
         ListenerKind::Callers => {
+            let callers = gateway.metrics.callers.clone();
+            callers.inc();
             let service = service_fn(move |request| ingress::handle(Rc::clone(&gateway), request));
-            builder
+            let end = builder
                 .serve_connection(TokioIo::new(stream), service)
-                .await
+                .await;
+            callers.dec();
+            end
         }
         ListenerKind::Peers => {
             let service = service_fn(move |request| answer_peer(Rc::clone(&gateway), request));
@@ -178,6 +182,9 @@
 }
 
 fn metrics(gateway: &SharedGateway) -> Response<AnswerBody> {
+    let now = gateway.now();
+    let age = gateway.with(|beliefs| beliefs.config.age(now));
+    gateway.metrics.measure(age.unwrap_or(now));
     match gateway.metrics.encode() {
         Ok(text) => plain(StatusCode::OK, "text/plain", text),
         Err(error) => {
--- a/crates/mimosagap-gateway/src/state.rs
+++ b/crates/mimosagap-gateway/src/state.rs
@@ -181,11 +181,13 @@
     /// Takes a repeat from the budget of a service.
     pub fn try_repeat(&self, service: &DeploymentName) -> bool {
         let (now, bounds) = (self.now(), self.retry_bounds());
-        self.with(|beliefs| {
+        let is_allowed = self.with(|beliefs| {
             let hosts = beliefs.hosts.len();
             let budget = beliefs.budgets.entry(service.clone()).or_default();
             budget.try_spend(now, &bounds, hosts)
-        })
+        });
+        self.metrics.repeated(is_allowed);
+        is_allowed
     }
 
     fn retry_bounds(&self) -> RetryBounds {
--- a/crates/mimosagap-gateway/src/store.rs
+++ b/crates/mimosagap-gateway/src/store.rs
@@ -11,6 +11,7 @@
 use http_body_util::Full;
 use mimosagap_platform::DecodeError;
 use mimosagap_platform::store::{StoreCall, StoreRefusal, check_status};
+use prometheus::IntCounterVec;
 use tokio::time::timeout;
 
 use crate::link::{CallError, HttpLink, LinkError};
@@ -66,14 +67,17 @@
 pub struct StoreClient {
     address: SocketAddr,
     link: RefCell<Option<HttpLink>>,
+    /// Calls by kind and result.
+    calls: IntCounterVec,
 }
 
 impl StoreClient {
     /// A client which connects with its first call.
-    pub fn new(address: SocketAddr) -> Self {
+    pub fn new(address: SocketAddr, calls: IntCounterVec) -> Self {
         Self {
             address,
             link: RefCell::new(None),
+            calls,
         }
     }
 
@@ -84,9 +88,12 @@
             StoreCall::Watch { wait, .. } => CALL_TIMEOUT + *wait,
             _ => CALL_TIMEOUT,
         };
-        timeout(wait, self.try_call(call))
+        let result = timeout(wait, self.try_call(call))
             .await
-            .map_err(|_| StoreError::Silent)?
+            .unwrap_or(Err(StoreError::Silent));
+        let label = result.as_ref().map_or_else(StoreError::name, |_| "ok");
+        self.calls.with_label_values(&[call.name(), label]).inc();
+        result
     }
 
     async fn try_call(&self, call: &StoreCall) -> Result<Bytes, StoreError> {
--- a/crates/mimosagap-gateway/src/streams.rs
+++ b/crates/mimosagap-gateway/src/streams.rs
@@ -267,10 +267,14 @@
     gateway: &'a SharedGateway,
     request: &'a RoutedRequest,
     ticket: u64,
+    since: Duration,
 }
 
 impl Drop for WaitGuard<'_> {
     fn drop(&mut self) {
+        let waited = self.gateway.now().saturating_sub(self.since);
+        let route = self.request.route.name.as_str();
+        self.gateway.metrics.waited(route, waited);
         self.gateway.with(|beliefs| {
             if let Some(list) = beliefs.waiting.get_mut(&self.request.service) {
                 list.remove(self.ticket);
@@ -371,6 +375,7 @@
         gateway,
         request,
         ticket,
+        since: now,
     };
     loop {
         let changed = gateway.places.notified();
--- a/crates/mimosagap-gateway/src/sync.rs
+++ b/crates/mimosagap-gateway/src/sync.rs
@@ -125,9 +125,6 @@
             None => read_all(&self.gateway, &self.client).await,
             Some(after) => read_changes(&self.gateway, &self.client, after).await,
         };
-        let label = result.as_ref().map_or_else(StoreError::name, |_| "ok");
-        let calls = &self.gateway.metrics.store_calls;
-        calls.with_label_values(&[label]).inc();
         match result {
             Ok(at) => {
                 self.revision = Some(at);
--- /dev/null
+++ b/crates/mimosagap-gateway/tests/metrics.rs
@@ -0,0 +1,58 @@
+//! The metrics and their bounds.
+
+use std::time::Duration;
+
+use mimosagap_gateway::metrics::{GatewayMetrics, LabelLimit};
+
+fn text(metrics: &GatewayMetrics) -> String {
+    let text = metrics.encode().expect("metrics can be written");
+    String::from_utf8(text).expect("metrics are text")
+}
+
+#[test]
+fn a_label_keeps_its_first_values_and_puts_the_others_together() {
+    let limit = LabelLimit::new(2);
+    assert_eq!(
+        ["a", "b", "c", "a"].map(|one| limit.label(one)),
+        ["a", "b", "other", "a"]
+    );
+}
+
+/// Load pattern: the two-year target has 1,100 teams, and configurations add routes all day.
+#[test]
+fn the_number_of_series_is_bounded() {
+    let metrics = GatewayMetrics::new().expect("names differ");
+    for number in 0..1_100 {
+        let (route, team) = (format!("r{}", number % 300), format!("t{number}"));
+        metrics.answered(&route, &team, "200", Duration::from_millis(70));
+        metrics.paused(&route, Duration::from_millis(70));
+        metrics.waited(&route, Duration::from_millis(70));
+    }
+    let text = text(&metrics);
+    let series = text.lines().filter(|line| line.contains("_count{"));
+    // At most 33 routes by 65 teams, and twice 33 routes.
+    let series = series.count();
+    assert!(series <= 33 * 65 + 66, "{series} histograms");
+    assert!(
+        text.contains("team=\"t5\""),
+        "the first teams have their own"
+    );
+    assert!(text.len() < 4 << 20, "{} bytes", text.len());
+}
+
+#[test]
+fn what_is_measured_on_demand_is_there() {
+    let metrics = GatewayMetrics::new().expect("names differ");
+    metrics.measure(Duration::from_millis(1_234));
+    metrics.repeated(true);
+    let text = text(&metrics);
+    assert!(
+        text.contains("mimosagap_config_age_milliseconds 1234"),
+        "{text}"
+    );
+    assert!(
+        text.contains("mimosagap_repeats_total{result=\"allowed\"} 1"),
+        "{text}"
+    );
+    assert!(!text.contains("mimosagap_memory_bytes 0\n"), "{text}");
+}
