feat(explain): failures of other requests at the same target

An order that broke 2 ms after its send had no line that says why: its target told nobody. Another host had lost a request there 0.2 s earlier, which is now told among what happened meanwhile.

--- a/crates/mimosagap-explain/src/story.rs
+++ b/crates/mimosagap-explain/src/story.rs
@@ -192,8 +192,8 @@
         .map(|(at, _)| at)
 }
 
-/// Lines on the targets and hosts of the tries. What many hosts say of a target is told once, by
-/// the first of them.
+/// Lines on the targets and hosts of the tries, and failures of other requests at these targets.
+/// What many hosts say of a target is told once, by the first of them.
 fn meanwhile(logs: &LogSet, tries: &[Story], options: Options) -> Vec<LogRecord> {
     let begins = tries.first().map_or(Duration::ZERO, Story::begins);
     let ends = tries.iter().map(Story::ends).max().unwrap_or_default();
@@ -207,12 +207,15 @@
     let mut found: Vec<LogRecord> = logs
         .records()
         .iter()
-        .filter(|record| window.contains(&record.at) && record.id().is_none())
+        .filter(|record| window.contains(&record.at))
+        .filter(|record| tries.iter().all(|story| record.id() != Some(&story.id)))
         .filter(|record| match record.event.as_str() {
-            "target_listed" | "target_leaving" | "target_crashed" => record
+            "target_listed" | "target_leaving" | "target_crashed" | "attempt_failed"
+            | "stream_broke" => record
                 .text("target")
                 .is_some_and(|target| targets.contains(target)),
             "host" | "entry_unreadable" => false,
+            _ if record.id().is_some() => false,
             _ => hosts.contains(record.host.as_str()),
         })
         .cloned()
--- a/crates/mimosagap-explain/tests/story.rs
+++ b/crates/mimosagap-explain/tests/story.rs
@@ -16,6 +16,8 @@
 {"time_ms":49900,"boot_ms":0,"event":"started","host":"h2","version":"0"}
 {"time_ms":59400,"boot_ms":9500,"event":"target_leaving","target":"i-1","source":"entry"}
 {"time_ms":59500,"boot_ms":9600,"event":"target_leaving","target":"i-9","source":"entry"}
+{"time_ms":60290,"boot_ms":10390,"event":"attempt_failed","id":"x","target":"i-1","cause":"broken"}
+{"time_ms":60295,"boot_ms":10395,"event":"attempt_failed","id":"y","target":"i-1","cause":"broken"}
 {"time_ms":60900,"boot_ms":11000,"event":"sent","id":"b","request":"77","target":"i-2","attempt":1}
 {"time_ms":60950,"boot_ms":11050,"event":"answered","id":"b","target":"i-2","status":200}
 {"time_ms":60960,"boot_ms":11060,"event":"sent","id":"c","request":"77","target":"i-2","attempt":1}
@@ -62,7 +64,11 @@
         .collect();
     assert_eq!(
         told,
-        [("target_leaving", Some("i-1")), ("lines_left_out", None)]
+        [
+            ("target_leaving", Some("i-1")),
+            ("attempt_failed", Some("i-1")),
+            ("lines_left_out", None)
+        ]
     );
     assert!(outcome.cautions[0].contains("left out 4 lines"));
 }
