--- a/crates/mimosagap-cli/src/explain.rs
+++ b/crates/mimosagap-cli/src/explain.rs
@@ -42,21 +42,19 @@
 
 fn render(outcome: &Outcome) -> String {
     let origin = origin(outcome);
-    let mut text = String::new();
-    for story in &outcome.tries {
-        text += &verdict(story);
-        text += &table(&story.lines, origin);
-        text += "\n\n";
-    }
+    let mut parts: Vec<String> = outcome
+        .tries
+        .iter()
+        .map(|story| verdict(story) + &table(&story.lines, origin))
+        .collect();
     if !outcome.meanwhile.is_empty() {
-        text += "meanwhile\n";
-        text += &table(&outcome.meanwhile, origin);
-        text += "\n\n";
-    }
-    for caution in &outcome.cautions {
-        text += &format!("note: {caution}\n");
+        let table = table(&outcome.meanwhile, origin);
+        parts.push(format!("meanwhile\n{table}"));
     }
-    text
+    let notes = outcome.cautions.iter();
+    let notes: Vec<String> = notes.map(|caution| format!("note: {caution}")).collect();
+    parts.push(notes.join("\n"));
+    parts.join("\n\n")
 }
 
 fn origin(outcome: &Outcome) -> Duration {
