fix(routing): use new engines of other regions at once in small fleets

With at most 16 hosts all hear of loads within 10 ms, so there is nothing to wait for.

Change: the time holds where hosts share out the engines of other regions.

--- a/crates/mimosagap-routing/src/placement.rs
+++ b/crates/mimosagap-routing/src/placement.rs
@@ -107,7 +107,7 @@
     pub home: &'a ZoneName,
     /// Costs are spread at random by up to this much.
     pub spread: Duration,
-    /// The host that chooses, if it chooses among engines of other regions by old loads.
+    /// The host that chooses, if it hears late of the loads of other regions.
     pub far_host: Option<u64>,
 }
 
@@ -127,10 +127,11 @@
     f64::from(target.load(now).tokens + extra) / f64::from(capacity.max(1))
 }
 
-/// Whether a host may use an engine of another region.
-fn is_shared(host: u64, target: &Target) -> bool {
+/// Whether a host may use an engine whose loads it hears of late, if it is in another region.
+fn may_use_far(host: u64, target: &Target, now: Duration) -> bool {
     let mark = stable_mark(&[&host.to_be_bytes(), target.entry.instance.as_bytes()]);
-    target.distance != Distance::Elsewhere || mark.is_multiple_of(FAR_PARTS)
+    target.distance != Distance::Elsewhere
+        || (mark.is_multiple_of(FAR_PARTS) && now >= target.listed_at + FIRST_REPORTS)
 }
 
 /// Chooses among the engines that may be used. `None` means that none of them has room.
@@ -153,9 +154,10 @@
         .of_service(options.service)
         .filter(|(key, target)| target.is_usable(now) && may_use(*key, target))
         .filter(|(_, target)| {
-            target.distance != Distance::Elsewhere || now >= target.listed_at + FIRST_REPORTS
+            options
+                .far_host
+                .is_none_or(|host| may_use_far(host, target, now))
         })
-        .filter(|(_, target)| options.far_host.is_none_or(|host| is_shared(host, target)))
         .filter_map(|(key, target)| {
             let load = target.load(now);
             let filled = fill(target, engine.memory_tokens, need.tokens(), now);
