--- a/crates/mimosagap-gateway/src/placers.rs
+++ b/crates/mimosagap-gateway/src/placers.rs
@@ -16,6 +16,7 @@
 use tokio::sync::oneshot;
 use tokio::time::timeout;
 
+use crate::log::LogEvent;
 use crate::peers::PeerMessage;
 use crate::request::RoutedRequest;
 use crate::state::{Beliefs, Gateway, SharedGateway};
@@ -161,6 +162,10 @@
         Ok(Some(Verdict::Full)) => Placed::Full,
         Ok(None) | Err(_) => {
             client.choice.borrow_mut().failed(&name, gateway.now());
+            gateway.log.event(&LogEvent::Trouble {
+                what: "placer of the region",
+                cause: format!("{name} did not answer"),
+            });
             Placed::Unknown
         }
     }
