--- a/crates/mimosagap-rules/src/statement.rs
+++ b/crates/mimosagap-rules/src/statement.rs
@@ -12,19 +12,8 @@
 use winnow::token::take_while;
 
 /// The urgency of a class. The derived order puts the most urgent first.
-#[derive(
-    Debug,
-    Clone,
-    Copy,
-    Default,
-    PartialEq,
-    Eq,
-    Hash,
-    PartialOrd,
-    Ord,
-    Serialize,
-    Deserialize
-)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash, PartialOrd, Ord)]
+#[derive(Serialize, Deserialize)]
 pub enum Priority {
     /// Served before all others.
     High,
--- a/crates/mimosagap-standins/src/engine/http.rs
+++ b/crates/mimosagap-standins/src/engine/http.rs
@@ -129,7 +129,8 @@
     fraction: f64,
 }
 
-#[derive(Deserialize, Default)]
+#[derive(Default)]
+#[derive(Deserialize)]
 struct LeaveBody {
     /// Ends the process after this time, as when the host is reclaimed.
     exit_after_ms: Option<u64>,
--- a/crates/mimosagap-types/src/ids.rs
+++ b/crates/mimosagap-types/src/ids.rs
@@ -71,19 +71,8 @@
 pub type TargetAddress = SocketAddr;
 
 /// The number of a rules revision; a later revision has a greater number.
-#[derive(
-    Debug,
-    Clone,
-    Copy,
-    Default,
-    PartialEq,
-    Eq,
-    Hash,
-    PartialOrd,
-    Ord,
-    Serialize,
-    Deserialize
-)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash, PartialOrd, Ord)]
+#[derive(Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct RulesRevision(pub u64);
 
