refactor(gateway): one way to count a request, one place for a placer's options

Found on reading the change again: - the work of one request was put together by hand for a promise, beside its twin in Targets::begin; TargetLoad::request serves both and clamps the rank - a placer's options were written out for the own and for a remote question, and a need was taken apart and put together for the datagram - the mark of the own host was hashed for each placement, question and start; the gateway keeps it - a host hashed all engines for its share of other regions, near ones too, and a reader's rank once for each comparison - three test files had the same quote and time

Behaviour stays as it is: the same engines, readers and datagrams follow.

--- a/crates/mimosagap-gateway/src/peers.rs
+++ b/crates/mimosagap-gateway/src/peers.rs
@@ -9,7 +9,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use mimosagap_routing::marks::stable_mark;
 use mimosagap_routing::targets::{RANKS, TargetLoad};
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
@@ -93,7 +92,6 @@
 
 /// Tells the other hosts this host's load, for ever.
 pub async fn tell_loads(gateway: SharedGateway, socket: Rc<UdpSocket>) {
-    let host = stable_mark(&[gateway.settings.host.as_bytes()]);
     let mut ticks = tokio::time::interval(FAR_INTERVAL);
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     let mut round = 0_u32;
@@ -108,12 +106,12 @@
                     told_near.retain(|_, load| load.requests == 0);
                     told_far.retain(|_, load| load.requests == 0);
                 }
-                tell(&gateway, &socket, host, HostGroup::Near, &mut told_near).await;
-                tell(&gateway, &socket, host, HostGroup::Far, &mut told_far).await;
+                tell(&gateway, &socket, HostGroup::Near, &mut told_near).await;
+                tell(&gateway, &socket, HostGroup::Far, &mut told_far).await;
                 gateway.log.flush();
             }
             () = changes(&gateway) => {
-                tell(&gateway, &socket, host, HostGroup::Near, &mut told_near).await;
+                tell(&gateway, &socket, HostGroup::Near, &mut told_near).await;
             }
         }
     }
@@ -132,13 +130,7 @@
 }
 
 /// Tells a group of hosts what changed since it was told last.
-async fn tell(
-    gateway: &SharedGateway,
-    socket: &UdpSocket,
-    host: u64,
-    group: HostGroup,
-    told: &mut ToldLoads,
-) {
+async fn tell(gateway: &SharedGateway, socket: &UdpSocket, group: HostGroup, told: &mut ToldLoads) {
     let settings = &gateway.settings;
     let is_near = group == HostGroup::Near;
     let (mut changed, peers) = gateway.with(|beliefs| {
@@ -166,7 +158,7 @@
     while !changed.is_empty() {
         let rest = changed.split_off(changed.len().min(MAX_ENTRIES));
         let message = LoadMessage {
-            host,
+            host: gateway.host_mark,
             loads: changed
                 .into_iter()
                 .map(|(name, load)| (name, load.requests, load.tokens, load.unread))
--- a/crates/mimosagap-gateway/src/placers.rs
+++ b/crates/mimosagap-gateway/src/placers.rs
@@ -6,10 +6,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use mimosagap_routing::marks::stable_mark;
 use mimosagap_routing::placement::{PlaceOptions, Placement, StreamNeed, place_stream};
 use mimosagap_routing::placers::PlacerChoice;
-use mimosagap_routing::targets::{Distance, RANKS, Target, TargetKey, TargetLoad};
+use mimosagap_routing::targets::{Distance, Target, TargetKey, TargetLoad};
 use mimosagap_types::prelude::*;
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
@@ -34,9 +33,7 @@
     host: u64,
     service: DeploymentName,
     home: ZoneName,
-    prompt: u32,
-    output: u32,
-    rank: usize,
+    need: StreamNeed,
     /// Instances that must not be used.
     avoid: Vec<String>,
 }
@@ -116,25 +113,17 @@
         return Placed::Unknown;
     };
     if name == settings.host {
-        let options = PlaceOptions {
-            service: &request.service,
-            need,
-            home: &settings.zone,
-            spread: Duration::ZERO,
-            far_host: None,
-        };
-        return gateway.with(|beliefs| decide(beliefs, &options, avoid, now));
+        let (service, home) = (&request.service, &settings.zone);
+        return gateway.with(|beliefs| decide(beliefs, service, need, home, avoid, now));
     }
     let number = client.next.get();
     client.next.set(number + 1);
     let question = PlaceQuestion {
         number,
-        host: stable_mark(&[settings.host.as_bytes()]),
+        host: gateway.host_mark,
         service: request.service.clone(),
         home: settings.zone.clone(),
-        prompt: need.prompt,
-        output: need.output,
-        rank: need.rank,
+        need,
         avoid: avoid.iter().map(|key| gateway.instance(*key)).collect(),
     };
     let answer = timeout(ANSWER_TIMEOUT, send(client, address, question)).await;
@@ -187,49 +176,43 @@
 /// Decides on the engines of this host's region.
 fn decide(
     beliefs: &mut Beliefs,
-    options: &PlaceOptions<'_>,
+    service: &DeploymentName,
+    need: StreamNeed,
+    home: &ZoneName,
     avoid: &[TargetKey],
     now: Duration,
 ) -> Placed {
     let Beliefs {
         targets, random, ..
     } = beliefs;
+    let options = PlaceOptions {
+        service,
+        need,
+        home,
+        spread: Duration::ZERO,
+        far_host: None,
+    };
     let may_use = |key: TargetKey, target: &Target| {
         target.distance != Distance::Elsewhere && !avoid.contains(&key)
     };
-    place_stream(targets, options, may_use, now, random).map_or(Placed::Full, Placed::At)
+    place_stream(targets, &options, may_use, now, random).map_or(Placed::Full, Placed::At)
 }
 
 /// Answers a question of another host, and counts the work that it is about to send.
 pub fn answer(gateway: &Gateway, question: &PlaceQuestion) -> PlaceAnswer {
     let now = gateway.now();
-    let need = StreamNeed {
-        prompt: question.prompt,
-        output: question.output,
-        rank: question.rank.min(RANKS - 1),
-    };
-    let options = PlaceOptions {
-        service: &question.service,
-        need,
-        home: &question.home,
-        spread: Duration::ZERO,
-        far_host: None,
-    };
+    let need = question.need;
     let verdict = gateway.with(|beliefs| {
         let avoid: Vec<TargetKey> = question
             .avoid
             .iter()
             .filter_map(|instance| beliefs.targets.find(instance))
             .collect();
-        let Placed::At(place) = decide(beliefs, &options, &avoid, now) else {
+        let (service, home) = (&question.service, &question.home);
+        let Placed::At(place) = decide(beliefs, service, need, home, &avoid, now) else {
             return Verdict::Full;
         };
-        let mut work = TargetLoad {
-            requests: 1,
-            tokens: need.tokens(),
-            unread: [0; RANKS],
-        };
-        work.unread[need.rank] = need.prompt;
+        let work = TargetLoad::request(need.tokens(), need.prompt, need.rank);
         let targets = &mut beliefs.targets;
         targets.promise(place.target, question.host, work, now);
         match targets.get(place.target) {
--- a/crates/mimosagap-gateway/src/state.rs
+++ b/crates/mimosagap-gateway/src/state.rs
@@ -11,6 +11,7 @@
 use mimosagap_routing::config::FleetConfig;
 use mimosagap_routing::hosts::Hosts;
 use mimosagap_routing::lengths::LengthEstimator;
+use mimosagap_routing::marks::stable_mark;
 use mimosagap_routing::quarantine::Quarantine;
 use mimosagap_routing::retries::{RetryBounds, RetryBudget};
 use mimosagap_routing::targets::{TargetKey, Targets};
@@ -63,6 +64,8 @@
 pub struct Gateway {
     /// What the process learned at its start.
     pub settings: HostSettings,
+    /// Names this host in datagrams.
+    pub host_mark: u64,
     /// Log lines.
     pub log: EventLog,
     /// Metrics.
@@ -104,6 +107,7 @@
             strict: settings.bounds.strict_revocation,
         };
         Self {
+            host_mark: stable_mark(&[settings.host.as_bytes()]),
             settings,
             log,
             metrics,
--- a/crates/mimosagap-gateway/src/streams.rs
+++ b/crates/mimosagap-gateway/src/streams.rs
@@ -7,7 +7,6 @@
 use http::Response;
 use http_body_util::{BodyExt, Limited};
 use mimosagap_routing::backup::choose_backup;
-use mimosagap_routing::marks::stable_mark;
 use mimosagap_routing::placement::{PlaceOptions, Placement, StreamNeed, place_stream, spread};
 use mimosagap_routing::refusal::RefusalReason;
 use mimosagap_routing::targets::{Distance, RANKS, Target, TargetKey, TargetOutcome};
@@ -293,7 +292,6 @@
     tried: &[TargetKey],
     spread: Duration,
 ) -> Option<Placement> {
-    let host = stable_mark(&[gateway.settings.host.as_bytes()]);
     let is_large = gateway.with(|beliefs| beliefs.hosts.len() > SMALL_FLEET);
     let known = |is_far: bool, spread: Duration| {
         let options = PlaceOptions {
@@ -301,7 +299,7 @@
             need,
             home: &gateway.settings.zone,
             spread,
-            far_host: is_large.then_some(host),
+            far_host: is_large.then_some(gateway.host_mark),
         };
         let may_use = |key: TargetKey, target: &Target| {
             (target.distance == Distance::Elsewhere) == is_far && !tried.contains(&key)
--- a/crates/mimosagap-routing/src/placement.rs
+++ b/crates/mimosagap-routing/src/placement.rs
@@ -10,6 +10,7 @@
 
 use mimosagap_types::prelude::*;
 use rand::Rng;
+use serde::{Deserialize, Serialize};
 
 use crate::marks::stable_mark;
 use crate::targets::{Distance, Target, TargetKey, Targets};
@@ -54,6 +55,7 @@
 
 /// What a generation needs.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct StreamNeed {
     /// Prompt tokens.
     pub prompt: u32,
@@ -129,9 +131,12 @@
 
 /// Whether a host may use an engine whose loads it hears of late, if it is in another region.
 fn may_use_far(host: u64, target: &Target, now: Duration) -> bool {
-    let mark = stable_mark(&[&host.to_be_bytes(), target.entry.instance.as_bytes()]);
+    let is_shared = || {
+        let mark = stable_mark(&[&host.to_be_bytes(), target.entry.instance.as_bytes()]);
+        mark.is_multiple_of(FAR_PARTS)
+    };
     target.distance != Distance::Elsewhere
-        || (mark.is_multiple_of(FAR_PARTS) && now >= target.listed_at + FIRST_REPORTS)
+        || (now >= target.listed_at + FIRST_REPORTS && is_shared())
 }
 
 /// Chooses among the engines that may be used. `None` means that none of them has room.
--- a/crates/mimosagap-routing/src/readers.rs
+++ b/crates/mimosagap-routing/src/readers.rs
@@ -84,7 +84,7 @@
             .live()
             .filter(|(_, record)| record.zone == *zone)
             .collect();
-        readers.sort_by_key(|(name, record)| {
+        readers.sort_by_cached_key(|(name, record)| {
             (Reverse(record.capacity), stable_mark(&[name.as_bytes()]))
         });
         readers.truncate(READERS);
--- a/crates/mimosagap-routing/src/targets.rs
+++ b/crates/mimosagap-routing/src/targets.rs
@@ -92,6 +92,18 @@
 }
 
 impl TargetLoad {
+    /// The work of one request. Less urgent ranks than the last share it.
+    #[must_use]
+    pub fn request(tokens: u32, prompt: u32, rank: usize) -> Self {
+        let mut unread = [0; RANKS];
+        unread[rank.min(RANKS - 1)] = prompt;
+        Self {
+            requests: 1,
+            tokens,
+            unread,
+        }
+    }
+
     fn add(&mut self, other: &Self) {
         self.requests += other.requests;
         self.tokens += other.tokens;
@@ -347,9 +359,7 @@
     /// Adds work of this host.
     pub fn begin(&mut self, key: TargetKey, tokens: u32, prompt: u32, rank: usize) {
         if let Some(target) = self.arena.get_mut(key) {
-            target.own.requests += 1;
-            target.own.tokens += tokens;
-            target.own.unread[rank.min(RANKS - 1)] += prompt;
+            target.own.add(&TargetLoad::request(tokens, prompt, rank));
         }
     }
 
--- a/crates/mimosagap-routing/tests/moves.rs
+++ b/crates/mimosagap-routing/tests/moves.rs
@@ -2,21 +2,11 @@
 
 mod support;
 
-use std::time::Duration;
-
 use mimosagap_routing::backup::choose_backup;
 use mimosagap_routing::moves::{destination, is_worth_moving};
 use mimosagap_routing::placement::StreamNeed;
 use mimosagap_routing::targets::TargetKey;
-use support::{MEMORY, engines, service};
-
-const NOW: Duration = Duration::from_secs(1000);
-
-const QUOTE: StreamNeed = StreamNeed {
-    prompt: 3000,
-    output: 800,
-    rank: 1,
-};
+use support::{MEMORY, NOW, QUOTE, engines, service};
 
 fn chosen(
     zones: &[&str],
--- a/crates/mimosagap-routing/tests/placement.rs
+++ b/crates/mimosagap-routing/tests/placement.rs
@@ -11,15 +11,7 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use rstest::rstest;
-use support::{MEMORY, engines, entry, service};
-
-const NOW: Duration = Duration::from_secs(1000);
-
-const QUOTE: StreamNeed = StreamNeed {
-    prompt: 3000,
-    output: 800,
-    rank: 1,
-};
+use support::{MEMORY, NOW, QUOTE, engines, entry, service};
 
 fn place_with(
     targets: &Targets,
--- a/crates/mimosagap-routing/tests/placers.rs
+++ b/crates/mimosagap-routing/tests/placers.rs
@@ -5,21 +5,13 @@
 use std::time::Duration;
 
 use mimosagap_routing::hosts::{HostCapacity, HostRecord, Hosts};
-use mimosagap_routing::placement::{PlaceOptions, StreamNeed, place_stream};
+use mimosagap_routing::placement::{PlaceOptions, place_stream};
 use mimosagap_routing::placers::PlacerChoice;
 use mimosagap_routing::targets::{RANKS, TargetKey, TargetLoad, Targets};
 use mimosagap_types::prelude::*;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
-use support::{engines, service};
-
-const NOW: Duration = Duration::from_secs(1000);
-
-const QUOTE: StreamNeed = StreamNeed {
-    prompt: 3000,
-    output: 800,
-    rank: 1,
-};
+use support::{NOW, QUOTE, engines, service};
 
 fn work() -> TargetLoad {
     TargetLoad {
--- a/crates/mimosagap-routing/tests/support/mod.rs
+++ b/crates/mimosagap-routing/tests/support/mod.rs
@@ -4,9 +4,20 @@
 use std::time::Duration;
 
 use mimosagap_routing::config::EngineLimits;
+use mimosagap_routing::placement::StreamNeed;
 use mimosagap_routing::targets::{Distance, TargetEntry, TargetKey, Targets};
 use mimosagap_types::prelude::*;
 
+/// The time at which the tests begin.
+pub const NOW: Duration = Duration::from_secs(1000);
+
+/// A written quote: a long prompt and a long answer.
+pub const QUOTE: StreamNeed = StreamNeed {
+    prompt: 3000,
+    output: 800,
+    rank: 1,
+};
+
 /// Memory of the engines of the sites.
 pub const MEMORY: u32 = 34_000;
 
