fix(routing): copies to other regions are made last, long generations in time

Cause: with two of four engines of a zone leaving at once, generations that found the zone's other engines busy were copied to another region. A run near its expected length was not copied until it had passed it: at 0.6 s after the notice, too late.

Ruled out: memory at the destination (11,000 of 34,000 tokens at some that refused); a bound on the number of copies at one engine (five at once were taken within a zone).

Change: an engine of another region is no destination until 0.7 s after the notice, and then only if none of the region has room. What is left of a generation is at least a quarter of what it has made. Unread prompts at the destination weigh less, because the handover waits until they are read.

--- a/crates/mimosagap-gateway/src/state.rs
+++ b/crates/mimosagap-gateway/src/state.rs
@@ -106,6 +106,7 @@
             change: settings.bounds.change,
             strict: settings.bounds.strict_revocation,
         };
+        let targets = Targets::with_regions(settings.regions.clone());
         Self {
             host_mark: stable_mark(&[settings.host.as_bytes()]),
             settings,
@@ -121,7 +122,7 @@
             in_flight: Cell::new(0),
             beliefs: RefCell::new(Beliefs {
                 config: ConfigBelief::new(bounds),
-                targets: Targets::default(),
+                targets,
                 hosts: Hosts::default(),
                 quarantine: Quarantine::default(),
                 lengths: HashMap::new(),
--- a/crates/mimosagap-gateway/src/sync.rs
+++ b/crates/mimosagap-gateway/src/sync.rs
@@ -9,8 +9,7 @@
 use mimosagap_routing::hosts::{self, HostCapacity, HostRecord};
 use mimosagap_routing::quarantine::{CrashMark, MEMORY, RequestMark};
 use mimosagap_routing::readers::{ChangeSource, ReaderHost, SourceChoice};
-use mimosagap_routing::targets::{self, Distance};
-use mimosagap_types::prelude::*;
+use mimosagap_routing::targets;
 use rand::Rng;
 
 use crate::feed::{FeedAnswer, FeedClient};
@@ -345,9 +344,12 @@
         }
     };
     let now = gateway.now();
-    let distance = distance(gateway, &entry.zone);
     let (is_draining, address) = (entry.is_draining, entry.address);
-    let (_, is_news) = gateway.with(|beliefs| beliefs.targets.put(entry, distance, now));
+    let (_, is_news) = gateway.with(|beliefs| {
+        let targets = &mut beliefs.targets;
+        let distance = targets.between(&gateway.settings.zone, &entry.zone);
+        targets.put(entry, distance, now)
+    });
     if !is_news {
         return;
     }
@@ -377,17 +379,6 @@
     gateway.leaving.notify_waiters();
 }
 
-fn distance(gateway: &Gateway, zone: &ZoneName) -> Distance {
-    let settings = &gateway.settings;
-    if *zone == settings.zone {
-        Distance::Zone
-    } else if settings.regions.get(zone) == Some(&settings.region) {
-        Distance::Region
-    } else {
-        Distance::Elsewhere
-    }
-}
-
 fn apply_host(gateway: &SharedGateway, name: &str, value: Option<&[u8]>) {
     let record = value.and_then(|value| serde_json::from_slice::<HostRecord>(value).ok());
     let gone_at = gone_at(gateway, hosts::RETURN_GRACE);
--- a/crates/mimosagap-routing/src/moves.rs
+++ b/crates/mimosagap-routing/src/moves.rs
@@ -2,8 +2,11 @@
 //!
 //! Load pattern: engines are taken away about two seconds after the notice, several at once, each
 //! with some generations of many seconds. A copy of a generation's memory takes about a fifth of a
-//! second within a zone and twice as long between zones, one after the other on a link, so a
-//! generation that ends in time stays, and the nearest engine with room takes the others.
+//! second within a zone, twice as long between zones and several times as long between regions, one
+//! after the other on a link, so a generation that ends in time stays, and the nearest engine with
+//! room takes the others. A copy to another region that was begun first held up all others of its
+//! engine until the engine was gone. A generation goes on at the engine with its copy as soon as
+//! that engine reads no prompt, while the one that leaves still runs it.
 
 use std::time::Duration;
 
@@ -17,6 +20,14 @@
 /// Time for one output token on a busy engine.
 const TOKEN_TIME: Duration = Duration::from_millis(11);
 
+/// A generation that nears its expected length makes at least this part of what it has made: the
+/// longer it has run, the more is left of it on average.
+const LEAST_REST: f64 = 0.25;
+
+/// A copy to another region takes a second and more, and holds up all other copies on the link, so
+/// none is begun until those within the region had this time after the notice.
+const FAR_DELAY: Duration = Duration::from_millis(700);
+
 /// Part of the destination's memory that moves may fill. A generation that is lost costs more than
 /// one that is preempted, so this is above the bound for new requests.
 const MEMORY_CEILING: f64 = 1.0;
@@ -24,17 +35,17 @@
 /// Cost of a copy to another zone, as a part of the destination's memory: it takes twice as long.
 const AWAY_COST: f64 = 0.4;
 
-/// Cost of an engine in another region than this host, for the round trips until the first event.
-const FAR_COST: f64 = 0.3;
+/// Cost of a copy to another region, more than that of a full engine in another zone.
+const FAR_COST: f64 = 1.5;
 
-/// Cost of unread prompts at the destination: an engine with waiting requests takes no copies.
-const UNREAD_COST: f64 = 0.5;
+/// Cost of unread prompts at the destination, behind which it reads what the copy lacks.
+const UNREAD_COST: f64 = 0.25;
 
 /// Whether a generation that has made `made` of about `expected` output tokens should be moved.
 #[must_use]
 pub fn is_worth_moving(made: u32, expected: u32) -> bool {
-    let rest = expected.saturating_sub(made);
-    TOKEN_TIME * rest > STAY || made >= expected
+    let rest = f64::from(expected.saturating_sub(made)).max(LEAST_REST * f64::from(made));
+    TOKEN_TIME.mul_f64(rest) > STAY
 }
 
 /// Whether a run can go on at the engine with its copy at once. An engine reads what a copy lacks
@@ -55,14 +66,22 @@
     now: Duration,
 ) -> Option<TargetKey> {
     let engine = targets.engine(service)?;
+    let may_go_far = source
+        .leaving_since
+        .is_some_and(|since| now >= since + FAR_DELAY);
     let cost = |target: &Target| {
+        let away = match targets.between(&source.entry.zone, &target.entry.zone) {
+            Distance::Zone => 0.0,
+            Distance::Region => AWAY_COST,
+            Distance::Elsewhere if may_go_far => FAR_COST,
+            Distance::Elsewhere => return None,
+        };
         let load = target.load(now);
         let filled = f64::from(load.tokens + tokens) / f64::from(engine.memory_tokens.max(1));
         let has_room = filled <= MEMORY_CEILING && load.requests < engine.slots;
         let cost_if = |applies: bool, cost: f64| if applies { cost } else { 0.0 };
         let cost = filled
-            + cost_if(target.entry.zone != source.entry.zone, AWAY_COST)
-            + cost_if(target.distance == Distance::Elsewhere, FAR_COST)
+            + away
             + cost_if(load.unread.iter().any(|unread| *unread > 0), UNREAD_COST)
             + 2.0 * target.failure_rate(now);
         has_room.then_some(cost)
--- a/crates/mimosagap-routing/src/targets.rs
+++ b/crates/mimosagap-routing/src/targets.rs
@@ -1,6 +1,6 @@
 //! The targets of all services: what the store lists, what this host sends there, and how it ends.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -226,6 +226,7 @@
 /// All targets.
 #[derive(Debug, Clone, Default)]
 pub struct Targets {
+    regions: BTreeMap<ZoneName, RegionName>,
     arena: SlotMap<TargetKey, Target>,
     by_instance: HashMap<String, TargetKey>,
     by_service: HashMap<DeploymentName, Vec<TargetKey>>,
@@ -233,6 +234,28 @@
 }
 
 impl Targets {
+    /// No targets yet, in the zones of these regions.
+    #[must_use]
+    pub fn with_regions(regions: BTreeMap<ZoneName, RegionName>) -> Self {
+        Self {
+            regions,
+            ..Self::default()
+        }
+    }
+
+    /// How far two zones are from each other.
+    #[must_use]
+    pub fn between(&self, first: &ZoneName, second: &ZoneName) -> Distance {
+        let region = |zone| self.regions.get(zone);
+        if first == second {
+            Distance::Zone
+        } else if region(first).is_some() && region(first) == region(second) {
+            Distance::Region
+        } else {
+            Distance::Elsewhere
+        }
+    }
+
     /// Takes an entry of the store's list. Returns the key and whether the target is new or has
     /// just begun to leave.
     pub fn put(
