fix(gateway): no second copy of a run that is handed over, unused copies freed

Its engines hold 27,000 tokens and are two thirds full. A copy whose run ended meanwhile was never freed either, and a copy was counted with half of its expected tokens when it had already made more than that.

Change: the next step of a run (stay, copy, await, hand over) is one function of its state, with the fault as a test; a copy is freed where it lies if its source has ended, also when it is complete after its run; a run counts with what it has made.

--- a/crates/mimosagap-gateway/src/copies.rs
+++ b/crates/mimosagap-gateway/src/copies.rs
@@ -110,12 +110,16 @@
 pub fn free(gateway: &SharedGateway, copy: SecuredCopy) {
     let gateway = Rc::clone(gateway);
     tokio::task::spawn_local(async move {
-        let address = gateway.with(|beliefs| {
-            let source = beliefs.targets.get(copy.source)?;
-            Some(source.entry.address)
+        let now = gateway.now();
+        let holder = gateway.with(|beliefs| {
+            let targets = &beliefs.targets;
+            let usable = |key| targets.get(key).filter(|known| known.is_usable(now));
+            // The source frees both ends, but it may have ended since.
+            let key = usable(copy.source).map_or(copy.target, |_| copy.source);
+            Some((key, targets.get(key)?.entry.address))
         });
-        if let Some(address) = address {
-            let call = call_engine(&gateway, copy.source, address, free_copy(&copy.handle));
+        if let Some((key, address)) = holder {
+            let call = call_engine(&gateway, key, address, free_copy(&copy.handle));
             let _ = timeout(COPY_TIMEOUT, call).await;
         }
     });
--- a/crates/mimosagap-gateway/src/relay.rs
+++ b/crates/mimosagap-gateway/src/relay.rs
@@ -1,6 +1,5 @@
 //! Passes a stream on to its caller, and goes on elsewhere when its engine ends.
 
-use std::future::Future;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
@@ -8,10 +7,10 @@
 
 use bytes::Bytes;
 use hyper::body::{Body, Frame};
-use mimosagap_routing::moves::{can_take_over, is_worth_moving};
+use mimosagap_routing::moves::{MoveStep, RunCopy, RunState, next_step};
 use mimosagap_routing::placement::StreamNeed;
 use mimosagap_routing::targets::{TargetKey, TargetOutcome};
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, oneshot};
 
 use crate::answer::BrokenStream;
 use crate::claim::LoadClaim;
@@ -35,10 +34,6 @@
 /// Pause before a generation that found no engine for a copy looks for one again.
 const COPY_AGAIN: Duration = Duration::from_millis(150);
 
-/// A copy is brought up to date after this time; it lapses after some seconds, and what it lacks
-/// has to be read when the generation goes on from it.
-const COPY_LIFE: Duration = Duration::from_millis(3500);
-
 enum Part {
     Event(Bytes),
     End,
@@ -71,15 +66,8 @@
     }
 }
 
-type Copying = Pin<Box<dyn Future<Output = Option<SecuredCopy>>>>;
-
-/// What a generation needs whose engine leaves.
-enum CopyNeed {
-    /// The engine that has had a copy from the start is there.
-    InPlace(TargetKey),
-    /// A copy has to be made, if possible at the engine named.
-    Another(Option<TargetKey>),
-}
+/// A copy that is being made.
+type CopyTask = oneshot::Receiver<Option<SecuredCopy>>;
 
 /// Passes a stream on until it ends.
 pub struct StreamRelay {
@@ -99,6 +87,7 @@
     tokens_per_event: u32,
     moves: u32,
     secured: Option<SecuredCopy>,
+    copying: Option<CopyTask>,
     copy_again_at: Duration,
     handover: Option<HandoverTask>,
     /// When the engine that leaves is let go although its successor has sent nothing yet.
@@ -166,6 +155,7 @@
             tokens_per_event,
             moves: 0,
             secured: None,
+            copying: None,
             copy_again_at: Duration::ZERO,
             handover: None,
             overlap_ends: Duration::ZERO,
@@ -219,18 +209,23 @@
         tokio::pin!(deadline);
         let gateway = Rc::clone(&self.gateway);
         let parts = self.parts.clone();
-        let mut copying: Option<Copying> = None;
         loop {
             let leaving = gateway.leaving.notified();
-            if copying.is_none() {
-                copying = self.begin_copy();
-            }
-            if !self.begin_handover() {
-                return RelayEnd::Broken;
+            self.leave_in_time();
+            if self.source.is_none() && self.handover.is_none() {
+                self.handover = self.late_handover();
+                if self.handover.is_none() {
+                    return RelayEnd::Broken;
+                }
             }
             let overlap_end = self.overlap_ends.saturating_sub(gateway.now());
-            let (source, handover) = (&mut self.source, &mut self.handover);
-            let is_overlap = source.is_some() && handover.is_some();
+            let is_overlap = self.source.is_some() && self.handover.is_some();
+            let Self {
+                source,
+                handover,
+                copying,
+                ..
+            } = self;
             let item = tokio::select! {
                 biased;
                 () = parts.closed() => return RelayEnd::CallerLeft,
@@ -243,8 +238,8 @@
                     }
                 }
                 copy = async { copying.as_mut().expect("checked").await }, if copying.is_some() => {
-                    copying = None;
-                    if let Some(copy) = copy {
+                    self.copying = None;
+                    if let Some(copy) = copy.ok().flatten() {
                         prepare(&gateway, copy.target);
                         self.secured = Some(copy);
                     } else {
@@ -256,7 +251,7 @@
                     self.source = None;
                     continue;
                 }
-                () = leaving, if copying.is_none() => continue,
+                () = leaving => continue,
                 () = &mut deadline => return RelayEnd::Deadline,
             };
             match item {
@@ -266,60 +261,83 @@
                     }
                 }
                 SourceItem::End => return RelayEnd::Complete,
-                SourceItem::Broken => {
-                    copying = None;
-                    self.source_broke();
-                }
+                SourceItem::Broken => self.source_broke(),
             }
         }
     }
 
-    /// Starts a copy elsewhere if the run's engine leaves before the run can end.
-    fn begin_copy(&mut self) -> Option<Copying> {
+    /// Copies the run or hands it over if its engine leaves before it can end.
+    fn leave_in_time(&mut self) {
         let now = self.gateway.now();
-        if now < self.copy_again_at || !is_worth_moving(self.made, self.expected) {
-            return None;
+        if self.source.is_none() {
+            return;
         }
-        let source = self.claim.target;
-        let preferred = self.gateway.with(|beliefs| {
-            let targets = &beliefs.targets;
-            let is_leaving = |key| targets.get(key).is_none_or(|known| known.is_leaving(now));
-            let can_move = targets
-                .engine(&self.request.service)
-                .is_some_and(|engine| engine.can_move);
-            if !can_move || !is_leaving(source) {
-                return None;
-            }
-            let secured = self
-                .secured
-                .as_ref()
-                .filter(|copy| !is_leaving(copy.target));
-            if secured.is_some_and(|copy| now < copy.made_at + COPY_LIFE) {
-                return None;
-            }
-            let backup = self.backup.as_ref().map(|claim| claim.target);
-            if let Some(backup) = backup.filter(|key| !is_leaving(*key)) {
-                return Some(CopyNeed::InPlace(backup));
-            }
-            Some(CopyNeed::Another(secured.map(|copy| copy.target)))
-        })?;
-        let preferred = match preferred {
-            CopyNeed::Another(preferred) => preferred,
-            CopyNeed::InPlace(backup) => {
+        let holder_leaves = self.gateway.with(|beliefs| {
+            let holder = self.secured.as_ref().map(|copy| copy.target);
+            holder.is_some_and(|key| {
+                let known = beliefs.targets.get(key);
+                known.is_none_or(|known| known.is_leaving(now))
+            })
+        });
+        if holder_leaves {
+            self.secured = None;
+        }
+        let run = self.run_state();
+        let step = self
+            .gateway
+            .with(|beliefs| next_step(&beliefs.targets, &self.request.service, &run, now));
+        match step {
+            MoveStep::Stay => {}
+            MoveStep::Copy(_) if now < self.copy_again_at => {}
+            MoveStep::Copy(preferred) => self.begin_copy(preferred),
+            MoveStep::Await(target) => {
                 if !std::mem::replace(&mut self.is_prepared, true) {
-                    prepare(&self.gateway, backup);
+                    prepare(&self.gateway, target);
                 }
-                return None;
             }
-        };
+            MoveStep::HandOver(_) => {
+                self.overlap_ends = now + OVERLAP;
+                self.handover = self.copy_handover();
+            }
+        }
+    }
+
+    fn run_state(&self) -> RunState {
+        let secured = self.secured.as_ref().map(|copy| RunCopy {
+            target: copy.target,
+            made_at: Some(copy.made_at),
+        });
+        let standing = self.backup.as_ref().map(|claim| RunCopy {
+            target: claim.target,
+            made_at: None,
+        });
+        RunState {
+            source: self.claim.target,
+            made: self.made,
+            expected: self.expected,
+            copy: secured.or(standing),
+            is_copying: self.copying.is_some(),
+            is_handed_over: self.handover.is_some(),
+        }
+    }
+
+    fn begin_copy(&mut self, preferred: Option<TargetKey>) {
         let order = CopyOrder {
-            source,
+            source: self.claim.target,
             preferred,
             id: self.request.head.id.clone(),
             need: self.current_need(),
         };
         let copy = secure_copy(Rc::clone(&self.gateway), Rc::clone(&self.request), order);
-        Some(Box::pin(copy))
+        let (sender, receiver) = oneshot::channel();
+        let gateway = Rc::clone(&self.gateway);
+        tokio::task::spawn_local(async move {
+            // The run may end before its copy is complete, which then has no use.
+            if let Err(Some(copy)) = sender.send(copy.await) {
+                free(&gateway, copy);
+            }
+        });
+        self.copying = Some(receiver);
     }
 
     /// Passes an event on, unless the caller has it already.
@@ -359,6 +377,7 @@
     fn current_need(&self) -> StreamNeed {
         StreamNeed {
             output: self.expected,
+            made: self.made,
             ..self.need
         }
     }
@@ -381,6 +400,7 @@
     /// The engine ended, or its connection did.
     fn source_broke(&mut self) {
         self.source = None;
+        self.copying = None;
         self.gateway.log.event(&LogEvent::StreamBroke {
             id: &self.request.head.id,
             target: &self.gateway.instance(self.claim.target),
@@ -392,43 +412,6 @@
         health::connection_broke(&self.gateway, self.claim.target, self.request.mark);
     }
 
-    /// Begins to hand the run over if its engine has ended, or if it leaves and the engine with the
-    /// copy can go on without delay. Returns whether the run has an engine or gets one.
-    fn begin_handover(&mut self) -> bool {
-        if self.handover.is_some() {
-            return true;
-        }
-        if self.source.is_some() {
-            if let Some(task) = self.early_handover() {
-                self.overlap_ends = self.gateway.now() + OVERLAP;
-                self.handover = Some(task);
-            }
-            return true;
-        }
-        self.handover = self.late_handover();
-        self.handover.is_some()
-    }
-
-    /// Hands over while the engine still runs the generation.
-    fn early_handover(&mut self) -> Option<HandoverTask> {
-        let now = self.gateway.now();
-        let source = self.claim.target;
-        let is_worth_it = is_worth_moving(self.made, self.expected);
-        let can_go_on = self.gateway.with(|beliefs| {
-            let targets = &beliefs.targets;
-            let is_leaving = targets.get(source).is_none_or(|it| it.is_leaving(now));
-            let can = |key| targets.get(key).is_some_and(|it| can_take_over(it, now));
-            let secured = self.secured.as_ref().map(|copy| copy.target);
-            let backup = self.backup.as_ref().map(|claim| claim.target);
-            is_leaving && is_worth_it && secured.or(backup).is_some_and(can)
-        });
-        if can_go_on {
-            self.copy_handover()
-        } else {
-            None
-        }
-    }
-
     /// Hands over after the engine ended.
     fn late_handover(&mut self) -> Option<HandoverTask> {
         if let Some(task) = self.copy_handover() {
@@ -493,6 +476,7 @@
         self.moves += 1;
         self.went_on = true;
         self.is_prepared = false;
+        self.copying = None;
         successor.first
     }
 }
--- a/crates/mimosagap-gateway/src/streams.rs
+++ b/crates/mimosagap-gateway/src/streams.rs
@@ -53,6 +53,7 @@
     StreamNeed {
         prompt: head.prompt_tokens,
         output,
+        made: 0,
         rank: usize::from(request.priority()).min(RANKS - 1),
     }
 }
--- a/crates/mimosagap-routing/src/moves.rs
+++ b/crates/mimosagap-routing/src/moves.rs
@@ -24,6 +24,10 @@
 /// longer it has run, the more is left of it on average.
 const LEAST_REST: f64 = 0.25;
 
+/// A copy is brought up to date after this time; it lapses after some seconds, and what it lacks
+/// has to be read when the generation goes on from it.
+const COPY_LIFE: Duration = Duration::from_millis(3500);
+
 /// A copy to another region takes a second and more, and holds up all other copies on the link, so
 /// none is begun until those within the region had this time after the notice.
 const FAR_DELAY: Duration = Duration::from_millis(700);
@@ -42,16 +46,82 @@
 const UNREAD_COST: f64 = 0.25;
 
 /// Whether a generation that has made `made` of about `expected` output tokens should be moved.
-#[must_use]
-pub fn is_worth_moving(made: u32, expected: u32) -> bool {
+fn is_worth_moving(made: u32, expected: u32) -> bool {
     let rest = f64::from(expected.saturating_sub(made)).max(LEAST_REST * f64::from(made));
     TOKEN_TIME.mul_f64(rest) > STAY
 }
 
+/// A copy of a run at another engine.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct RunCopy {
+    /// The engine that has it.
+    pub target: TargetKey,
+    /// When it was complete; `None` if it is kept up to date from the start.
+    pub made_at: Option<Duration>,
+}
+
+/// What is known of a run whose engine may leave.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct RunState {
+    /// The engine it runs on.
+    pub source: TargetKey,
+    /// Output tokens that it has made.
+    pub made: u32,
+    /// Output tokens that are expected in all.
+    pub expected: u32,
+    /// Its newest copy.
+    pub copy: Option<RunCopy>,
+    /// Whether another copy is being made.
+    pub is_copying: bool,
+    /// Whether the next engine was asked to go on.
+    pub is_handed_over: bool,
+}
+
+/// What to do with a run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum MoveStep {
+    /// Nothing.
+    Stay,
+    /// Copy it, if possible to the engine named, which has an older copy.
+    Copy(Option<TargetKey>),
+    /// Wait until the engine with the copy reads no prompt.
+    Await(TargetKey),
+    /// Go on at the engine with the copy.
+    HandOver(TargetKey),
+}
+
+/// The next step for a run. A run that is handed over is not copied again: nobody would use that
+/// copy, which fills the memory of the engine for seconds.
+#[must_use]
+pub fn next_step(
+    targets: &Targets,
+    service: &DeploymentName,
+    run: &RunState,
+    now: Duration,
+) -> MoveStep {
+    let is_leaving = |key| targets.get(key).is_none_or(|known| known.is_leaving(now));
+    let can_move = targets
+        .engine(service)
+        .is_some_and(|engine| engine.can_move);
+    let has_reason = is_leaving(run.source) && is_worth_moving(run.made, run.expected);
+    if !can_move || !has_reason || run.is_handed_over {
+        return MoveStep::Stay;
+    }
+    let copy = run.copy.filter(|copy| !is_leaving(copy.target));
+    let lapses = |copy: &RunCopy| copy.made_at.is_some_and(|at| now >= at + COPY_LIFE);
+    match copy {
+        Some(copy) if !lapses(&copy) => match targets.get(copy.target) {
+            Some(target) if can_take_over(target, now) => MoveStep::HandOver(copy.target),
+            _ => MoveStep::Await(copy.target),
+        },
+        _ if run.is_copying => MoveStep::Stay,
+        older => MoveStep::Copy(older.map(|copy| copy.target)),
+    }
+}
+
 /// Whether a run can go on at the engine with its copy at once. An engine reads what a copy lacks
 /// behind all prompts that it has admitted, which takes hundreds of milliseconds.
-#[must_use]
-pub fn can_take_over(target: &Target, now: Duration) -> bool {
+fn can_take_over(target: &Target, now: Duration) -> bool {
     target.is_usable(now) && target.unread(now) == 0
 }
 
--- a/crates/mimosagap-routing/src/placement.rs
+++ b/crates/mimosagap-routing/src/placement.rs
@@ -61,16 +61,18 @@
     pub prompt: u32,
     /// Expected output tokens.
     pub output: u32,
+    /// Output tokens that it has made; more than 0 if it runs already.
+    pub made: u32,
     /// Rank, 0 first.
     pub rank: usize,
 }
 
 impl StreamNeed {
-    /// The memory that it is expected to need on average over its life. Requests on one engine
-    /// end at different times, so their sum stays near the sum of the averages.
+    /// The memory that it is expected to need on average over the rest of its life. Requests on
+    /// one engine end at different times, so their sum stays near the sum of the averages.
     #[must_use]
     pub fn tokens(&self) -> u32 {
-        self.prompt + self.output / 2
+        self.prompt + u32::midpoint(self.made, self.output.max(self.made))
     }
 }
 
--- a/crates/mimosagap-routing/tests/moves.rs
+++ b/crates/mimosagap-routing/tests/moves.rs
@@ -5,9 +5,9 @@
 use std::time::Duration;
 
 use mimosagap_routing::backup::choose_backup;
-use mimosagap_routing::moves::{can_take_over, destination, is_worth_moving};
+use mimosagap_routing::moves::{MoveStep, RunCopy, RunState, destination, next_step};
 use mimosagap_routing::placement::StreamNeed;
-use mimosagap_routing::targets::TargetKey;
+use mimosagap_routing::targets::{TargetKey, Targets};
 use support::{MEMORY, NOW, QUOTE, engines, service};
 
 fn chosen(
@@ -34,13 +34,38 @@
     (key, keys)
 }
 
+/// A run that has made some of its expected tokens on an engine that leaves.
+fn leaving_run(keys: &[TargetKey], made: u32, expected: u32) -> RunState {
+    RunState {
+        source: keys[0],
+        made,
+        expected,
+        copy: None,
+        is_copying: false,
+        is_handed_over: false,
+    }
+}
+
+/// Two engines, of which the first leaves.
+fn leaving_engine() -> (Targets, Vec<TargetKey>) {
+    let (mut targets, keys) = engines(&["a", "a"]);
+    targets.leaves(keys[0], NOW);
+    (targets, keys)
+}
+
+fn step(targets: &Targets, run: &RunState) -> MoveStep {
+    next_step(targets, &service(), run, NOW)
+}
+
 #[test]
 fn a_generation_that_ends_in_time_stays() {
-    assert!(!is_worth_moving(40, 100));
-    assert!(!is_worth_moving(200, 230));
-    assert!(is_worth_moving(100, 800));
+    let (targets, keys) = leaving_engine();
+    let step = |made, expected| step(&targets, &leaving_run(&keys, made, expected));
+    assert_eq!(step(40, 100), MoveStep::Stay);
+    assert_eq!(step(200, 230), MoveStep::Stay);
+    assert_eq!(step(100, 800), MoveStep::Copy(None));
     // One that is longer than expected may go on for long.
-    assert!(is_worth_moving(900, 800));
+    assert_eq!(step(900, 800), MoveStep::Copy(None));
 }
 
 /// Load pattern: callers' estimates are often too short, so a generation that is about as long as
@@ -48,7 +73,84 @@
 /// estimate, too late for the link.
 #[test]
 fn a_long_generation_near_its_expected_length_is_moved() {
-    assert!(is_worth_moving(580, 600));
+    let (targets, keys) = leaving_engine();
+    let run = leaving_run(&keys, 580, 600);
+    assert_eq!(step(&targets, &run), MoveStep::Copy(None));
+}
+
+#[test]
+fn a_generation_on_an_engine_that_stays_is_not_moved() {
+    let (targets, keys) = engines(&["a", "a"]);
+    let run = leaving_run(&keys, 100, 800);
+    assert_eq!(step(&targets, &run), MoveStep::Stay);
+}
+
+/// Load pattern: copies were used when their engine ended, and waited for up to 300 ms behind a
+/// prompt that the other engine had just begun to read.
+#[test]
+fn a_run_is_handed_over_when_no_prompt_is_being_read() {
+    let (mut targets, keys) = leaving_engine();
+    let copies = [Some(NOW), None].map(|made_at| RunCopy {
+        target: keys[1],
+        made_at,
+    });
+    let runs = copies.map(|copy| RunState {
+        copy: Some(copy),
+        ..leaving_run(&keys, 100, 800)
+    });
+    targets.begin(keys[1], 3400, 3000, 1);
+    for run in &runs {
+        assert_eq!(step(&targets, run), MoveStep::Await(keys[1]));
+    }
+    targets.prompt_read(keys[1], 3000, 1, 0, Duration::from_millis(400));
+    for run in &runs {
+        assert_eq!(step(&targets, run), MoveStep::HandOver(keys[1]));
+    }
+}
+
+/// Load pattern: engines with 27,000 tokens of memory are two thirds full. Each run that was handed
+/// over was copied once more meanwhile, and these copies kept new prompts waiting for seconds.
+#[test]
+fn a_run_that_is_handed_over_is_not_copied_again() {
+    let (targets, keys) = leaving_engine();
+    let run = RunState {
+        is_handed_over: true,
+        ..leaving_run(&keys, 100, 800)
+    };
+    assert_eq!(step(&targets, &run), MoveStep::Stay);
+}
+
+#[test]
+fn a_run_has_one_copy_in_progress() {
+    let (targets, keys) = leaving_engine();
+    let run = RunState {
+        is_copying: true,
+        ..leaving_run(&keys, 100, 800)
+    };
+    assert_eq!(step(&targets, &run), MoveStep::Stay);
+}
+
+#[test]
+fn a_copy_that_is_about_to_lapse_is_renewed_at_its_engine() {
+    let (targets, keys) = leaving_engine();
+    let made_at = NOW.checked_sub(Duration::from_secs(4));
+    let copy = RunCopy {
+        target: keys[1],
+        made_at,
+    };
+    let run = RunState {
+        copy: Some(copy),
+        ..leaving_run(&keys, 100, 800)
+    };
+    assert_eq!(step(&targets, &run), MoveStep::Copy(Some(keys[1])));
+}
+
+/// A run that has made most of its tokens fills more memory than a new one of that length.
+#[test]
+fn a_copy_counts_with_what_its_run_has_made() {
+    let late = StreamNeed { made: 700, ..QUOTE };
+    assert_eq!(QUOTE.tokens(), 3400);
+    assert_eq!(late.tokens(), 3750);
 }
 
 /// Load pattern: two engines of a zone of four are taken away at once, and what the others cannot
@@ -93,18 +195,6 @@
     assert_eq!(key, Some(keys[2]));
 }
 
-/// Load pattern: copies were used when their engine ended, and waited for up to 300 ms behind a
-/// prompt that the other engine had just begun to read.
-#[test]
-fn a_run_is_handed_over_when_no_prompt_is_being_read() {
-    let (mut targets, keys) = engines(&["a"]);
-    assert!(can_take_over(targets.get(keys[0]).unwrap(), NOW));
-    targets.begin(keys[0], 3400, 3000, 1);
-    assert!(!can_take_over(targets.get(keys[0]).unwrap(), NOW));
-    targets.prompt_read(keys[0], 3000, 1, 0, Duration::from_millis(400));
-    assert!(can_take_over(targets.get(keys[0]).unwrap(), NOW));
-}
-
 #[test]
 fn a_copy_stays_within_the_zone_while_it_has_room() {
     let (key, keys) = chosen(&["a", "b", "a"], &[(2, 9000)], &[]);
--- a/crates/mimosagap-routing/tests/support/mod.rs
+++ b/crates/mimosagap-routing/tests/support/mod.rs
@@ -15,6 +15,7 @@
 pub const QUOTE: StreamNeed = StreamNeed {
     prompt: 3000,
     output: 800,
+    made: 0,
     rank: 1,
 };
 
