test(soak): engines that make copies and are taken away shortly after their notice

The stand-in engine answers `/kv-move` and `/kv-handle`, goes on from a copy once and for its own run only, and stops when its connection closes. A new fault takes a target away up to two seconds after its notice. The ledger notices a target that works on a run 400 ms after the run went on at another one. A plan of its own takes the engines away one after the other and asks for handovers while the first engine still runs.

--- a/crates/mimosagap-gateway/src/calls.rs
+++ b/crates/mimosagap-gateway/src/calls.rs
@@ -185,9 +185,9 @@
         return Err(ExchangeError::Broken);
     };
     let outcome = if exchange.head.status.is_server_error() {
-        TargetOutcome::Failed
+        TargetOutcome::Erred
     } else {
-        TargetOutcome::Answered
+        TargetOutcome::Served
     };
     claim.outcome(outcome);
     keep(gateway, target, &exchange.head, exchange.link);
--- a/crates/mimosagap-routing/src/placement.rs
+++ b/crates/mimosagap-routing/src/placement.rs
@@ -50,6 +50,14 @@
 /// Cost of a target where everything failed lately.
 const FAILURE_COST: Duration = Duration::from_millis(2500);
 
+/// Failure rate up to which a target of a plain service counts as sound: somewhat more than the
+/// part of requests that fail wherever they run.
+const SOUND_FAILURES: f64 = 0.25;
+
+/// Cost of a target of a plain service where everything failed lately. Twice as much as a sound one
+/// is reason enough to use another region.
+const CALL_FAILURE_COST: Duration = Duration::from_secs(5);
+
 /// Cost of one request in flight for each slot of a plain service.
 const SLOT_COST: Duration = Duration::from_millis(60);
 
@@ -188,6 +196,9 @@
 }
 
 /// Chooses a target of a plain service: near, with few requests for its slots, without failures.
+///
+/// Load pattern: one in seven lookups is answered with an error, wherever it runs. A few such
+/// answers in a row sent the calls of a host to another region, 60 ms away, for seconds.
 #[must_use]
 pub fn place_call(
     targets: &Targets,
@@ -202,7 +213,7 @@
             let busy = f64::from(target.load(now).requests) / f64::from(target.entry.slots.max(1));
             distance_cost(target.distance)
                 + SLOT_COST.mul_f64(busy)
-                + FAILURE_COST.mul_f64(target.failure_rate(now))
+                + CALL_FAILURE_COST.mul_f64((target.failure_rate(now) - SOUND_FAILURES).max(0.0))
         })
         .map(|(key, _)| key)
 }
--- a/crates/mimosagap-routing/src/targets.rs
+++ b/crates/mimosagap-routing/src/targets.rs
@@ -30,6 +30,10 @@
 /// Weight of a new outcome in the failure rate.
 const FAILURE_WEIGHT: f64 = 0.15;
 
+/// Weight of an answer in the failure rate of a plain service, whose sound targets answer some
+/// requests with an error.
+const ANSWER_WEIGHT: f64 = 0.08;
+
 /// A failure rate halves in this time without outcomes, so that a target is tried again.
 const FORGIVENESS: Duration = Duration::from_secs(4);
 
@@ -118,7 +122,11 @@
 pub enum TargetOutcome {
     /// It answered.
     Answered,
-    /// It answered with an error, broke off or kept silent.
+    /// A plain service answered with a success.
+    Served,
+    /// A plain service answered with an error.
+    Erred,
+    /// It broke off or kept silent, or an engine answered with an error.
     Failed,
     /// It turned the request away unrun.
     TurnedAway,
@@ -429,20 +437,24 @@
         let Some(target) = self.arena.get_mut(key) else {
             return;
         };
-        let sample = match outcome {
-            TargetOutcome::Answered => 0.0,
-            TargetOutcome::TurnedAway => 0.5,
-            TargetOutcome::Failed | TargetOutcome::Unreachable => 1.0,
+        let (sample, weight) = match outcome {
+            TargetOutcome::Answered => (0.0, FAILURE_WEIGHT),
+            TargetOutcome::Served => (0.0, ANSWER_WEIGHT),
+            TargetOutcome::Erred => (1.0, ANSWER_WEIGHT),
+            TargetOutcome::TurnedAway => (0.5, FAILURE_WEIGHT),
+            TargetOutcome::Failed | TargetOutcome::Unreachable => (1.0, FAILURE_WEIGHT),
         };
         let known = target.failure_rate(now);
-        target.failure_rate = known + FAILURE_WEIGHT * (sample - known);
+        target.failure_rate = known + weight * (sample - known);
         target.failure_at = now;
         match outcome {
             TargetOutcome::Unreachable => {
                 target.paused_until = now + target.pause;
                 target.pause = (target.pause * 2).min(MAX_PAUSE);
             }
-            TargetOutcome::Answered => target.pause = FIRST_PAUSE,
+            TargetOutcome::Answered | TargetOutcome::Served | TargetOutcome::Erred => {
+                target.pause = FIRST_PAUSE;
+            }
             TargetOutcome::Failed | TargetOutcome::TurnedAway => {}
         }
     }
--- a/crates/mimosagap-routing/tests/placement.rs
+++ b/crates/mimosagap-routing/tests/placement.rs
@@ -8,8 +8,8 @@
 use mimosagap_routing::placement::{PlaceOptions, StreamNeed, place_call, place_stream, spread};
 use mimosagap_routing::targets::{Distance, TargetKey, TargetLoad, TargetOutcome, Targets};
 use mimosagap_types::prelude::*;
-use rand::SeedableRng;
 use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
 use rstest::rstest;
 use support::{MEMORY, NOW, QUOTE, engines, entry, service};
 
@@ -170,6 +170,43 @@
     assert!(failure_rate < 0.01, "{failure_rate} is not forgiven");
 }
 
+/// A near target of which a part of the calls fail, and one in another region that has none yet.
+/// Returns which part of 400 calls the near one got.
+fn near_part(failing: f64) -> f64 {
+    let (mut targets, keys) = engines(&["a"]);
+    targets.put(entry(7, "c"), Distance::Elsewhere, Duration::ZERO);
+    let mut random = SmallRng::seed_from_u64(3);
+    let mut near = 0.0;
+    for call in 0..400 {
+        let now = NOW + Duration::from_millis(200) * call;
+        let key = place_call(&targets, &service(), &[], now).expect("both can be used");
+        let is_near = key == keys[0];
+        near += f64::from(u8::from(is_near)) / 400.0;
+        let outcome = if is_near && random.random_bool(failing) {
+            TargetOutcome::Erred
+        } else {
+            TargetOutcome::Served
+        };
+        targets.outcome(key, outcome, now);
+    }
+    near
+}
+
+/// Load pattern: one in seven lookups fails wherever it runs. Its host used another region, 60 ms
+/// away, for a large part of its calls.
+#[test]
+fn calls_stay_near_a_target_that_fails_as_seldom_as_all() {
+    let part = near_part(0.14);
+    assert!(part > 0.97, "{part}");
+}
+
+/// Load pattern: a target fails 40% of its calls beyond those, while its health check is good.
+#[test]
+fn calls_leave_a_target_that_fails_often() {
+    let part = near_part(0.54);
+    assert!(part < 0.5, "{part}");
+}
+
 #[test]
 fn a_target_that_cannot_be_reached_is_left_alone_and_tried_again() {
     let (mut targets, keys) = engines(&["a"]);
--- a/crates/mimosagap-soak/src/caller.rs
+++ b/crates/mimosagap-soak/src/caller.rs
@@ -185,7 +185,8 @@
     if kind == CallKind::Stream {
         builder = builder
             .header("x-model", "m")
-            .header("x-token-usage", "100,100")
+            .header("x-token-usage", "100,400")
+            .header("x-length-hint", "160")
             .header("x-prefix-hash", "1:100");
     }
     let body = if kind == CallKind::Repeatable {
--- a/crates/mimosagap-soak/src/ledger.rs
+++ b/crates/mimosagap-soak/src/ledger.rs
@@ -25,6 +25,8 @@
     runs: u32,
     answered: Option<(u16, Instant)>,
     left_at: Option<Instant>,
+    /// The target that runs it now, and since when.
+    runner: Option<(String, Instant)>,
 }
 
 /// One life of a gateway: its number and how often it was started before.
@@ -62,6 +64,9 @@
 /// Work stops this long after its caller left.
 pub const STOP: Duration = Duration::from_millis(500);
 
+/// A target stops its work on a run this long after the run went on at another one.
+pub const OVERLAP: Duration = Duration::from_millis(400);
+
 /// The bound on repeats in a sliding window, from the gateways' settings: one for each so many
 /// requests, and so many more.
 pub const REPEATS: (usize, usize, Duration) = (5, 60, Duration::from_secs(10));
@@ -77,6 +82,7 @@
             runs: 0,
             answered: None,
             left_at: None,
+            runner: None,
         };
         self.entries.borrow_mut().insert(id.to_owned(), entry);
     }
@@ -98,6 +104,7 @@
             return;
         };
         entry.runs += 1;
+        entry.runner = Some((target.to_owned(), Instant::now()));
         let (kind, runs, status, sent_at) = (
             entry.kind,
             entry.runs,
@@ -143,14 +150,26 @@
         }
     }
 
+    /// A run goes on at a target, from its copy there.
+    pub fn went_on(&self, id: &str, target: &str) {
+        if let Some(entry) = self.entries.borrow_mut().get_mut(id) {
+            entry.runner = Some((target.to_owned(), Instant::now()));
+        }
+    }
+
     /// A target makes an event of a stream.
-    pub fn works_on(&self, id: &str) {
-        let left_at = self
-            .entries
-            .borrow()
-            .get(id)
-            .and_then(|entry| entry.left_at);
+    pub fn works_on(&self, id: &str, target: &str) {
         let now = Instant::now();
+        let entry = self.entries.borrow().get(id).cloned();
+        let left_at = entry.as_ref().and_then(|entry| entry.left_at);
+        let runner = entry.and_then(|entry| entry.runner);
+        if let Some((runner, since)) = runner
+            && runner != target
+            && now > since + OVERLAP
+            && self.is_in_touch(since)
+        {
+            self.violation(format!("{target} works on {id}, which went on at {runner}"));
+        }
         if left_at.is_some_and(|at| now > at + STOP && self.is_in_touch(at)) {
             self.violation(format!(
                 "a target works on {id}, whose caller left long ago"
--- a/crates/mimosagap-soak/src/plan.rs
+++ b/crates/mimosagap-soak/src/plan.rs
@@ -32,6 +32,8 @@
     CrashTarget(usize),
     /// A target leaves; another one comes.
     DrainTarget(usize),
+    /// A target is taken away a short time after its notice; another one comes.
+    TakeTarget(usize, Duration),
     /// A target misbehaves for a time.
     Target(usize, TargetMode, Duration),
     /// A key is revoked.
@@ -69,6 +71,7 @@
             Self::HangUp(_)
             | Self::CrashTarget(_)
             | Self::DrainTarget(_)
+            | Self::TakeTarget(..)
             | Self::Target(..)
             | Self::Link(..)
             | Self::Revoke
@@ -87,6 +90,9 @@
     pub fault: Fault,
 }
 
+/// Longest time from the notice until a target is taken away.
+const MOST_NOTICE: Duration = Duration::from_secs(2);
+
 /// Gateways of a run.
 pub const GATEWAYS: usize = 3;
 
@@ -144,7 +150,7 @@
     let time = Duration::from_millis(random.random_range(300..3000));
     let gateway = random.random_range(0..GATEWAYS);
     let target = random.random_range(0..TARGETS);
-    match random.random_range(0..20) {
+    match random.random_range(0..21) {
         0 | 1 => Fault::KillGateway(gateway),
         2 => Fault::StopGateway(gateway),
         3 => Fault::PauseGateway(gateway, time),
@@ -162,7 +168,8 @@
         15 => Fault::NewConfig,
         16 => Fault::Link(LinkPlace::Callers(gateway), draw_link_mode(random), time),
         17 => Fault::Link(LinkPlace::Store(gateway), draw_link_mode(random), time),
-        _ => Fault::Link(LinkPlace::Target(target), draw_link_mode(random), time),
+        18 | 19 => Fault::Link(LinkPlace::Target(target), draw_link_mode(random), time),
+        _ => Fault::TakeTarget(target, time.min(MOST_NOTICE)),
     }
 }
 
--- a/crates/mimosagap-soak/src/run.rs
+++ b/crates/mimosagap-soak/src/run.rs
@@ -6,7 +6,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use mimosagap_explain::{Cause, LogSet};
+use mimosagap_explain::{Cause, LogRecord, LogSet};
 use mimosagap_standins::proxy::{LinkMode, LinkProxy};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -19,7 +19,7 @@
 use crate::plan::{Fault, FaultStep, GATEWAYS, LinkPlace, Plan, TARGETS};
 use crate::process::GatewayProcess;
 use crate::standins::store::{StoreMode, StoreStandin};
-use crate::standins::target::{TargetMode, TargetStandin};
+use crate::standins::target::{TargetMode, TargetShared, TargetStandin};
 
 /// Callers of a run.
 const CALLERS: u64 = 12;
@@ -75,12 +75,15 @@
     pub sent: usize,
     /// Requests that were served.
     pub served: usize,
+    /// Streams that were handed over while their first target still ran them.
+    pub handovers: usize,
     /// Broken promises.
     pub violations: Vec<String>,
 }
 
 struct Fleet {
     ledger: Rc<RunLedger>,
+    shared: Rc<TargetShared>,
     store: Rc<StoreStandin>,
     gateways: Vec<GatewayHost>,
     context: Option<Rc<CallerContext>>,
@@ -153,11 +156,12 @@
     tokio::time::sleep(IDLE).await;
     fleet.check_resources();
     fleet.stop_all().await;
-    fleet.check_logs()?;
+    let handovers = fleet.check_logs()?;
     let (sent, served) = fleet.ledger.counts();
     Ok(Outcome {
         sent,
         served,
+        handovers,
         violations: fleet.ledger.violations(),
     })
 }
@@ -168,8 +172,10 @@
         let address = listener.local_addr()?;
         let store = Rc::new(StoreStandin::default());
         store.serve(listener);
+        let shared: Rc<TargetShared> = Rc::default();
         let mut fleet = Self {
-            ledger: Rc::default(),
+            ledger: Rc::clone(&shared.ledger),
+            shared,
             store,
             gateways: Vec::new(),
             context: None,
@@ -212,7 +218,7 @@
             "model"
         };
         let instance = format!("i-{}", self.next_target);
-        TargetStandin::start(instance, service, &self.ledger, &self.store).await
+        TargetStandin::start(instance, service, &self.shared, &self.store).await
     }
 
     fn write_config(&mut self, keys: &[&str]) {
@@ -237,7 +243,9 @@
             "routes": routes,
             "services": [
                 {"name": "plain"},
-                {"name": "model", "engine": {"slots": 8, "kv_capacity": 30000, "stride": 1}},
+                {"name": "model", "engine": {
+                    "slots": 8, "kv_capacity": 30000, "stride": 4, "moves": true, "handle_ttl_s": 5.0,
+                }},
             ],
             "limits": {"max_header_bytes": 16384, "max_body_bytes": 65536, "idle_timeout_ms": 15000},
             "tenants": [{"name": "team", "api_keys": keys}],
@@ -304,6 +312,12 @@
                 self.pending.push((now + DRAIN_TIME, Undo::Leave(gone)));
                 self.targets[number] = self.new_target(number).await?;
             }
+            Fault::TakeTarget(number, time) => {
+                self.targets[number].drain(&self.store, &self.ledger);
+                let gone = Rc::clone(&self.targets[number]);
+                self.pending.push((now + time, Undo::Leave(gone)));
+                self.targets[number] = self.new_target(number).await?;
+            }
             Fault::Target(number, mode, time) => {
                 self.targets[number].set_mode(mode);
                 self.pending.push((now + time, Undo::Target(number)));
@@ -439,12 +453,16 @@
     }
 
     /// Checks that the logs name one cause for each failed request.
-    fn check_logs(&self) -> std::io::Result<()> {
+    /// Returns how many streams were handed over while they ran.
+    fn check_logs(&self) -> std::io::Result<usize> {
         let mut logs = LogSet::default();
         for (number, gateway) in self.gateways.iter().enumerate() {
             let log = BufReader::new(File::open(gateway.process.log())?);
             logs.read(&format!("gateway-{number}"), log)?;
         }
+        let is_handover =
+            |record: &&LogRecord| record.event == "handover" && record.fields["is_running"] == true;
+        let handovers = logs.records().iter().filter(is_handover).count();
         let left_out = logs
             .records()
             .iter()
@@ -476,6 +494,6 @@
             );
             self.ledger.violation(text);
         }
-        Ok(())
+        Ok(handovers)
     }
 }
--- a/crates/mimosagap-soak/src/standins/target.rs
+++ b/crates/mimosagap-soak/src/standins/target.rs
@@ -10,14 +10,15 @@
 use futures_util::stream;
 use http_body_util::{Full, StreamBody};
 use hyper::body::{Body, Frame, Incoming};
-use hyper::{HeaderMap, Request, Response, StatusCode};
+use hyper::{HeaderMap, Method, Request, Response, StatusCode};
 use mimosagap_standins::proxy::LinkProxy;
 use serde::{Deserialize, Serialize};
-use serde_json::json;
+use serde_json::{Value, json};
 use tokio::net::TcpListener;
 use tokio::task::JoinHandle;
 
 use crate::ledger::RunLedger;
+use crate::standins::copies::CopyTable;
 use crate::standins::store::StoreStandin;
 use crate::web::{read, serve};
 
@@ -30,6 +31,9 @@
 /// Events of a stream.
 pub const EVENTS: u64 = 40;
 
+/// Time to copy a generation.
+const COPY_TIME: Duration = Duration::from_millis(60);
+
 /// How a target treats its work.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
@@ -44,6 +48,15 @@
     BreaksOff,
 }
 
+/// What the targets of a run share.
+#[derive(Debug, Default)]
+pub struct TargetShared {
+    /// What they ran.
+    pub ledger: Rc<RunLedger>,
+    /// Generations and their copies.
+    pub copies: CopyTable,
+}
+
 /// One life of a target.
 pub struct TargetStandin {
     /// Its name.
@@ -65,18 +78,18 @@
     pub async fn start(
         instance: String,
         service: &str,
-        ledger: &Rc<RunLedger>,
+        shared: &Rc<TargetShared>,
         store: &StoreStandin,
     ) -> std::io::Result<Rc<Self>> {
         let listener = TcpListener::bind("127.0.0.1:0").await?;
         let link = LinkProxy::start(listener.local_addr()?).await?;
         let target = Rc::new_cyclic(|weak: &std::rc::Weak<Self>| {
-            let (weak, ledger) = (weak.clone(), Rc::clone(ledger));
+            let (weak, shared) = (weak.clone(), Rc::clone(shared));
             let server = serve(listener, move |request| {
-                let (target, ledger) = (weak.upgrade(), Rc::clone(&ledger));
+                let (target, shared) = (weak.upgrade(), Rc::clone(&shared));
                 async move {
                     match target {
-                        Some(target) => target.answer(&ledger, request).await,
+                        Some(target) => target.answer(&shared, request).await,
                         None => status(StatusCode::INTERNAL_SERVER_ERROR, "", Bytes::new()),
                     }
                 }
@@ -129,24 +142,42 @@
 
     async fn answer(
         &self,
-        ledger: &Rc<RunLedger>,
+        shared: &Rc<TargetShared>,
         request: Request<Incoming>,
     ) -> Response<TargetBody> {
+        let ledger = &shared.ledger;
         let (head, body) = request.into_parts();
         let text = |name: &str| header(&head.headers, name);
         let id = text("x-attempt-id").unwrap_or_default();
-        if read(body).await.is_none() {
+        let Some(body) = read(body).await else {
             return status(StatusCode::BAD_REQUEST, &id, Bytes::new());
+        };
+        let path = head.uri.path();
+        if path == "/kv-move" {
+            return self.copy(shared, &body).await;
+        }
+        if let Some(name) = path.strip_prefix("/kv-handle/")
+            && head.method == Method::DELETE
+        {
+            shared.copies.free(name);
+            return status(StatusCode::OK, "", Bytes::new());
         }
         if text("x-expect-instance").is_some_and(|expected| expected != self.instance) {
             return status(StatusCode::MISDIRECTED_REQUEST, &id, Bytes::new());
         }
         ledger.arrived(&id);
         if self.mode.get() == TargetMode::Sheds {
-            let mut response = status(StatusCode::SERVICE_UNAVAILABLE, &id, Bytes::new());
-            let value = hyper::header::HeaderValue::from_static("1");
-            response.headers_mut().insert("x-not-executed", value);
-            return response;
+            return not_run(&id);
+        }
+        let last = text("last-event-id").and_then(|last| last.parse().ok());
+        if let Some(copy) = text("kv-from") {
+            let name = copy.split_once('/').map_or("", |(_, name)| name);
+            let address = self.link.address().to_string();
+            if !shared.copies.take(name, &id, &address) {
+                return not_run(&id);
+            }
+            ledger.went_on(&id, &self.instance);
+            return self.stream(shared, &id, last.unwrap_or(0));
         }
         let has_key = head.headers.contains_key("authorization");
         ledger.ran(&id, &self.instance, text("x-tenant").as_deref(), has_key);
@@ -154,10 +185,7 @@
             std::future::pending::<()>().await;
         }
         if text("x-model").is_some() {
-            let first = text("last-event-id")
-                .and_then(|last| last.parse().ok())
-                .unwrap_or(0);
-            return Self::stream(Rc::clone(ledger), &id, first);
+            return self.stream(shared, &id, last.unwrap_or(0));
         }
         tokio::time::sleep(WORK).await;
         if self.mode.get() == TargetMode::BreaksOff {
@@ -173,24 +201,68 @@
         response
     }
 
-    fn stream(ledger: Rc<RunLedger>, id: &str, last: u64) -> Response<TargetBody> {
-        let id = id.to_owned();
-        let state = (ledger, last + 1, id.clone());
-        let events = stream::unfold(state, |(ledger, number, id)| async move {
+    /// Copies a running generation to another engine while it goes on.
+    async fn copy(&self, shared: &TargetShared, body: &Bytes) -> Response<TargetBody> {
+        let order: Value = serde_json::from_slice(body).unwrap_or_default();
+        let text = |name: &str| order[name].as_str().unwrap_or_default().to_owned();
+        let (id, holder) = (text("id"), text("target"));
+        tokio::time::sleep(COPY_TIME).await;
+        if !shared.copies.is_running(&id, &self.instance) {
+            return status(StatusCode::NOT_FOUND, "", Bytes::new());
+        }
+        let handle = shared.copies.copied(&id, &holder);
+        let answer = json!({"handle": handle, "created": 1}).to_string();
+        status(StatusCode::OK, "", Bytes::from(answer))
+    }
+
+    fn stream(&self, shared: &Rc<TargetShared>, id: &str, last: u64) -> Response<TargetBody> {
+        let run = RunGuard::new(shared, id, &self.instance);
+        let events = stream::unfold((run, last + 1), |(run, number)| async move {
             if number > EVENTS {
                 return None;
             }
             tokio::time::sleep(GAP).await;
-            ledger.works_on(&id);
-            let event = format!("id: {number}\ndata: {id}\n\n");
+            run.shared.ledger.works_on(&run.id, &run.instance);
+            let event = format!("id: {number}\ndata: {}\n\n", run.id);
             let frame = Ok::<_, Infallible>(Frame::data(Bytes::from(event)));
-            Some((frame, (ledger, number + 1, id)))
+            Some((frame, (run, number + 1)))
         });
         let body: TargetBody = Box::pin(StreamBody::new(events));
-        status(StatusCode::OK, &id, Bytes::new()).map(|_| body)
+        status(StatusCode::OK, id, Bytes::new()).map(|_| body)
     }
 }
 
+/// A generation that runs until this is dropped.
+struct RunGuard {
+    shared: Rc<TargetShared>,
+    id: String,
+    instance: String,
+}
+
+impl RunGuard {
+    fn new(shared: &Rc<TargetShared>, id: &str, instance: &str) -> Self {
+        shared.copies.runs(id, instance);
+        Self {
+            shared: Rc::clone(shared),
+            id: id.to_owned(),
+            instance: instance.to_owned(),
+        }
+    }
+}
+
+impl Drop for RunGuard {
+    fn drop(&mut self) {
+        self.shared.copies.ends(&self.id, &self.instance);
+    }
+}
+
+fn not_run(id: &str) -> Response<TargetBody> {
+    let mut response = status(StatusCode::SERVICE_UNAVAILABLE, id, Bytes::new());
+    let value = hyper::header::HeaderValue::from_static("1");
+    response.headers_mut().insert("x-not-executed", value);
+    response
+}
+
 fn header(headers: &HeaderMap, name: &str) -> Option<String> {
     Some(headers.get(name)?.to_str().ok()?.to_owned())
 }
--- a/crates/mimosagap-soak/tests/ledger.rs
+++ b/crates/mimosagap-soak/tests/ledger.rs
@@ -2,7 +2,9 @@
 
 use std::time::{Duration, Instant};
 
-use mimosagap_soak::ledger::{APPLY, CallKind, DRAIN, GatewayLife, ROLLBACK, RunLedger, STOP};
+use mimosagap_soak::ledger::{
+    APPLY, CallKind, DRAIN, GatewayLife, OVERLAP, ROLLBACK, RunLedger, STOP,
+};
 use rstest::rstest;
 
 fn ledger(kind: CallKind) -> RunLedger {
@@ -79,8 +81,24 @@
     let ledger = ledger(CallKind::Stream);
     ledger.left("a");
     std::thread::sleep(later);
-    ledger.works_on("a");
-    ledger.works_on("a");
+    ledger.works_on("a", "i-1");
+    ledger.works_on("a", "i-1");
+    assert_eq!(ledger.violations().len(), violations);
+}
+
+#[rstest]
+#[case::within_the_bound(Duration::from_millis(100), 0)]
+#[case::too_long(OVERLAP + Duration::from_millis(100), 1)]
+fn two_targets_that_work_on_one_run_are_noticed(
+    #[case] later: Duration,
+    #[case] violations: usize,
+) {
+    let ledger = ledger(CallKind::Stream);
+    ledger.ran("a", "i-1", Some("team"), false);
+    ledger.went_on("a", "i-2");
+    std::thread::sleep(later);
+    ledger.works_on("a", "i-2");
+    ledger.works_on("a", "i-1");
     assert_eq!(ledger.violations().len(), violations);
 }
 
--- a/crates/mimosagap-soak/tests/soak.rs
+++ b/crates/mimosagap-soak/tests/soak.rs
@@ -3,8 +3,8 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
-use mimosagap_soak::plan::Plan;
-use mimosagap_soak::run::{Options, run};
+use mimosagap_soak::plan::{Fault, FaultStep, Plan, TARGETS};
+use mimosagap_soak::run::{Options, Outcome, run};
 use rstest::rstest;
 
 const LENGTH: Duration = Duration::from_secs(8);
@@ -37,7 +37,29 @@
     soak(serde_json::from_str(plan).expect("a plan"), base_port);
 }
 
-fn soak(plan: Plan, base_port: u16) {
+/// Engines are taken away one second after their notice, one after the other, while streams run on
+/// them. A run must go on elsewhere while its engine still runs it, each event must come once, and
+/// the first engine must stop in time.
+#[test]
+fn streams_go_on_elsewhere_before_their_engine_is_taken_away() {
+    let notice = Duration::from_secs(1);
+    let first = TARGETS / 2;
+    let steps = (0..6).zip((first..TARGETS).cycle());
+    let plan = Plan {
+        seed: 900,
+        length: LENGTH,
+        steps: steps
+            .map(|(number, target)| FaultStep {
+                at: Duration::from_secs(1) + notice * number,
+                fault: Fault::TakeTarget(target, notice),
+            })
+            .collect(),
+    };
+    let outcome = soak(plan, 22_600);
+    assert!(outcome.handovers > 0, "no stream was handed over");
+}
+
+fn soak(plan: Plan, base_port: u16) -> Outcome {
     let seed = plan.seed;
     let folder = std::env::temp_dir().join(format!("mimosagap-soak-{seed}-{}", std::process::id()));
     let options = Options {
@@ -63,6 +85,7 @@
     );
     assert!(outcome.served > 100, "{} served", outcome.served);
     std::fs::remove_dir_all(folder).expect("the logs can be removed");
+    outcome
 }
 
 #[test]
