--- a/crates/mimosagap-routing/src/targets.rs
+++ b/crates/mimosagap-routing/src/targets.rs
@@ -22,7 +22,7 @@
 const INITIAL_READ_RATE: f64 = 7.0;
 
 /// Bounds on the measured rate, so that one odd answer does not decide.
-const READ_RATE_RANGE: (f64, f64) = (0.5, 14.0);
+const READ_RATE_RANGE: (f64, f64) = (0.2, 200.0);
 
 /// Weight of a new measurement of the read rate.
 const READ_RATE_WEIGHT: f64 = 0.15;
