feat(routing): token times are learnt, the life of a copy comes from the configuration

Cause: the time of a token was a constant of 11 ms in one place and 12 ms in another, and the life of a copy 3.5 s for an engine that keeps it for 5 s. Both hold for the engines of today's deployments only.

A test holds that a run on an engine that makes tokens four times as fast is left there when it ends in time.

--- a/crates/mimosagap-gateway/src/relay.rs
+++ b/crates/mimosagap-gateway/src/relay.rs
@@ -95,6 +95,8 @@
     went_on: bool,
     /// Whether a connection to the engine with the copy was opened.
     is_prepared: bool,
+    /// When the first event came.
+    begun_at: Option<Duration>,
     last_at: Duration,
     longest_gap: Duration,
 }
@@ -138,6 +140,7 @@
         });
         let stream = *stream;
         let relay = Self {
+            begun_at: None,
             last_at: gateway.now(),
             gateway,
             last_event: request.head.last_event,
@@ -183,6 +186,7 @@
         if let Some(copy) = self.secured.take() {
             free(&self.gateway, copy);
         }
+        self.count_pace();
         let route = self.request.route.name.as_str();
         self.gateway.metrics.paused(route, self.longest_gap);
         self.gateway.log.event(&LogEvent::StreamEnded {
@@ -315,6 +319,7 @@
             source: self.claim.target,
             made: self.made,
             expected: self.expected,
+            token_time: self.gateway.token_time(&self.request.service),
             copy: secured.or(standing),
             is_copying: self.copying.is_some(),
             is_handed_over: self.handover.is_some(),
@@ -368,6 +373,7 @@
         if self.made > self.tokens_per_event {
             self.longest_gap = self.longest_gap.max(now.saturating_sub(self.last_at));
         }
+        self.begun_at.get_or_insert(now);
         self.last_at = now;
         let sent = self.parts.send(Part::Event(event.bytes)).await;
         sent.map_err(|_| RelayEnd::CallerLeft)
@@ -392,6 +398,22 @@
         }
     }
 
+    fn count_pace(&self) {
+        let Some(begun_at) = self.begun_at else {
+            return;
+        };
+        let tokens = self.made.saturating_sub(self.tokens_per_event);
+        let took = self.last_at.saturating_sub(begun_at);
+        self.gateway.with(|beliefs| {
+            let service = self.request.service.clone();
+            beliefs
+                .paces
+                .entry(service)
+                .or_default()
+                .observe(tokens, took);
+        });
+    }
+
     /// Time since the last event.
     fn silent_ms(&self) -> u64 {
         millis(self.gateway.now().saturating_sub(self.last_at))
--- a/crates/mimosagap-gateway/src/state.rs
+++ b/crates/mimosagap-gateway/src/state.rs
@@ -12,6 +12,7 @@
 use mimosagap_routing::hosts::Hosts;
 use mimosagap_routing::lengths::LengthEstimator;
 use mimosagap_routing::marks::stable_mark;
+use mimosagap_routing::pace::TokenPace;
 use mimosagap_routing::quarantine::Quarantine;
 use mimosagap_routing::retries::{RetryBounds, RetryBudget};
 use mimosagap_routing::targets::{TargetKey, Targets};
@@ -40,6 +41,8 @@
     pub hosts: Hosts,
     /// Requests that crash targets.
     pub quarantine: Quarantine,
+    /// Time for an output token by service.
+    pub paces: HashMap<DeploymentName, TokenPace>,
     /// Lengths of generations by route.
     pub lengths: HashMap<ClassName, LengthEstimator>,
     /// Repeats by service.
@@ -125,6 +128,7 @@
                 targets,
                 hosts: Hosts::default(),
                 quarantine: Quarantine::default(),
+                paces: HashMap::new(),
                 lengths: HashMap::new(),
                 budgets: HashMap::new(),
                 waiting: HashMap::new(),
@@ -164,6 +168,12 @@
         })
     }
 
+    /// The time for an output token of a service.
+    pub fn token_time(&self, service: &DeploymentName) -> Duration {
+        let pace = self.with(|beliefs| beliefs.paces.get(service).copied());
+        pace.unwrap_or_default().token_time()
+    }
+
     /// The instance of a target, for log lines.
     pub fn instance(&self, key: TargetKey) -> String {
         self.with(|beliefs| {
--- a/crates/mimosagap-gateway/src/streams.rs
+++ b/crates/mimosagap-gateway/src/streams.rs
@@ -34,9 +34,6 @@
 /// Longest answer in bytes that is no stream.
 const MAX_ANSWER: usize = 1 << 20;
 
-/// Time for one output token, to tell whether a generation ends before the host stops.
-const TOKEN_TIME: Duration = Duration::from_millis(12);
-
 /// What a generation needs, from what the caller says of it and its route's requests needed.
 fn need_of(gateway: &SharedGateway, request: &RoutedRequest) -> StreamNeed {
     let head = &request.head;
@@ -111,7 +108,7 @@
     let mut runs = 0;
     let mut broke = false;
     if let Some(left) = gateway.time_to_stop()
-        && TOKEN_TIME * need.output + need_time(need) > left.mul_f64(0.8)
+        && gateway.token_time(&request.service) * need.output + need_time(need) > left.mul_f64(0.8)
     {
         return Begun::Refused(RefusalReason::Leaving);
     }
--- a/crates/mimosagap-routing/src/config.rs
+++ b/crates/mimosagap-routing/src/config.rs
@@ -82,6 +82,8 @@
     pub can_back_up: bool,
     /// Tokens in one event of a stream.
     pub tokens_per_event: u32,
+    /// How long an engine keeps a copy that it was sent.
+    pub copy_life: Duration,
 }
 
 /// A service and how its targets are called.
--- a/crates/mimosagap-routing/src/lib.rs
+++ b/crates/mimosagap-routing/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod lengths;
 pub mod marks;
 pub mod moves;
+pub mod pace;
 pub mod placement;
 pub mod placers;
 pub mod quarantine;
--- a/crates/mimosagap-routing/src/moves.rs
+++ b/crates/mimosagap-routing/src/moves.rs
@@ -17,16 +17,13 @@
 /// A generation that is expected to end within this time stays on an engine that leaves.
 const STAY: Duration = Duration::from_millis(700);
 
-/// Time for one output token on a busy engine.
-const TOKEN_TIME: Duration = Duration::from_millis(11);
-
 /// A generation that nears its expected length makes at least this part of what it has made: the
 /// longer it has run, the more is left of it on average.
 const LEAST_REST: f64 = 0.25;
 
-/// A copy is brought up to date after this time; it lapses after some seconds, and what it lacks
-/// has to be read when the generation goes on from it.
-const COPY_LIFE: Duration = Duration::from_millis(3500);
+/// A copy is brought up to date after this part of the time for which its engine keeps it. What it
+/// lacks has to be read when the generation goes on from it.
+const COPY_RENEWAL: f64 = 0.7;
 
 /// A copy to another region takes a second and more, and holds up all other copies on the link, so
 /// none is begun until those within the region had this time after the notice.
@@ -45,10 +42,11 @@
 /// Cost of unread prompts at the destination, behind which it reads what the copy lacks.
 const UNREAD_COST: f64 = 0.25;
 
-/// Whether a generation that has made `made` of about `expected` output tokens should be moved.
-fn is_worth_moving(made: u32, expected: u32) -> bool {
-    let rest = f64::from(expected.saturating_sub(made)).max(LEAST_REST * f64::from(made));
-    TOKEN_TIME.mul_f64(rest) > STAY
+/// Whether a run goes on for long enough to be moved.
+fn is_worth_moving(run: &RunState) -> bool {
+    let made = f64::from(run.made);
+    let rest = f64::from(run.expected) - made;
+    run.token_time.mul_f64(rest.max(LEAST_REST * made)) > STAY
 }
 
 /// A copy of a run at another engine.
@@ -69,6 +67,8 @@
     pub made: u32,
     /// Output tokens that are expected in all.
     pub expected: u32,
+    /// Time for one output token.
+    pub token_time: Duration,
     /// Its newest copy.
     pub copy: Option<RunCopy>,
     /// Whether another copy is being made.
@@ -100,15 +100,14 @@
     now: Duration,
 ) -> MoveStep {
     let is_leaving = |key| targets.get(key).is_none_or(|known| known.is_leaving(now));
-    let can_move = targets
-        .engine(service)
-        .is_some_and(|engine| engine.can_move);
-    let has_reason = is_leaving(run.source) && is_worth_moving(run.made, run.expected);
-    if !can_move || !has_reason || run.is_handed_over {
+    let engine = targets.engine(service).filter(|engine| engine.can_move);
+    let has_reason = is_leaving(run.source) && is_worth_moving(run);
+    let Some(engine) = engine.filter(|_| has_reason && !run.is_handed_over) else {
         return MoveStep::Stay;
-    }
+    };
     let copy = run.copy.filter(|copy| !is_leaving(copy.target));
-    let lapses = |copy: &RunCopy| copy.made_at.is_some_and(|at| now >= at + COPY_LIFE);
+    let life = engine.copy_life.mul_f64(COPY_RENEWAL);
+    let lapses = |copy: &RunCopy| copy.made_at.is_some_and(|at| now >= at + life);
     match copy {
         Some(copy) if !lapses(&copy) => match targets.get(copy.target) {
             Some(target) if can_take_over(target, now) => MoveStep::HandOver(copy.target),
--- a/crates/mimosagap-routing/tests/moves.rs
+++ b/crates/mimosagap-routing/tests/moves.rs
@@ -6,6 +6,7 @@
 
 use mimosagap_routing::backup::choose_backup;
 use mimosagap_routing::moves::{MoveStep, RunCopy, RunState, destination, next_step};
+use mimosagap_routing::pace::TokenPace;
 use mimosagap_routing::placement::StreamNeed;
 use mimosagap_routing::targets::{TargetKey, Targets};
 use support::{MEMORY, NOW, QUOTE, engines, service};
@@ -40,6 +41,7 @@
         source: keys[0],
         made,
         expected,
+        token_time: Duration::from_millis(11),
         copy: None,
         is_copying: false,
         is_handed_over: false,
@@ -78,6 +80,23 @@
     assert_eq!(step(&targets, &run), MoveStep::Copy(None));
 }
 
+/// Load pattern: engines that make tokens four times as fast end in time what others do not.
+#[test]
+fn a_generation_on_a_fast_engine_ends_in_time() {
+    let (targets, keys) = leaving_engine();
+    let mut pace = TokenPace::default();
+    for _ in 0..40 {
+        pace.observe(500, Duration::from_millis(1500));
+    }
+    let run = RunState {
+        token_time: pace.token_time(),
+        ..leaving_run(&keys, 200, 400)
+    };
+    assert_eq!(step(&targets, &run), MoveStep::Stay);
+    let usual = leaving_run(&keys, 200, 400);
+    assert_eq!(step(&targets, &usual), MoveStep::Copy(None));
+}
+
 #[test]
 fn a_generation_on_an_engine_that_stays_is_not_moved() {
     let (targets, keys) = engines(&["a", "a"]);
--- a/crates/mimosagap-routing/tests/support/mod.rs
+++ b/crates/mimosagap-routing/tests/support/mod.rs
@@ -58,6 +58,7 @@
             can_move: true,
             can_back_up: true,
             tokens_per_event: 4,
+            copy_life: Duration::from_secs(5),
         },
     )]));
     let keys = zones
