perf(routing): engines are promised 1.05 of their memory

The ceiling of 0.95 (0.87 below the highest rank) counts expected ends that come one after the other.

Change: the ceiling is 1.05 (0.97 below the highest rank).

--- a/crates/mimosagap-routing/src/placement.rs
+++ b/crates/mimosagap-routing/src/placement.rs
@@ -17,7 +17,7 @@
 
 /// Part of an engine's memory that is filled by expected ends. The rest takes answers that get
 /// longer than expected and the parts of prompts that are shared.
-pub const MEMORY_CEILING: f64 = 0.95;
+pub const MEMORY_CEILING: f64 = 1.05;
 
 /// Part of the memory that requests below the highest rank leave to it.
 const URGENT_RESERVE: f64 = 0.08;
