perf(gateway): a running generation counts with the memory that it has come to need

Change: every 32 tokens a run counts anew with the mean of what it has and what it is expected to have. The next regular report tells the other hosts; none is sent for it.

--- a/crates/mimosagap-gateway/src/relay.rs
+++ b/crates/mimosagap-gateway/src/relay.rs
@@ -28,6 +28,9 @@
 /// Events between the relay and a caller that reads slowly; bounds the memory of a stream.
 const QUEUED_EVENTS: usize = 16;
 
+/// The memory that a generation is expected to need is counted anew after this many tokens.
+const RESIZE_STEP: u32 = 32;
+
 /// How much longer than expected an answer is taken to be once it is as long as expected.
 const GROWTH: f64 = 1.25;
 
@@ -84,6 +87,8 @@
     last_event: Option<u64>,
     made: u32,
     expected: u32,
+    /// Tokens since its memory was counted.
+    since_resize: u32,
     tokens_per_event: u32,
     moves: u32,
     secured: Option<SecuredCopy>,
@@ -155,6 +160,7 @@
             runs: stream.runs,
             parts,
             made: 0,
+            since_resize: 0,
             tokens_per_event,
             moves: 0,
             secured: None,
@@ -367,6 +373,10 @@
         self.made += self.tokens_per_event;
         if self.made > self.expected {
             self.expected = grown(self.made);
+        }
+        self.since_resize += self.tokens_per_event;
+        if self.since_resize >= RESIZE_STEP {
+            self.since_resize = 0;
             self.claim.resize(self.current_need().tokens());
         }
         let now = self.gateway.now();
