perf(routing): memory is kept for generations on engines that leave

Ruled out: a busy link (three of the seven copies went through it meanwhile); copies that nobody uses.

Change: at each engine of a zone, its part of half of the memory in use on leaving engines of that zone counts as used for 2.5 s after their notice, so that new prompts go elsewhere.

--- a/crates/mimosagap-routing/src/lib.rs
+++ b/crates/mimosagap-routing/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod backup;
 pub mod belief;
 pub mod config;
+pub mod evacuation;
 pub mod hosts;
 pub mod lengths;
 pub mod marks;
