--- a/crates/mimosagap-routing/tests/evacuation.rs
+++ b/crates/mimosagap-routing/tests/evacuation.rs
@@ -1,25 +1,22 @@
 //! Engines that are taken away while others of their zone get new prompts.
 
+#[path = "support/quote.rs"]
+mod quote;
 mod support;
 
 use std::time::Duration;
 
-use mimosagap_routing::placement::{PlaceOptions, place_stream};
+use mimosagap_routing::placement::place_stream;
 use mimosagap_routing::targets::{TargetKey, Targets};
 use mimosagap_types::prelude::*;
+use quote::quote_options;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
-use support::{MEMORY, NOW, QUOTE, engines, service};
+use support::{MEMORY, NOW, engines, service};
 
 fn place(targets: &Targets, now: Duration) -> Option<TargetKey> {
-    let options = PlaceOptions {
-        service: &service(),
-        need: QUOTE,
-        home: &ZoneName::new("a"),
-        patience: Duration::MAX,
-        spread: Duration::ZERO,
-        far_host: None,
-    };
+    let (service, home) = (service(), ZoneName::new("a"));
+    let options = quote_options(&service, &home);
     let mut random = SmallRng::seed_from_u64(1);
     place_stream(targets, &options, |_, _| true, now, &mut random).map(|place| place.target)
 }
--- a/crates/mimosagap-routing/tests/placement.rs
+++ b/crates/mimosagap-routing/tests/placement.rs
@@ -1,5 +1,7 @@
 //! Prompts of thousands of tokens, sent by many hosts to engines that hold about ten of them.
 
+#[path = "support/quote.rs"]
+mod quote;
 mod support;
 
 use std::collections::{HashMap, HashSet};
@@ -8,6 +10,7 @@
 use mimosagap_routing::placement::{PlaceOptions, StreamNeed, place_call, place_stream, spread};
 use mimosagap_routing::targets::{Distance, TargetKey, TargetLoad, TargetOutcome, Targets};
 use mimosagap_types::prelude::*;
+use quote::quote_options;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use rstest::rstest;
@@ -19,13 +22,11 @@
     spread: Duration,
     random: &mut SmallRng,
 ) -> Option<TargetKey> {
+    let (service, home) = (service(), ZoneName::new("a"));
     let options = PlaceOptions {
-        service: &service(),
         need,
-        home: &ZoneName::new("a"),
-        patience: Duration::MAX,
         spread,
-        far_host: None,
+        ..quote_options(&service, &home)
     };
     let place = place_stream(targets, &options, |_, _| true, NOW, random);
     place.map(|placement| placement.target)
@@ -82,13 +83,10 @@
     let (mut targets, keys) = engines(&["a"]);
     targets.begin(keys[0], 6000, 6000, 1);
     let place = |targets: &Targets, patience| {
+        let (service, home) = (service(), ZoneName::new("a"));
         let options = PlaceOptions {
-            service: &service(),
-            need: QUOTE,
-            home: &ZoneName::new("a"),
             patience,
-            spread: Duration::ZERO,
-            far_host: None,
+            ..quote_options(&service, &home)
         };
         let mut random = SmallRng::seed_from_u64(1);
         let place = place_stream(targets, &options, |_, _| true, NOW, &mut random);
@@ -141,13 +139,10 @@
     let (far, _) = targets.put(entry(7, "b"), Distance::Elsewhere, listed_at);
     let mut random = SmallRng::seed_from_u64(1);
     let chosen = (0..60).filter(|host| {
+        let (service, home) = (service(), ZoneName::new("a"));
         let options = PlaceOptions {
-            service: &service(),
-            need: QUOTE,
-            home: &ZoneName::new("a"),
-            patience: Duration::MAX,
-            spread: Duration::ZERO,
             far_host: is_large.then_some(*host),
+            ..quote_options(&service, &home)
         };
         let place = place_stream(&targets, &options, |_, _| true, NOW, &mut random);
         place.is_some_and(|place| place.target == far)
@@ -173,13 +168,10 @@
     let mut random = SmallRng::seed_from_u64(1);
     let mut chosen: HashMap<TargetKey, u32> = HashMap::new();
     for host in 0..40 {
+        let (service, home) = (service(), ZoneName::new("a"));
         let options = PlaceOptions {
-            service: &service(),
-            need: QUOTE,
-            home: &ZoneName::new("a"),
-            patience: Duration::MAX,
-            spread: Duration::ZERO,
             far_host: Some(host),
+            ..quote_options(&service, &home)
         };
         let place = place_stream(&targets, &options, |_, _| true, NOW, &mut random);
         let place = place.expect("each host has engines that it may use");
--- a/crates/mimosagap-routing/tests/placers.rs
+++ b/crates/mimosagap-routing/tests/placers.rs
@@ -1,14 +1,17 @@
 //! Dozens of hosts that place prompts in the same moment.
 
+#[path = "support/quote.rs"]
+mod quote;
 mod support;
 
 use std::time::Duration;
 
 use mimosagap_routing::hosts::{HostCapacity, HostRecord, Hosts};
-use mimosagap_routing::placement::{PlaceOptions, place_stream};
+use mimosagap_routing::placement::place_stream;
 use mimosagap_routing::placers::PlacerChoice;
 use mimosagap_routing::targets::{RANKS, TargetKey, TargetLoad, Targets};
 use mimosagap_types::prelude::*;
+use quote::quote_options;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use support::{NOW, QUOTE, engines, service};
@@ -22,14 +25,8 @@
 }
 
 fn place(targets: &Targets, now: Duration) -> TargetKey {
-    let options = PlaceOptions {
-        service: &service(),
-        need: QUOTE,
-        home: &ZoneName::new("a"),
-        patience: Duration::MAX,
-        spread: Duration::ZERO,
-        far_host: None,
-    };
+    let (service, home) = (service(), ZoneName::new("a"));
+    let options = quote_options(&service, &home);
     let mut random = SmallRng::seed_from_u64(1);
     place_stream(targets, &options, |_, _| true, now, &mut random)
         .expect("there is room")
