--- a/crates/mimosagap-gateway/src/copies.rs
+++ b/crates/mimosagap-gateway/src/copies.rs
@@ -1,4 +1,4 @@
-//! Copies of running generations at other engines, from which they go on when their engine ends.
+//! Copies of running generations at other engines, from which they go on when their engine leaves.
 
 use std::net::SocketAddr;
 use std::rc::Rc;
--- a/crates/mimosagap-routing/src/placement.rs
+++ b/crates/mimosagap-routing/src/placement.rs
@@ -57,8 +57,8 @@
 /// part of requests that fail wherever they run.
 const SOUND_FAILURES: f64 = 0.25;
 
-/// Cost of a target of a plain service where everything failed lately. Twice as much as a sound one
-/// is reason enough to use another region.
+/// Cost of a target of a plain service where everything failed lately, above the rate of a sound
+/// one. A rate of 0.3 is reason enough to use another region.
 const CALL_FAILURE_COST: Duration = Duration::from_secs(5);
 
 /// Cost of one request in flight for each slot of a plain service.
--- a/crates/mimosagap-routing/src/readers.rs
+++ b/crates/mimosagap-routing/src/readers.rs
@@ -4,9 +4,9 @@
 //! second, and every call to the store is limited and paid for. One host of each region asks the
 //! store, and the others of the region ask that host; one of each zone was half of all calls of 195
 //! hosts on a calm day. In other zones than the reader's own, one host asks it for all others of
-//! its zone, so that a change crosses between two zones once. A few hosts stand in for each in turn. Only when
-//! all of them fail does a host ask the store itself, and seldom while that fails too: an outage of
-//! the store would otherwise bring a call of every host each second.
+//! its zone, so that a change crosses between two zones once. A few hosts stand in for each in
+//! turn. Only when all of them fail does a host ask the store itself, and seldom while that fails
+//! too: an outage of the store would otherwise bring a call of every host each second.
 
 use std::cmp::Reverse;
 use std::collections::HashMap;
