refactor(routing): one test of whether a target leaves

Cause: the relay and `next_step` each asked in their own words whether an engine leaves, is gone or was forgotten. Both now call `Targets::is_leaving`.

Behaviour is unchanged; no test was touched.

--- a/crates/mimosagap-gateway/src/handover.rs
+++ b/crates/mimosagap-gateway/src/handover.rs
@@ -42,7 +42,6 @@
 pub type HandoverTask = Pin<Box<dyn Future<Output = Option<Successor>>>>;
 
 /// A run that is to be handed over.
-#[derive(Clone)]
 pub struct HandoverOrder {
     /// The gateway.
     pub gateway: SharedGateway,
--- a/crates/mimosagap-gateway/src/relay.rs
+++ b/crates/mimosagap-gateway/src/relay.rs
@@ -239,14 +239,12 @@
         if self.source.is_none() {
             return;
         }
-        let holder_leaves = self.gateway.with(|beliefs| {
-            let holder = self.secured.as_ref().map(|copy| copy.target);
-            holder.is_some_and(|key| {
-                let known = beliefs.targets.get(key);
-                known.is_none_or(|known| known.is_leaving(now))
-            })
-        });
-        if holder_leaves {
+        let holder = self.secured.as_ref().map(|copy| copy.target);
+        let leaves = |key| {
+            self.gateway
+                .with(|beliefs| beliefs.targets.is_leaving(key, now))
+        };
+        if holder.is_some_and(leaves) {
             self.secured = None;
         }
         let run = self.run_state();
--- a/crates/mimosagap-routing/src/moves.rs
+++ b/crates/mimosagap-routing/src/moves.rs
@@ -99,7 +99,7 @@
     run: &RunState,
     now: Duration,
 ) -> MoveStep {
-    let is_leaving = |key| targets.get(key).is_none_or(|known| known.is_leaving(now));
+    let is_leaving = |key| targets.is_leaving(key, now);
     let engine = targets.engine(service).filter(|engine| engine.can_move);
     let has_reason = is_leaving(run.source) && is_worth_moving(run);
     let Some(engine) = engine.filter(|_| has_reason && !run.is_handed_over) else {
--- a/crates/mimosagap-routing/src/targets.rs
+++ b/crates/mimosagap-routing/src/targets.rs
@@ -370,6 +370,12 @@
         self.arena.get(key)
     }
 
+    /// Whether a target leaves, is gone or was forgotten.
+    #[must_use]
+    pub fn is_leaving(&self, key: TargetKey, now: Duration) -> bool {
+        self.get(key).is_none_or(|target| target.is_leaving(now))
+    }
+
     /// The target of an instance.
     #[must_use]
     pub fn find(&self, instance: &str) -> Option<TargetKey> {
