feat(gateway): differences of long values between hosts, and proofs that a long value does not hold up

The question itself was given up after 1 s, however much of the answer had come. Ruled out: a shorter pause alone, which was tried before and lets a storm of such versions fill the smallest links. Change: `delta` and `mirror` hand on what changed of a long value since the version that the asker has; the pause after an answer is at most 0.4 s (`question_pause`); the time for which a reader holds a question no longer ages the proof; a long answer has its own time.

--- a/crates/mimosagap-gateway/src/feed.rs
+++ b/crates/mimosagap-gateway/src/feed.rs
@@ -1,28 +1,25 @@
 //! Changes of the store as one host hands them to the others of its region.
 
-use std::collections::{BTreeMap, HashSet, VecDeque};
 use std::fmt;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use bytes::Bytes;
 use http::{Request, Response, StatusCode};
-use http_body_util::Full;
-use mimosagap_platform::store::{StoreChange, StoreChanges};
-use mimosagap_routing::readers::{MAX_AGE, ReaderFailure};
+use http_body_util::{BodyExt, Full, Limited};
+use mimosagap_platform::store::StoreChange;
+use mimosagap_routing::readers::{MAX_AGE, ReaderFailure, question_pause};
 use serde::{Deserialize, Serialize};
 use tokio::time::timeout;
 
 use crate::answer::{AnswerBody, plain};
-use crate::link::HttpLink;
-use crate::state::{STORE_AWAY, SharedGateway, millis};
+use crate::link::{CallError, HttpLink};
+use crate::mirror::KeyChange;
+use crate::state::{Gateway, STORE_AWAY, SharedGateway, millis};
 
 /// The path of the call between hosts.
 pub const PATH: &str = "/changes";
 
-/// Changes that are kept for hosts which ask for those after a revision.
-const KEPT_CHANGES: usize = 2000;
-
 /// A question waits this long for a change.
 const WAIT: Duration = Duration::from_millis(500);
 
@@ -30,89 +27,12 @@
 /// the same region, so an answer takes milliseconds.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// Bytes a second that one host takes from its reader while configurations follow each other
-/// quickly: a twelfth of the link of a host with 10 Mbit/s.
-const BYTES_PER_SECOND: f64 = 100_000.0;
+/// A long answer may take this long on a busy link once its beginning is there.
+const BODY_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Longest answer in bytes.
 const MAX_ANSWER: usize = 16 << 20;
 
-/// The store's keys as this host knows them.
-#[derive(Debug, Default)]
-pub struct StoreMirror {
-    items: BTreeMap<String, (u64, Vec<u8>)>,
-    recent: VecDeque<StoreChange>,
-    floor: u64,
-    revision: u64,
-}
-
-impl StoreMirror {
-    /// Takes changes up to a revision.
-    pub fn apply(&mut self, changes: &[StoreChange], revision: u64) {
-        for change in changes {
-            match &change.value {
-                Some(value) => {
-                    let item = (change.revision, value.clone());
-                    self.items.insert(change.key.clone(), item);
-                }
-                None => {
-                    self.items.remove(&change.key);
-                }
-            }
-            self.recent.push_back(change.clone());
-        }
-        while self.recent.len() > KEPT_CHANGES {
-            if let Some(oldest) = self.recent.pop_front() {
-                self.floor = oldest.revision;
-            }
-        }
-        self.revision = self.revision.max(revision);
-    }
-
-    /// Starts anew from everything that the store lists.
-    pub fn reset(&mut self, items: &[StoreChange], revision: u64) {
-        *self = Self {
-            floor: revision,
-            ..Self::default()
-        };
-        self.apply(items, revision);
-        self.recent.clear();
-    }
-
-    /// The last revision.
-    pub fn revision(&self) -> u64 {
-        self.revision
-    }
-
-    fn after(&self, revision: u64) -> (bool, Vec<StoreChange>) {
-        let is_whole = revision < self.floor;
-        let changes = if is_whole {
-            self.items
-                .iter()
-                .map(|(key, (revision, value))| StoreChange {
-                    key: key.clone(),
-                    revision: *revision,
-                    value: Some(value.clone()),
-                })
-                .collect()
-        } else {
-            // Of a key that changed several times only the newest value counts.
-            let mut seen = HashSet::new();
-            let mut changes: Vec<StoreChange> = self
-                .recent
-                .iter()
-                .rev()
-                .take_while(|change| change.revision > revision)
-                .filter(|change| seen.insert(&change.key))
-                .cloned()
-                .collect();
-            changes.reverse();
-            changes
-        };
-        (is_whole, changes)
-    }
-}
-
 #[derive(Debug)]
 #[derive(Serialize, Deserialize)]
 struct FeedMessage {
@@ -122,18 +42,23 @@
     returned_ms: Option<u64>,
     revision: u64,
     is_whole: bool,
-    /// Key, revision and value.
-    changes: Vec<(String, u64, Option<Vec<u8>>)>,
+    /// Time from the question until this answer, in milliseconds.
+    held_ms: u64,
+    changes: Vec<KeyChange>,
 }
 
 /// What a reader answered.
 pub struct FeedAnswer {
     /// The changes.
-    pub changes: StoreChanges,
+    pub changes: Vec<StoreChange>,
+    /// Up to which revision of the store.
+    pub revision: u64,
     /// Whether they are all items rather than what changed.
     pub is_whole: bool,
     /// Time from the reader's question to the store until its answer here.
     pub age: Duration,
+    /// How long the reader waited for a change before it answered.
+    pub held: Duration,
     /// Time since the store was back after an outage.
     pub returned: Option<Duration>,
     /// Time until the next question, by the length of this answer.
@@ -146,6 +71,7 @@
         .strip_prefix("after=")
         .and_then(|value| value.parse().ok())
         .unwrap_or(0);
+    let asked_at = gateway.now();
     let deadline = tokio::time::sleep(WAIT);
     tokio::pin!(deadline);
     loop {
@@ -175,10 +101,8 @@
             // A host that asked the store itself may know more than its reader.
             revision: beliefs.mirror.revision().max(after),
             is_whole,
-            changes: changes
-                .into_iter()
-                .map(|change| (change.key, change.revision, change.value))
-                .collect(),
+            held_ms: millis(now.saturating_sub(asked_at)),
+            changes,
         })
     });
     let bytes = message.and_then(|message| {
@@ -197,6 +121,8 @@
     Stale,
     /// It did not answer, or not in a form that can be read.
     Silent(String),
+    /// It answered with differences from a version that this host does not have.
+    Unknown,
 }
 
 impl FeedError {
@@ -204,7 +130,7 @@
     pub fn failure(&self) -> ReaderFailure {
         match self {
             Self::Stale => ReaderFailure::Stale,
-            Self::Silent(_) => ReaderFailure::Silent,
+            Self::Silent(_) | Self::Unknown => ReaderFailure::Silent,
         }
     }
 }
@@ -214,6 +140,7 @@
         match self {
             Self::Stale => f.write_str("the reader has no fresh changes"),
             Self::Silent(cause) => f.write_str(cause),
+            Self::Unknown => f.write_str("differences from a version that is not known here"),
         }
     }
 }
@@ -225,15 +152,15 @@
 }
 
 impl FeedClient {
-    /// Asks a reader for what follows a revision.
-    pub async fn ask(&mut self, reader: SocketAddr, after: u64) -> Result<FeedAnswer, FeedError> {
-        timeout(WAIT + ANSWER_TIMEOUT, self.try_ask(reader, after))
-            .await
-            .map_err(|_| FeedError::Silent("no answer in time".to_owned()))?
-    }
-
-    async fn try_ask(&mut self, reader: SocketAddr, after: u64) -> Result<FeedAnswer, FeedError> {
+    /// Asks a reader for what follows a revision, of which this host has the mirror.
+    pub async fn ask(
+        &mut self,
+        gateway: &Gateway,
+        reader: SocketAddr,
+        after: u64,
+    ) -> Result<FeedAnswer, FeedError> {
         let silent = |error: &dyn fmt::Display| FeedError::Silent(error.to_string());
+        let late = |_| FeedError::Silent("no answer in time".to_owned());
         let kept = self
             .link
             .take()
@@ -246,36 +173,37 @@
         };
         let mut request = Request::new(Full::new(Bytes::new()));
         *request.uri_mut() = format!("{PATH}?after={after}").parse().unwrap_or_default();
-        let (head, body) = link
-            .call(request, MAX_ANSWER)
+        let response = timeout(WAIT + ANSWER_TIMEOUT, link.send(request))
             .await
-            .map_err(|error| silent(&error))?;
+            .map_err(late)?
+            .map_err(|error| silent(&CallError::Link(error)))?;
+        let (head, body) = response.into_parts();
+        let body = timeout(BODY_TIMEOUT, Limited::new(body, MAX_ANSWER).collect())
+            .await
+            .map_err(late)?
+            .map_err(|error| silent(&error))?
+            .to_bytes();
         self.link = Some((reader, link));
         if head.status != StatusCode::OK {
             return Err(FeedError::Stale);
         }
-        let length = f64::from(u32::try_from(body.len()).unwrap_or(u32::MAX));
         let config = bincode::config::standard();
         let (message, _) = bincode::serde::decode_from_slice::<FeedMessage, _>(&body, config)
             .map_err(|error| silent(&error))?;
+        let changes: Option<Vec<StoreChange>> = gateway.with(|beliefs| {
+            let changes = message.changes.into_iter();
+            changes
+                .map(|change| beliefs.mirror.resolve(change))
+                .collect()
+        });
         Ok(FeedAnswer {
-            changes: StoreChanges {
-                changes: message
-                    .changes
-                    .into_iter()
-                    .map(|(key, revision, value)| StoreChange {
-                        key,
-                        revision,
-                        value,
-                    })
-                    .collect(),
-                revision: message.revision,
-                has_more: false,
-            },
+            changes: changes.ok_or(FeedError::Unknown)?,
+            revision: message.revision,
             is_whole: message.is_whole,
             age: Duration::from_millis(message.age_ms),
+            held: Duration::from_millis(message.held_ms),
             returned: message.returned_ms.map(Duration::from_millis),
-            pause: Duration::from_secs_f64(length / BYTES_PER_SECOND),
+            pause: question_pause(body.len()),
         })
     }
 }
--- a/crates/mimosagap-gateway/src/state.rs
+++ b/crates/mimosagap-gateway/src/state.rs
@@ -23,9 +23,9 @@
 use rand::rngs::SmallRng;
 use tokio::sync::Notify;
 
-use crate::feed::StoreMirror;
 use crate::log::EventLog;
 use crate::metrics::GatewayMetrics;
+use crate::mirror::StoreMirror;
 use crate::notices::NewsBoard;
 use crate::placers::PlacerClient;
 use crate::pool::LinkPool;
--- a/crates/mimosagap-gateway/src/sync.rs
+++ b/crates/mimosagap-gateway/src/sync.rs
@@ -12,7 +12,7 @@
 use mimosagap_routing::targets;
 use rand::Rng;
 
-use crate::feed::{FeedAnswer, FeedClient};
+use crate::feed::{FeedAnswer, FeedClient, FeedError};
 use crate::log::LogEvent;
 use crate::state::{Gateway, STORE_AWAY, SharedGateway};
 use crate::store::{StoreClient, StoreError};
@@ -107,13 +107,16 @@
             tokio::time::sleep(FAILED_READER_PAUSE).await;
         }
         let asked_at = self.gateway.now();
-        match self.feed.ask(reader.address, after).await {
+        match self.feed.ask(&self.gateway, reader.address, after).await {
             Ok(answer) => {
-                self.revision = Some(answer.changes.revision);
+                self.revision = Some(answer.revision);
                 take_answer(&self.gateway, &answer, asked_at);
                 tokio::time::sleep(READER_PAUSE.max(answer.pause)).await;
             }
             Err(error) => {
+                if matches!(error, FeedError::Unknown) {
+                    self.revision = None;
+                }
                 let what = "changes of the region's reader";
                 let cause = error.to_string();
                 self.gateway.log.event(&LogEvent::Trouble { what, cause });
@@ -169,14 +172,14 @@
     let now = gateway.now();
     let returned = answer.returned.map(|since| now.saturating_sub(since));
     gateway.with(|beliefs| beliefs.store_returned_at = returned);
-    let changes = &answer.changes;
     if answer.is_whole {
-        take_all(gateway, &changes.changes, changes.revision);
+        take_all(gateway, &answer.changes, answer.revision);
     } else {
-        take_changes(gateway, &changes.changes, changes.revision);
+        take_changes(gateway, &answer.changes, answer.revision);
     }
-    // The reader had asked this long before it answered, which was after the question.
-    let heard = asked_at.saturating_sub(answer.age);
+    // The reader had asked this long before it answered. It got the question after it was sent and
+    // answered no sooner than it says.
+    let heard = (asked_at + answer.held).saturating_sub(answer.age);
     gateway.with(|beliefs| beliefs.config.hear(heard));
 }
 
--- /dev/null
+++ b/crates/mimosagap-gateway/tests/mirror.rs
@@ -0,0 +1,125 @@
+//! What one host hands to another of a configuration that changes.
+
+use mimosagap_gateway::delta::ValueDelta;
+use mimosagap_gateway::mirror::StoreMirror;
+use mimosagap_platform::store::StoreChange;
+use rstest::rstest;
+
+const KEY: &str = "config";
+
+/// A configuration with some routes, of which one has another timeout.
+fn config(version: u64, routes: usize, changed: usize) -> Vec<u8> {
+    let routes: Vec<String> = (0..routes)
+        .map(|number| {
+            let timeout = if number == changed { version } else { 1500 };
+            format!("{{\"name\":\"r{number}\",\"path\":\"/p{number}/\",\"timeout\":{timeout}}}")
+        })
+        .collect();
+    format!(
+        "{{\"version\":{version},\"routes\":[{}]}}",
+        routes.join(",")
+    )
+    .into_bytes()
+}
+
+fn change(key: &str, revision: u64, value: Option<Vec<u8>>) -> StoreChange {
+    StoreChange {
+        key: key.to_owned(),
+        revision,
+        value,
+    }
+}
+
+/// Lets a host ask a reader until it knows all that the reader knows. Returns the bytes it took.
+fn catch_up(reader: &StoreMirror, host: &mut StoreMirror) -> usize {
+    let (is_whole, changes) = reader.after(host.revision());
+    let bytes = bincode::serde::encode_to_vec(&changes, bincode::config::standard()).unwrap();
+    let resolved: Option<Vec<StoreChange>> = changes
+        .into_iter()
+        .map(|change| host.resolve(change))
+        .collect();
+    let resolved = resolved.expect("the host has the version that it asked from");
+    if is_whole {
+        host.reset(&resolved, reader.revision());
+    } else {
+        host.apply(&resolved, reader.revision());
+    }
+    bytes.len()
+}
+
+fn same(reader: &StoreMirror, host: &StoreMirror) -> bool {
+    let all = |mirror: &StoreMirror| mirror.after(0);
+    all(reader) == all(host)
+}
+
+#[rstest]
+#[case::one_field(&config(1, 100, 0), &config(2, 100, 50))]
+#[case::more_routes(&config(1, 100, 0), &config(2, 1600, 0))]
+#[case::fewer_routes(&config(1, 100, 0), &config(2, 10, 0))]
+#[case::from_nothing(b"", &config(2, 10, 0))]
+#[case::to_nothing(&config(1, 10, 0), b"")]
+#[case::no_objects(b"one text", b"another text")]
+#[case::equal_parts(b"{a}{b}{a}{a}", b"{a}{a}{b}{b}{c}{a}")]
+fn a_difference_gives_the_newer_value(#[case] older: &[u8], #[case] newer: &[u8]) {
+    let delta = ValueDelta::new(older, newer);
+    assert_eq!(delta.apply(older).as_deref(), Some(newer));
+}
+
+#[test]
+fn a_difference_from_another_value_is_noticed() {
+    let older = config(1, 100, 0);
+    let delta = ValueDelta::new(&older, &config(2, 100, 50));
+    assert_eq!(delta.apply(&older[..older.len() / 2]), None);
+}
+
+/// Load pattern: 1,500 routes are added, then the configuration changes a field several times a
+/// second. Each version went whole to every host: 70 KB and more for one number.
+#[test]
+fn a_change_of_a_long_value_takes_few_bytes() {
+    let (mut reader, mut host) = (StoreMirror::default(), StoreMirror::default());
+    reader.apply(&[change(KEY, 1, Some(config(1, 1500, 0)))], 1);
+    catch_up(&reader, &mut host);
+    for version in 2..12 {
+        reader.apply(
+            &[change(KEY, version, Some(config(version, 1500, 700)))],
+            version,
+        );
+        let bytes = catch_up(&reader, &mut host);
+        assert!(bytes < 1000, "{bytes} bytes");
+    }
+    assert!(same(&reader, &host));
+}
+
+/// A host that missed some versions still has a base, and one that missed many gets all.
+#[rstest]
+#[case::some(5)]
+#[case::many(400)]
+fn a_host_that_lags_gets_the_newest_value(#[case] missed: u64) {
+    let (mut reader, mut host) = (StoreMirror::default(), StoreMirror::default());
+    reader.apply(&[change(KEY, 1, Some(config(1, 200, 0)))], 1);
+    catch_up(&reader, &mut host);
+    for version in 2..2 + missed {
+        reader.apply(
+            &[change(KEY, version, Some(config(version, 200, 7)))],
+            version,
+        );
+    }
+    catch_up(&reader, &mut host);
+    assert!(same(&reader, &host));
+}
+
+#[test]
+fn a_key_that_was_deleted_and_written_again_is_told_once() {
+    let (mut reader, mut host) = (StoreMirror::default(), StoreMirror::default());
+    reader.apply(
+        &[change("a", 1, Some(vec![1])), change("b", 2, Some(vec![2]))],
+        2,
+    );
+    catch_up(&reader, &mut host);
+    reader.apply(&[change("a", 3, None), change("b", 4, None)], 4);
+    reader.apply(&[change("a", 5, Some(vec![5]))], 5);
+    let (_, changes) = reader.after(2);
+    assert_eq!(changes.len(), 2);
+    catch_up(&reader, &mut host);
+    assert!(same(&reader, &host));
+}
--- a/crates/mimosagap-routing/src/readers.rs
+++ b/crates/mimosagap-routing/src/readers.rs
@@ -40,6 +40,24 @@
 /// no use: two waits of its watch and a slow answer.
 pub const MAX_AGE: Duration = Duration::from_millis(2500);
 
+/// Bytes a second that one host takes from its reader while configurations follow each other
+/// quickly: a twelfth of the link of a host with 10 Mbit/s.
+const BYTES_PER_SECOND: f64 = 100_000.0;
+
+/// Longest pause before the next question, which also brings the proof that nothing was revoked. A
+/// few such pauses on the way from the store stay well below the time for which a proof counts.
+const MOST_PAUSE: Duration = Duration::from_millis(400);
+
+/// The pause after an answer of this many bytes, before the next question to a reader.
+///
+/// Load pattern: a configuration of several hundred kilobytes. Hosts that paused by its length alone
+/// had no proof for four seconds and refused every request with a key, with the store in order.
+#[must_use]
+pub fn question_pause(bytes: usize) -> Duration {
+    let bytes = f64::from(u32::try_from(bytes).unwrap_or(u32::MAX));
+    Duration::from_secs_f64(bytes / BYTES_PER_SECOND).min(MOST_PAUSE)
+}
+
 /// Where a host gets changes from.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum ChangeSource {
--- a/crates/mimosagap-routing/tests/belief.rs
+++ b/crates/mimosagap-routing/tests/belief.rs
@@ -4,6 +4,10 @@
 
 use mimosagap_routing::belief::{BeliefBounds, ConfigBelief, WATCH_SILENCE};
 use mimosagap_routing::config::{CallerLimits, FleetConfig};
+use mimosagap_routing::readers::question_pause;
+
+/// A revoked key must not run a request later than this.
+const REVOCATION: Duration = Duration::from_secs(5);
 
 const fn seconds(seconds: u64) -> Duration {
     Duration::from_secs(seconds)
@@ -11,7 +15,7 @@
 
 fn belief(strict: bool) -> ConfigBelief {
     ConfigBelief::new(BeliefBounds {
-        revocation: seconds(5),
+        revocation: REVOCATION,
         change: seconds(3),
         strict,
     })
@@ -81,3 +85,51 @@
     belief.prove(seconds(90));
     assert!(belief.may_run_keyed(seconds(104)));
 }
+
+/// Load pattern: a configuration of 400 KB with hundreds of new routes passes from the reader of the
+/// region through a relay to a host, each on a link of 10 Mbit/s. All three keep asking, and the
+/// proof must stay young on the last one. It was 5.4 s old when hosts paused by the length alone.
+#[test]
+fn a_large_configuration_does_not_age_the_proof() {
+    const LENGTH: usize = 400_000;
+    const STEP: Duration = Duration::from_millis(10);
+    // The watch of the store waits, and a reader answers at once or after its wait.
+    let watch = Duration::from_millis(780);
+    let hold = Duration::from_millis(500);
+    let transfer = Duration::from_millis(320);
+    let mut beliefs = [belief(true), belief(true), belief(true)];
+    // When each of the three asks next.
+    let mut next_at = [seconds(1); 3];
+    let mut has_config = [false; 3];
+    let mut oldest = Duration::ZERO;
+    let mut now = seconds(1);
+    while now < seconds(20) {
+        let is_changed = now >= seconds(10);
+        for hop in 0..3 {
+            if now < next_at[hop] {
+                continue;
+            }
+            if hop == 0 {
+                beliefs[0].hear(now.saturating_sub(watch));
+                has_config[0] = is_changed;
+                next_at[0] = now + watch;
+                continue;
+            }
+            let heard = now.saturating_sub(beliefs[hop - 1].silence(now).unwrap_or(now));
+            beliefs[hop].hear(heard);
+            let is_large = has_config[hop - 1] && !has_config[hop];
+            has_config[hop] = has_config[hop - 1];
+            next_at[hop] = now
+                + if is_large {
+                    transfer + question_pause(LENGTH)
+                } else {
+                    hold
+                };
+        }
+        if now > seconds(5) {
+            oldest = oldest.max(beliefs[2].age(now).unwrap_or(now));
+        }
+        now += STEP;
+    }
+    assert!(oldest < REVOCATION.mul_f64(0.9), "{oldest:?}");
+}
