perf(routing): a request that can no longer be in time waits behind those that can

Change: after its patience a request stays in the queue behind all that can be in time, and takes a place only where more than one prompt's memory is free, up to three latency targets or half of its time. A refusal sent callers to other hosts that share the same engines, so nothing was gained by it.

--- a/crates/mimosagap-gateway/src/mirror.rs
+++ b/crates/mimosagap-gateway/src/mirror.rs
@@ -97,12 +97,14 @@
     }
 
     /// The last revision.
+    #[must_use]
     pub fn revision(&self) -> u64 {
         self.revision
     }
 
     /// What a host lacks that knows everything up to a revision, and whether these are all items
     /// rather than what changed.
+    #[must_use]
     pub fn after(&self, revision: u64) -> (bool, Vec<KeyChange>) {
         if revision < self.floor {
             let all = self.items.keys().map(|key| self.change(key, None, 0));
@@ -148,6 +150,7 @@
 
     /// The change as the store would tell it; `None` if it was made from a version that this host
     /// does not have.
+    #[must_use]
     pub fn resolve(&self, change: KeyChange) -> Option<StoreChange> {
         let value = match change.value {
             NewValue::None => None,
--- a/crates/mimosagap-gateway/src/placers.rs
+++ b/crates/mimosagap-gateway/src/placers.rs
@@ -9,6 +9,7 @@
 use mimosagap_routing::placement::{PlaceOptions, Placement, StreamNeed, place_stream};
 use mimosagap_routing::placers::PlacerChoice;
 use mimosagap_routing::targets::{Distance, Target, TargetKey, TargetLoad};
+use mimosagap_routing::waiting::WaitingStage;
 use mimosagap_types::prelude::*;
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
@@ -36,6 +37,7 @@
     need: StreamNeed,
     /// How long it may wait behind the prompts of others.
     patience: Duration,
+    stage: WaitingStage,
     /// Instances that must not be used.
     avoid: Vec<String>,
 }
@@ -101,7 +103,7 @@
     gateway: &SharedGateway,
     request: &RoutedRequest,
     need: StreamNeed,
-    patience: Duration,
+    (patience, stage): (Duration, WaitingStage),
     avoid: &[TargetKey],
 ) -> Placed {
     let settings = &gateway.settings;
@@ -121,6 +123,7 @@
             need,
             home: &settings.zone,
             patience,
+            stage,
             spread: Duration::ZERO,
             far_host: None,
         };
@@ -135,6 +138,7 @@
         home: settings.zone.clone(),
         need,
         patience,
+        stage,
         avoid: avoid.iter().map(|key| gateway.instance(*key)).collect(),
     };
     let answer = timeout(ANSWER_TIMEOUT, send(client, address, question)).await;
@@ -215,6 +219,7 @@
             need,
             home: &question.home,
             patience: question.patience,
+            stage: question.stage,
             spread: Duration::ZERO,
             far_host: None,
         };
--- a/crates/mimosagap-gateway/src/streams.rs
+++ b/crates/mimosagap-gateway/src/streams.rs
@@ -10,7 +10,7 @@
 use mimosagap_routing::placement::{PlaceOptions, Placement, StreamNeed, place_stream, spread};
 use mimosagap_routing::refusal::RefusalReason;
 use mimosagap_routing::targets::{Distance, RANKS, Target, TargetKey, TargetOutcome};
-use mimosagap_routing::waiting::{Waiting, WaitingList, patience};
+use mimosagap_routing::waiting::{Waiting, WaitingList, WaitingStage, patience};
 use rand::Rng;
 
 use crate::answer::{AnswerBody, refuse, target_head};
@@ -303,16 +303,22 @@
     need: StreamNeed,
     tried: &[TargetKey],
     spread: Duration,
+    stage: WaitingStage,
 ) -> Option<Placement> {
     let is_large = gateway.with(|beliefs| beliefs.hosts.len() > SMALL_FLEET);
     let waited = gateway.now().saturating_sub(request.arrived);
-    let patience = patience(request.route.target_latency).saturating_sub(waited);
+    let patience = patience(request.route.target_latency);
+    let patience = match stage {
+        WaitingStage::InTime => patience.saturating_sub(waited),
+        WaitingStage::Late => patience,
+    };
     let known = |is_far: bool, spread: Duration| {
         let options = PlaceOptions {
             service: &request.service,
             need,
             home: &gateway.settings.zone,
             patience,
+            stage,
             spread,
             far_host: is_large.then_some(gateway.host_mark),
         };
@@ -334,7 +340,7 @@
     if far.is_some_and(|far| far.cost < near.cost) {
         return far;
     }
-    match placers::ask(gateway, request, need, patience, tried).await {
+    match placers::ask(gateway, request, need, (patience, stage), tried).await {
         Placed::At(place) => Some(place),
         Placed::Full => far,
         Placed::Unknown => known(false, spread),
@@ -352,12 +358,13 @@
     let spread = gateway.with(|beliefs| spread(beliefs.hosts.in_region(&gateway.settings.region)));
     let is_behind = gateway.with(|beliefs| {
         let list = beliefs.waiting.entry(request.service.clone()).or_default();
-        list.is_behind(need.rank)
+        list.is_behind(need.rank, now)
     });
-    if !is_behind && let Some(found) = place(gateway, request, need, tried, spread).await {
+    let in_time = WaitingStage::InTime;
+    if !is_behind && let Some(found) = place(gateway, request, need, tried, spread, in_time).await {
         return Ok(found);
     }
-    let (ticket, until) = gateway.with(|beliefs| {
+    let waiting = gateway.with(|beliefs| {
         let mut any = false;
         let running: u32 = beliefs
             .targets
@@ -374,7 +381,8 @@
         }
         beliefs.next_ticket += 1;
         let ticket = beliefs.next_ticket;
-        let waiting = Waiting::new(ticket, need.rank, now, request.route.target_latency);
+        let target = request.route.target_latency;
+        let waiting = Waiting::new(ticket, need.rank, now, target, request.left(now));
         gateway.log.event(&LogEvent::Waits {
             id: &request.head.id,
             request: request.mark.to_string(),
@@ -382,12 +390,12 @@
             ahead: list.len(),
         });
         list.push(waiting);
-        Ok((ticket, waiting.until))
+        Ok(waiting)
     })?;
     let _guard = WaitGuard {
         gateway,
         request,
-        ticket,
+        ticket: waiting.ticket,
         since: now,
     };
     loop {
@@ -397,15 +405,18 @@
             beliefs
                 .waiting
                 .get(&request.service)
-                .is_some_and(|list| list.is_first(ticket))
+                .and_then(|list| list.first(now))
+                .is_some_and(|first| first.ticket == waiting.ticket)
         });
-        if is_first && let Some(found) = place(gateway, request, need, tried, spread).await {
+        let stage = waiting.stage(now);
+        if is_first && let Some(found) = place(gateway, request, need, tried, spread, stage).await {
             return Ok(found);
         }
-        if now >= until {
+        if now >= waiting.until {
             return Err(RefusalReason::Overload);
         }
-        let _ = tokio::time::timeout(until.saturating_sub(now), changed).await;
+        let wait = waiting.next_change(now).saturating_sub(now);
+        let _ = tokio::time::timeout(wait, changed).await;
         // All hosts hear of a free place at once, and one request has room there.
         let turn = gateway.with(|beliefs| spread.mul_f64(beliefs.random.random()));
         pause(turn).await;
--- a/crates/mimosagap-routing/tests/support/quote.rs
+++ b/crates/mimosagap-routing/tests/support/quote.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use mimosagap_routing::placement::PlaceOptions;
+use mimosagap_routing::waiting::WaitingStage;
 use mimosagap_types::prelude::*;
 
 use crate::support::QUOTE;
@@ -14,6 +15,7 @@
         need: QUOTE,
         home,
         patience: Duration::MAX,
+        stage: WaitingStage::InTime,
         spread: Duration::ZERO,
         far_host: None,
     }
