perf(routing): short answers on engines that leave, as long as engines of their kind go on after a notice

An answer of a few tokens, which may be begun again, ends within a second, so the engines that leave can take it. Change: `notice` learns how long the engines of a service go on after their notice; a request that is expected to end within three quarters of the shortest time seen, and within half of the bound on engines that leave, may be placed there like on any other.

--- a/crates/mimosagap-gateway/src/placers.rs
+++ b/crates/mimosagap-gateway/src/placers.rs
@@ -18,7 +18,6 @@
 
 use crate::log::LogEvent;
 use crate::peers::PeerMessage;
-use crate::request::RoutedRequest;
 use crate::state::{Beliefs, Gateway, SharedGateway};
 
 /// A placer answers within this time, or the host decides by itself: a round trip within a region
@@ -38,6 +37,8 @@
     /// How long it may wait behind the prompts of others.
     patience: Duration,
     stage: WaitingStage,
+    /// The time that it takes besides its prompt, if it may be begun again.
+    repeatable_for: Option<Duration>,
     /// Instances that must not be used.
     avoid: Vec<String>,
 }
@@ -101,9 +102,7 @@
 /// Asks the placer of this host's region.
 pub async fn ask(
     gateway: &SharedGateway,
-    request: &RoutedRequest,
-    need: StreamNeed,
-    (patience, stage): (Duration, WaitingStage),
+    options: &PlaceOptions<'_>,
     avoid: &[TargetKey],
 ) -> Placed {
     let settings = &gateway.settings;
@@ -118,27 +117,19 @@
         return Placed::Unknown;
     };
     if name == settings.host {
-        let options = PlaceOptions {
-            service: &request.service,
-            need,
-            home: &settings.zone,
-            patience,
-            stage,
-            spread: Duration::ZERO,
-            far_host: None,
-        };
-        return gateway.with(|beliefs| decide(beliefs, &options, avoid, now));
+        return gateway.with(|beliefs| decide(beliefs, options, avoid, now));
     }
     let number = client.next.get();
     client.next.set(number + 1);
     let question = PlaceQuestion {
         number,
         host: gateway.host_mark,
-        service: request.service.clone(),
-        home: settings.zone.clone(),
-        need,
-        patience,
-        stage,
+        service: options.service.clone(),
+        home: options.home.clone(),
+        need: options.need,
+        patience: options.patience,
+        stage: options.stage,
+        repeatable_for: options.repeatable_for,
         avoid: avoid.iter().map(|key| gateway.instance(*key)).collect(),
     };
     let answer = timeout(ANSWER_TIMEOUT, send(client, address, question)).await;
@@ -152,7 +143,9 @@
             let now = gateway.now();
             let known = gateway.with(|beliefs| {
                 let key = beliefs.targets.find(&instance)?;
-                beliefs.targets.get(key)?.is_usable(now).then_some(key)
+                let target = beliefs.targets.get(key)?;
+                let may_use = target.is_usable(now) || target.is_on_notice(now);
+                may_use.then_some(key)
             });
             // Otherwise this host knows better, or does not know it yet.
             known.map_or(Placed::Unknown, |target| {
@@ -220,6 +213,7 @@
             home: &question.home,
             patience: question.patience,
             stage: question.stage,
+            repeatable_for: question.repeatable_for,
             spread: Duration::ZERO,
             far_host: None,
         };
--- a/crates/mimosagap-gateway/src/state.rs
+++ b/crates/mimosagap-gateway/src/state.rs
@@ -115,7 +115,8 @@
             change: settings.bounds.change,
             strict: settings.bounds.strict_revocation,
         };
-        let targets = Targets::with_regions(settings.regions.clone());
+        let mut targets = Targets::with_regions(settings.regions.clone());
+        targets.set_drain_bound(settings.bounds.drain);
         let buffers = BufferBudget::with_memory(settings.memory);
         Self {
             host_mark: stable_mark(&[settings.host.as_bytes()]),
--- a/crates/mimosagap-gateway/src/streams.rs
+++ b/crates/mimosagap-gateway/src/streams.rs
@@ -312,15 +312,23 @@
         WaitingStage::InTime => patience.saturating_sub(waited),
         WaitingStage::Late => patience,
     };
+    let token_time = gateway.token_time(&request.service);
+    let near_options = PlaceOptions {
+        service: &request.service,
+        need,
+        home: &gateway.settings.zone,
+        patience,
+        stage,
+        repeatable_for: (request.route.kind.is_idempotent() && need.made == 0)
+            .then(|| token_time * need.output),
+        spread: Duration::ZERO,
+        far_host: None,
+    };
     let known = |is_far: bool, spread: Duration| {
         let options = PlaceOptions {
-            service: &request.service,
-            need,
-            home: &gateway.settings.zone,
-            patience,
-            stage,
             spread,
             far_host: is_large.then_some(gateway.host_mark),
+            ..near_options
         };
         let may_use = |key: TargetKey, target: &Target| {
             (target.distance == Distance::Elsewhere) == is_far && !tried.contains(&key)
@@ -340,7 +348,7 @@
     if far.is_some_and(|far| far.cost < near.cost) {
         return far;
     }
-    match placers::ask(gateway, request, need, (patience, stage), tried).await {
+    match placers::ask(gateway, &near_options, tried).await {
         Placed::At(place) => Some(place),
         Placed::Full => far,
         Placed::Unknown => known(false, spread),
--- a/crates/mimosagap-routing/src/lib.rs
+++ b/crates/mimosagap-routing/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod lengths;
 pub mod marks;
 pub mod moves;
+pub mod notice;
 pub mod pace;
 pub mod placement;
 pub mod placers;
--- a/crates/mimosagap-routing/src/placement.rs
+++ b/crates/mimosagap-routing/src/placement.rs
@@ -140,6 +140,8 @@
     pub patience: Duration,
     /// Whether it is in time.
     pub stage: WaitingStage,
+    /// The time that it takes at an engine besides its prompt, if it may be begun again elsewhere.
+    pub repeatable_for: Option<Duration>,
     /// Costs are spread at random by up to this much.
     pub spread: Duration,
     /// The host that chooses, if it hears late of the loads of other regions.
@@ -172,6 +174,21 @@
         || (now >= target.listed_at + FIRST_REPORTS && is_shared())
 }
 
+/// Whether a request that may be begun again ends before an engine that leaves does.
+fn ends_in_time(
+    targets: &Targets,
+    options: &PlaceOptions<'_>,
+    target: &Target,
+    now: Duration,
+) -> bool {
+    let end = |time| now + target.read_time(options.need.prompt, now) + time;
+    target.is_on_notice(now)
+        && options
+            .repeatable_for
+            .zip(targets.serves_until(target))
+            .is_some_and(|(time, until)| end(time) < until)
+}
+
 /// Chooses among the engines that may be used. `None` means that none of them has room.
 #[must_use]
 pub fn place_stream(
@@ -196,7 +213,8 @@
     let reserve = EvacuationReserve::new(targets, options.service, now);
     targets
         .of_service(options.service)
-        .filter(|(key, target)| target.is_usable(now) && may_use(*key, target))
+        .filter(|(key, target)| may_use(*key, target))
+        .filter(|(_, target)| target.is_usable(now) || ends_in_time(targets, options, target, now))
         .filter(|(_, target)| {
             options
                 .far_host
--- a/crates/mimosagap-routing/src/targets.rs
+++ b/crates/mimosagap-routing/src/targets.rs
@@ -8,6 +8,7 @@
 use slotmap::{SlotMap, new_key_type};
 
 use crate::config::EngineLimits;
+use crate::notice::NoticeTimes;
 use crate::restraint::TargetRestraint;
 
 new_key_type! {
@@ -47,6 +48,9 @@
 /// What another host said of its load counts for this long.
 const PEER_LOAD_LIFE: Duration = Duration::from_millis(2500);
 
+/// Part of the bound on engines that leave for which they are used: hosts hear of a notice late.
+const DRAIN_PART: f64 = 0.5;
+
 /// A promise counts for this long: until the next report of a host of another region, and a little
 /// longer.
 const PROMISE_LIFE: Duration = Duration::from_millis(700);
@@ -193,6 +197,15 @@
             && !self.restraint.is_asked(now)
     }
 
+    /// Whether it has had its notice, and may still be sent to otherwise.
+    #[must_use]
+    pub fn is_on_notice(&self, now: Duration) -> bool {
+        self.leaving_since.is_some()
+            && self.gone_at.is_none()
+            && now >= self.paused_until
+            && !self.restraint.is_asked(now)
+    }
+
     /// Whether it leaves or is gone.
     #[must_use]
     pub fn is_leaving(&self, now: Duration) -> bool {
@@ -252,6 +265,9 @@
     by_instance: HashMap<String, TargetKey>,
     by_service: HashMap<DeploymentName, Vec<TargetKey>>,
     engines: HashMap<DeploymentName, EngineLimits>,
+    notices: HashMap<DeploymentName, NoticeTimes>,
+    /// An engine that leaves is used no longer than this after its notice.
+    last_use: Duration,
 }
 
 impl Targets {
@@ -317,7 +333,15 @@
     /// An entry vanished or names no target any more; it counts as gone from `gone_at` on.
     pub fn remove(&mut self, instance: &str, gone_at: Duration) -> Option<TargetKey> {
         let key = *self.by_instance.get(instance)?;
-        self.arena[key].gone_at.get_or_insert(gone_at);
+        let target = &mut self.arena[key];
+        if let Some(since) = target.leaving_since
+            && target.gone_at.is_none()
+        {
+            let notices = self.notices.entry(target.entry.service.clone());
+            let time = gone_at.saturating_sub(since);
+            notices.or_default().observe(time);
+        }
+        target.gone_at.get_or_insert(gone_at);
         Some(key)
     }
 
@@ -380,6 +404,11 @@
         }
     }
 
+    /// Sets the bound after which nothing may reach an engine that leaves.
+    pub fn set_drain_bound(&mut self, bound: Duration) {
+        self.last_use = bound.mul_f64(DRAIN_PART);
+    }
+
     /// Sets what the services' engines can do.
     pub fn set_engines(&mut self, engines: HashMap<DeploymentName, EngineLimits>) {
         self.engines = engines;
@@ -403,6 +432,14 @@
         self.get(key).is_none_or(|target| target.is_leaving(now))
     }
 
+    /// Until when an engine that leaves is expected to serve.
+    #[must_use]
+    pub fn serves_until(&self, target: &Target) -> Option<Duration> {
+        let relied = self.notices.get(&target.entry.service)?.relied();
+        let relied = relied.min(self.last_use);
+        Some(target.leaving_since? + relied)
+    }
+
     /// The target of an instance.
     #[must_use]
     pub fn find(&self, instance: &str) -> Option<TargetKey> {
--- a/crates/mimosagap-routing/tests/support/quote.rs
+++ b/crates/mimosagap-routing/tests/support/quote.rs
@@ -16,6 +16,7 @@
         home,
         patience: Duration::MAX,
         stage: WaitingStage::InTime,
+        repeatable_for: None,
         spread: Duration::ZERO,
         far_host: None,
     }
