revert(routing): requests that can no longer be in time are refused again instead of waiting behind

Fewer are refused, but the late ones fill the engines when a wave ends, and the next one finds them full.

--- a/crates/mimosagap-gateway/src/placers.rs
+++ b/crates/mimosagap-gateway/src/placers.rs
@@ -9,7 +9,6 @@
 use mimosagap_routing::placement::{PlaceOptions, Placement, StreamNeed, place_stream};
 use mimosagap_routing::placers::PlacerChoice;
 use mimosagap_routing::targets::{Distance, Target, TargetKey, TargetLoad};
-use mimosagap_routing::waiting::WaitingStage;
 use mimosagap_types::prelude::*;
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
@@ -36,7 +35,6 @@
     need: StreamNeed,
     /// How long it may wait behind the prompts of others.
     patience: Duration,
-    stage: WaitingStage,
     /// The time that it takes besides its prompt, if it may be begun again.
     repeatable_for: Option<Duration>,
     /// Instances that must not be used.
@@ -128,7 +126,6 @@
         home: options.home.clone(),
         need: options.need,
         patience: options.patience,
-        stage: options.stage,
         repeatable_for: options.repeatable_for,
         avoid: avoid.iter().map(|key| gateway.instance(*key)).collect(),
     };
@@ -212,7 +209,6 @@
             need,
             home: &question.home,
             patience: question.patience,
-            stage: question.stage,
             repeatable_for: question.repeatable_for,
             spread: Duration::ZERO,
             far_host: None,
--- a/crates/mimosagap-gateway/src/streams.rs
+++ b/crates/mimosagap-gateway/src/streams.rs
@@ -10,7 +10,7 @@
 use mimosagap_routing::placement::{PlaceOptions, Placement, StreamNeed, place_stream, spread};
 use mimosagap_routing::refusal::RefusalReason;
 use mimosagap_routing::targets::{Distance, RANKS, Target, TargetKey, TargetOutcome};
-use mimosagap_routing::waiting::{Waiting, WaitingList, WaitingStage, patience};
+use mimosagap_routing::waiting::{Waiting, WaitingList, patience};
 use rand::Rng;
 
 use crate::answer::{AnswerBody, refuse, target_head};
@@ -303,22 +303,16 @@
     need: StreamNeed,
     tried: &[TargetKey],
     spread: Duration,
-    stage: WaitingStage,
 ) -> Option<Placement> {
     let is_large = gateway.with(|beliefs| beliefs.hosts.len() > SMALL_FLEET);
     let waited = gateway.now().saturating_sub(request.arrived);
-    let patience = patience(request.route.target_latency);
-    let patience = match stage {
-        WaitingStage::InTime => patience.saturating_sub(waited),
-        WaitingStage::Late => patience,
-    };
+    let patience = patience(request.route.target_latency).saturating_sub(waited);
     let token_time = gateway.token_time(&request.service);
     let near_options = PlaceOptions {
         service: &request.service,
         need,
         home: &gateway.settings.zone,
         patience,
-        stage,
         repeatable_for: (request.route.kind.is_idempotent() && need.made == 0)
             .then(|| token_time * need.output),
         spread: Duration::ZERO,
@@ -366,13 +360,12 @@
     let spread = gateway.with(|beliefs| spread(beliefs.hosts.in_region(&gateway.settings.region)));
     let is_behind = gateway.with(|beliefs| {
         let list = beliefs.waiting.entry(request.service.clone()).or_default();
-        list.is_behind(need.rank, now)
+        list.is_behind(need.rank)
     });
-    let in_time = WaitingStage::InTime;
-    if !is_behind && let Some(found) = place(gateway, request, need, tried, spread, in_time).await {
+    if !is_behind && let Some(found) = place(gateway, request, need, tried, spread).await {
         return Ok(found);
     }
-    let waiting = gateway.with(|beliefs| {
+    let (ticket, until) = gateway.with(|beliefs| {
         let mut any = false;
         let running: u32 = beliefs
             .targets
@@ -389,8 +382,7 @@
         }
         beliefs.next_ticket += 1;
         let ticket = beliefs.next_ticket;
-        let target = request.route.target_latency;
-        let waiting = Waiting::new(ticket, need.rank, now, target, request.left(now));
+        let waiting = Waiting::new(ticket, need.rank, now, request.route.target_latency);
         gateway.log.event(&LogEvent::Waits {
             id: &request.head.id,
             request: request.mark.to_string(),
@@ -398,12 +390,12 @@
             ahead: list.len(),
         });
         list.push(waiting);
-        Ok(waiting)
+        Ok((ticket, waiting.until))
     })?;
     let _guard = WaitGuard {
         gateway,
         request,
-        ticket: waiting.ticket,
+        ticket,
         since: now,
     };
     loop {
@@ -413,18 +405,15 @@
             beliefs
                 .waiting
                 .get(&request.service)
-                .and_then(|list| list.first(now))
-                .is_some_and(|first| first.ticket == waiting.ticket)
+                .is_some_and(|list| list.is_first(ticket))
         });
-        let stage = waiting.stage(now);
-        if is_first && let Some(found) = place(gateway, request, need, tried, spread, stage).await {
+        if is_first && let Some(found) = place(gateway, request, need, tried, spread).await {
             return Ok(found);
         }
-        if now >= waiting.until {
+        if now >= until {
             return Err(RefusalReason::Overload);
         }
-        let wait = waiting.next_change(now).saturating_sub(now);
-        let _ = tokio::time::timeout(wait, changed).await;
+        let _ = tokio::time::timeout(until.saturating_sub(now), changed).await;
         // All hosts hear of a free place at once, and one request has room there.
         let turn = gateway.with(|beliefs| spread.mul_f64(beliefs.random.random()));
         pause(turn).await;
--- a/crates/mimosagap-routing/src/placement.rs
+++ b/crates/mimosagap-routing/src/placement.rs
@@ -17,7 +17,6 @@
 use crate::evacuation::EvacuationReserve;
 use crate::marks::stable_mark;
 use crate::targets::{Distance, Target, TargetKey, Targets};
-use crate::waiting::WaitingStage;
 
 /// Part of an engine's memory that is filled by expected ends. The rest takes answers that get
 /// longer than expected and the parts of prompts that are shared.
@@ -26,9 +25,6 @@
 /// Part of the memory that requests below the highest rank leave to it.
 const URGENT_RESERVE: f64 = 0.08;
 
-/// Part of the memory that late requests leave to those that can be in time: about one prompt.
-const LATE_RESERVE: f64 = 0.12;
-
 /// Cost of an engine in another zone of the region, for its round trip and its bytes.
 const ZONE_COST: Duration = Duration::from_millis(6);
 
@@ -138,8 +134,6 @@
     pub home: &'a ZoneName,
     /// How long it may wait behind the prompts of others.
     pub patience: Duration,
-    /// Whether it is in time.
-    pub stage: WaitingStage,
     /// The time that it takes at an engine besides its prompt, if it may be begun again elsewhere.
     pub repeatable_for: Option<Duration>,
     /// Costs are spread at random by up to this much.
@@ -205,11 +199,6 @@
     } else {
         MEMORY_CEILING - URGENT_RESERVE
     };
-    let ceiling = if options.stage == WaitingStage::Late {
-        ceiling - LATE_RESERVE
-    } else {
-        ceiling
-    };
     let reserve = EvacuationReserve::new(targets, options.service, now);
     targets
         .of_service(options.service)
--- a/crates/mimosagap-routing/tests/placement.rs
+++ b/crates/mimosagap-routing/tests/placement.rs
@@ -9,7 +9,6 @@
 
 use mimosagap_routing::placement::{PlaceOptions, StreamNeed, place_call, place_stream, spread};
 use mimosagap_routing::targets::{Distance, TargetKey, TargetLoad, TargetOutcome, Targets};
-use mimosagap_routing::waiting::WaitingStage;
 use mimosagap_types::prelude::*;
 use quote::quote_options;
 use rand::rngs::SmallRng;
@@ -286,25 +285,3 @@
             .is_usable(NOW + Duration::from_secs(3))
     );
 }
-
-/// Load pattern: the engines are full, and late requests took each place that became free from one
-/// that could be in time.
-#[test]
-fn a_late_request_leaves_the_last_place_to_one_that_is_in_time() {
-    let (mut targets, keys) = engines(&["a"]);
-    let kept_free = MEMORY / 20;
-    targets.begin(keys[0], MEMORY - QUOTE.tokens() - kept_free, 0, 1);
-    let (service, home) = (service(), ZoneName::new("a"));
-    let place = |targets: &Targets, stage| {
-        let options = PlaceOptions {
-            stage,
-            ..quote_options(&service, &home)
-        };
-        let mut random = SmallRng::seed_from_u64(1);
-        place_stream(targets, &options, |_, _| true, NOW, &mut random)
-    };
-    assert!(place(&targets, WaitingStage::InTime).is_some());
-    assert!(place(&targets, WaitingStage::Late).is_none());
-    targets.end(keys[0], 2 * QUOTE.tokens(), 0, 1);
-    assert!(place(&targets, WaitingStage::Late).is_some());
-}
--- a/crates/mimosagap-routing/tests/support/quote.rs
+++ b/crates/mimosagap-routing/tests/support/quote.rs
@@ -3,7 +3,6 @@
 use std::time::Duration;
 
 use mimosagap_routing::placement::PlaceOptions;
-use mimosagap_routing::waiting::WaitingStage;
 use mimosagap_types::prelude::*;
 
 use crate::support::QUOTE;
@@ -15,7 +14,6 @@
         need: QUOTE,
         home,
         patience: Duration::MAX,
-        stage: WaitingStage::InTime,
         repeatable_for: None,
         spread: Duration::ZERO,
         far_host: None,
