fix(gateway): the last log lines are written before the process ends

The writer's thread had not written the last batch when the process ended; nobody waited for it. Change: `close` waits for the writer, at most 0.4 s, so that a reader that has stopped reading does not hold up the end; the process keeps 0.8 s instead of 0.6 s for its end. Two tests; the first fails when `close` only hands the lines over.

--- a/crates/mimosagap-gateway/src/log.rs
+++ b/crates/mimosagap-gateway/src/log.rs
@@ -21,6 +21,9 @@
 /// 200 KB a second, a fifth of the slowest host's link.
 pub const LINES_PER_SECOND: u32 = 60;
 
+/// A process that ends waits this long for its last lines.
+const CLOSE_TIME: Duration = Duration::from_millis(400);
+
 /// A batch is handed to the writer when it is this long, in bytes.
 const BATCH: usize = 16 << 10;
 
@@ -356,11 +359,18 @@
     lost_batches: u32,
 }
 
+/// What the writer gets.
+enum LogBatch {
+    Lines(Vec<u8>),
+    /// Asks for an answer once everything before is written.
+    Close(SyncSender<()>),
+}
+
 /// Takes log lines. Clones share their budget and their writer.
 #[derive(Clone)]
 pub struct EventLog {
     buffer: Rc<RefCell<Buffer>>,
-    sender: SyncSender<Vec<u8>>,
+    sender: SyncSender<LogBatch>,
     clock: SystemClock,
 }
 
@@ -373,14 +383,22 @@
         clock: SystemClock,
         mut output: impl Write + Send + 'static,
     ) -> std::io::Result<Self> {
-        let (sender, receiver) = sync_channel::<Vec<u8>>(QUEUE);
+        let (sender, receiver) = sync_channel(QUEUE);
         std::thread::Builder::new()
             .name("log".to_owned())
             .stack_size(64 << 10)
             .spawn(move || {
                 for batch in receiver {
-                    // Nobody is left to tell that standard output is gone.
-                    let _ = output.write_all(&batch).and_then(|()| output.flush());
+                    match batch {
+                        LogBatch::Lines(lines) => {
+                            // Nobody is left to tell that standard output is gone.
+                            let _ = output.write_all(&lines).and_then(|()| output.flush());
+                        }
+                        LogBatch::Close(done) => {
+                            // The process may have stopped waiting.
+                            let _ = done.send(());
+                        }
+                    }
                 }
             })?;
         Ok(Self {
@@ -415,6 +433,16 @@
         self.hand_over(&mut self.buffer.borrow_mut());
     }
 
+    /// Waits until everything is written, or for a short time if the reader has stopped reading.
+    pub fn close(&self) {
+        self.flush();
+        let (done, written) = sync_channel(1);
+        if self.sender.try_send(LogBatch::Close(done)).is_ok() {
+            // Lines that are not written by then are lost with the process.
+            let _ = written.recv_timeout(CLOSE_TIME);
+        }
+    }
+
     fn begin_second(&self, buffer: &mut Buffer, now: Duration) {
         buffer.second = now.as_secs();
         buffer.written = [0; KINDS];
@@ -449,7 +477,10 @@
         if buffer.text.is_empty() {
             return;
         }
-        match self.sender.try_send(std::mem::take(&mut buffer.text)) {
+        match self
+            .sender
+            .try_send(LogBatch::Lines(std::mem::take(&mut buffer.text)))
+        {
             Ok(()) => {}
             Err(TrySendError::Full(_) | TrySendError::Disconnected(_)) => buffer.lost_batches += 1,
         }
--- a/crates/mimosagap-gateway/src/run.rs
+++ b/crates/mimosagap-gateway/src/run.rs
@@ -17,8 +17,8 @@
 use crate::store::StoreClient;
 use crate::{peers, sync};
 
-/// Time kept for the end of the process before it is killed.
-const END_MARGIN: Duration = Duration::from_millis(600);
+/// Time kept for the end of the process before it is killed, its last log lines included.
+const END_MARGIN: Duration = Duration::from_millis(800);
 
 /// Callers use an address for up to this many times its life.
 const ADDRESS_LIVES: u32 = 2;
@@ -252,7 +252,7 @@
     }
     let in_flight = gateway.in_flight.get();
     gateway.log.event(&LogEvent::Stopped { host, in_flight });
-    gateway.log.flush();
+    gateway.log.close();
     if in_flight == 0 {
         Outcome::Drained
     } else {
--- a/crates/mimosagap-gateway/tests/log.rs
+++ b/crates/mimosagap-gateway/tests/log.rs
@@ -145,6 +145,11 @@
             target: "i-1",
             source: "entry",
         },
+        LogEvent::TargetPauses {
+            target: "i-1",
+            source: "answer",
+            for_ms: 2000,
+        },
         LogEvent::EntryUnreadable {
             key: "k",
             cause: text(),
@@ -374,3 +379,46 @@
     let missed = lines.iter().find(|line| line["kind"] == "batches");
     assert!(missed.is_some(), "{lines:#?}");
 }
+
+/// An output that takes its time for every batch.
+struct SlowOutput(SharedOutput);
+
+impl Write for SlowOutput {
+    fn write(&mut self, bytes: &[u8]) -> std::io::Result<usize> {
+        std::thread::sleep(Duration::from_millis(50));
+        self.0.write(bytes)
+    }
+
+    fn flush(&mut self) -> std::io::Result<()> {
+        Ok(())
+    }
+}
+
+/// A process that stopped ended before its writer's thread had written the last batch, so the log
+/// named no cause of a request that was refused in the last half second (soak, seed 1).
+#[test]
+fn the_last_lines_are_written_before_the_process_ends() {
+    let written = SharedOutput::default();
+    let log = EventLog::new(SystemClock, SlowOutput(written.clone())).expect("a thread starts");
+    for id in ["a", "b", "c"] {
+        log.event(&refused(id));
+        log.flush();
+    }
+    log.close();
+    assert_eq!(written.lines().len(), 3);
+}
+
+/// A reader that stopped reading must not keep a process that was asked to stop.
+#[test]
+fn a_reader_that_stopped_reading_does_not_hold_up_the_end() {
+    let (_sender, release) = channel();
+    let output = BlockedOutput {
+        release,
+        written: SharedOutput::default(),
+    };
+    let log = EventLog::new(SystemClock, output).expect("a thread starts");
+    log.event(&refused("a"));
+    let begun = Instant::now();
+    log.close();
+    assert!(begun.elapsed() < Duration::from_secs(1));
+}
