perf(routing): no copies of generations as they grow, no memory kept for engines that leave

A copy on order during the notice does what they were made for, and their memory kept prompts waiting; the memory that was kept turned away requests that would have ended in time. Change: both are removed with their constants and tests. What a caller sends of such a header is still stripped.

--- a/crates/mimosagap-gateway/src/exchange.rs
+++ b/crates/mimosagap-gateway/src/exchange.rs
@@ -76,8 +76,6 @@
     pub attempt: u32,
     /// Where a stream goes on.
     pub continuation: Option<&'a Continuation>,
-    /// The engine which gets a copy of the run's memory.
-    pub backup: Option<SocketAddr>,
 }
 
 /// Sends a request to a target and waits for the head of its answer.
@@ -233,7 +231,6 @@
             .is_stream()
             .then(|| request.priority().min(9)),
         continuation: options.continuation,
-        backup: options.backup,
     };
     let mut message = Request::new(Full::new(request.body.clone()));
     *message.method_mut() = request.method.clone();
--- a/crates/mimosagap-gateway/src/handover.rs
+++ b/crates/mimosagap-gateway/src/handover.rs
@@ -15,7 +15,7 @@
 use crate::request::RoutedRequest;
 use crate::source::{EventSource, SourceItem};
 use crate::state::SharedGateway;
-use crate::streams::{address, claim_backup, find_place};
+use crate::streams::find_place;
 
 /// The engine that takes a run over must send its next event within this many times the route's
 /// latency target. Callers leave a stream after a gap of four times the target, and an engine whose
@@ -34,8 +34,6 @@
     pub first: SourceItem,
     /// Its place at the engine.
     pub claim: LoadClaim,
-    /// Its place at the engine that gets a copy.
-    pub backup: Option<LoadClaim>,
 }
 
 /// A run on its way to its next engine. `None` if the engine did not take it.
@@ -62,7 +60,6 @@
     copy: Option<String>,
 ) -> Option<Successor> {
     let gateway = &order.gateway;
-    let backup = claim_backup(gateway, &order.request, claim.target, order.need);
     let continuation = Continuation {
         last_event: order.last_event,
         copy,
@@ -70,7 +67,6 @@
     let options = SendOptions {
         attempt: order.attempt,
         continuation: Some(&continuation),
-        backup: backup.as_ref().and_then(|backup| address(gateway, backup)),
     };
     let begun = async {
         let exchange = exchange(gateway, &order.request, claim.target, options).await;
@@ -88,7 +84,6 @@
         source,
         first,
         claim,
-        backup,
     })
 }
 
--- a/crates/mimosagap-gateway/src/relay.rs
+++ b/crates/mimosagap-gateway/src/relay.rs
@@ -19,7 +19,7 @@
 use crate::request::RoutedRequest;
 use crate::source::{EventSource, SourceItem};
 use crate::state::{SharedGateway, millis};
-use crate::streams::{BegunStream, address};
+use crate::streams::BegunStream;
 
 /// The memory that a generation is expected to need is counted anew after this many tokens.
 const RESIZE_STEP: u32 = 32;
@@ -41,7 +41,6 @@
     source: Option<EventSource>,
     first: Option<StreamEvent>,
     claim: LoadClaim,
-    backup: Option<LoadClaim>,
     sends: u32,
     runs: u32,
     parts: mpsc::Sender<Part>,
@@ -112,7 +111,6 @@
             source: Some(stream.source),
             first: Some(stream.first),
             claim: stream.claim,
-            backup: stream.backup,
             sends: stream.sends,
             runs: stream.runs,
             parts,
@@ -274,18 +272,14 @@
     fn run_state(&self) -> RunState {
         let secured = self.secured.as_ref().map(|copy| RunCopy {
             target: copy.target,
-            made_at: Some(copy.made_at),
-        });
-        let standing = self.backup.as_ref().map(|claim| RunCopy {
-            target: claim.target,
-            made_at: None,
+            made_at: copy.made_at,
         });
         RunState {
             source: self.claim.target,
             made: self.made,
             expected: self.expected,
             token_time: self.gateway.token_time(&self.request.service),
-            copy: secured.or(standing),
+            copy: secured,
             is_copying: self.copying.is_some(),
             is_handed_over: self.handover.is_some(),
         }
@@ -411,7 +405,7 @@
             target: &self.gateway.instance(self.claim.target),
             last_event: self.last_event.unwrap_or(0),
             silent_ms: self.silent_ms(),
-            has_copy: self.backup.is_some() || self.secured.is_some() || self.handover.is_some(),
+            has_copy: self.secured.is_some() || self.handover.is_some(),
         });
         self.claim.outcome(outcome);
     }
@@ -435,17 +429,7 @@
 
     /// Goes on from the copy made last.
     fn copy_handover(&mut self) -> Option<HandoverTask> {
-        let (claim, name) = match (self.secured.take(), self.backup.take()) {
-            (Some(copy), backup) => {
-                self.backup = backup;
-                (copy.claim, copy.name)
-            }
-            (None, Some(claim)) => {
-                let address = address(&self.gateway, &claim)?;
-                (claim, format!("{address}/{}", self.request.head.id))
-            }
-            (None, None) => return None,
-        };
+        let SecuredCopy { claim, name, .. } = self.secured.take()?;
         self.gateway.log.event(&LogEvent::Handover {
             id: &self.request.head.id,
             from: &self.gateway.instance(self.claim.target),
@@ -476,7 +460,6 @@
     fn adopt(&mut self, successor: Successor) -> SourceItem {
         self.source = Some(successor.source);
         self.claim = successor.claim;
-        self.backup = successor.backup;
         self.moves += 1;
         self.went_on = true;
         self.is_prepared = false;
--- a/crates/mimosagap-gateway/src/streams.rs
+++ b/crates/mimosagap-gateway/src/streams.rs
@@ -1,12 +1,10 @@
 //! Generations: where one waits and is placed, until its first event is there.
 
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use http::Response;
 use http_body_util::BodyExt;
-use mimosagap_routing::backup::choose_backup;
 use mimosagap_routing::placement::{PlaceOptions, Placement, StreamNeed, place_stream, spread};
 use mimosagap_routing::refusal::RefusalReason;
 use mimosagap_routing::targets::{Distance, RANKS, Target, TargetKey, TargetOutcome};
@@ -87,8 +85,6 @@
     pub first: StreamEvent,
     /// Its place at the engine.
     pub claim: LoadClaim,
-    /// Its place at the engine that gets a copy.
-    pub backup: Option<LoadClaim>,
     /// Sends so far.
     pub sends: u32,
     /// Sends that may have run.
@@ -184,10 +180,8 @@
 ) -> Result<FirstItem, ExchangeError> {
     let begun = gateway.now();
     let target = claim.target;
-    let backup = claim_backup(gateway, request, target, need);
     let options = SendOptions {
         attempt,
-        backup: backup.as_ref().and_then(|backup| address(gateway, backup)),
         ..SendOptions::default()
     };
     let exchange = exchange(gateway, request, target, options).await?;
@@ -210,7 +204,6 @@
                 source,
                 first,
                 claim,
-                backup,
                 sends: attempt,
                 runs: 1,
             })))
@@ -228,27 +221,6 @@
     }
 }
 
-/// Reserves memory for a copy of a generation at another engine.
-pub fn claim_backup(
-    gateway: &SharedGateway,
-    request: &RoutedRequest,
-    source: TargetKey,
-    need: StreamNeed,
-) -> Option<LoadClaim> {
-    let now = gateway.now();
-    let target = gateway
-        .with(|beliefs| choose_backup(&beliefs.targets, &request.service, source, need, now))?;
-    Some(LoadClaim::stream(gateway, target, &need, 0))
-}
-
-/// Where the target of a claim listens.
-pub fn address(gateway: &SharedGateway, claim: &LoadClaim) -> Option<SocketAddr> {
-    gateway.with(|beliefs| {
-        let target = beliefs.targets.get(claim.target)?;
-        Some(target.entry.address)
-    })
-}
-
 async fn whole_answer(
     gateway: &SharedGateway,
     request: &RoutedRequest,
--- a/crates/mimosagap-routing/src/config.rs
+++ b/crates/mimosagap-routing/src/config.rs
@@ -78,8 +78,6 @@
     pub memory_tokens: u32,
     /// Whether a running generation can be moved to another engine.
     pub can_move: bool,
-    /// Whether an engine can copy a run's memory to another one while it grows.
-    pub can_back_up: bool,
     /// Tokens in one event of a stream.
     pub tokens_per_event: u32,
     /// How long an engine keeps a copy that it was sent.
--- a/crates/mimosagap-routing/src/lib.rs
+++ b/crates/mimosagap-routing/src/lib.rs
@@ -6,11 +6,9 @@
 #![deny(unsafe_code, missing_docs)]
 
 pub mod addresses;
-pub mod backup;
 pub mod belief;
 pub mod buffers;
 pub mod config;
-pub mod evacuation;
 pub mod hosts;
 pub mod lengths;
 pub mod marks;
--- a/crates/mimosagap-routing/src/moves.rs
+++ b/crates/mimosagap-routing/src/moves.rs
@@ -54,8 +54,8 @@
 pub struct RunCopy {
     /// The engine that has it.
     pub target: TargetKey,
-    /// When it was complete; `None` if it is kept up to date from the start.
-    pub made_at: Option<Duration>,
+    /// When it was complete.
+    pub made_at: Duration,
 }
 
 /// What is known of a run whose engine may leave.
@@ -107,7 +107,7 @@
     };
     let copy = run.copy.filter(|copy| !is_leaving(copy.target));
     let life = engine.copy_life.mul_f64(COPY_RENEWAL);
-    let lapses = |copy: &RunCopy| copy.made_at.is_some_and(|at| now >= at + life);
+    let lapses = |copy: &RunCopy| now >= copy.made_at + life;
     match copy {
         Some(copy) if !lapses(&copy) => match targets.get(copy.target) {
             Some(target) if can_take_over(target, now) => MoveStep::HandOver(copy.target),
--- a/crates/mimosagap-routing/src/placement.rs
+++ b/crates/mimosagap-routing/src/placement.rs
@@ -14,7 +14,6 @@
 use rand::Rng;
 use serde::{Deserialize, Serialize};
 
-use crate::evacuation::EvacuationReserve;
 use crate::marks::stable_mark;
 use crate::targets::{Distance, Target, TargetKey, Targets};
 
@@ -199,7 +198,6 @@
     } else {
         MEMORY_CEILING - URGENT_RESERVE
     };
-    let reserve = EvacuationReserve::new(targets, options.service, now);
     targets
         .of_service(options.service)
         .filter(|(key, target)| may_use(*key, target))
@@ -211,8 +209,7 @@
         })
         .filter_map(|(key, target)| {
             let load = target.load(now);
-            let kept = reserve.tokens(&target.entry.zone) / f64::from(engine.memory_tokens.max(1));
-            let filled = kept + fill(target, engine.memory_tokens, need.tokens(), now);
+            let filled = fill(target, engine.memory_tokens, need.tokens(), now);
             let has_room = load.requests < engine.slots
                 && (filled <= ceiling || load.requests == 0)
                 && target.queue_time(now) <= options.patience;
