--- a/crates/mimosagap-gateway/src/notices.rs
+++ b/crates/mimosagap-gateway/src/notices.rs
@@ -151,7 +151,7 @@
 fn tell(gateway: &Gateway, key: TargetKey, wish: TargetWish) {
     let entry = gateway.with(|beliefs| beliefs.targets.get(key).map(|known| known.entry.clone()));
     if let Some(entry) = entry {
-        gateway.news_board.put(TargetNews {
+        gateway.target_news.put(TargetNews {
             instance: entry.instance,
             started_unix_ms: entry.started_unix_ms,
             wish,
--- a/crates/mimosagap-gateway/src/peers.rs
+++ b/crates/mimosagap-gateway/src/peers.rs
@@ -119,11 +119,11 @@
                 }
                 tell(&gateway, &socket, HostGroup::Near, &mut told_near).await;
                 tell(&gateway, &socket, HostGroup::Far, &mut told_far).await;
-                tell_news(&gateway, &socket, gateway.news_board.take_again()).await;
+                tell_news(&gateway, &socket, gateway.target_news.take_again()).await;
                 gateway.log.flush();
             }
             () = changes(&gateway) => {
-                tell_news(&gateway, &socket, gateway.news_board.take_fresh()).await;
+                tell_news(&gateway, &socket, gateway.target_news.take_fresh()).await;
                 tell(&gateway, &socket, HostGroup::Near, &mut told_near).await;
             }
         }
--- a/crates/mimosagap-gateway/src/relay.rs
+++ b/crates/mimosagap-gateway/src/relay.rs
@@ -270,7 +270,7 @@
     }
 
     fn run_state(&self) -> RunState {
-        let secured = self.secured.as_ref().map(|copy| RunCopy {
+        let copy = self.secured.as_ref().map(|copy| RunCopy {
             target: copy.target,
             made_at: copy.made_at,
         });
@@ -279,7 +279,7 @@
             made: self.made,
             expected: self.expected,
             token_time: self.gateway.token_time(&self.request.service),
-            copy: secured,
+            copy,
             is_copying: self.copying.is_some(),
             is_handed_over: self.handover.is_some(),
         }
--- a/crates/mimosagap-gateway/src/state.rs
+++ b/crates/mimosagap-gateway/src/state.rs
@@ -90,7 +90,7 @@
     /// Pending suspicions as store keys.
     pub pending_suspicions: RefCell<Vec<String>>,
     /// News of targets for the other hosts.
-    pub news_board: NewsBoard,
+    pub target_news: NewsBoard,
     /// Questions to the placer of the region.
     pub placers: PlacerClient,
     /// Requests in flight.
@@ -129,7 +129,7 @@
             loads: Notify::new(),
             suspicions: Notify::new(),
             pending_suspicions: RefCell::default(),
-            news_board: NewsBoard::default(),
+            target_news: NewsBoard::default(),
             placers: PlacerClient::default(),
             in_flight: Cell::new(0),
             beliefs: RefCell::new(Beliefs {
