perf(gateway): bytes after the head of an answer are no longer counted

Found in a last reading: the meter went on after the head had come, with a look at the clock for each read of a stream, though only a head is judged by it. It stops when the head is there; what is given up and when stays the same. Also one needless conversion and an over-long doc line in the explain library.

--- a/crates/mimosagap-explain/src/account.rs
+++ b/crates/mimosagap-explain/src/account.rs
@@ -95,8 +95,8 @@
     // The tries of one caller's request bear the same mark.
     let mut requests: HashMap<&str, Vec<&LogRecord>> = HashMap::new();
     for lines in tries.into_values() {
-        let marks = lines.iter().filter_map(|line| line.text("request"));
-        if let Some(mark) = marks.into_iter().find(|mark| !mark.is_empty()) {
+        let mut marks = lines.iter().filter_map(|line| line.text("request"));
+        if let Some(mark) = marks.find(|mark| !mark.is_empty()) {
             requests.entry(mark).or_default().extend(lines);
         }
     }
--- a/crates/mimosagap-explain/src/lib.rs
+++ b/crates/mimosagap-explain/src/lib.rs
@@ -1,7 +1,7 @@
 //! Tells the story of one request from the logs of several gateways.
 //!
-//! `account` counts the fates of all requests. `records` reads log lines, `story` chooses those that concern a request, and `cause` says why it
-//! ended as it did.
+//! `records` reads log lines, `story` chooses those that concern a request, and `cause` says why it
+//! ended as it did. `account` counts the fates of all requests.
 #![deny(unsafe_code, missing_docs)]
 
 mod account;
--- a/crates/mimosagap-gateway/src/link.rs
+++ b/crates/mimosagap-gateway/src/link.rs
@@ -119,6 +119,7 @@
             result = answer => result,
             () = self.meter.overrun() => return Err(LinkError::Endless),
         };
+        self.meter.end();
         result.map_err(|mut error| {
             if error.take_message().is_some() {
                 return LinkError::NotSent;
--- a/crates/mimosagap-gateway/src/meter.rs
+++ b/crates/mimosagap-gateway/src/meter.rs
@@ -51,6 +51,8 @@
 pub struct HeadMeter {
     bytes: Cell<usize>,
     drip: Cell<DripWatch>,
+    /// Whether a head is awaited; what follows it is not counted.
+    is_awaiting: Cell<bool>,
     is_over: Cell<bool>,
     news: Notify,
 }
@@ -60,11 +62,17 @@
     pub fn begin(&self) {
         self.bytes.set(0);
         self.drip.set(DripWatch::default());
+        self.is_awaiting.set(true);
         self.is_over.set(false);
     }
 
+    /// The head is there, or nothing is awaited any more.
+    pub fn end(&self) {
+        self.is_awaiting.set(false);
+    }
+
     fn add(&self, bytes: usize) {
-        if bytes == 0 {
+        if bytes == 0 || !self.is_awaiting.get() {
             return;
         }
         self.bytes.set(self.bytes.get().saturating_add(bytes));
