--- a/crates/mimosagap-gateway/src/log.rs
+++ b/crates/mimosagap-gateway/src/log.rs
@@ -108,6 +108,16 @@
         /// Duration of the backoff, in milliseconds.
         for_ms: u64,
     },
+    /// A target named another rate limit than before, or ceased to name one.
+    TargetRateLimit {
+        /// Instance name of the target.
+        target: &'a str,
+        /// How this host learned of it.
+        source: &'a str,
+        /// Requests per second that the target accepts from all hosts together; `None` if it names
+        /// no limit any more.
+        per_second: Option<f64>,
+    },
     /// A target's entry in the store could not be decoded.
     EntryUnreadable {
         /// Instance name in the key of the entry.
@@ -330,9 +340,10 @@
             | Self::Handover { .. }
             | Self::StreamBroke { .. }
             | Self::StreamWentOn { .. } => (6, "move"),
-            Self::TargetListed { .. } | Self::TargetLeaving { .. } | Self::TargetPauses { .. } => {
-                (7, "target")
-            }
+            Self::TargetListed { .. }
+            | Self::TargetLeaving { .. }
+            | Self::TargetPauses { .. }
+            | Self::TargetRateLimit { .. } => (7, "target"),
             Self::EntryUnreadable { .. } | Self::ConfigUnreadable { .. } => (8, "unreadable"),
             Self::Trouble { .. } => (9, "trouble"),
             _ => (10, "state"),
--- a/crates/mimosagap-gateway/src/metrics.rs
+++ b/crates/mimosagap-gateway/src/metrics.rs
@@ -59,6 +59,17 @@
     }
 }
 
+fn register_counters(
+    registry: &Registry,
+    name: &str,
+    help: &str,
+    labels: &[&str],
+) -> Result<IntCounterVec, prometheus::Error> {
+    let counters = IntCounterVec::new(Opts::new(name, help), labels)?;
+    registry.register(Box::new(counters.clone()))?;
+    Ok(counters)
+}
+
 /// All metrics of the gateway. [`LabelLimit`] bounds the number of series.
 #[derive(Clone)]
 pub struct GatewayMetrics {
@@ -82,6 +93,8 @@
     pub store_calls: IntCounterVec,
     /// Connections opened to targets, by result.
     pub target_connections: IntCounterVec,
+    /// Changes of the rate limits that targets name, by how this host learned of them.
+    pub rate_limit_changes: IntCounterVec,
     /// Requests in flight.
     pub in_flight: IntGauge,
     /// Open connections of callers.
@@ -100,9 +113,7 @@
     pub fn new() -> Result<Self, prometheus::Error> {
         let registry = Registry::new();
         let register_counters = |name: &str, help: &str, labels: &[&str]| {
-            let counters = IntCounterVec::new(Opts::new(name, help), labels)?;
-            registry.register(Box::new(counters.clone()))?;
-            Ok::<_, prometheus::Error>(counters)
+            register_counters(&registry, name, help, labels)
         };
         let register_gauge = |name: &str, help: &str| {
             let gauge = IntGauge::new(name, help)?;
@@ -129,6 +140,11 @@
             "Connections opened to targets",
             &["result"],
         )?;
+        let rate_limit_changes = register_counters(
+            "mimosagap_target_rate_limit_changes_total",
+            "Changes of the rate limits of targets",
+            &["source"],
+        )?;
         let in_flight = register_gauge("mimosagap_in_flight", "Requests in flight")?;
         let config_version = register_gauge("mimosagap_config_version", "Configuration in force")?;
         let known_members =
@@ -188,6 +204,7 @@
             migration_steps,
             store_calls,
             target_connections,
+            rate_limit_changes,
             in_flight,
             caller_connections,
             config_version,
--- a/crates/mimosagap-gateway/src/target_notices.rs
+++ b/crates/mimosagap-gateway/src/target_notices.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use http::{HeaderMap, StatusCode};
-use mimosagap_platform::engine::{is_leaving, retry_after_delay};
+use mimosagap_platform::engine::{is_leaving, named_rate_limit, retry_after_delay};
 use mimosagap_routing::targets::TargetKey;
 use serde::{Deserialize, Serialize};
 
@@ -73,6 +73,7 @@
         return;
     }
     observe_leaving(gateway, key, headers);
+    observe_rate_limit(gateway, key, headers);
     if let Some(retry_after) = retry_after_delay(status, headers) {
         let now = gateway.now();
         let is_new = gateway.with_state(|state| {
@@ -94,6 +95,32 @@
     }
 }
 
+/// Records the rate limit that a target names. A limit that cannot be read does not replace the one
+/// before.
+fn observe_rate_limit(gateway: &Gateway, key: TargetKey, headers: &HeaderMap) {
+    match named_rate_limit(headers) {
+        Ok(named_rate) => {
+            if gateway.with_state(|state| state.targets.record_named_rate(key, named_rate)) {
+                let source = "answer";
+                gateway
+                    .metrics
+                    .rate_limit_changes
+                    .with_label_values(&[source])
+                    .inc();
+                gateway.log.event(&LogEvent::TargetRateLimit {
+                    target: &gateway.instance(key),
+                    source,
+                    per_second: named_rate,
+                });
+            }
+        }
+        Err(error) => gateway.log.event(&LogEvent::Trouble {
+            what: "the rate limit of a target cannot be read; the one before stays in force",
+            cause: error.to_string(),
+        }),
+    }
+}
+
 /// Marks a target as leaving because of its response, and notifies the other hosts if that is new.
 pub fn report_leaving(gateway: &Gateway, key: TargetKey, source: &str) {
     if mark_leaving(gateway, key, source) {
--- a/crates/mimosagap-gateway/tests/log.rs
+++ b/crates/mimosagap-gateway/tests/log.rs
@@ -153,6 +153,11 @@
             source: "answer",
             for_ms: 2000,
         },
+        LogEvent::TargetRateLimit {
+            target: "t",
+            source: "answer",
+            per_second: Some(3.7),
+        },
         LogEvent::EntryUnreadable {
             key: "k",
             cause: empty(),
--- a/crates/mimosagap-routing/src/targets.rs
+++ b/crates/mimosagap-routing/src/targets.rs
@@ -169,6 +169,8 @@
     next_pause: Duration,
     /// Backoff periods that it requested.
     pub backoff: TargetBackoff,
+    /// Requests per second that it accepts from all hosts together, as it last named it.
+    pub named_rate: Option<f64>,
 }
 
 impl Target {
@@ -188,6 +190,7 @@
             paused_until: Duration::ZERO,
             next_pause: FIRST_PAUSE,
             backoff: TargetBackoff::default(),
+            named_rate: None,
         }
     }
 
@@ -371,6 +374,14 @@
         self.targets.get_mut(key).map(|target| &mut target.backoff)
     }
 
+    /// Records the rate limit that a target names. Returns whether it differs from the one before.
+    pub fn record_named_rate(&mut self, key: TargetKey, named_rate: Option<f64>) -> bool {
+        let Some(target) = self.targets.get_mut(key) else {
+            return false;
+        };
+        std::mem::replace(&mut target.named_rate, named_rate) != named_rate
+    }
+
     /// Time until the first backoff of a service's targets ends; `None` if a target has no backoff
     /// or none is left.
     #[must_use]
