test(soak): targets that name a rate limit for the whole fleet (fails)

A stand-in target names in its responses the requests per second that it accepts from all gateways together, and the soak counts at the target, over sliding windows of 4 s, what gateways send that heard the limit or had 4 s to hear of it; a restart, a pause or a cut excuses a gateway.

--- a/crates/mimosagap-soak/src/checker.rs
+++ b/crates/mimosagap-soak/src/checker.rs
@@ -5,6 +5,7 @@
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
+use crate::rate_check::RateChecker;
 use crate::standins::target::BACKOFF;
 
 /// The kind of a request, which decides how often it may be executed.
@@ -61,6 +62,7 @@
     drain_notices: RefCell<HashMap<(usize, String), Instant>>,
     /// When a target last asked a gateway to back off, and the requests that arrived since.
     backoffs: RefCell<HashMap<(usize, String), (Instant, u32)>>,
+    rate_checker: RefCell<RateChecker>,
     /// Until when responses of a target may fail to reach the gateways.
     unreachable_until: RefCell<HashMap<String, Instant>>,
     /// When each retry arrived, and whether it was one of a stream.
@@ -205,10 +207,50 @@
         }
     }
 
+    /// Records that a target names a rate limit, in requests per second, in its response to a
+    /// request.
+    pub fn record_rate_limit(&self, id: &str, target: &str, rate: f64) {
+        if let Some(gateway) = self.reachable_gateway(id, target) {
+            let mut rate_checker = self.rate_checker.borrow_mut();
+            rate_checker.record_limit(target, gateway, rate, Instant::now());
+        }
+    }
+
+    /// Records that a target names no rate limit any more.
+    pub fn end_rate_limit(&self, target: &str) {
+        self.rate_checker.borrow_mut().end_limit(target);
+    }
+
+    /// Records a call of a gateway that concerns a running request, and not the request itself.
+    pub fn record_engine_call(&self, id: &str, target: &str) {
+        self.count_for_rate(id, target);
+    }
+
+    /// Counts a request at a target, and checks the rate limit that the target names.
+    fn count_for_rate(&self, id: &str, target: &str) {
+        let gateway = self
+            .requests
+            .borrow()
+            .get(id)
+            .and_then(|request| request.gateway);
+        let Some(gateway) = gateway else {
+            return;
+        };
+        let now = Instant::now();
+        let violation = self
+            .rate_checker
+            .borrow_mut()
+            .record_arrival(target, gateway, now);
+        if let Some(text) = violation {
+            self.record_violation(text);
+        }
+    }
+
     /// Records that responses of a target may fail to reach the gateways for `duration`, and drops
     /// what the gateways may not have received.
     pub fn record_unreachable(&self, target: &str, duration: Duration) {
         let until = Instant::now() + duration + RECONNECT_LIMIT;
+        self.rate_checker.borrow_mut().excuse_target(target, until);
         self.unreachable_until
             .borrow_mut()
             .insert(target.to_owned(), until);
@@ -231,6 +273,9 @@
 
     /// Drops the notices and backoffs of a gateway that lost its state or was suspended.
     pub fn clear_gateway_state(&self, gateway: usize) {
+        let mut rate_checker = self.rate_checker.borrow_mut();
+        rate_checker.excuse_gateway(gateway, Instant::now());
+        drop(rate_checker);
         let is_other = |(other, _): &(usize, String)| *other != gateway;
         self.drain_notices
             .borrow_mut()
@@ -275,6 +320,7 @@
         if let Some(sent_at) = sent_at {
             self.check_target_limits(id, target, sent_at);
         }
+        self.count_for_rate(id, target);
         let mut requests = self.requests.borrow_mut();
         if let Some(request) = requests.get_mut(id) {
             request.arrivals += 1;
--- a/crates/mimosagap-soak/src/client.rs
+++ b/crates/mimosagap-soak/src/client.rs
@@ -23,6 +23,12 @@
 /// An API key that is never revoked, and one that a fault may revoke.
 pub const API_KEYS: [&str; 2] = ["lasting-key", "revoked-key"];
 
+/// Clients for each gateway of the fleet, and the most clients of a run.
+pub const CLIENTS_PER_GATEWAY: usize = 4;
+
+/// Most concurrent clients of a run.
+pub const MAX_CLIENTS: usize = 48;
+
 /// How long a client waits for a response, and the deadline that it sends with a request.
 const REQUEST_TIMEOUT: Duration = Duration::from_secs(4);
 
@@ -92,6 +98,10 @@
             disconnects,
         };
         send_request(&context, &mut rng, &mut kept_connection, spec).await;
+        // With more gateways than clients, kept connections would leave most gateways idle.
+        if context.gateway_addresses.len() > MAX_CLIENTS {
+            kept_connection = None;
+        }
         tokio::time::sleep(Duration::from_millis(rng.random_range(5..60))).await;
     }
 }
--- a/crates/mimosagap-soak/src/lib.rs
+++ b/crates/mimosagap-soak/src/lib.rs
@@ -12,5 +12,6 @@
 mod http;
 pub mod plan;
 pub mod process;
+pub mod rate_check;
 pub mod run;
 pub mod standins;
--- a/crates/mimosagap-soak/src/main.rs
+++ b/crates/mimosagap-soak/src/main.rs
@@ -6,7 +6,7 @@
 use std::process::ExitCode;
 use std::time::Duration;
 
-use mimosagap_soak::plan::FaultPlan;
+use mimosagap_soak::plan::{FaultPlan, GATEWAY_COUNT};
 use mimosagap_soak::run::{RunOptions, RunOutcome, run_soak};
 use pico_args::Arguments;
 
@@ -18,6 +18,7 @@
 
   --seed N        first seed (default 1); a seed determines faults and requests
   --count N       number of consecutive seeds to run, one after the other (default 1)
+  --gateways N    number of gateways, from 1 to 300 (default 3)
   --seconds N     how long faults are injected (default 12)
   --plan FILE     run a stored plan; a failed run writes its plan.json into its folder
   --shrink        after a failure, remove steps and print the smallest plan that still fails
@@ -28,6 +29,9 @@
 Exit codes: 0 all runs passed, 1 a run failed or could not be made, 2 wrong options.
 ";
 
+/// Most gateways of a run; each is a process.
+const MAX_GATEWAYS: usize = 300;
+
 /// The parsed command line.
 struct SoakOptions {
     plans: Vec<FaultPlan>,
@@ -56,6 +60,11 @@
     let first_seed = arguments.opt_value_from_str("--seed")?.unwrap_or(1);
     let count: u64 = arguments.opt_value_from_str("--count")?.unwrap_or(1);
     let seconds = arguments.opt_value_from_str("--seconds")?.unwrap_or(12);
+    let gateways = arguments.opt_value_from_str("--gateways")?;
+    let gateways = gateways.unwrap_or(GATEWAY_COUNT);
+    if !(1..=MAX_GATEWAYS).contains(&gateways) {
+        return Err(format!("--gateways {gateways} is not from 1 to {MAX_GATEWAYS}").into());
+    }
     let plan_file: Option<PathBuf> = arguments.opt_value_from_str("--plan")?;
     let shrink = arguments.contains("--shrink");
     let program: Option<PathBuf> = arguments.opt_value_from_str("--program")?;
@@ -69,7 +78,7 @@
     let plans = match plan_file {
         Some(path) => vec![serde_json::from_str(&std::fs::read_to_string(path)?)?],
         None => (first_seed..first_seed + count)
-            .map(|seed| FaultPlan::new(seed, length))
+            .map(|seed| FaultPlan::with_gateways(seed, length, gateways))
             .collect(),
     };
     Ok(SoakOptions {
--- a/crates/mimosagap-soak/src/plan.rs
+++ b/crates/mimosagap-soak/src/plan.rs
@@ -103,9 +103,15 @@
 /// Longest time from the start of draining until a target is stopped by [`Fault::TakeTarget`].
 const MAX_DRAIN_NOTICE: Duration = Duration::from_secs(2);
 
-/// Gateways in the fleet.
+/// Gateways in the fleet of a plan that does not state their number.
 pub const GATEWAY_COUNT: usize = 3;
 
+/// Limits, in thousandths of a request per second, that a drawn fault lets a target name.
+const DRAWN_RATE_LIMITS: std::ops::Range<u32> = 1500..12_000;
+
+/// For how long a drawn fault lets a target name a limit. The check needs 8 s.
+const DRAWN_LIMIT_TIME: Duration = Duration::from_secs(11);
+
 /// Targets in the fleet: the first half are plain services, the others are model engines, which
 /// stream.
 pub const TARGET_COUNT: usize = 6;
@@ -120,17 +126,31 @@
     pub length: Duration,
     /// The faults, in the order of their times.
     pub steps: Vec<FaultStep>,
+    /// Gateways in the fleet.
+    #[serde(default = "default_gateway_count")]
+    pub gateway_count: usize,
+}
+
+fn default_gateway_count() -> usize {
+    GATEWAY_COUNT
 }
 
 impl FaultPlan {
-    /// The plan that a seed determines for a run of this length.
+    /// The plan that a seed determines for a run of this length with [`GATEWAY_COUNT`] gateways.
     #[must_use]
     pub fn new(seed: u64, length: Duration) -> Self {
-        let steps = draw_steps(seed, length);
+        Self::with_gateways(seed, length, GATEWAY_COUNT)
+    }
+
+    /// The plan that a seed determines for a run of this length with a number of gateways.
+    #[must_use]
+    pub fn with_gateways(seed: u64, length: Duration, gateway_count: usize) -> Self {
+        let steps = draw_steps(seed, length, gateway_count);
         Self {
             seed,
             length,
             steps,
+            gateway_count,
         }
     }
 
@@ -144,25 +164,25 @@
 }
 
 /// Draws one fault for each 900 ms of the run, at random times.
-fn draw_steps(seed: u64, length: Duration) -> Vec<FaultStep> {
+fn draw_steps(seed: u64, length: Duration, gateway_count: usize) -> Vec<FaultStep> {
     let mut rng = SmallRng::seed_from_u64(seed);
     let millis = u64::try_from(length.as_millis()).unwrap_or(u64::MAX);
     let count = usize::try_from(millis / 900).unwrap_or(1).max(1);
     let mut steps: Vec<FaultStep> = (0..count)
         .map(|_| FaultStep {
             at: Duration::from_millis(rng.random_range(0..millis)),
-            fault: draw_fault(&mut rng),
+            fault: draw_fault(&mut rng, gateway_count),
         })
         .collect();
     steps.sort_by_key(|step| step.at);
     steps
 }
 
-fn draw_fault(rng: &mut SmallRng) -> Fault {
+fn draw_fault(rng: &mut SmallRng, gateway_count: usize) -> Fault {
     let duration = Duration::from_millis(rng.random_range(300..3000));
-    let gateway = rng.random_range(0..GATEWAY_COUNT);
+    let gateway = rng.random_range(0..gateway_count);
     let target = rng.random_range(0..TARGET_COUNT);
-    match rng.random_range(0..22) {
+    match rng.random_range(0..24) {
         0 | 1 => Fault::KillGateway(gateway),
         2 => Fault::StopGateway(gateway),
         3 => Fault::PauseGateway(gateway, duration),
@@ -186,6 +206,11 @@
             duration,
         ),
         20 => Fault::SaysLeaving(target),
+        21 | 22 => Fault::Target(
+            target,
+            TargetMode::LimitsRate(rng.random_range(DRAWN_RATE_LIMITS)),
+            DRAWN_LIMIT_TIME,
+        ),
         _ => Fault::TakeTarget(target, duration.min(MAX_DRAIN_NOTICE)),
     }
 }
--- a/crates/mimosagap-soak/src/process.rs
+++ b/crates/mimosagap-soak/src/process.rs
@@ -26,30 +26,56 @@
     pub peak_memory_bytes: u64,
 }
 
+/// Where a gateway stands in its fleet.
+#[derive(Debug, Clone, Copy)]
+pub struct GatewayPlace {
+    /// Its number in the fleet, from 0.
+    pub index: usize,
+    /// Regions of the fleet, each with one zone, over which the gateways are spread in turn.
+    pub region_count: usize,
+}
+
+/// Name of the zone of a region, both counted from 0.
+#[must_use]
+pub fn zone_name(region: usize) -> String {
+    format!("z{}", region + 1)
+}
+
 impl GatewayProcess {
-    /// Writes the settings of the gateway with an index and starts it. It listens on the five ports
-    /// from `base_port + 10 * index` on.
+    /// Writes the settings of a gateway and starts it. It listens on the five ports from
+    /// `base_port + 10 * index` on.
     ///
     /// # Errors
     /// If the settings cannot be written or the program cannot be started.
     pub fn start(
         program: &Path,
         directory: &Path,
-        index: usize,
+        place: GatewayPlace,
         base_port: u16,
         store_address: SocketAddr,
     ) -> std::io::Result<Self> {
+        let GatewayPlace {
+            index,
+            region_count,
+        } = place;
+        let region = index % region_count;
+        let zones: Vec<String> = (0..region_count)
+            .map(|number| format!("{} = \"r{}\"", zone_name(number), number + 1))
+            .collect();
+        let zones = zones.join("\n");
         let port = base_port + u16::try_from(index).unwrap_or(0) * 10;
         let settings_path = directory.join(format!("gateway-{index}.toml"));
         let text = format!(
-            "node_name = \"gateway-{index}\"\nip = \"127.0.0.1\"\nzone = \"z1\"\nregion = \"r1\"\n\
+            "node_name = \"gateway-{index}\"\nip = \"127.0.0.1\"\nzone = \"{}\"\nregion = \"r{}\"\n\
              internal_ports = [{},{}]\nheartbeat_ms = 1200\n\
-             [zones]\nz1 = \"r1\"\n\
+             [zones]\n{zones}\n\
              [listen]\nfrontend = \"127.0.0.1:{port}\"\nready = \"127.0.0.1:{}\"\n\
              registry = \"127.0.0.1:{}\"\n\
              [limits]\nmemory_mb = 64\n[bounds]\nconfig_apply_ms = 3000\nrevoke_ms = 5000\nrevoke_strict = true\n\
              grace_period_s = 4\nretry_budget_ratio = 0.2\nretry_window_s = 10\nretry_slack = 60\n\
              ttl_max_s = 5\n[platform]\naddress = \"{store_address}\"\n",
+            zone_name(region),
+            region + 1,
             port + 3,
             port + 4,
             port + 1,
--- a/crates/mimosagap-soak/src/run.rs
+++ b/crates/mimosagap-soak/src/run.rs
@@ -17,15 +17,22 @@
 
 use crate::checker::{FailedRequest, InvariantChecker, RequestKind};
 use crate::client::{
-    API_KEYS, ClientContext, ROUTE_HOSTNAME, RequestSpec, run_client, send_request,
+    API_KEYS, CLIENTS_PER_GATEWAY, ClientContext, MAX_CLIENTS, ROUTE_HOSTNAME, RequestSpec,
+    run_client, send_request,
 };
-use crate::plan::{Fault, FaultPlan, FaultStep, FleetLink, GATEWAY_COUNT, TARGET_COUNT};
-use crate::process::GatewayProcess;
+use crate::plan::{Fault, FaultPlan, FaultStep, FleetLink, TARGET_COUNT};
+use crate::process::{GatewayPlace, GatewayProcess, zone_name};
 use crate::standins::store::{StoreMode, StoreStandin};
 use crate::standins::target::{TargetContext, TargetMode, TargetStandin};
 
-/// Concurrent clients of a run.
-const CLIENT_COUNT: u64 = 12;
+/// A fleet of more gateways than this has three regions.
+const MAX_GATEWAYS_OF_ONE_REGION: usize = 16;
+
+/// Regions of a large fleet, each with one zone.
+const REGION_COUNT: usize = 3;
+
+/// Time for a gateway of a large fleet to start and read the store.
+const START_TIME_PER_GATEWAY: Duration = Duration::from_millis(30);
 
 /// The fleet must serve requests as before this long after the last fault.
 const RECOVERY_TIME: Duration = Duration::from_secs(8);
@@ -104,6 +111,7 @@
     targets: Vec<Rc<TargetStandin>>,
     /// The number in the name of the last target that was started.
     last_target_number: u64,
+    region_count: usize,
     /// Faults that have to be reverted, and when.
     pending_reverts: Vec<(Instant, FaultRevert)>,
 }
@@ -149,13 +157,16 @@
         addresses.collect(),
     ));
     fleet.client_context = Some(Rc::clone(&context));
-    tokio::time::sleep(Duration::from_secs(1)).await;
     let FaultPlan {
         seed,
         length,
         steps,
+        gateway_count,
     } = &options.plan;
-    let tasks: Vec<_> = (0..CLIENT_COUNT)
+    let start_time = START_TIME_PER_GATEWAY * u32::try_from(*gateway_count).unwrap_or(u32::MAX);
+    tokio::time::sleep(start_time.max(Duration::from_secs(1))).await;
+    let client_count = (CLIENTS_PER_GATEWAY * gateway_count).min(MAX_CLIENTS) as u64;
+    let tasks: Vec<_> = (0..client_count)
         .map(|number| {
             let seed = seed.wrapping_mul(1000).wrapping_add(number);
             tokio::task::spawn_local(run_client(Rc::clone(&context), seed))
@@ -183,6 +194,14 @@
     })
 }
 
+fn region_count(gateway_count: usize) -> usize {
+    if gateway_count > MAX_GATEWAYS_OF_ONE_REGION {
+        REGION_COUNT
+    } else {
+        1
+    }
+}
+
 impl SoakFleet {
     async fn start(options: &RunOptions) -> std::io::Result<Self> {
         let listener = TcpListener::bind("127.0.0.1:0").await?;
@@ -199,6 +218,7 @@
             kills: Vec::new(),
             targets: Vec::new(),
             last_target_number: 0,
+            region_count: region_count(options.plan.gateway_count),
             pending_reverts: Vec::new(),
         };
         for index in 0..TARGET_COUNT {
@@ -206,13 +226,16 @@
             fleet.targets.push(target);
         }
         fleet.write_config(&API_KEYS);
-        for index in 0..GATEWAY_COUNT {
+        for index in 0..options.plan.gateway_count {
             let port = options.base_port;
             let store_proxy = LinkProxy::start(store_address).await?;
             let process = GatewayProcess::start(
                 &options.program,
                 &options.directory,
-                index,
+                GatewayPlace {
+                    index,
+                    region_count: fleet.region_count,
+                },
                 port,
                 store_proxy.address(),
             )?;
@@ -236,7 +259,15 @@
             "model"
         };
         let instance_id = format!("i-{}", self.last_target_number);
-        TargetStandin::start(instance_id, service, &self.target_context, &self.store).await
+        let zone = zone_name(index % self.region_count);
+        TargetStandin::start(
+            instance_id,
+            service,
+            &zone,
+            &self.target_context,
+            &self.store,
+        )
+        .await
     }
 
     /// Writes the next version of the configuration, which adds the route `/vN/` for version N.
@@ -396,7 +427,11 @@
         for (_, revert) in due {
             match revert {
                 FaultRevert::Store => self.store.set_mode(StoreMode::Well),
-                FaultRevert::Target(index) => self.targets[index].set_mode(TargetMode::Well),
+                FaultRevert::Target(index) => {
+                    let target = &self.targets[index];
+                    target.set_mode(TargetMode::Well);
+                    self.checker.end_rate_limit(&target.instance_id);
+                }
                 FaultRevert::ResumeGateway(index) => {
                     self.gateways[index].process.send_signal(Signal::CONT);
                     self.gateways[index].suspended_at = None;
--- a/crates/mimosagap-soak/src/standins/target.rs
+++ b/crates/mimosagap-soak/src/standins/target.rs
@@ -52,6 +52,9 @@
     Pauses,
     /// Announces in its responses that it drains, but not in the store.
     SaysLeaving,
+    /// Executes requests and names in its responses a limit on the requests of all gateways
+    /// together, in thousandths of a request per second.
+    LimitsRate(u32),
     /// Executes requests and sends endless bodies, 8 KiB each millisecond.
     FloodsBody,
     /// Executes requests and sends endless bodies, one byte each 100 ms.
@@ -81,6 +84,7 @@
     /// Its name in the store and in the requests that are meant for it only.
     pub instance_id: String,
     service: String,
+    zone: String,
     /// The proxy in front of it, whose address it registers.
     pub proxy: LinkProxy,
     mode: Cell<TargetMode>,
@@ -98,6 +102,7 @@
     pub async fn start(
         instance_id: String,
         service: &str,
+        zone: &str,
         context: &Rc<TargetContext>,
         store: &StoreStandin,
     ) -> std::io::Result<Rc<Self>> {
@@ -117,6 +122,7 @@
             Self {
                 instance_id,
                 service: service.to_owned(),
+                zone: zone.to_owned(),
                 proxy,
                 mode: Cell::new(TargetMode::Well),
                 execution_count: Cell::new(0),
@@ -134,7 +140,7 @@
     /// Writes the registration, with the state `ready` or `draining`.
     fn register(&self, store: &StoreStandin, state: &str) {
         let registration = json!({
-            "service": self.service, "address": self.proxy.address().to_string(), "zone": "z1",
+            "service": self.service, "address": self.proxy.address().to_string(), "zone": self.zone,
             "slots": 8, "state": state, "sequence": 1, "born": 1,
         });
         store.put(&self.store_key(), &registration);
@@ -162,17 +168,37 @@
         self.server_task.abort();
     }
 
+    /// Handles a request and names the rate limit in the response, in [`TargetMode::LimitsRate`].
     async fn handle_request(
         &self,
         context: &Rc<TargetContext>,
         request: Request<Incoming>,
+    ) -> Response<TargetBody> {
+        let id = header_text(request.headers(), "x-attempt-id").unwrap_or_default();
+        let mut response = self.execute_request(context, &id, request).await;
+        if let TargetMode::LimitsRate(millirequests) = self.mode.get() {
+            let rate = f64::from(millirequests) / 1000.0;
+            context
+                .checker
+                .record_rate_limit(&id, &self.instance_id, rate);
+            if let Ok(value) = hyper::header::HeaderValue::from_str(&rate.to_string()) {
+                response.headers_mut().insert("server-limit", value);
+            }
+        }
+        response
+    }
+
+    async fn execute_request(
+        &self,
+        context: &Rc<TargetContext>,
+        id: &str,
+        request: Request<Incoming>,
     ) -> Response<TargetBody> {
         let checker = &context.checker;
         let (head, body) = request.into_parts();
         let header = |name: &str| header_text(&head.headers, name);
-        let id = header("x-attempt-id").unwrap_or_default();
         let Some(body) = read_body(body).await else {
-            return build_response(StatusCode::BAD_REQUEST, &id, Bytes::new());
+            return build_response(StatusCode::BAD_REQUEST, id, Bytes::new());
         };
         let path = head.uri.path();
         if path == "/kv-move" {
@@ -185,14 +211,14 @@
             return build_response(StatusCode::OK, "", Bytes::new());
         }
         if header("x-expect-instance").is_some_and(|expected| expected != self.instance_id) {
-            return build_response(StatusCode::MISDIRECTED_REQUEST, &id, Bytes::new());
+            return build_response(StatusCode::MISDIRECTED_REQUEST, id, Bytes::new());
         }
-        checker.record_arrival(&id, &self.instance_id);
+        checker.record_arrival(id, &self.instance_id);
         match self.mode.get() {
-            TargetMode::Sheds => return rejection(&id),
+            TargetMode::Sheds => return rejection(id),
             TargetMode::Pauses => {
-                checker.record_backoff(&id, &self.instance_id);
-                let mut response = rejection(&id);
+                checker.record_backoff(id, &self.instance_id);
+                let mut response = rejection(id);
                 let retry_after = hyper::header::HeaderValue::from(BACKOFF.as_secs());
                 response.headers_mut().insert("retry-after", retry_after);
                 return response;
@@ -203,15 +229,15 @@
         if let Some(copy) = header("kv-from") {
             let handle = copy.split_once('/').map_or("", |(_, handle)| handle);
             let address = self.proxy.address().to_string();
-            if !context.generations.take_copy(handle, &id, &address) {
-                return rejection(&id);
+            if !context.generations.take_copy(handle, id, &address) {
+                return rejection(id);
             }
-            checker.record_migration(&id, &self.instance_id);
-            return self.stream(context, &id, last_event_id.unwrap_or(0));
+            checker.record_migration(id, &self.instance_id);
+            return self.stream(context, id, last_event_id.unwrap_or(0));
         }
         let has_api_key = head.headers.contains_key("authorization");
         checker.record_execution(
-            &id,
+            id,
             &self.instance_id,
             header("x-tenant").as_deref(),
             has_api_key,
@@ -226,23 +252,23 @@
             std::future::pending::<()>().await;
         }
         match self.mode.get() {
-            TargetMode::FloodsBody => return endless_response(&id, FLOOD_PACING),
-            TargetMode::DripsBody => return endless_response(&id, DRIP_PACING),
+            TargetMode::FloodsBody => return endless_response(id, FLOOD_PACING),
+            TargetMode::DripsBody => return endless_response(id, DRIP_PACING),
             _ => {}
         }
         if header("x-model").is_some() {
             return self.add_drain_notice(
                 checker,
-                &id,
-                self.stream(context, &id, last_event_id.unwrap_or(0)),
+                id,
+                self.stream(context, id, last_event_id.unwrap_or(0)),
             );
         }
         tokio::time::sleep(CALL_DURATION).await;
         if self.mode.get() == TargetMode::BreaksOff {
-            return Self::truncated_response(&id);
+            return Self::truncated_response(id);
         }
-        let response = build_response(StatusCode::OK, &id, Bytes::from(format!("answer to {id}")));
-        self.add_drain_notice(checker, &id, response)
+        let response = build_response(StatusCode::OK, id, Bytes::from(format!("answer to {id}")));
+        self.add_drain_notice(checker, id, response)
     }
 
     /// Adds the drain notice to a response, in [`TargetMode::SaysLeaving`].
@@ -274,6 +300,9 @@
         let request: Value = serde_json::from_slice(body).unwrap_or_default();
         let text = |name: &str| request[name].as_str().unwrap_or_default().to_owned();
         let (request_id, engine_address) = (text("id"), text("target"));
+        context
+            .checker
+            .record_engine_call(&request_id, &self.instance_id);
         tokio::time::sleep(KV_COPY_TIME).await;
         if !context
             .generations
--- a/crates/mimosagap-soak/tests/soak.rs
+++ b/crates/mimosagap-soak/tests/soak.rs
@@ -4,7 +4,7 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
-use mimosagap_soak::plan::{Fault, FaultPlan, FaultStep, FleetLink, TARGET_COUNT};
+use mimosagap_soak::plan::{Fault, FaultPlan, FaultStep, FleetLink, GATEWAY_COUNT, TARGET_COUNT};
 use mimosagap_soak::run::{RunOptions, RunOutcome, run_soak};
 use mimosagap_soak::standins::target::TargetMode;
 use mimosagap_standins::proxy::LinkMode;
@@ -62,6 +62,7 @@
                 fault: Fault::TakeTarget(target, notice),
             })
             .collect(),
+        gateway_count: GATEWAY_COUNT,
     };
     let outcome = run_clean(plan, 22_600);
     assert!(outcome.live_migrations > 0, "no stream was migrated");
@@ -103,6 +104,7 @@
         seed: 901,
         length: LENGTH,
         steps: steps.collect(),
+        gateway_count: GATEWAY_COUNT,
     };
     run_clean(plan, 22_800);
 }
@@ -115,6 +117,7 @@
         seed: 902,
         length: LENGTH,
         steps: each_target_in_turn(Fault::SaysLeaving),
+        gateway_count: GATEWAY_COUNT,
     };
     run_clean(plan, 22_900);
 }
@@ -130,10 +133,30 @@
         steps: each_target_in_turn(|target| {
             Fault::Target(target, TargetMode::Pauses, REJECTION_TIME)
         }),
+        gateway_count: GATEWAY_COUNT,
     };
     run_clean(plan, 23_000);
 }
 
+/// A target of each service names the requests per second that it accepts from all gateways
+/// together. Each gateway hears it in responses to requests of its own, and other targets have room
+/// for the rest.
+#[test]
+fn the_fleet_exceeds_the_rate_limit_that_a_target_names() {
+    const LIMITED_TIME: Duration = Duration::from_secs(14);
+    let limit = |target, millirequests| FaultStep {
+        at: Duration::from_millis(500),
+        fault: Fault::Target(target, TargetMode::LimitsRate(millirequests), LIMITED_TIME),
+    };
+    let plan = FaultPlan {
+        seed: 904,
+        length: LIMITED_TIME,
+        steps: vec![limit(0, 3700), limit(TARGET_COUNT / 2, 2000)],
+        gateway_count: 6,
+    };
+    run_clean(plan, 23_100);
+}
+
 /// Runs a plan, and asserts that no guarantee was violated and that more than 100 requests
 /// succeeded. The logs are kept after a failure.
 fn run_clean(plan: FaultPlan, base_port: u16) -> RunOutcome {
