--- a/crates/mimosagap-explain/src/cause.rs
+++ b/crates/mimosagap-explain/src/cause.rs
@@ -114,6 +114,9 @@
         RefusalReason::BodyTooLong => "the body is longer than the configured limit",
         RefusalReason::NoTarget => "the service had no usable target",
         RefusalReason::Overload => "the targets were full for longer than the request can wait",
+        RefusalReason::RateLimited => {
+            "the targets name rate limits for all hosts together, which left no room for it"
+        }
         RefusalReason::TargetsRejected => {
             "every target that was tried rejected it without executing it"
         }
@@ -149,6 +152,10 @@
             "check `mimosagap_in_flight` and the load in `sent` lines; add targets or send fewer \
              requests"
         }
+        RefusalReason::RateLimited => {
+            "check the `rate_permit` lines of the request and the `target_rate_limit` lines: a \
+             target in need names how many requests a second it accepts"
+        }
         RefusalReason::TargetsRejected => {
             "check the `attempt_failed` lines: a target that rejects every request is faulty"
         }
--- a/crates/mimosagap-gateway/src/calls.rs
+++ b/crates/mimosagap-gateway/src/calls.rs
@@ -31,6 +31,14 @@
 /// this fraction of the route's latency objective. The slowest calls of a healthy target take less.
 const HEDGE_DELAY_FRACTION: f64 = 0.75;
 
+/// A call waits at most this fraction of the route's latency objective for the rate limit of a
+/// target; the rest is for the response.
+const PERMIT_WAIT_FRACTION: f64 = 0.5;
+
+/// A call waits at most this long for the rate limit of a target if another target has none: about
+/// the time that a target in another region takes longer.
+const MAX_WAIT_WITH_ALTERNATIVE: Duration = Duration::from_millis(50);
+
 /// Limit on the sends of one request, including those that a target rejected.
 const MAX_SENDS: u32 = 4;
 
@@ -60,9 +68,23 @@
     executions: u32,
     was_rejected: bool,
     was_aborted: bool,
+    /// Attempts that were not sent because of the rate limit of their target.
+    rate_limited_attempts: u32,
     error_response: Option<(TargetKey, BufferedResponse)>,
 }
 
+impl CallProgress {
+    /// Takes back what was counted for an attempt that was not sent.
+    fn undo_send(&mut self, gateway: &SharedGateway, request: &RoutedRequest) {
+        self.rate_limited_attempts += 1;
+        self.executions -= 1;
+        self.sends -= 1;
+        if self.sends > 0 {
+            gateway.refund_retry(&request.service);
+        }
+    }
+}
+
 /// Sends a call to targets until one responds, and returns the response for the caller.
 pub async fn handle_call(
     gateway: &SharedGateway,
@@ -74,6 +96,7 @@
         executions: 0,
         was_rejected: false,
         was_aborted: false,
+        rate_limited_attempts: 0,
         error_response: None,
     };
     let mut running: Vec<RunningAttempt<'_>> = Vec::new();
@@ -111,6 +134,10 @@
                         progress.was_rejected = true;
                         true
                     }
+                    Err(ExchangeError::RateLimited) => {
+                        progress.undo_send(gateway, request);
+                        true
+                    }
                     Err(ExchangeError::Aborted | ExchangeError::LimitExceeded) => {
                         progress.was_aborted = true;
                         is_idempotent
@@ -155,7 +182,9 @@
         return;
     };
     if progress.sends == 0 {
-        gateway.count_request(&request.service);
+        if progress.rate_limited_attempts == 0 {
+            gateway.count_request(&request.service);
+        }
     } else if !gateway.try_spend_retry(&request.service) {
         return;
     }
@@ -163,15 +192,43 @@
     progress.sends += 1;
     progress.executions += 1;
     let attempt = progress.sends;
+    let max_permit_wait = max_permit_wait(gateway, request, &progress.tried);
     running.push(RunningAttempt {
         target,
         future: Box::pin(async move {
-            let result = run_attempt(gateway, request, target, attempt).await;
+            let result = run_attempt(gateway, request, target, attempt, max_permit_wait).await;
             AttemptResult { target, result }
         }),
     });
 }
 
+/// How long a call can wait for the rate limit of the target that was chosen last.
+fn max_permit_wait(
+    gateway: &SharedGateway,
+    request: &RoutedRequest,
+    tried: &[TargetKey],
+) -> Duration {
+    let now = gateway.now();
+    let waited = now.saturating_sub(request.arrived_at);
+    let objective = request.route.latency_objective;
+    let max_wait = objective
+        .mul_f64(PERMIT_WAIT_FRACTION)
+        .saturating_sub(waited);
+    let has_alternative = gateway.with_state(|state| {
+        let mut others = state.targets.of_service(&request.service);
+        others.any(|(key, target)| {
+            !tried.contains(&key)
+                && target.is_available(now)
+                && target.rate.per_second(now).is_none()
+        })
+    });
+    if has_alternative {
+        max_wait.min(MAX_WAIT_WITH_ALTERNATIVE)
+    } else {
+        max_wait
+    }
+}
+
 /// Records `outcome` for targets that have not responded when their request ends without them.
 ///
 /// Some targets accept requests and never respond to part of them. Judged by its responses alone,
@@ -205,11 +262,13 @@
     request: &RoutedRequest,
     target: TargetKey,
     attempt: u32,
+    max_permit_wait: Duration,
 ) -> Result<BufferedResponse, ExchangeError> {
     let started_at = gateway.now();
     let reservation = LoadReservation::for_call(gateway, target);
     let options = SendOptions {
         attempt,
+        max_permit_wait,
         ..SendOptions::default()
     };
     let exchange = send_request(gateway, request, target, options).await?;
@@ -247,6 +306,8 @@
     }
     let reason = if progress.was_aborted {
         RefusalReason::TargetAborted
+    } else if progress.rate_limited_attempts > 0 || gateway.is_held_back(&request.service) {
+        RefusalReason::RateLimited
     } else if progress.was_rejected {
         RefusalReason::TargetsRejected
     } else {
--- a/crates/mimosagap-gateway/src/exchange.rs
+++ b/crates/mimosagap-gateway/src/exchange.rs
@@ -13,6 +13,7 @@
     ResponseKind, classify_response, closes_connection, keep_alive_timeout,
 };
 use mimosagap_platform::request::{Continuation, ForwardParams, target_headers};
+use mimosagap_routing::rate_keeper::PermitClass;
 use mimosagap_routing::targets::{TargetEntry, TargetKey, TargetOutcome};
 
 use crate::body_reader::BodyError;
@@ -20,6 +21,7 @@
 use crate::crash_probe;
 use crate::load_reservation::record_outcome;
 use crate::log::LogEvent;
+use crate::rate_permits::{PermitOptions, acquire_permit};
 use crate::request::RoutedRequest;
 use crate::state::{Gateway, SharedGateway, millis};
 use crate::target_notices;
@@ -46,6 +48,8 @@
     Rejected,
     /// Nothing was sent because the target requested a backoff.
     InBackoff,
+    /// Nothing was sent because of the rate limit that the target names.
+    RateLimited,
     /// The connection failed or delivered something other than a response to this request, which
     /// may have been executed.
     Aborted,
@@ -60,6 +64,7 @@
             Self::Unreachable => "unreachable",
             Self::Rejected => "not_run",
             Self::InBackoff => "held_back",
+            Self::RateLimited => "rate_limited",
             Self::Aborted => "broken",
             Self::LimitExceeded => "endless",
         }
@@ -82,6 +87,8 @@
     pub attempt: u32,
     /// Where a stream resumes; `None` for a request from its start.
     pub continuation: Option<&'a Continuation>,
+    /// How long the request can wait for the rate limit of its target.
+    pub max_permit_wait: Duration,
 }
 
 /// Sends a request to a target and waits for the response head; a failure is logged and counted.
@@ -126,7 +133,7 @@
         ExchangeError::Rejected => Some(TargetOutcome::Rejected),
         ExchangeError::Aborted => Some(TargetOutcome::Failed),
         ExchangeError::LimitExceeded => Some(TargetOutcome::LimitExceeded),
-        ExchangeError::InBackoff => None,
+        ExchangeError::InBackoff | ExchangeError::RateLimited => None,
     };
     if let Some(outcome) = outcome {
         record_outcome(gateway, key, outcome);
@@ -151,6 +158,23 @@
     if !may_send {
         return Err(ExchangeError::InBackoff);
     }
+    let class = match options {
+        SendOptions {
+            continuation: Some(_),
+            ..
+        } => PermitClass::Continuation,
+        SendOptions { attempt: 0 | 1, .. } => PermitClass::First(request.priority()),
+        SendOptions { .. } => PermitClass::Spare,
+    };
+    let permit_options = PermitOptions {
+        id: &request.head.attempt_id,
+        class,
+        max_wait: options.max_permit_wait,
+    };
+    acquire_permit(gateway, key, permit_options)
+        .await
+        .map_err(|_| ExchangeError::RateLimited)?;
+    let asked_at = gateway.now();
     log_attempt(gateway, request, key, &entry, options.attempt);
     let must_be_fresh = !request.route.kind.is_idempotent();
     loop {
@@ -165,7 +189,7 @@
                     body,
                     connection,
                 };
-                return check_response(gateway, request, key, exchange, is_first_use);
+                return check_response(gateway, request, key, exchange, is_first_use, asked_at);
             }
             // The target closed an idle connection, so the next one is tried.
             Err(SendError::NotSent) if !is_first_use => {}
@@ -271,13 +295,14 @@
     key: TargetKey,
     exchange: Exchange,
     is_first_use: bool,
+    asked_at: Duration,
 ) -> Result<Exchange, ExchangeError> {
     let Parts {
         status, headers, ..
     } = &exchange.head;
     let kind = classify_response(*status, headers, &request.head.attempt_id, is_first_use);
     if kind != ResponseKind::Foreign {
-        target_notices::observe_head(gateway, key, *status, headers);
+        target_notices::observe_head(gateway, key, *status, headers, asked_at);
     }
     match kind {
         ResponseKind::Executed => Ok(exchange),
--- a/crates/mimosagap-gateway/src/handover.rs
+++ b/crates/mimosagap-gateway/src/handover.rs
@@ -22,6 +22,9 @@
 /// full needs part of that time before it resumes.
 const RESUME_TIMEOUT_FACTOR: f64 = 3.5;
 
+/// Limit on the wait of a resumed generation for the rate limit of its next engine.
+const MAX_RESUME_WAIT: Duration = Duration::from_millis(500);
+
 /// How long two engines may work on one generation. The platform allows 400 ms in all, of which the
 /// transmission of the request and of the close takes up to 60 ms.
 pub const MAX_OVERLAP: Duration = Duration::from_millis(250);
@@ -67,6 +70,7 @@
     let options = SendOptions {
         attempt: job.attempt,
         continuation: Some(&continuation),
+        max_permit_wait: MAX_RESUME_WAIT,
     };
     let resume = async {
         let exchange = send_request(gateway, &job.request, reservation.target, options).await;
--- a/crates/mimosagap-gateway/src/lib.rs
+++ b/crates/mimosagap-gateway/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod mirror;
 mod peers;
 mod pool;
+mod rate_permits;
 mod remote_placement;
 mod request;
 mod response;
--- a/crates/mimosagap-gateway/src/log.rs
+++ b/crates/mimosagap-gateway/src/log.rs
@@ -169,6 +169,25 @@
         /// Requests that were already in the queue.
         ahead: usize,
     },
+    /// A request asked for a permit of a target that names a rate limit.
+    RatePermit {
+        /// Attempt id; empty for a call that belongs to no request.
+        id: &'a str,
+        /// Instance name of the target.
+        target: &'a str,
+        /// Outcome of the ask.
+        result: &'a str,
+        /// Name of the host that decided; empty if none was asked.
+        keeper: &'a str,
+        /// Requests per second that all hosts together may send.
+        per_second: Option<f64>,
+        /// Milliseconds since this host learned of the limit.
+        named_ms: Option<u64>,
+        /// Milliseconds that the request waited for its slot.
+        wait_ms: u64,
+        /// Milliseconds until this host may ask again.
+        ask_in_ms: u64,
+    },
     /// An attempt brought no response.
     AttemptFailed {
         /// Attempt id, set by the caller anew for each retry.
@@ -346,13 +365,14 @@
             | Self::TargetRateLimit { .. } => (7, "target"),
             Self::EntryUnreadable { .. } | Self::ConfigUnreadable { .. } => (8, "unreadable"),
             Self::Trouble { .. } => (9, "trouble"),
-            _ => (10, "state"),
+            Self::RatePermit { .. } => (10, "rate_permit"),
+            _ => (11, "state"),
         }
     }
 }
 
 /// Number of kinds that [`LogEvent::kind`] distinguishes.
-const KIND_COUNT: usize = 11;
+const KIND_COUNT: usize = 12;
 
 #[derive(Serialize)]
 struct LogLine<'a> {
--- a/crates/mimosagap-gateway/src/metrics.rs
+++ b/crates/mimosagap-gateway/src/metrics.rs
@@ -6,8 +6,8 @@
 use std::time::Duration;
 
 use prometheus::{
-    Encoder, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry,
-    TextEncoder,
+    Encoder, GaugeVec, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, IntGaugeVec, Opts,
+    Registry, TextEncoder,
 };
 
 /// Upper bounds of the latency buckets, in seconds.
@@ -70,6 +70,53 @@
     Ok(counters)
 }
 
+/// Metrics of the rate limits that targets name.
+#[derive(Clone)]
+pub struct RateMetrics {
+    changes: IntCounterVec,
+    limits: GaugeVec,
+    /// Asks for permits of targets that name a limit, by result.
+    pub permits: IntCounterVec,
+}
+
+impl RateMetrics {
+    fn new(registry: &Registry) -> Result<Self, prometheus::Error> {
+        let limits = GaugeVec::new(
+            Opts::new(
+                "mimosagap_target_rate_limit",
+                "Requests per second that a target accepts from all hosts",
+            ),
+            &["target"],
+        )?;
+        registry.register(Box::new(limits.clone()))?;
+        Ok(Self {
+            changes: register_counters(
+                registry,
+                "mimosagap_target_rate_limit_changes_total",
+                "Changes of the rate limits of targets",
+                &["source"],
+            )?,
+            limits,
+            permits: register_counters(
+                registry,
+                "mimosagap_rate_permits_total",
+                "Asks for permits of targets that name a rate limit",
+                &["result"],
+            )?,
+        })
+    }
+
+    /// Records the rate limit of a target, or its end. Only limits in force have a series.
+    pub fn observe_limit(&self, target: &str, source: &str, per_second: Option<f64>) {
+        self.changes.with_label_values(&[source]).inc();
+        match per_second {
+            Some(rate) => self.limits.with_label_values(&[target]).set(rate),
+            // Fails only if the limit was never recorded.
+            None => drop(self.limits.remove_label_values(&[target])),
+        }
+    }
+}
+
 /// All metrics of the gateway. [`LabelLimit`] bounds the number of series.
 #[derive(Clone)]
 pub struct GatewayMetrics {
@@ -93,8 +140,8 @@
     pub store_calls: IntCounterVec,
     /// Connections opened to targets, by result.
     pub target_connections: IntCounterVec,
-    /// Changes of the rate limits that targets name, by how this host learned of them.
-    pub rate_limit_changes: IntCounterVec,
+    /// Rate limits of targets, and the permits for them.
+    pub rate_limits: RateMetrics,
     /// Requests in flight.
     pub in_flight: IntGauge,
     /// Open connections of callers.
@@ -140,11 +187,7 @@
             "Connections opened to targets",
             &["result"],
         )?;
-        let rate_limit_changes = register_counters(
-            "mimosagap_target_rate_limit_changes_total",
-            "Changes of the rate limits of targets",
-            &["source"],
-        )?;
+        let rate_limits = RateMetrics::new(&registry)?;
         let in_flight = register_gauge("mimosagap_in_flight", "Requests in flight")?;
         let config_version = register_gauge("mimosagap_config_version", "Configuration in force")?;
         let known_members =
@@ -204,7 +247,7 @@
             migration_steps,
             store_calls,
             target_connections,
-            rate_limit_changes,
+            rate_limits,
             in_flight,
             caller_connections,
             config_version,
--- a/crates/mimosagap-gateway/src/peers.rs
+++ b/crates/mimosagap-gateway/src/peers.rs
@@ -15,6 +15,7 @@
 use tokio::net::UdpSocket;
 
 use crate::log::LogEvent;
+use crate::rate_permits::{self, PermitRequest, PermitResponse};
 use crate::remote_placement::{self, PlacementRequest, PlacementResponse};
 use crate::state::SharedGateway;
 use crate::target_notices::{self, TargetNotice};
@@ -52,6 +53,10 @@
     PlacementResponse(PlacementResponse),
     /// Notices that targets gave in their responses.
     TargetNotices(Vec<TargetNotice>),
+    /// A host asks the keeper of a target for a permit to send a request.
+    PermitRequest(PermitRequest),
+    /// Response of a keeper.
+    PermitResponse(PermitResponse),
 }
 
 impl PeerMessage {
@@ -99,6 +104,16 @@
                     target_notices::apply_notice(&gateway, notice);
                 }
             }
+            Some(PeerMessage::PermitRequest(request)) => {
+                let response = rate_permits::handle_request(&gateway, &request);
+                if let Some(bytes) = PeerMessage::PermitResponse(response).encode() {
+                    // A host without a response asks again.
+                    let _ = socket.send_to(&bytes, sender).await;
+                }
+            }
+            Some(PeerMessage::PermitResponse(response)) => {
+                gateway.permit_client.complete(&response);
+            }
             None => {}
         }
     }
@@ -143,7 +158,9 @@
 async fn send_notices(gateway: &SharedGateway, socket: &UdpSocket, notices: Vec<TargetNotice>) {
     let own_host = &gateway.settings.host;
     for chunk in notices.chunks(MAX_NOTICES_PER_DATAGRAM) {
-        let Some(bytes) = PeerMessage::TargetNotices(chunk.to_vec()).encode() else {
+        let now = gateway.now();
+        let chunk = chunk.iter().map(|notice| notice.to_ages(now)).collect();
+        let Some(bytes) = PeerMessage::TargetNotices(chunk).encode() else {
             return;
         };
         let peers: Vec<SocketAddr> = gateway.with_state(|state| {
--- /dev/null
+++ b/crates/mimosagap-gateway/src/rate_permits.rs
@@ -0,0 +1,440 @@
+//! Permits to send requests to targets that name a rate limit for all hosts together.
+//!
+//! A host that wants to send a request to such a target asks the keeper of the target over UDP, and
+//! sends nothing without a permit. This module holds the client and the handler that runs on
+//! keepers and deputies; the decisions are in `mimosagap_routing::rate_keeper` and
+//! `mimosagap_routing::keeper_selection`. Each ask carries what the target last said to the host,
+//! so that a keeper decides by the newest limit that any asking host has heard.
+
+use std::cell::{Cell, RefCell};
+use std::collections::{HashMap, VecDeque};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use mimosagap_routing::keeper_selection::{KeeperSelector, rate_fraction};
+use mimosagap_routing::rate_keeper::{PermitAsk, PermitClass, PermitDecision, RateKeeper};
+use mimosagap_routing::rate_limit::{RateChange, RateStatement};
+use mimosagap_routing::retry_budget::RetryBudget;
+use mimosagap_routing::targets::TargetKey;
+use rand::Rng;
+use serde::{Deserialize, Serialize};
+use tokio::sync::oneshot;
+use tokio::time::timeout;
+
+use crate::exchange::sleep_unless_zero;
+use crate::log::LogEvent;
+use crate::peers::PeerMessage;
+use crate::state::{Gateway, GatewayState, SharedGateway, millis};
+use crate::target_notices;
+
+/// Time for a response of a keeper in the host's own region, and in another one. A small host may
+/// be without processor time for a tenth of a second.
+const RESPONSE_TIMEOUT: (Duration, Duration) =
+    (Duration::from_millis(60), Duration::from_millis(160));
+
+/// Number of times that an ask is sent before it counts as failed. Datagrams get lost.
+const MAX_ASKS: u32 = 2;
+
+/// Time for which a target is not used after an ask for it failed.
+const FAILURE_HOLD: Duration = Duration::from_millis(100);
+
+/// A permit is void this long after the start of its slot. A host that was suspended meanwhile must
+/// not use it.
+const PERMIT_TTL: Duration = Duration::from_millis(250);
+
+/// Largest random change of the time after which a host asks again, as a fraction, so that hosts
+/// that were denied together do not ask together.
+const HOLD_JITTER: f64 = 0.25;
+
+/// Responses that are kept for asks that arrive twice.
+const MAX_RECENT_RESPONSES: usize = 256;
+
+/// Asks the keeper of a target for a permit.
+#[derive(Debug, Clone)]
+#[derive(Serialize, Deserialize)]
+pub struct PermitRequest {
+    id: u64,
+    instance: String,
+    started_unix_ms: u64,
+    /// What the target last said to the host that asks, with ages instead of times.
+    statement: RateStatement,
+    ask: PermitAsk,
+}
+
+/// The response to a [`PermitRequest`].
+#[derive(Debug, Clone)]
+#[derive(Serialize, Deserialize)]
+pub struct PermitResponse {
+    id: u64,
+    answer: PermitAnswer,
+}
+
+#[derive(Debug, Clone, Copy)]
+#[derive(Serialize, Deserialize)]
+enum PermitAnswer {
+    /// The host decided by the limit that it knows.
+    Decided(PermitDecision),
+    /// The target names no limit any more; the statement has ages instead of times.
+    Unlimited(RateStatement),
+    /// The host does not know the target, or is about to stop.
+    Unable,
+}
+
+/// Why a request may not be sent now.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum PermitError {
+    /// An earlier ask was denied, and the time to ask again has not come.
+    Held,
+    /// The keeper has no slot in time.
+    Denied,
+    /// Neither the keeper nor a deputy responds.
+    NoKeeper,
+    /// The slot passed before the request could be sent.
+    Expired,
+}
+
+impl PermitError {
+    /// Stable name for logs and metrics.
+    #[must_use]
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Held => "held",
+            Self::Denied => "denied",
+            Self::NoKeeper => "no_keeper",
+            Self::Expired => "expired",
+        }
+    }
+}
+
+/// Sends asks, matches responses to them, and keeps the responses of this host.
+pub struct PermitClient {
+    next_id: Cell<u64>,
+    pending: RefCell<HashMap<u64, oneshot::Sender<PermitAnswer>>>,
+    selector: RefCell<KeeperSelector>,
+    /// Responses of this host to others, by the hash of the host that asked and the id.
+    recent_responses: RefCell<VecDeque<((u64, u64), PermitResponse)>>,
+}
+
+impl Default for PermitClient {
+    fn default() -> Self {
+        Self {
+            // A restarted process must not repeat the ids of the one before.
+            next_id: Cell::new(rand::rng().random()),
+            pending: RefCell::default(),
+            selector: RefCell::default(),
+            recent_responses: RefCell::default(),
+        }
+    }
+}
+
+impl PermitClient {
+    /// Passes a response to the ask that waits for it.
+    pub fn complete(&self, response: &PermitResponse) {
+        if let Some(sender) = self.pending.borrow_mut().remove(&response.id) {
+            // The receiver is gone if the ask has timed out.
+            let _ = sender.send(response.answer);
+        }
+    }
+
+    fn new_id(&self) -> u64 {
+        let id = self.next_id.get();
+        self.next_id.set(id.wrapping_add(1));
+        id
+    }
+}
+
+/// What a request asks for.
+#[derive(Debug, Clone, Copy)]
+pub struct PermitOptions<'a> {
+    /// Attempt id, for the log; empty for calls that belong to no request.
+    pub id: &'a str,
+    /// Why the request is sent.
+    pub class: PermitClass,
+    /// How long it can wait for its slot.
+    pub max_wait: Duration,
+}
+
+/// Waits until a request may be sent to a target. Returns at once if the target names no limit.
+pub async fn acquire_permit(
+    gateway: &SharedGateway,
+    key: TargetKey,
+    options: PermitOptions<'_>,
+) -> Result<(), PermitError> {
+    let now = gateway.now();
+    let limit = gateway.with_state(|state| {
+        let target = state.targets.get(key)?;
+        target.rate.per_second(now)?;
+        Some(target.rate.hold_time(now))
+    });
+    let Some(hold) = limit else {
+        return Ok(());
+    };
+    let (keeper, result) = match options.max_wait.checked_sub(hold) {
+        Some(max_wait) => {
+            sleep_unless_zero(hold).await;
+            ask_keeper(
+                gateway,
+                key,
+                PermitOptions {
+                    max_wait,
+                    ..options
+                },
+            )
+            .await
+        }
+        // What goes on at a target is worth an ask whatever happened to new requests.
+        None if options.class == PermitClass::Continuation => {
+            ask_keeper(gateway, key, options).await
+        }
+        None => (String::new(), Err(PermitError::Held)),
+    };
+    let result = match result {
+        Ok(wait) => await_slot(gateway, wait).await.map(|()| wait),
+        Err(error) => Err(error),
+    };
+    log_permit(gateway, key, options.id, &keeper, result);
+    result.map(|_| ())
+}
+
+/// Waits for the start of a slot, and checks that this host was not suspended beyond its end.
+async fn await_slot(gateway: &Gateway, wait: Duration) -> Result<(), PermitError> {
+    let slot = gateway.now() + wait;
+    sleep_unless_zero(wait).await;
+    if gateway.now() < slot + PERMIT_TTL {
+        Ok(())
+    } else {
+        Err(PermitError::Expired)
+    }
+}
+
+/// Asks the keeper, or this host if it is the one. Returns its name and the time until the slot.
+async fn ask_keeper(
+    gateway: &SharedGateway,
+    key: TargetKey,
+    options: PermitOptions<'_>,
+) -> (String, Result<Duration, PermitError>) {
+    let client = &gateway.permit_client;
+    let settings = &gateway.settings;
+    let now = gateway.now();
+    let id = client.new_id();
+    let prepared = gateway.with_state(|state| {
+        let region = state.targets.region_of(key);
+        let selector = client.selector.borrow();
+        let (name, record) = selector.select(&state.hosts, region, now)?;
+        let target = state.targets.get(key)?;
+        let budget = state.retry_budgets.get(&target.entry.service);
+        let bounds = gateway.retry_bounds();
+        let demand = budget.map_or(0.0, |budget: &RetryBudget| budget.request_rate(&bounds));
+        let request = PermitRequest {
+            id,
+            instance: target.entry.instance.clone(),
+            started_unix_ms: target.entry.started_unix_ms,
+            statement: target.rate.newest()?,
+            ask: PermitAsk {
+                host_hash: gateway.host_hash,
+                class: options.class,
+                max_wait: options.max_wait,
+                demand,
+            },
+        };
+        let response_timeout = if record.region == settings.region {
+            RESPONSE_TIMEOUT.0
+        } else {
+            RESPONSE_TIMEOUT.1
+        };
+        Some((
+            name.to_owned(),
+            record.peer_address,
+            response_timeout,
+            request,
+        ))
+    });
+    let Some((name, address, response_timeout, request)) = prepared else {
+        return (String::new(), Err(PermitError::NoKeeper));
+    };
+    let answer = if name == settings.host {
+        Some(decide(gateway, &request))
+    } else {
+        request_permit(gateway, address, response_timeout, &request).await
+    };
+    let result = apply_answer(gateway, key, &name, answer);
+    (name, result)
+}
+
+async fn request_permit(
+    gateway: &SharedGateway,
+    address: SocketAddr,
+    response_timeout: Duration,
+    request: &PermitRequest,
+) -> Option<PermitAnswer> {
+    let client = &gateway.permit_client;
+    let socket = gateway.placer_rpc.socket()?;
+    let (sender, mut receiver) = oneshot::channel();
+    client.pending.borrow_mut().insert(request.id, sender);
+    let mut answer = None;
+    for _ in 0..MAX_ASKS {
+        let message = PermitRequest {
+            statement: request.statement.to_ages(gateway.now()),
+            ..request.clone()
+        };
+        let bytes = PeerMessage::PermitRequest(message).encode()?;
+        // A datagram that cannot be sent counts as lost.
+        let _ = socket.send_to(&bytes, address).await;
+        if let Ok(received) = timeout(response_timeout, &mut receiver).await {
+            answer = received.ok();
+            break;
+        }
+    }
+    client.pending.borrow_mut().remove(&request.id);
+    answer
+}
+
+/// Applies an answer to what this host knows of the target. Returns the time until the slot.
+fn apply_answer(
+    gateway: &SharedGateway,
+    key: TargetKey,
+    keeper: &str,
+    answer: Option<PermitAnswer>,
+) -> Result<Duration, PermitError> {
+    let now = gateway.now();
+    let mut selector = gateway.permit_client.selector.borrow_mut();
+    match answer {
+        None | Some(PermitAnswer::Unable) => selector.record_failure(keeper, now),
+        Some(_) => selector.record_response(keeper),
+    }
+    drop(selector);
+    match answer {
+        Some(PermitAnswer::Decided(PermitDecision::Granted(wait))) => Ok(wait),
+        Some(PermitAnswer::Decided(PermitDecision::Denied { ask_in, overload })) => {
+            hold(gateway, key, ask_in, overload);
+            Err(PermitError::Denied)
+        }
+        Some(PermitAnswer::Unlimited(statement)) => {
+            target_notices::record_statement(gateway, key, statement.from_ages(now), "host");
+            Ok(Duration::ZERO)
+        }
+        Some(PermitAnswer::Unable) | None => {
+            hold(gateway, key, FAILURE_HOLD, 1.0);
+            Err(PermitError::NoKeeper)
+        }
+    }
+}
+
+/// Bars a target until it is time to ask again, and wakes waiting requests then.
+fn hold(gateway: &SharedGateway, key: TargetKey, ask_in: Duration, overload: f64) {
+    let now = gateway.now();
+    let ask_in = gateway.with_state(|state| {
+        let GatewayState { targets, rng, .. } = state;
+        let jitter = rng.random_range(1.0 - HOLD_JITTER..1.0 + HOLD_JITTER);
+        let ask_in = ask_in.mul_f64(jitter);
+        if let Some(target) = targets.get_mut(key) {
+            target.rate.hold(ask_in, overload, now);
+        }
+        ask_in
+    });
+    let gateway = std::rc::Rc::clone(gateway);
+    tokio::task::spawn_local(async move {
+        tokio::time::sleep(ask_in).await;
+        gateway.capacity_freed.notify_waiters();
+    });
+}
+
+fn log_permit(
+    gateway: &Gateway,
+    key: TargetKey,
+    id: &str,
+    keeper: &str,
+    result: Result<Duration, PermitError>,
+) {
+    let now = gateway.now();
+    let name = result.err().map_or("granted", PermitError::name);
+    gateway
+        .metrics
+        .rate_limits
+        .permits
+        .with_label_values(&[name])
+        .inc();
+    let (per_second, named_for, ask_in) = gateway.with_state(|state| {
+        let rate = state.targets.get(key).map(|target| target.rate);
+        rate.map_or((None, None, Duration::ZERO), |rate| {
+            (
+                rate.per_second(now),
+                rate.named_for(now),
+                rate.hold_time(now),
+            )
+        })
+    });
+    gateway.log.event(&LogEvent::RatePermit {
+        id,
+        target: &gateway.instance(key),
+        result: name,
+        keeper,
+        per_second,
+        named_ms: named_for.map(millis),
+        wait_ms: result.map_or(0, millis),
+        ask_in_ms: millis(ask_in),
+    });
+}
+
+/// Responds to the ask of another host. An ask that arrives twice gets the same response.
+pub fn handle_request(gateway: &SharedGateway, request: &PermitRequest) -> PermitResponse {
+    let now = gateway.now();
+    let cache_key = (request.ask.host_hash, request.id);
+    let mut recent = gateway.permit_client.recent_responses.borrow_mut();
+    if let Some((_, response)) = recent.iter().rev().find(|(key, _)| *key == cache_key) {
+        return response.clone();
+    }
+    drop(recent);
+    let request = PermitRequest {
+        statement: request.statement.from_ages(now),
+        ..request.clone()
+    };
+    let response = PermitResponse {
+        id: request.id,
+        answer: decide(gateway, &request),
+    };
+    recent = gateway.permit_client.recent_responses.borrow_mut();
+    recent.push_back((cache_key, response.clone()));
+    while recent.len() > MAX_RECENT_RESPONSES {
+        recent.pop_front();
+    }
+    response
+}
+
+/// Decides as keeper or deputy on an ask whose statement has times of this host.
+fn decide(gateway: &SharedGateway, request: &PermitRequest) -> PermitAnswer {
+    let now = gateway.now();
+    let key = gateway.with_state(|state| {
+        let key = state.targets.find_instance(&request.instance)?;
+        let entry = &state.targets.get(key)?.entry;
+        (entry.started_unix_ms == request.started_unix_ms).then_some(key)
+    });
+    let Some(key) = key.filter(|_| !gateway.is_stopping()) else {
+        return PermitAnswer::Unable;
+    };
+    target_notices::record_statement(gateway, key, request.statement, "host");
+    gateway.with_state(|state| {
+        let proof_age = state.config.contact_age(now);
+        let region = state.targets.region_of(key);
+        let fraction = rate_fraction(&state.hosts, region, &gateway.settings.host, proof_age);
+        let Some(target) = state.targets.get_mut(key) else {
+            return PermitAnswer::Unable;
+        };
+        let Some(rate) = target.rate.per_second(now) else {
+            return target.rate.newest().map_or(PermitAnswer::Unable, |newest| {
+                PermitAnswer::Unlimited(newest.to_ages(now))
+            });
+        };
+        let rate = rate * fraction;
+        let keeper = target
+            .keeper
+            .get_or_insert_with(|| Box::new(RateKeeper::new(rate, now)));
+        PermitAnswer::Decided(keeper.decide(&request.ask, rate, now))
+    })
+}
+
+/// Whether a statement changes what hosts without a response of the target have to know.
+#[must_use]
+pub fn is_worth_a_notice(change: RateChange) -> bool {
+    matches!(change, RateChange::Started | RateChange::Ended)
+}
--- a/crates/mimosagap-gateway/src/remote_placement.rs
+++ b/crates/mimosagap-gateway/src/remote_placement.rs
@@ -86,6 +86,11 @@
         let _ = self.socket.set(socket);
     }
 
+    /// The socket for datagrams to other hosts; `None` before it is set.
+    pub fn socket(&self) -> Option<Rc<UdpSocket>> {
+        self.socket.get().cloned()
+    }
+
     /// Passes a response to the request that waits for it.
     pub fn complete(&self, response: PlacementResponse) {
         if let Some(sender) = self.pending.borrow_mut().remove(&response.id) {
--- a/crates/mimosagap-gateway/src/response.rs
+++ b/crates/mimosagap-gateway/src/response.rs
@@ -59,6 +59,10 @@
 /// the same moment.
 const RETRY_AFTER_JITTER: f64 = 0.5;
 
+/// Demand over rate beyond which callers return no later. Callers wait at most a third of the time
+/// that they have left.
+const MAX_RETRY_OVERLOAD: f64 = 8.0;
+
 /// Facts about a refused request that its log line and response need.
 #[derive(Debug, Clone, Copy)]
 pub struct RefusedRequest<'a> {
@@ -119,9 +123,8 @@
         gateway.with_state(|state| state.targets.time_until_available(service, now))
     });
     if let Some(delay) = reason.retry_after(available_in) {
-        let jitter =
-            gateway.with_state(|state| state.rng.random_range(1.0..1.0 + RETRY_AFTER_JITTER));
-        let seconds = format!("{:.2}", delay.as_secs_f64() * jitter);
+        let delay = spread_retry(gateway, request.service, reason, delay);
+        let seconds = format!("{:.2}", delay.as_secs_f64());
         if let Ok(value) = HeaderValue::from_str(&seconds) {
             headers.insert(header::RETRY_AFTER, value);
         }
@@ -129,6 +132,27 @@
     response
 }
 
+/// Draws the time after which one of many refused callers is to return. With rate limits in force
+/// they return over the longer a time the more of them there are for each request that is allowed.
+fn spread_retry(
+    gateway: &Gateway,
+    service: Option<&DeploymentName>,
+    reason: RefusalReason,
+    delay: Duration,
+) -> Duration {
+    let now = gateway.now();
+    gateway.with_state(|state| {
+        let overload = match (reason, service) {
+            (RefusalReason::RateLimited, Some(service)) => {
+                state.targets.rate_overload(service, now)
+            }
+            _ => 1.0,
+        };
+        let spread = RETRY_AFTER_JITTER * overload.min(MAX_RETRY_OVERLOAD);
+        delay.mul_f64(state.rng.random_range(1.0..1.0 + spread))
+    })
+}
+
 /// Builds the caller's response head from a target's, without hop-by-hop headers and without
 /// `Content-Length`, since the body is framed anew.
 pub fn forwarded_head(status: StatusCode, headers: &HeaderMap) -> Response<()> {
--- a/crates/mimosagap-gateway/src/standby.rs
+++ b/crates/mimosagap-gateway/src/standby.rs
@@ -15,12 +15,14 @@
 };
 use mimosagap_routing::migration;
 use mimosagap_routing::placement::GenerationDemand;
+use mimosagap_routing::rate_keeper::PermitClass;
 use mimosagap_routing::targets::{TargetEntry, TargetKey};
 use tokio::time::timeout;
 
 use crate::exchange::{acquire_connection, release_connection};
 use crate::load_reservation::LoadReservation;
 use crate::log::LogEvent;
+use crate::rate_permits::{PermitOptions, acquire_permit};
 use crate::request::RoutedRequest;
 use crate::state::{SharedGateway, millis};
 use crate::target_notices;
@@ -28,6 +30,9 @@
 /// Limit on the time of one copy. An engine that leaves is gone before a slower copy completes.
 const COPY_TIMEOUT: Duration = Duration::from_secs(4);
 
+/// Limit on the wait of a copy for the rate limit of the engine that runs the generation.
+const MAX_COPY_WAIT: Duration = Duration::from_millis(500);
+
 /// Limit on the body of an engine's response to a call.
 const MAX_RESPONSE_BYTES: usize = 64 << 10;
 
@@ -130,7 +135,13 @@
             Some((key, targets.get(key)?.entry.address))
         });
         if let Some((key, address)) = responsible {
-            let call = call_engine(&gateway, key, address, release_kv_copy(&copy.handle));
+            let options = PermitOptions {
+                id: "",
+                class: PermitClass::Spare,
+                max_wait: Duration::ZERO,
+            };
+            let call = release_kv_copy(&copy.handle);
+            let call = call_engine(&gateway, key, address, call, options);
             let _ = timeout(COPY_TIMEOUT, call).await;
         }
     });
@@ -174,7 +185,13 @@
     destination: SocketAddr,
 ) -> Option<KvCopyResponse> {
     let call = copy_kv_cache(&job.id, destination);
-    let response = timeout(COPY_TIMEOUT, call_engine(gateway, job.source, source, call));
+    let options = PermitOptions {
+        id: &job.id,
+        class: PermitClass::Continuation,
+        max_wait: MAX_COPY_WAIT,
+    };
+    let response = call_engine(gateway, job.source, source, call, options);
+    let response = timeout(COPY_TIMEOUT, response);
     match response.await {
         Ok(Ok((status, body))) => match decode_kv_copy(status, &body) {
             Ok(response) => Some(response),
@@ -204,7 +221,12 @@
     key: TargetKey,
     address: SocketAddr,
     call: EngineCall,
+    permit_options: PermitOptions<'_>,
 ) -> Result<(StatusCode, Bytes), String> {
+    acquire_permit(gateway, key, permit_options)
+        .await
+        .map_err(|error| format!("the rate limit of the engine: {}", error.name()))?;
+    let asked_at = gateway.now();
     let mut connection = acquire_connection(gateway, key, address, true)
         .await
         .map_err(|error| error.name().to_owned())?;
@@ -224,6 +246,7 @@
         .await
         .map_err(|error| error.to_string())?;
     target_notices::observe_leaving(gateway, key, &head.headers);
+    target_notices::observe_rate_limit(gateway, key, &head.headers, asked_at);
     release_connection(gateway, key, &head, connection);
     Ok((head.status, body))
 }
--- a/crates/mimosagap-gateway/src/state.rs
+++ b/crates/mimosagap-gateway/src/state.rs
@@ -27,6 +27,7 @@
 use crate::metrics::GatewayMetrics;
 use crate::mirror::StoreMirror;
 use crate::pool::ConnectionPool;
+use crate::rate_permits::PermitClient;
 use crate::remote_placement::PlacementClient;
 use crate::target_notices::NoticeQueue;
 
@@ -95,6 +96,8 @@
     pub target_notices: NoticeQueue,
     /// Client for placement requests to the placer of the region.
     pub placer_rpc: PlacementClient,
+    /// Client for permits of targets that name a rate limit, and what this host granted.
+    pub permit_client: PermitClient,
     /// Number of requests in flight.
     pub in_flight: Cell<u32>,
     state: RefCell<GatewayState>,
@@ -133,6 +136,7 @@
             pending_suspects: RefCell::default(),
             target_notices: NoticeQueue::default(),
             placer_rpc: PlacementClient::default(),
+            permit_client: PermitClient::default(),
             in_flight: Cell::new(0),
             state: RefCell::new(GatewayState {
                 config: ConfigState::new(bounds),
@@ -219,7 +223,23 @@
         is_allowed
     }
 
-    fn retry_bounds(&self) -> RetryBounds {
+    /// Whether the rate limit of a target keeps this host from using it for requests of a service.
+    pub fn is_held_back(&self, service: &DeploymentName) -> bool {
+        let now = self.now();
+        self.with_state(|state| state.targets.is_held_back(service, now))
+    }
+
+    /// Returns a retry to the budget of a service, because the request was not sent.
+    pub fn refund_retry(&self, service: &DeploymentName) {
+        self.with_state(|state| {
+            if let Some(budget) = state.retry_budgets.get_mut(service) {
+                budget.refund();
+            }
+        });
+    }
+
+    /// The operators' bounds on retries.
+    pub fn retry_bounds(&self) -> RetryBounds {
         let bounds = &self.settings.bounds;
         RetryBounds {
             ratio: bounds.retry_ratio,
--- a/crates/mimosagap-gateway/src/store_sync.rs
+++ b/crates/mimosagap-gateway/src/store_sync.rs
@@ -19,6 +19,7 @@
 use crate::log::LogEvent;
 use crate::state::{Gateway, STORE_UNREACHABLE, SharedGateway};
 use crate::store::{StoreClient, StoreError};
+use crate::target_notices;
 
 /// Prefix of all keys: one watch covers configuration, targets, hosts and suspects.
 const ALL_KEYS_PREFIX: &str = "";
@@ -299,7 +300,7 @@
         } else if let Some(instance) = entry::instance_from_key(&change.key) {
             apply_target(gateway, instance, change.value.as_deref());
         } else if let Some(name) = change.key.strip_prefix(HOSTS_PREFIX) {
-            apply_host(gateway, name, change.value.as_deref());
+            apply_host(gateway, name, change.value.as_deref(), change.revision);
         } else if let Some(record) = change.key.strip_prefix(SUSPECTS_PREFIX) {
             apply_suspect(gateway, record);
         }
@@ -412,15 +413,18 @@
     gateway.target_leaving.notify_waiters();
 }
 
-fn apply_host(gateway: &SharedGateway, name: &str, value: Option<&[u8]>) {
+fn apply_host(gateway: &SharedGateway, name: &str, value: Option<&[u8]>, revision: u64) {
     let record = value.and_then(|value| serde_json::from_slice::<HostRecord>(value).ok());
     let removed_at = removal_time(gateway, hosts::OUTAGE_GRACE);
     let listed = record.is_some();
     gateway.with_state(|state| match record {
-        Some(record) => state.hosts.upsert(name, record),
+        Some(record) => state.hosts.upsert(name, record, revision),
         None => state.hosts.mark_removed(name, removed_at),
     });
     gateway.log.event(&LogEvent::Host { name, listed });
+    if listed && name != gateway.settings.host {
+        target_notices::announce_rate_limits(gateway);
+    }
 }
 
 fn apply_suspect(gateway: &SharedGateway, record: &str) {
@@ -458,7 +462,7 @@
         remove_target(gateway, &instance);
     }
     for host in hosts {
-        apply_host(gateway, &host, None);
+        apply_host(gateway, &host, None, 0);
     }
 }
 
--- a/crates/mimosagap-gateway/src/streams.rs
+++ b/crates/mimosagap-gateway/src/streams.rs
@@ -123,6 +123,7 @@
     let mut sends = 0;
     let mut executions = 0;
     let mut was_aborted = false;
+    let mut is_counted = false;
     if let Some(time_left) = gateway.shutdown_time_left()
         && gateway.token_time(&request.service) * demand.expected_tokens + prefill_time(demand)
             > time_left.mul_f64(SHUTDOWN_TIME_FRACTION)
@@ -135,7 +136,9 @@
             Err(reason) => break reason,
         };
         if sends == 0 {
-            gateway.count_request(&request.service);
+            if !std::mem::replace(&mut is_counted, true) {
+                gateway.count_request(&request.service);
+            }
         } else if sends >= MAX_SENDS || !gateway.try_spend_retry(&request.service) {
             break RefusalReason::TargetsRejected;
         }
@@ -174,6 +177,17 @@
                     break RefusalReason::TargetAborted;
                 }
             }
+            Ok(Err(ExchangeError::RateLimited)) => {
+                sends -= 1;
+                if sends > 0 {
+                    gateway.refund_retry(&request.service);
+                }
+                if permit_wait(gateway, request).is_zero() {
+                    break RefusalReason::RateLimited;
+                }
+                // The target is held back until the next ask, and may be used then.
+                continue;
+            }
             Ok(Err(
                 ExchangeError::Rejected | ExchangeError::InBackoff | ExchangeError::Unreachable,
             )) => {}
@@ -189,6 +203,12 @@
     })
 }
 
+/// How long a generation can wait for the rate limit of an engine.
+fn permit_wait(gateway: &SharedGateway, request: &RoutedRequest) -> Duration {
+    let waited = gateway.now().saturating_sub(request.arrived_at);
+    max_queue_time(request.route.latency_objective).saturating_sub(waited)
+}
+
 /// Estimated time in which an idle engine reads the prompt.
 fn prefill_time(demand: GenerationDemand) -> Duration {
     Duration::from_micros(u64::from(demand.prompt_tokens) * PREFILL_MICROS_PER_TOKEN)
@@ -211,6 +231,7 @@
     let target = reservation.target;
     let options = SendOptions {
         attempt,
+        max_permit_wait: permit_wait(gateway, request),
         ..SendOptions::default()
     };
     let exchange = send_request(gateway, request, target, options).await?;
@@ -368,6 +389,7 @@
     tried: &[TargetKey],
 ) -> Result<Placement, RefusalReason> {
     let now = gateway.now();
+    let permit_wait = permit_wait(gateway, request);
     let max_jitter = gateway
         .with_state(|state| cost_jitter(state.hosts.count_in_region(&gateway.settings.region)));
     let must_queue = gateway.with_state(|state| {
@@ -387,9 +409,12 @@
         let running_requests: u32 = state
             .targets
             .of_service(&request.service)
-            .inspect(|(_, target)| has_available |= target.is_available(now))
+            .inspect(|(_, target)| has_available |= target.is_available_within(permit_wait, now))
             .map(|(_, target)| target.local_load.requests)
             .sum();
+        if !has_available && state.targets.is_held_back(&request.service, now) {
+            return Err(RefusalReason::RateLimited);
+        }
         if !has_available {
             return Err(RefusalReason::NoTarget);
         }
--- a/crates/mimosagap-gateway/src/target_notices.rs
+++ b/crates/mimosagap-gateway/src/target_notices.rs
@@ -7,10 +7,13 @@
 
 use http::{HeaderMap, StatusCode};
 use mimosagap_platform::engine::{is_leaving, named_rate_limit, retry_after_delay};
+use mimosagap_routing::keeper_selection::is_keeper;
+use mimosagap_routing::rate_limit::{RateChange, RateStatement};
 use mimosagap_routing::targets::TargetKey;
 use serde::{Deserialize, Serialize};
 
 use crate::log::LogEvent;
+use crate::rate_permits;
 use crate::state::{Gateway, millis};
 
 /// How often a notice is sent again after the first time, because datagrams get lost.
@@ -32,6 +35,23 @@
     Leaving,
     /// The target wants no requests for this long from the host that sends the notice.
     Backoff(Duration),
+    /// The target names a rate limit for all hosts, or names none any more. In a datagram, ages
+    /// stand for the times.
+    Rate(RateStatement),
+}
+
+impl TargetNotice {
+    /// The notice as it is sent, with ages instead of times.
+    pub fn to_ages(&self, now: Duration) -> Self {
+        let signal = match self.signal {
+            TargetSignal::Rate(statement) => TargetSignal::Rate(statement.to_ages(now)),
+            signal => signal,
+        };
+        Self {
+            signal,
+            ..self.clone()
+        }
+    }
 }
 
 /// Notices that are still to be sent to the other hosts.
@@ -42,8 +62,15 @@
 }
 
 impl NoticeQueue {
+    /// Adds a notice. One about a target's rate replaces an earlier one that was not sent yet.
     fn push(&self, notice: TargetNotice) {
-        self.unsent.borrow_mut().push(notice);
+        let mut unsent = self.unsent.borrow_mut();
+        if matches!(notice.signal, TargetSignal::Rate(_)) {
+            unsent.retain(|other| {
+                other.instance != notice.instance || !matches!(other.signal, TargetSignal::Rate(_))
+            });
+        }
+        unsent.push(notice);
     }
 
     /// Removes the notices that were not sent yet, and schedules them to be repeated.
@@ -66,14 +93,20 @@
     }
 }
 
-/// Reads a target's signals from its response head.
-pub fn observe_head(gateway: &Gateway, key: TargetKey, status: StatusCode, headers: &HeaderMap) {
+/// Reads a target's signals from the head of its response to a request sent at `asked_at`.
+pub fn observe_head(
+    gateway: &Gateway,
+    key: TargetKey,
+    status: StatusCode,
+    headers: &HeaderMap,
+    asked_at: Duration,
+) {
     // The response comes from another target at the same address.
     if status == StatusCode::MISDIRECTED_REQUEST {
         return;
     }
     observe_leaving(gateway, key, headers);
-    observe_rate_limit(gateway, key, headers);
+    observe_rate_limit(gateway, key, headers, asked_at);
     if let Some(retry_after) = retry_after_delay(status, headers) {
         let now = gateway.now();
         let is_new = gateway.with_state(|state| {
@@ -95,23 +128,24 @@
     }
 }
 
-/// Records the rate limit that a target names. A limit that cannot be read does not replace the one
-/// before.
-fn observe_rate_limit(gateway: &Gateway, key: TargetKey, headers: &HeaderMap) {
+/// Records the rate limit that a target names in the response to a request sent at `asked_at`. A
+/// limit that cannot be read does not replace the one before.
+pub fn observe_rate_limit(
+    gateway: &Gateway,
+    key: TargetKey,
+    headers: &HeaderMap,
+    asked_at: Duration,
+) {
     match named_rate_limit(headers) {
-        Ok(named_rate) => {
-            if gateway.with_state(|state| state.targets.record_named_rate(key, named_rate)) {
-                let source = "answer";
-                gateway
-                    .metrics
-                    .rate_limit_changes
-                    .with_label_values(&[source])
-                    .inc();
-                gateway.log.event(&LogEvent::TargetRateLimit {
-                    target: &gateway.instance(key),
-                    source,
-                    per_second: named_rate,
-                });
+        Ok(per_second) => {
+            let statement = RateStatement {
+                per_second,
+                asked_at,
+                heard_at: gateway.now(),
+            };
+            let change = record_statement(gateway, key, statement, "answer");
+            if rate_permits::is_worth_a_notice(change) {
+                queue_notice(gateway, key, TargetSignal::Rate(statement));
             }
         }
         Err(error) => gateway.log.event(&LogEvent::Trouble {
@@ -121,6 +155,52 @@
     }
 }
 
+/// Records what a target said of its rate limit, to this host or another one.
+pub fn record_statement(
+    gateway: &Gateway,
+    key: TargetKey,
+    statement: RateStatement,
+    source: &str,
+) -> RateChange {
+    let now = gateway.now();
+    let change = gateway.with_state(|state| state.targets.record_rate(key, statement, now));
+    if change == RateChange::Unchanged {
+        return change;
+    }
+    let target = gateway.instance(key);
+    gateway
+        .metrics
+        .rate_limits
+        .observe_limit(&target, source, statement.per_second);
+    gateway.log.event(&LogEvent::TargetRateLimit {
+        target: &target,
+        source,
+        per_second: statement.per_second,
+    });
+    if change == RateChange::Ended {
+        gateway.capacity_freed.notify_waiters();
+    }
+    change
+}
+
+/// Tells the other hosts the limits that this host keeps, because one of them has just started.
+pub fn announce_rate_limits(gateway: &Gateway) {
+    let now = gateway.now();
+    let limited: Vec<(TargetKey, RateStatement)> = gateway.with_state(|state| {
+        let limited = state.targets.iter().filter_map(|(key, target)| {
+            target.rate.named_for(now)?;
+            let region = state.targets.region_of(key);
+            let host = &gateway.settings.host;
+            is_keeper(&state.hosts, region, host).then_some(())?;
+            Some((key, target.rate.newest()?))
+        });
+        limited.collect()
+    });
+    for (key, statement) in limited {
+        queue_notice(gateway, key, TargetSignal::Rate(statement));
+    }
+}
+
 /// Marks a target as leaving because of its response, and notifies the other hosts if that is new.
 pub fn report_leaving(gateway: &Gateway, key: TargetKey, source: &str) {
     if mark_leaving(gateway, key, source) {
@@ -151,6 +231,9 @@
             });
             log_backoff(gateway, key, retry_after, "host");
         }
+        TargetSignal::Rate(statement) => {
+            record_statement(gateway, key, statement.from_ages(now), "host");
+        }
     }
 }
 
--- a/crates/mimosagap-gateway/tests/log.rs
+++ b/crates/mimosagap-gateway/tests/log.rs
@@ -158,6 +158,16 @@
             source: "answer",
             per_second: Some(3.7),
         },
+        LogEvent::RatePermit {
+            id: "a",
+            target: "t",
+            result: "denied",
+            keeper: "h",
+            per_second: Some(3.7),
+            named_ms: Some(1),
+            wait_ms: 0,
+            ask_in_ms: 1,
+        },
         LogEvent::EntryUnreadable {
             key: "k",
             cause: empty(),
--- a/crates/mimosagap-routing/src/hosts.rs
+++ b/crates/mimosagap-routing/src/hosts.rs
@@ -43,6 +43,8 @@
 #[derive(Debug, Clone)]
 struct HostEntry {
     record: HostRecord,
+    /// The store revision that wrote the record; a host that registers anew has a later one.
+    revision: u64,
     removed_at: Option<Duration>,
 }
 
@@ -53,10 +55,11 @@
 }
 
 impl HostTable {
-    /// Inserts or replaces the record of a host.
-    pub fn upsert(&mut self, name: &str, record: HostRecord) {
+    /// Inserts or replaces the record of a host, which a store revision wrote.
+    pub fn upsert(&mut self, name: &str, record: HostRecord, revision: u64) {
         let entry = HostEntry {
             record,
+            revision,
             removed_at: None,
         };
         self.entries.insert(name.to_owned(), entry);
@@ -82,6 +85,19 @@
             .map(|(name, entry)| (name.as_str(), &entry.record))
     }
 
+    /// Names and records of all hosts that the store lists, those registered longest first. Hosts
+    /// whose record vanished are left out, also while they stay listed for their grace period.
+    pub fn by_registration(&self) -> impl Iterator<Item = (&str, &HostRecord)> {
+        let listed = self.entries.iter();
+        let mut listed: Vec<_> = listed
+            .filter(|(_, entry)| entry.removed_at.is_none())
+            .collect();
+        listed.sort_by_key(|(_, entry)| entry.revision);
+        listed
+            .into_iter()
+            .map(|(name, entry)| (name.as_str(), &entry.record))
+    }
+
     /// Number of hosts that were not purged.
     #[must_use]
     pub fn len(&self) -> usize {
--- a/crates/mimosagap-routing/src/refusal.rs
+++ b/crates/mimosagap-routing/src/refusal.rs
@@ -22,6 +22,8 @@
     NoTarget,
     /// The targets are expected to stay full for longer than the request can wait.
     Overload,
+    /// The rate limits of the targets leave no room in the time that the request can wait.
+    RateLimited,
     /// Every target that was tried rejected the request without running it.
     TargetsRejected,
     /// The deadline passed before the request was sent to a target.
@@ -38,7 +40,7 @@
 
 impl RefusalReason {
     /// All reasons, in the order of their declaration.
-    pub const ALL: [Self; 14] = [
+    pub const ALL: [Self; 15] = [
         Self::NoConfig,
         Self::StaleConfig,
         Self::NoRoute,
@@ -47,6 +49,7 @@
         Self::BodyTooLong,
         Self::NoTarget,
         Self::Overload,
+        Self::RateLimited,
         Self::TargetsRejected,
         Self::DeadlineBeforeSend,
         Self::DeadlineAfterSend,
@@ -69,6 +72,7 @@
             | Self::StaleConfig
             | Self::NoTarget
             | Self::Overload
+            | Self::RateLimited
             | Self::TargetsRejected
             | Self::DeadlineBeforeSend
             | Self::ShuttingDown => 503,
@@ -93,6 +97,7 @@
             Self::BodyTooLong => "body_too_long",
             Self::NoTarget => "no_target",
             Self::Overload => "overload",
+            Self::RateLimited => "rate_limited",
             Self::TargetsRejected => "turned_away",
             Self::DeadlineBeforeSend => "late_unsent",
             Self::DeadlineAfterSend => "late_sent",
@@ -103,7 +108,7 @@
     }
 
     /// Time after which the caller should retry, before jitter; `None` if the refusal states none.
-    /// `backoff_remaining` is the time until the first backoff ends, if all targets have one.
+    /// `backoff_remaining` is the time until the first backoff or hold ends, if all targets have one.
     #[must_use]
     pub fn retry_after(self, backoff_remaining: Option<Duration>) -> Option<Duration> {
         let backoff_remaining = backoff_remaining.unwrap_or(Duration::ZERO);
@@ -111,7 +116,7 @@
             // The caller retries at another host, so it need not wait.
             Self::ShuttingDown | Self::StaleConfig => Some(Duration::from_millis(50)),
             Self::NoConfig => Some(Duration::from_millis(300)),
-            Self::NoTarget | Self::TargetsRejected => {
+            Self::NoTarget | Self::RateLimited | Self::TargetsRejected => {
                 Some(backoff_remaining.max(Duration::from_millis(400)))
             }
             Self::Overload => Some(backoff_remaining.max(Duration::from_millis(1500))),
--- a/crates/mimosagap-routing/src/retry_budget.rs
+++ b/crates/mimosagap-routing/src/retry_budget.rs
@@ -47,6 +47,17 @@
         is_allowed
     }
 
+    /// Returns a retry that was spent on a request which was not sent after all.
+    pub fn refund(&mut self) {
+        self.retries.pop_back();
+    }
+
+    /// Requests per second in the current window.
+    #[must_use]
+    pub fn request_rate(&self, bounds: &RetryBounds) -> f64 {
+        to_f64(self.requests.len()) / bounds.window.as_secs_f64().max(1.0)
+    }
+
     /// Number of retries allowed in the current window.
     #[must_use]
     pub fn allowance(&self, bounds: &RetryBounds, host_count: usize) -> f64 {
--- a/crates/mimosagap-routing/src/targets.rs
+++ b/crates/mimosagap-routing/src/targets.rs
@@ -9,6 +9,8 @@
 
 use crate::config::EngineSpec;
 use crate::drain_time::DrainTimes;
+use crate::rate_keeper::RateKeeper;
+use crate::rate_limit::{RateChange, RateStatement, TargetRate};
 use crate::target_backoff::TargetBackoff;
 
 new_key_type! {
@@ -169,8 +171,10 @@
     next_pause: Duration,
     /// Backoff periods that it requested.
     pub backoff: TargetBackoff,
-    /// Requests per second that it accepts from all hosts together, as it last named it.
-    pub named_rate: Option<f64>,
+    /// The rate limit that it names for all hosts together.
+    pub rate: TargetRate,
+    /// Slots that this host grants for it, if hosts ask this one.
+    pub keeper: Option<Box<RateKeeper>>,
 }
 
 impl Target {
@@ -190,17 +194,25 @@
             paused_until: Duration::ZERO,
             next_pause: FIRST_PAUSE,
             backoff: TargetBackoff::default(),
-            named_rate: None,
+            rate: TargetRate::default(),
+            keeper: None,
         }
     }
 
     /// Whether new requests may be sent to it.
     #[must_use]
     pub fn is_available(&self, now: Duration) -> bool {
+        self.is_available_within(Duration::ZERO, now)
+    }
+
+    /// Whether new requests may be sent to it that can wait this long for its rate limit.
+    #[must_use]
+    pub fn is_available_within(&self, max_wait: Duration, now: Duration) -> bool {
         self.draining_since.is_none()
             && self.removed_at.is_none_or(|at| now < at)
             && now >= self.paused_until
             && !self.backoff.is_active(now)
+            && self.rate.hold_time(now) <= max_wait
     }
 
     /// Whether it is draining and new requests may be sent to it otherwise.
@@ -210,6 +222,7 @@
             && self.removed_at.is_none()
             && now >= self.paused_until
             && !self.backoff.is_active(now)
+            && self.rate.hold_time(now).is_zero()
     }
 
     /// Whether it is draining or removed.
@@ -374,16 +387,55 @@
         self.targets.get_mut(key).map(|target| &mut target.backoff)
     }
 
-    /// Records the rate limit that a target names. Returns whether it differs from the one before.
-    pub fn record_named_rate(&mut self, key: TargetKey, named_rate: Option<f64>) -> bool {
+    /// Records what a target said of its rate limit, to this host or another one.
+    pub fn record_rate(
+        &mut self,
+        key: TargetKey,
+        statement: RateStatement,
+        now: Duration,
+    ) -> RateChange {
         let Some(target) = self.targets.get_mut(key) else {
-            return false;
+            return RateChange::Unchanged;
         };
-        std::mem::replace(&mut target.named_rate, named_rate) != named_rate
+        let change = target.rate.record(statement, now);
+        if change == RateChange::Started {
+            target.keeper = None;
+        }
+        change
+    }
+
+    /// The target with this key, to change its limit or the permits for it; `None` if it was
+    /// deleted.
+    pub fn get_mut(&mut self, key: TargetKey) -> Option<&mut Target> {
+        self.targets.get_mut(key)
+    }
+
+    /// Whether a target of a service that does not leave cannot be used now because of its rate
+    /// limit.
+    #[must_use]
+    pub fn is_held_back(&self, service: &DeploymentName, now: Duration) -> bool {
+        self.of_service(service)
+            .any(|(_, target)| !target.is_leaving(now) && !target.rate.hold_time(now).is_zero())
     }
 
-    /// Time until the first backoff of a service's targets ends; `None` if a target has no backoff
-    /// or none is left.
+    /// Demand of all hosts for the limited targets of a service, as a multiple of their rates; 1 if
+    /// no target is limited.
+    #[must_use]
+    pub fn rate_overload(&self, service: &DeploymentName, now: Duration) -> f64 {
+        self.of_service(service)
+            .filter(|(_, target)| target.rate.per_second(now).is_some())
+            .map(|(_, target)| target.rate.overload())
+            .fold(1.0, f64::max)
+    }
+
+    /// The region of a target; `None` if the target or the region of its zone is unknown.
+    #[must_use]
+    pub fn region_of(&self, key: TargetKey) -> Option<&RegionName> {
+        self.regions.get(&self.targets.get(key)?.entry.zone)
+    }
+
+    /// Time until the first backoff or hold of a service's targets ends; `None` if a target has none
+    /// or no target is left.
     #[must_use]
     pub fn time_until_available(
         &self,
@@ -392,7 +444,12 @@
     ) -> Option<Duration> {
         self.of_service(service)
             .filter(|(_, target)| !target.is_leaving(now))
-            .map(|(_, target)| target.backoff.remaining(now))
+            .map(|(_, target)| {
+                target
+                    .backoff
+                    .remaining(now)
+                    .max(target.rate.hold_time(now))
+            })
             .min()
             .filter(|remaining| !remaining.is_zero())
     }
--- a/crates/mimosagap-routing/tests/host_selection.rs
+++ b/crates/mimosagap-routing/tests/host_selection.rs
@@ -20,7 +20,7 @@
             capacity: HostCapacity::default(),
             region: RegionName::new(&zone[..1]),
         };
-        hosts.upsert(name, record);
+        hosts.upsert(name, record, 1);
     }
     hosts
 }
@@ -289,7 +289,7 @@
             ..record.clone()
         })
         .expect("the host is listed");
-    hosts.upsert("h4", strong_record);
+    hosts.upsert("h4", strong_record, 1);
     let selector = SourceSelector::default();
     for (own_name, _) in ZONE {
         let expected = (own_name != "h4").then(|| "h4".to_owned());
--- a/crates/mimosagap-routing/tests/placer_selection.rs
+++ b/crates/mimosagap-routing/tests/placer_selection.rs
@@ -97,7 +97,7 @@
             capacity: HostCapacity::default(),
             region: RegionName::new(&name[..1]),
         };
-        hosts.upsert(name, record);
+        hosts.upsert(name, record, 1);
     }
     hosts
 }
