--- a/crates/mimosagap-routing/examples/rate_designs.rs
+++ b/crates/mimosagap-routing/examples/rate_designs.rs
@@ -91,7 +91,8 @@
                 length: LENGTH,
             })
             .run();
-            let datagrams = simulation.datagrams as f64 / (LENGTH - NAMED_AT).as_secs_f64();
+            let datagrams =
+                simulation.datagrams as f64 / LENGTH.saturating_sub(NAMED_AT).as_secs_f64();
             (simulation.arrivals, datagrams)
         }
     }
@@ -100,11 +101,11 @@
 fn main() {
     println!("design           hosts  rate  callers  worst window  used  datagrams/s");
     for design in [Design::Keeper, Design::EqualShares, Design::RandomAdmission] {
-        for host_count in [6, 77, 195, 300] {
+        for host_count in [6_u16, 77, 195, 300] {
             for (rate, is_skewed) in [(3.7, false), (3.7, true), (40.0, false), (40.0, true)] {
                 let total: f64 = rate * 3.0 + 10.0;
                 let even = if is_skewed { total * 0.1 } else { total };
-                let mut demands = vec![even / f64::from(host_count); host_count as usize];
+                let mut demands = vec![even / f64::from(host_count); usize::from(host_count)];
                 demands[0] += total - even;
                 let (arrivals, datagrams) = measure(design, &demands, rate);
                 let worst = worst_window(&arrivals, (SETTLED_AT, LENGTH), |_| true) as f64;
