feat(gateway): log and count what targets say in headers that are not read

explain shows for a request that was refused for a rate limit the targets that it could not use and each value of their limits, also if the request was never sent.

--- a/crates/mimosagap-explain/src/trace.rs
+++ b/crates/mimosagap-explain/src/trace.rs
@@ -257,7 +257,7 @@
         })
         .filter(|record| match record.event.as_str() {
             "target_listed" | "target_leaving" | "target_crashed" | "attempt_failed"
-            | "stream_broke" => record
+            | "stream_broke" | "target_rate_limit" | "header_unread" => record
                 .text_field("target")
                 .is_some_and(|target| targets.contains(target)),
             "host" | "entry_unreadable" => false,
@@ -270,7 +270,9 @@
     let mut reported = BTreeSet::new();
     related_records.retain(|record| {
         let target = record.text_field("target").map(ToOwned::to_owned);
-        target.is_none_or(|target| reported.insert((record.event.clone(), target)))
+        // Each value of a rate limit is reported.
+        let value = record.fields.get("per_second").map(ToString::to_string);
+        target.is_none_or(|target| reported.insert((record.event.clone(), target, value)))
     });
     related_records
 }
--- a/crates/mimosagap-explain/tests/trace.rs
+++ b/crates/mimosagap-explain/tests/trace.rs
@@ -89,3 +89,27 @@
     assert_eq!(error, expected);
     assert!(error.to_string().contains("all hosts"), "{error}");
 }
+
+/// A refused request was never sent, so only the limits of the targets that it could not use explain
+/// it. A limit that changed is reported with each value.
+#[test]
+fn a_request_refused_for_a_rate_limit_shows_the_limits() {
+    let lines = [
+        r#"{"time_ms":1000,"boot_ms":10,"event":"target_rate_limit","target":"i-1","source":"host","per_second":3.7}"#,
+        r#"{"time_ms":1500,"boot_ms":510,"event":"target_rate_limit","target":"i-1","source":"host","per_second":2.0}"#,
+        r#"{"time_ms":2000,"boot_ms":1010,"event":"rate_permit","id":"r","target":"i-1","result":"held","keeper":"","per_second":2.0,"named_ms":1000,"wait_ms":0,"ask_in_ms":300}"#,
+        r#"{"time_ms":2000,"boot_ms":1010,"event":"refused","id":"r","request":"","reason":"rate_limited","status":503,"after_ms":0}"#,
+    ];
+    let mut logs = LogSet::default();
+    logs.read_log("h", lines.join("\n").as_bytes())
+        .expect("memory can be read");
+    let report = explain(&logs, "r", ExplainOptions::default()).expect("the id is there");
+    let limits: Vec<Option<f64>> = report
+        .related_records
+        .iter()
+        .filter(|record| record.event == "target_rate_limit")
+        .map(|record| record.fields["per_second"].as_f64())
+        .collect();
+    assert_eq!(limits, [Some(3.7), Some(2.0)]);
+    assert_eq!(report.attempts[0].records.len(), 2);
+}
--- a/crates/mimosagap-gateway/src/lib.rs
+++ b/crates/mimosagap-gateway/src/lib.rs
@@ -16,6 +16,7 @@
 mod exchange;
 mod handover;
 pub mod head_limit;
+mod header_audit;
 mod ingress;
 mod listeners;
 mod load_reservation;
--- a/crates/mimosagap-gateway/src/log.rs
+++ b/crates/mimosagap-gateway/src/log.rs
@@ -118,6 +118,15 @@
         /// no limit any more.
         per_second: Option<f64>,
     },
+    /// A target sent a header that was not read; logged once per target.
+    HeaderUnread {
+        /// Instance name of the target.
+        target: &'a str,
+        /// Name of the header.
+        header: &'a str,
+        /// Why it was not read.
+        cause: &'a str,
+    },
     /// A target's entry in the store could not be decoded.
     EntryUnreadable {
         /// Instance name in the key of the entry.
@@ -362,7 +371,8 @@
             Self::TargetListed { .. }
             | Self::TargetLeaving { .. }
             | Self::TargetPauses { .. }
-            | Self::TargetRateLimit { .. } => (7, "target"),
+            | Self::TargetRateLimit { .. }
+            | Self::HeaderUnread { .. } => (7, "target"),
             Self::EntryUnreadable { .. } | Self::ConfigUnreadable { .. } => (8, "unreadable"),
             Self::Trouble { .. } => (9, "trouble"),
             Self::RatePermit { .. } => (10, "rate_permit"),
--- a/crates/mimosagap-gateway/src/metrics.rs
+++ b/crates/mimosagap-gateway/src/metrics.rs
@@ -70,16 +70,18 @@
     Ok(counters)
 }
 
-/// Metrics of the rate limits that targets name.
+/// Metrics of what targets say in headers: their rate limits, and what was not read.
 #[derive(Clone)]
-pub struct RateMetrics {
+pub struct SignalMetrics {
     changes: IntCounterVec,
     limits: GaugeVec,
     /// Asks for permits of targets that name a limit, by result.
     pub permits: IntCounterVec,
+    /// Headers that were not read, by cause.
+    pub unread_headers: IntCounterVec,
 }
 
-impl RateMetrics {
+impl SignalMetrics {
     fn new(registry: &Registry) -> Result<Self, prometheus::Error> {
         let limits = GaugeVec::new(
             Opts::new(
@@ -103,11 +105,17 @@
                 "Asks for permits of targets that name a rate limit",
                 &["result"],
             )?,
+            unread_headers: register_counters(
+                registry,
+                "mimosagap_unread_headers_total",
+                "Headers of targets that were not read",
+                &["cause"],
+            )?,
         })
     }
 
     /// Records the rate limit of a target, or its end. Only limits in force have a series.
-    pub fn observe_limit(&self, target: &str, source: &str, per_second: Option<f64>) {
+    pub fn observe_rate_limit(&self, target: &str, source: &str, per_second: Option<f64>) {
         self.changes.with_label_values(&[source]).inc();
         match per_second {
             Some(rate) => self.limits.with_label_values(&[target]).set(rate),
@@ -140,8 +148,8 @@
     pub store_calls: IntCounterVec,
     /// Connections opened to targets, by result.
     pub target_connections: IntCounterVec,
-    /// Rate limits of targets, and the permits for them.
-    pub rate_limits: RateMetrics,
+    /// What targets say in headers.
+    pub target_signals: SignalMetrics,
     /// Requests in flight.
     pub in_flight: IntGauge,
     /// Open connections of callers.
@@ -187,7 +195,7 @@
             "Connections opened to targets",
             &["result"],
         )?;
-        let rate_limits = RateMetrics::new(&registry)?;
+        let target_signals = SignalMetrics::new(&registry)?;
         let in_flight = register_gauge("mimosagap_in_flight", "Requests in flight")?;
         let config_version = register_gauge("mimosagap_config_version", "Configuration in force")?;
         let known_members =
@@ -247,7 +255,7 @@
             migration_steps,
             store_calls,
             target_connections,
-            rate_limits,
+            target_signals,
             in_flight,
             caller_connections,
             config_version,
--- a/crates/mimosagap-gateway/src/rate_permits.rs
+++ b/crates/mimosagap-gateway/src/rate_permits.rs
@@ -16,6 +16,7 @@
 use mimosagap_routing::rate_limit::{RateChange, RateStatement};
 use mimosagap_routing::retry_budget::RetryBudget;
 use mimosagap_routing::targets::TargetKey;
+use mimosagap_types::prelude::*;
 use rand::Rng;
 use serde::{Deserialize, Serialize};
 use tokio::sync::oneshot;
@@ -46,6 +47,9 @@
 /// that were denied together do not ask together.
 const HOLD_JITTER: f64 = 0.25;
 
+/// Targets that the log names for one refused request.
+const MAX_HELD_LINES: usize = 4;
+
 /// Responses that are kept for asks that arrive twice.
 const MAX_RECENT_RESPONSES: usize = 256;
 
@@ -350,7 +354,7 @@
     let name = result.err().map_or("granted", PermitError::name);
     gateway
         .metrics
-        .rate_limits
+        .target_signals
         .permits
         .with_label_values(&[name])
         .inc();
@@ -376,6 +380,23 @@
     });
 }
 
+/// Logs for a refused request which targets of its service it could not use because of their rate
+/// limits.
+pub fn log_held_targets(gateway: &Gateway, id: &str, service: &DeploymentName) {
+    let now = gateway.now();
+    let held: Vec<TargetKey> = gateway.with_state(|state| {
+        let targets = state.targets.of_service(service);
+        targets
+            .filter(|(_, target)| !target.rate.hold_time(now).is_zero())
+            .map(|(key, _)| key)
+            .take(MAX_HELD_LINES)
+            .collect()
+    });
+    for key in held {
+        log_permit(gateway, key, id, "", Err(PermitError::Held));
+    }
+}
+
 /// Responds to the ask of another host. An ask that arrives twice gets the same response.
 pub fn handle_request(gateway: &SharedGateway, request: &PermitRequest) -> PermitResponse {
     let now = gateway.now();
--- a/crates/mimosagap-gateway/src/response.rs
+++ b/crates/mimosagap-gateway/src/response.rs
@@ -15,6 +15,7 @@
 use rand::Rng;
 
 use crate::log::LogEvent;
+use crate::rate_permits;
 use crate::request::RoutedRequest;
 use crate::state::{Gateway, millis};
 
@@ -94,6 +95,9 @@
     reason: RefusalReason,
 ) -> Response<ResponseBody> {
     let id = request.id;
+    if let (RefusalReason::RateLimited, Some(service)) = (reason, request.service) {
+        rate_permits::log_held_targets(gateway, id, service);
+    }
     let (config_version, config_age_ms) = gateway.config_version_and_age();
     gateway
         .metrics
--- a/crates/mimosagap-gateway/src/state.rs
+++ b/crates/mimosagap-gateway/src/state.rs
@@ -23,6 +23,7 @@
 use rand::rngs::SmallRng;
 use tokio::sync::Notify;
 
+use crate::header_audit::HeaderAudit;
 use crate::log::EventLog;
 use crate::metrics::GatewayMetrics;
 use crate::mirror::StoreMirror;
@@ -96,6 +97,8 @@
     pub target_notices: NoticeQueue,
     /// Client for placement requests to the placer of the region.
     pub placer_rpc: PlacementClient,
+    /// Headers of targets that were reported as unread.
+    pub header_audit: HeaderAudit,
     /// Client for permits of targets that name a rate limit, and what this host granted.
     pub permit_client: PermitClient,
     /// Number of requests in flight.
@@ -136,6 +139,7 @@
             pending_suspects: RefCell::default(),
             target_notices: NoticeQueue::default(),
             placer_rpc: PlacementClient::default(),
+            header_audit: HeaderAudit::default(),
             permit_client: PermitClient::default(),
             in_flight: Cell::new(0),
             state: RefCell::new(GatewayState {
--- a/crates/mimosagap-gateway/src/target_notices.rs
+++ b/crates/mimosagap-gateway/src/target_notices.rs
@@ -7,11 +7,13 @@
 
 use http::{HeaderMap, StatusCode};
 use mimosagap_platform::engine::{is_leaving, named_rate_limit, retry_after_delay};
+use mimosagap_platform::names::RATE_LIMIT;
 use mimosagap_routing::keeper_selection::is_keeper;
 use mimosagap_routing::rate_limit::{RateChange, RateStatement};
 use mimosagap_routing::targets::TargetKey;
 use serde::{Deserialize, Serialize};
 
+use crate::header_audit;
 use crate::log::LogEvent;
 use crate::rate_permits;
 use crate::state::{Gateway, millis};
@@ -105,6 +107,7 @@
     if status == StatusCode::MISDIRECTED_REQUEST {
         return;
     }
+    header_audit::observe_unknown_headers(gateway, key, headers);
     observe_leaving(gateway, key, headers);
     observe_rate_limit(gateway, key, headers, asked_at);
     if let Some(retry_after) = retry_after_delay(status, headers) {
@@ -148,10 +151,10 @@
                 queue_notice(gateway, key, TargetSignal::Rate(statement));
             }
         }
-        Err(error) => gateway.log.event(&LogEvent::Trouble {
-            what: "the rate limit of a target cannot be read; the one before stays in force",
-            cause: error.to_string(),
-        }),
+        Err(error) => {
+            let cause = error.to_string();
+            header_audit::report_unreadable(gateway, key, RATE_LIMIT, &cause);
+        }
     }
 }
 
@@ -170,8 +173,8 @@
     let target = gateway.instance(key);
     gateway
         .metrics
-        .rate_limits
-        .observe_limit(&target, source, statement.per_second);
+        .target_signals
+        .observe_rate_limit(&target, source, statement.per_second);
     gateway.log.event(&LogEvent::TargetRateLimit {
         target: &target,
         source,
--- a/crates/mimosagap-gateway/tests/log.rs
+++ b/crates/mimosagap-gateway/tests/log.rs
@@ -158,6 +158,11 @@
             source: "answer",
             per_second: Some(3.7),
         },
+        LogEvent::HeaderUnread {
+            target: "t",
+            header: "h",
+            cause: "c",
+        },
         LogEvent::RatePermit {
             id: "a",
             target: "t",
