test(soak): the use of a rate limit, and runs with limits only

A limit that is left unused fails callers too. The soak measures what a target with an undisturbed limit gets from 2 s after it first names it, prints that with the worst window of 4 s, and the_fleet_exceeds_the_rate_limit_that_a_target_names requires nine tenths of it at the plain target, which is the first choice for many times its limit.

--- a/crates/mimosagap-gateway/src/rate_permits.rs
+++ b/crates/mimosagap-gateway/src/rate_permits.rs
@@ -119,19 +119,19 @@
     recent_responses: RefCell<VecDeque<((u64, u64), PermitResponse)>>,
 }
 
-impl Default for PermitClient {
-    fn default() -> Self {
+impl PermitClient {
+    /// Creates a client that was started at a time since boot. A process that is restarted uses
+    /// other ids than the one before, whose asks other hosts may still remember.
+    pub fn new(started_at: Duration) -> Self {
+        let first_id = u64::try_from(started_at.as_nanos()).unwrap_or_default();
         Self {
-            // A restarted process must not repeat the ids of the one before.
-            next_id: Cell::new(rand::rng().random()),
+            next_id: Cell::new(first_id),
             pending: RefCell::default(),
             selector: RefCell::default(),
             recent_responses: RefCell::default(),
         }
     }
-}
 
-impl PermitClient {
     /// Passes a response to the ask that waits for it.
     pub fn complete(&self, response: &PermitResponse) {
         if let Some(sender) = self.pending.borrow_mut().remove(&response.id) {
--- a/crates/mimosagap-gateway/src/state.rs
+++ b/crates/mimosagap-gateway/src/state.rs
@@ -140,7 +140,7 @@
             target_notices: NoticeQueue::default(),
             placer_rpc: PlacementClient::default(),
             header_audit: HeaderAudit::default(),
-            permit_client: PermitClient::default(),
+            permit_client: PermitClient::new(clock.since_boot()),
             in_flight: Cell::new(0),
             state: RefCell::new(GatewayState {
                 config: ConfigState::new(bounds),
--- a/crates/mimosagap-soak/src/checker.rs
+++ b/crates/mimosagap-soak/src/checker.rs
@@ -5,7 +5,7 @@
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
-use crate::rate_check::RateChecker;
+use crate::rate_check::{RateChecker, RateUsage};
 use crate::standins::target::BACKOFF;
 
 /// The kind of a request, which decides how often it may be executed.
@@ -218,7 +218,13 @@
 
     /// Records that a target names no rate limit any more.
     pub fn end_rate_limit(&self, target: &str) {
-        self.rate_checker.borrow_mut().end_limit(target);
+        let now = Instant::now();
+        self.rate_checker.borrow_mut().end_limit(target, now);
+    }
+
+    /// How far the rate limits that have ended were used.
+    pub fn rate_usages(&self) -> Vec<RateUsage> {
+        self.rate_checker.borrow().usages().to_vec()
     }
 
     /// Records a call of a gateway that concerns a running request, and not the request itself.
--- a/crates/mimosagap-soak/src/main.rs
+++ b/crates/mimosagap-soak/src/main.rs
@@ -18,6 +18,8 @@
 
   --seed N        first seed (default 1); a seed determines faults and requests
   --count N       number of consecutive seeds to run, one after the other (default 1)
+  --limit N       no drawn faults: a service and an engine name N thousandths of a request per second
+                  for all gateways together, and half of it
   --gateways N    number of gateways, from 1 to 300 (default 3)
   --seconds N     how long faults are injected (default 12)
   --plan FILE     run a stored plan; a failed run writes its plan.json into its folder
@@ -66,6 +68,7 @@
         return Err(format!("--gateways {gateways} is not from 1 to {MAX_GATEWAYS}").into());
     }
     let plan_file: Option<PathBuf> = arguments.opt_value_from_str("--plan")?;
+    let limit: Option<u32> = arguments.opt_value_from_str("--limit")?;
     let shrink = arguments.contains("--shrink");
     let program: Option<PathBuf> = arguments.opt_value_from_str("--program")?;
     let directory: Option<PathBuf> = arguments.opt_value_from_str("--folder")?;
@@ -75,9 +78,13 @@
         return Err(format!("unknown arguments: {rest:?}").into());
     }
     let length = Duration::from_secs(seconds);
-    let plans = match plan_file {
-        Some(path) => vec![serde_json::from_str(&std::fs::read_to_string(path)?)?],
-        None => (first_seed..first_seed + count)
+    let plans = match (plan_file, limit) {
+        (Some(_), Some(_)) => return Err("--plan and --limit exclude each other".into()),
+        (Some(path), None) => vec![serde_json::from_str(&std::fs::read_to_string(path)?)?],
+        (None, Some(limit)) => vec![FaultPlan::with_rate_limits(
+            first_seed, length, gateways, limit,
+        )],
+        (None, None) => (first_seed..first_seed + count)
             .map(|seed| FaultPlan::with_gateways(seed, length, gateways))
             .collect(),
     };
@@ -141,8 +148,19 @@
     let seed = plan.seed;
     match outcome {
         Ok(outcome) if outcome.violations.is_empty() => {
-            let RunOutcome { served, sent, .. } = outcome;
+            let RunOutcome {
+                served,
+                sent,
+                rate_usages,
+                ..
+            } = outcome;
             println!("seed {seed}: passed, {served} of {sent} requests served");
+            for usage in rate_usages {
+                println!(
+                    "  {} named {} requests a second and got {:.2}, in the worst 4 s {}",
+                    usage.target, usage.limit, usage.used, usage.worst_window
+                );
+            }
         }
         Ok(outcome) => {
             println!("seed {seed}: FAILED");
--- a/crates/mimosagap-soak/src/plan.rs
+++ b/crates/mimosagap-soak/src/plan.rs
@@ -109,6 +109,9 @@
 /// Limits, in thousandths of a request per second, that a drawn fault lets a target name.
 const DRAWN_RATE_LIMITS: std::ops::Range<u32> = 1500..12_000;
 
+/// When the targets of [`FaultPlan::with_rate_limits`] name their limits.
+const LIMIT_START: Duration = Duration::from_millis(500);
+
 /// For how long a drawn fault lets a target name a limit. The check needs 8 s.
 const DRAWN_LIMIT_TIME: Duration = Duration::from_secs(11);
 
@@ -154,6 +157,30 @@
         }
     }
 
+    /// A plan without other faults in which a plain service names a limit, in thousandths of a
+    /// request per second, and an engine half of it, for the whole run.
+    #[must_use]
+    pub fn with_rate_limits(
+        seed: u64,
+        length: Duration,
+        gateway_count: usize,
+        millirequests: u32,
+    ) -> Self {
+        let limit = |target, millirequests| FaultStep {
+            at: LIMIT_START,
+            fault: Fault::Target(target, TargetMode::LimitsRate(millirequests), length),
+        };
+        Self {
+            seed,
+            length,
+            steps: vec![
+                limit(0, millirequests),
+                limit(TARGET_COUNT / 2, millirequests / 2),
+            ],
+            gateway_count,
+        }
+    }
+
     /// The same plan without the step at an index, to find a smaller plan that still fails.
     #[must_use]
     pub fn without_step(&self, step: usize) -> Self {
--- a/crates/mimosagap-soak/src/rate_check.rs
+++ b/crates/mimosagap-soak/src/rate_check.rs
@@ -23,6 +23,25 @@
 /// Requests that a window may have beyond the multiple of what the limit allows.
 pub const RATE_SLACK_REQUESTS: f64 = 5.0;
 
+/// Time after the first naming from which the limit is expected to be used.
+pub const SETTLE_TIME: Duration = Duration::from_secs(2);
+
+/// Shortest time over which the use of a limit is measured.
+const MIN_USE_TIME: Duration = Duration::from_secs(6);
+
+/// How far a limit was used that did not change while all gateways ran undisturbed.
+#[derive(Debug, Clone, PartialEq)]
+pub struct RateUsage {
+    /// The target that named it.
+    pub target: String,
+    /// The limit in requests per second.
+    pub limit: f64,
+    /// Requests per second from all gateways, from [`SETTLE_TIME`] after the first naming.
+    pub used: f64,
+    /// Most requests in any window of [`RATE_WINDOW`] in that time.
+    pub worst_window: usize,
+}
+
 /// A target that names a limit.
 #[derive(Debug)]
 struct LimitedTarget {
@@ -34,9 +53,36 @@
     arrivals: VecDeque<(Instant, usize)>,
     /// When each gateway first received the limit in a response.
     told_at: HashMap<usize, Instant>,
+    named_at: Instant,
+    /// All arrivals from [`SETTLE_TIME`] after the first naming.
+    settled_arrivals: Vec<Instant>,
+    /// Whether a gateway or the way to the target was disturbed.
+    is_disturbed: bool,
 }
 
 impl LimitedTarget {
+    fn usage(&self, target: &str, now: Instant) -> Option<RateUsage> {
+        let settled_for = now
+            .duration_since(self.named_at)
+            .checked_sub(SETTLE_TIME)
+            .filter(|elapsed| *elapsed >= MIN_USE_TIME && !self.is_disturbed)?;
+        let [(_, limit)] = self.limits[..] else {
+            return None;
+        };
+        let arrivals = &self.settled_arrivals;
+        let count = u32::try_from(arrivals.len()).ok()?;
+        let in_window_from = |index: usize| {
+            let end = arrivals[index] + RATE_WINDOW;
+            arrivals[index..].partition_point(|at| *at <= end)
+        };
+        Some(RateUsage {
+            target: target.to_owned(),
+            limit,
+            used: f64::from(count) / settled_for.as_secs_f64(),
+            worst_window: (0..arrivals.len()).map(in_window_from).max().unwrap_or(0),
+        })
+    }
+
     /// The highest limit that gateways may still believe at some moment of the window that ends
     /// now.
     fn highest_limit(&self, now: Instant) -> f64 {
@@ -57,6 +103,7 @@
     targets: HashMap<String, LimitedTarget>,
     /// Gateways that may not know what others know, until this time.
     excused_until: HashMap<usize, Instant>,
+    usages: Vec<RateUsage>,
 }
 
 impl RateChecker {
@@ -70,6 +117,9 @@
                 limits: Vec::new(),
                 arrivals: VecDeque::new(),
                 told_at: HashMap::new(),
+                named_at: now,
+                settled_arrivals: Vec::new(),
+                is_disturbed: false,
             });
         let last = limited.limits.last();
         if last.is_none_or(|(_, last)| last.total_cmp(&rate).is_ne()) {
@@ -79,8 +129,16 @@
     }
 
     /// Records that a target names no limit any more.
-    pub fn end_limit(&mut self, target: &str) {
-        self.targets.remove(target);
+    pub fn end_limit(&mut self, target: &str, now: Instant) {
+        let limited = self.targets.remove(target);
+        let usage = limited.and_then(|limited| limited.usage(target, now));
+        self.usages.extend(usage);
+    }
+
+    /// How far the limits that have ended were used.
+    #[must_use]
+    pub fn usages(&self) -> &[RateUsage] {
+        &self.usages
     }
 
     /// Records that a gateway was restarted, suspended or cut off, and forgets what it was told.
@@ -88,6 +146,7 @@
         self.excused_until.insert(gateway, now + NOTICE_LIMIT);
         for limited in self.targets.values_mut() {
             limited.told_at.remove(&gateway);
+            limited.is_disturbed = true;
         }
     }
 
@@ -98,6 +157,7 @@
             limited.known_from = limited.known_from.max(until);
             limited.arrivals.clear();
             limited.told_at.clear();
+            limited.is_disturbed = true;
         }
     }
 
@@ -105,6 +165,9 @@
     /// limit have sent too many.
     pub fn record_arrival(&mut self, target: &str, gateway: usize, now: Instant) -> Option<String> {
         let limited = self.targets.get_mut(target)?;
+        if now >= limited.named_at + SETTLE_TIME {
+            limited.settled_arrivals.push(now);
+        }
         let is_told = limited
             .told_at
             .get(&gateway)
--- a/crates/mimosagap-soak/src/run.rs
+++ b/crates/mimosagap-soak/src/run.rs
@@ -22,6 +22,7 @@
 };
 use crate::plan::{Fault, FaultPlan, FaultStep, FleetLink, TARGET_COUNT};
 use crate::process::{GatewayPlace, GatewayProcess, zone_name};
+use crate::rate_check::RateUsage;
 use crate::standins::store::{StoreMode, StoreStandin};
 use crate::standins::target::{TargetContext, TargetMode, TargetStandin};
 
@@ -94,6 +95,8 @@
     pub served: usize,
     /// Streams that were migrated to another target while the first one was still executing them.
     pub live_migrations: usize,
+    /// How far the rate limits of targets were used, of those that held long enough undisturbed.
+    pub rate_usages: Vec<RateUsage>,
     /// Violated guarantees, in the order in which they were found.
     pub violations: Vec<String>,
 }
@@ -190,6 +193,7 @@
         sent,
         served,
         live_migrations,
+        rate_usages: fleet.checker.rate_usages(),
         violations: fleet.checker.violations(),
     })
 }
--- a/crates/mimosagap-soak/tests/rate_check.rs
+++ b/crates/mimosagap-soak/tests/rate_check.rs
@@ -78,3 +78,21 @@
     let later = lowered_at + NOTICE_LIMIT + RATE_WINDOW;
     assert!(burst(&mut checker, later + Duration::from_secs(1)) > 0);
 }
+
+/// A limit that is left unused fails callers, too.
+#[test]
+fn the_use_of_a_limit_is_measured_if_nothing_disturbed_it() {
+    let use_of = |is_disturbed: bool| {
+        let mut checker = RateChecker::default();
+        violations(&mut checker, 4.0, Duration::from_millis(500));
+        if is_disturbed {
+            checker.excuse_gateway(2, Instant::now());
+        }
+        checker.end_limit("t", Instant::now() + Duration::from_secs(12));
+        checker.usages().to_vec()
+    };
+    let usages = use_of(false);
+    assert!((1.9..2.1).contains(&usages[0].used), "{usages:?}");
+    assert_eq!(usages[0].worst_window, 9);
+    assert!(use_of(true).is_empty());
+}
--- a/crates/mimosagap-soak/tests/soak.rs
+++ b/crates/mimosagap-soak/tests/soak.rs
@@ -143,18 +143,17 @@
 /// for the rest.
 #[test]
 fn the_fleet_exceeds_the_rate_limit_that_a_target_names() {
-    const LIMITED_TIME: Duration = Duration::from_secs(14);
-    let limit = |target, millirequests| FaultStep {
-        at: Duration::from_millis(500),
-        fault: Fault::Target(target, TargetMode::LimitsRate(millirequests), LIMITED_TIME),
-    };
-    let plan = FaultPlan {
-        seed: 904,
-        length: LIMITED_TIME,
-        steps: vec![limit(0, 3700), limit(TARGET_COUNT / 2, 2000)],
-        gateway_count: 6,
-    };
-    run_clean(plan, 23_100);
+    const LENGTH_WITH_LIMIT: Duration = Duration::from_secs(14);
+    let plan = FaultPlan::with_rate_limits(904, LENGTH_WITH_LIMIT, 6, 3700);
+    let outcome = run_clean(plan, 23_100);
+    // The plain target is the first choice for many times its limit, so the limit must be used. The
+    // engine is chosen only while the others have more work.
+    let usage = outcome
+        .rate_usages
+        .iter()
+        .find(|usage| usage.target == "i-1");
+    let usage = usage.expect("nothing disturbed the limit");
+    assert!(usage.used >= 0.9 * usage.limit, "{usage:?}");
 }
 
 /// Runs a plan, and asserts that no guarantee was violated and that more than 100 requests
