--- a/crates/mimosagap-gateway/src/rate_permits.rs
+++ b/crates/mimosagap-gateway/src/rate_permits.rs
@@ -13,7 +13,7 @@
 
 use mimosagap_routing::keeper_selection::{KeeperSelector, rate_fraction};
 use mimosagap_routing::rate_keeper::{PermitAsk, PermitClass, PermitDecision, RateKeeper};
-use mimosagap_routing::rate_limit::{RateChange, RateStatement};
+use mimosagap_routing::rate_limit::RateStatement;
 use mimosagap_routing::retry_budget::RetryBudget;
 use mimosagap_routing::targets::TargetKey;
 use mimosagap_types::prelude::*;
@@ -453,9 +453,3 @@
         PermitAnswer::Decided(keeper.decide(&request.ask, rate, now))
     })
 }
-
-/// Whether a statement changes what hosts without a response of the target have to know.
-#[must_use]
-pub fn is_worth_a_notice(change: RateChange) -> bool {
-    matches!(change, RateChange::Started | RateChange::Ended)
-}
--- a/crates/mimosagap-gateway/src/target_notices.rs
+++ b/crates/mimosagap-gateway/src/target_notices.rs
@@ -15,7 +15,6 @@
 
 use crate::header_audit;
 use crate::log::LogEvent;
-use crate::rate_permits;
 use crate::state::{Gateway, millis};
 
 /// How often a notice is sent again after the first time, because datagrams get lost.
@@ -147,7 +146,7 @@
                 heard_at: gateway.now(),
             };
             let change = record_statement(gateway, key, statement, "answer");
-            if rate_permits::is_worth_a_notice(change) {
+            if change.concerns_other_hosts() {
                 queue_notice(gateway, key, TargetSignal::Rate(statement));
             }
         }
--- a/crates/mimosagap-routing/src/rate_limit.rs
+++ b/crates/mimosagap-routing/src/rate_limit.rs
@@ -70,6 +70,15 @@
     Ended,
 }
 
+impl RateChange {
+    /// Whether hosts without a response of the target have to know. They ask for permits while there
+    /// is a limit, and its value travels with their asks.
+    #[must_use]
+    pub fn concerns_other_hosts(self) -> bool {
+        matches!(self, Self::Started | Self::Ended)
+    }
+}
+
 /// The rate limit of one target, and when this host may ask for its next permit.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct TargetRate {
