fix(standins): a link that sends endless heads passes the close of its caller on

Cause, until now explained from logs and code only (docs/incidents/2026-12-04-close-lost-in-a-flooding-link.md): while a link sends endless heads, the proxy discards what comes from the caller, its close included, and keeps the connection to the target open for ever.

an_endless_head_does_not_hide_the_close_of_the_caller reproduces it: it failed before (the target saw no close in 2 s) and passes now. In these modes the close of the caller resets both sides.

--- a/crates/mimosagap-standins/src/proxy.rs
+++ b/crates/mimosagap-standins/src/proxy.rs
@@ -386,7 +386,10 @@
                 let Some(count) = chunk else {
                     return discard_until_reset(&mut reader, &mut buffer).await;
                 };
-                if !self.forward_chunk(buffer[..count].to_vec(), &sender).await {
+                if !self
+                    .forward_chunk(buffer[..count].to_vec(), &sender)
+                    .await?
+                {
                     return discard_until_reset(&mut reader, &mut buffer).await;
                 }
                 if count == 0 {
@@ -436,23 +439,28 @@
             .await;
     }
 
-    /// Passes a chunk to the writer. Returns false if the direction is discarded from now on.
+    /// Passes a chunk to the writer. Returns false if the direction is discarded from now on, and an
+    /// error if the connection is to be reset.
     async fn forward_chunk(
         &mut self,
         chunk: Vec<u8>,
         sender: &mpsc::Sender<(Instant, Vec<u8>)>,
-    ) -> bool {
+    ) -> io::Result<bool> {
         self.wait_while_frozen().await;
         let state = *self.state.borrow();
         let one_way = state.mode == LinkMode::OneWay && self.direction == Direction::ToCaller;
         if one_way || self.check_silenced() {
-            return false;
+            return Ok(false);
         }
-        if state.mode.endless_head_chunk().is_some() {
-            if self.direction == Direction::ToTarget && !chunk.is_empty() {
-                self.request_seen.notify_one();
+        if state.mode.endless_head_chunk().is_some() && self.direction == Direction::ToTarget {
+            if chunk.is_empty() {
+                // The target must not go on with a response that nobody reads.
+                return Err(io::ErrorKind::ConnectionReset.into());
             }
-            return false;
+            self.request_seen.notify_one();
+        }
+        if state.mode.endless_head_chunk().is_some() {
+            return Ok(false);
         }
         let delay = match state.mode {
             LinkMode::Delay => Duration::from_millis(state.delay_ms),
@@ -460,7 +468,7 @@
         };
         // Fails only if the writer has ended; the reader then ends by itself.
         let _ = sender.send((Instant::now() + delay, chunk)).await;
-        true
+        Ok(true)
     }
 }
 
--- a/crates/mimosagap-standins/tests/proxy.rs
+++ b/crates/mimosagap-standins/tests/proxy.rs
@@ -213,3 +213,31 @@
     assert_silent(&mut stream);
     assert_echo(&mut link.connect());
 }
+
+/// Guards against a target that goes on with a response after its caller closed the connection while
+/// the link was sending an endless head.
+#[test]
+fn an_endless_head_does_not_hide_the_close_of_the_caller() {
+    let target = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let target_address = target.local_addr().expect("an address").to_string();
+    let (closed, close) = std::sync::mpsc::channel();
+    std::thread::spawn(move || {
+        let (stream, _) = target.accept().expect("the proxy connects");
+        echo_bytes(stream);
+        closed.send(()).expect("the test waits");
+    });
+    let control = free_address().to_string();
+    let options = ["--to", &target_address, "--control", &control];
+    let proxy = StandIn::start("proxy", &options);
+    let mut stream = TcpStream::connect(proxy.address).expect("the proxy accepts");
+    stream
+        .set_read_timeout(Some(READ_TIMEOUT))
+        .expect("a timeout");
+    assert_echo(&mut stream);
+    let url = format!("http://{control}/control/mode");
+    post(&url, &json!({"mode": "flood_head"})).expect("a control response");
+    drop(stream);
+    close
+        .recv_timeout(Duration::from_secs(2))
+        .expect("the target sees the close");
+}
