fix(metrics): rate limits have a series only while they are in force

The series of a limit was set and removed with the statements of its target, so a target that left while it named one kept its series for ever, and the alert on a long need with it. The series are now set from the table of targets at each scrape; only_rate_limits_in_force_have_a_series guards that.

--- a/crates/mimosagap-gateway/src/listeners.rs
+++ b/crates/mimosagap-gateway/src/listeners.rs
@@ -201,6 +201,16 @@
     let now = gateway.now();
     let age = gateway.with_state(|state| state.config.confirmation_age(now));
     gateway.metrics.refresh_gauges(age.unwrap_or(now));
+    let limits: Vec<(String, f64)> = gateway.with_state(|state| {
+        let targets = state.targets.iter();
+        let limited = targets.filter_map(|(_, target)| {
+            let rate = target.rate.newest()?.per_second?;
+            Some((target.entry.instance.clone(), rate))
+        });
+        limited.collect()
+    });
+    let signals = &gateway.metrics.target_signals;
+    signals.set_limits(limits.into_iter());
     match gateway.metrics.encode() {
         Ok(text) => local_response(StatusCode::OK, "text/plain", text),
         Err(error) => {
--- a/crates/mimosagap-gateway/src/metrics.rs
+++ b/crates/mimosagap-gateway/src/metrics.rs
@@ -73,7 +73,8 @@
 /// Metrics of what targets say in headers: their rate limits, and what was not read.
 #[derive(Clone)]
 pub struct SignalMetrics {
-    changes: IntCounterVec,
+    /// Changes of the rate limits of targets, by how this host learned of them.
+    pub limit_changes: IntCounterVec,
     limits: GaugeVec,
     /// Asks for permits of targets that name a limit, by result.
     pub permits: IntCounterVec,
@@ -92,7 +93,7 @@
         )?;
         registry.register(Box::new(limits.clone()))?;
         Ok(Self {
-            changes: register_counters(
+            limit_changes: register_counters(
                 registry,
                 "mimosagap_target_rate_limit_changes_total",
                 "Changes of the rate limits of targets",
@@ -114,13 +115,11 @@
         })
     }
 
-    /// Records the rate limit of a target, or its end. Only limits in force have a series.
-    pub fn observe_rate_limit(&self, target: &str, source: &str, per_second: Option<f64>) {
-        self.changes.with_label_values(&[source]).inc();
-        match per_second {
-            Some(rate) => self.limits.with_label_values(&[target]).set(rate),
-            // Fails only if the limit was never recorded.
-            None => drop(self.limits.remove_label_values(&[target])),
+    /// Replaces the limits in force by these, in requests per second by target.
+    pub fn set_limits(&self, limits: impl Iterator<Item = (String, f64)>) {
+        self.limits.reset();
+        for (target, rate) in limits {
+            self.limits.with_label_values(&[&target]).set(rate);
         }
     }
 }
--- a/crates/mimosagap-gateway/src/target_notices.rs
+++ b/crates/mimosagap-gateway/src/target_notices.rs
@@ -170,10 +170,8 @@
         return change;
     }
     let target = gateway.instance(key);
-    gateway
-        .metrics
-        .target_signals
-        .observe_rate_limit(&target, source, statement.per_second);
+    let changes = &gateway.metrics.target_signals.limit_changes;
+    changes.with_label_values(&[source]).inc();
     gateway.log.event(&LogEvent::TargetRateLimit {
         target: &target,
         source,
--- a/crates/mimosagap-gateway/tests/metrics.rs
+++ b/crates/mimosagap-gateway/tests/metrics.rs
@@ -56,3 +56,25 @@
     );
     assert!(!text.contains("mimosagap_memory_bytes 0\n"), "{text}");
 }
+
+/// Targets come and go, and one that left while it named a limit must not keep its series.
+#[test]
+fn only_rate_limits_in_force_have_a_series() {
+    let metrics = GatewayMetrics::new().expect("names differ");
+    let limits = |limits: &[(&str, f64)]| {
+        let limits = limits
+            .iter()
+            .map(|(name, rate)| ((*name).to_owned(), *rate));
+        metrics.target_signals.set_limits(limits);
+        let text = encoded_text(&metrics);
+        let series = text
+            .lines()
+            .filter(|line| line.starts_with("mimosagap_target_rate_limit{"));
+        series.map(str::to_owned).collect::<Vec<_>>()
+    };
+    assert_eq!(limits(&[("i-1", 3.7), ("i-2", 2.0)]).len(), 2);
+    assert_eq!(
+        limits(&[("i-2", 4.0)]),
+        [r#"mimosagap_target_rate_limit{target="i-2"} 4"#]
+    );
+}
