fix(gateway): a caller that leaves ends the wait for another host's response

Found while reading the diff: the table of asks that wait for a keeper lost its entry only when the ask ended, and a caller that leaves drops its request before that. Each such entry stayed for the life of the process. The table of placement requests had the same fault since it exists. Both now use one type whose entry goes with the waiting future.

--- a/crates/mimosagap-gateway/src/lib.rs
+++ b/crates/mimosagap-gateway/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod metrics;
 pub mod mirror;
 mod peers;
+mod pending_responses;
 mod pool;
 mod rate_permits;
 mod remote_placement;
--- a/crates/mimosagap-gateway/src/rate_permits.rs
+++ b/crates/mimosagap-gateway/src/rate_permits.rs
@@ -6,8 +6,8 @@
 //! `mimosagap_routing::keeper_selection`. Each ask carries what the target last said to the host,
 //! so that a keeper decides by the newest limit that any asking host has heard.
 
-use std::cell::{Cell, RefCell};
-use std::collections::{HashMap, VecDeque};
+use std::cell::RefCell;
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -19,12 +19,12 @@
 use mimosagap_types::prelude::*;
 use rand::Rng;
 use serde::{Deserialize, Serialize};
-use tokio::sync::oneshot;
 use tokio::time::timeout;
 
 use crate::exchange::sleep_unless_zero;
 use crate::log::LogEvent;
 use crate::peers::PeerMessage;
+use crate::pending_responses::{PendingResponse, PendingResponses};
 use crate::state::{Gateway, GatewayState, SharedGateway, millis};
 use crate::target_notices;
 
@@ -112,8 +112,7 @@
 
 /// Sends asks, matches responses to them, and keeps the responses of this host.
 pub struct PermitClient {
-    next_id: Cell<u64>,
-    pending: RefCell<HashMap<u64, oneshot::Sender<PermitAnswer>>>,
+    pending: PendingResponses<PermitAnswer>,
     selector: RefCell<KeeperSelector>,
     /// Responses of this host to others, by the hash of the host that asked and the id.
     recent_responses: RefCell<VecDeque<((u64, u64), PermitResponse)>>,
@@ -125,8 +124,7 @@
     pub fn new(started_at: Duration) -> Self {
         let first_id = u64::try_from(started_at.as_nanos()).unwrap_or_default();
         Self {
-            next_id: Cell::new(first_id),
-            pending: RefCell::default(),
+            pending: PendingResponses::new(first_id),
             selector: RefCell::default(),
             recent_responses: RefCell::default(),
         }
@@ -134,16 +132,7 @@
 
     /// Passes a response to the ask that waits for it.
     pub fn complete(&self, response: &PermitResponse) {
-        if let Some(sender) = self.pending.borrow_mut().remove(&response.id) {
-            // The receiver is gone if the ask has timed out.
-            let _ = sender.send(response.answer);
-        }
-    }
-
-    fn new_id(&self) -> u64 {
-        let id = self.next_id.get();
-        self.next_id.set(id.wrapping_add(1));
-        id
+        self.pending.complete(response.id, response.answer);
     }
 }
 
@@ -220,7 +209,7 @@
     let client = &gateway.permit_client;
     let settings = &gateway.settings;
     let now = gateway.now();
-    let id = client.new_id();
+    let mut pending = client.pending.add();
     let prepared = gateway.with_state(|state| {
         let region = state.targets.region_of(key);
         let selector = client.selector.borrow();
@@ -230,7 +219,7 @@
         let bounds = gateway.retry_bounds();
         let demand = budget.map_or(0.0, |budget: &RetryBudget| budget.request_rate(&bounds));
         let request = PermitRequest {
-            id,
+            id: pending.id,
             instance: target.entry.instance.clone(),
             started_unix_ms: target.entry.started_unix_ms,
             statement: target.rate.newest()?,
@@ -259,7 +248,7 @@
     let answer = if name == settings.host {
         Some(decide(gateway, &request))
     } else {
-        request_permit(gateway, address, response_timeout, &request).await
+        request_permit(gateway, address, response_timeout, &request, &mut pending).await
     };
     let result = apply_answer(gateway, key, &name, answer);
     (name, result)
@@ -270,12 +259,9 @@
     address: SocketAddr,
     response_timeout: Duration,
     request: &PermitRequest,
+    pending: &mut PendingResponse<'_, PermitAnswer>,
 ) -> Option<PermitAnswer> {
-    let client = &gateway.permit_client;
     let socket = gateway.placer_rpc.socket()?;
-    let (sender, mut receiver) = oneshot::channel();
-    client.pending.borrow_mut().insert(request.id, sender);
-    let mut answer = None;
     for _ in 0..MAX_ASKS {
         let message = PermitRequest {
             statement: request.statement.to_ages(gateway.now()),
@@ -284,13 +270,11 @@
         let bytes = PeerMessage::PermitRequest(message).encode()?;
         // A datagram that cannot be sent counts as lost.
         let _ = socket.send_to(&bytes, address).await;
-        if let Ok(received) = timeout(response_timeout, &mut receiver).await {
-            answer = received.ok();
-            break;
+        if let Ok(answer) = timeout(response_timeout, pending.receive()).await {
+            return answer;
         }
     }
-    client.pending.borrow_mut().remove(&request.id);
-    answer
+    None
 }
 
 /// Applies an answer to what this host knows of the target. Returns the time until the slot.
--- a/crates/mimosagap-gateway/src/remote_placement.rs
+++ b/crates/mimosagap-gateway/src/remote_placement.rs
@@ -5,8 +5,7 @@
 //! This module holds the client that asks the placer over UDP and the handler that runs on the
 //! placer.
 
-use std::cell::{Cell, OnceCell, RefCell};
-use std::collections::HashMap;
+use std::cell::{OnceCell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -19,11 +18,11 @@
 use mimosagap_types::prelude::*;
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
-use tokio::sync::oneshot;
 use tokio::time::timeout;
 
 use crate::log::LogEvent;
 use crate::peers::PeerMessage;
+use crate::pending_responses::{PendingResponse, PendingResponses};
 use crate::state::{Gateway, GatewayState, SharedGateway};
 
 /// A host that gets no response from the placer within this time chooses an engine itself. A round
@@ -71,14 +70,22 @@
 }
 
 /// Sends placement requests and matches responses to them.
-#[derive(Default)]
 pub struct PlacementClient {
     socket: OnceCell<Rc<UdpSocket>>,
-    next_id: Cell<u64>,
-    pending: RefCell<HashMap<u64, oneshot::Sender<PlacementDecision>>>,
+    pending: PendingResponses<PlacementDecision>,
     selector: RefCell<PlacerSelector>,
 }
 
+impl Default for PlacementClient {
+    fn default() -> Self {
+        Self {
+            socket: OnceCell::new(),
+            pending: PendingResponses::new(0),
+            selector: RefCell::default(),
+        }
+    }
+}
+
 impl PlacementClient {
     /// Sets the socket for requests.
     pub fn set_socket(&self, socket: Rc<UdpSocket>) {
@@ -93,10 +100,7 @@
 
     /// Passes a response to the request that waits for it.
     pub fn complete(&self, response: PlacementResponse) {
-        if let Some(sender) = self.pending.borrow_mut().remove(&response.id) {
-            // The receiver is gone if the request has timed out.
-            let _ = sender.send(response.decision);
-        }
+        self.pending.complete(response.id, response.decision);
     }
 }
 
@@ -130,10 +134,9 @@
     if name == settings.host {
         return gateway.with_state(|state| choose_in_region(state, options, excluded, now));
     }
-    let id = client.next_id.get();
-    client.next_id.set(id + 1);
+    let mut pending = client.pending.add();
     let request = PlacementRequest {
-        id,
+        id: pending.id,
         host_hash: gateway.host_hash,
         service: options.service.clone(),
         home_zone: options.home_zone.clone(),
@@ -142,9 +145,8 @@
         restart_time: options.restart_time,
         excluded: excluded.iter().map(|key| gateway.instance(*key)).collect(),
     };
-    let response = timeout(RESPONSE_TIMEOUT, send_request(client, address, request)).await;
-    client.pending.borrow_mut().remove(&id);
-    match response {
+    let response = send_request(client, address, request, &mut pending);
+    match timeout(RESPONSE_TIMEOUT, response).await {
         Ok(Some(PlacementDecision::Granted {
             instance,
             time_to_first_token,
@@ -185,13 +187,12 @@
     client: &PlacementClient,
     address: SocketAddr,
     request: PlacementRequest,
+    pending: &mut PendingResponse<'_, PlacementDecision>,
 ) -> Option<PlacementDecision> {
     let socket = client.socket.get()?;
-    let (sender, receiver) = oneshot::channel();
-    client.pending.borrow_mut().insert(request.id, sender);
     let bytes = PeerMessage::PlacementRequest(request).encode()?;
     socket.send_to(&bytes, address).await.ok()?;
-    receiver.await.ok()
+    pending.receive().await
 }
 
 /// Chooses among the engines of this host's region.
