fix(load): results that cannot be read are an error and not an empty file

Cause: ExperimentResults::read took any error for a missing file. Now only a missing file means no results; other errors are reported before a run is made. an_unreadable_results_file_is_an_error failed before.

--- a/crates/mimosagap-load/src/experiment.rs
+++ b/crates/mimosagap-load/src/experiment.rs
@@ -144,10 +144,10 @@
 }
 
 impl ExperimentResults {
-    /// Reads the results from a file; empty results if it cannot be read.
+    /// Reads the results from a file; empty results if it does not exist.
     ///
     /// # Errors
-    /// The file does not hold results.
+    /// The file cannot be read or does not hold results.
     pub fn read(path: &Path) -> Result<Self, CommandError> {
         match fs::read_to_string(path) {
             Ok(text) => serde_json::from_str(&text).map_err(|error| {
@@ -156,7 +156,11 @@
                     "{path} does not hold results: {error}; move the file away"
                 ))
             }),
-            Err(_) => Ok(Self::default()),
+            Err(error) if error.kind() == std::io::ErrorKind::NotFound => Ok(Self::default()),
+            Err(error) => Err(CommandError::Setup(format!(
+                "{} cannot be read: {error}; the results in it would be lost",
+                path.display()
+            ))),
         }
     }
 
--- a/crates/mimosagap-load/tests/experiment.rs
+++ b/crates/mimosagap-load/tests/experiment.rs
@@ -81,3 +81,15 @@
     let lines = mimosagap_rules::parse_rules(&text).unwrap();
     assert_eq!(lines.len(), 10 + 2 + 1 + 1);
 }
+
+/// Guards against taking a results file that cannot be read for a missing one, and overwriting the
+/// results of earlier seeds.
+#[test]
+fn an_unreadable_results_file_is_an_error() {
+    let directory = std::env::temp_dir();
+    let error = ExperimentResults::read(&directory).expect_err("a directory holds no results");
+    assert!(error.to_string().contains("cannot be read"), "{error}");
+    let missing = directory.join(format!("mimosagap-no-results-{}.json", std::process::id()));
+    let results = ExperimentResults::read(&missing).expect("a missing file means no results yet");
+    assert!(results.runs.is_empty());
+}
