fix(gateway): a hedged call keeps its retry spent when its first attempt gets no permit

A call whose first attempt waits for a keeper in another region may be hedged before the ask is denied. The denial then returned a retry to the budget because two sends were counted, although the hedged one had spent it and was on its way, so that the fleet could send one retry more than the budget allows. The attempt itself now says whether it was a retry.

--- a/crates/mimosagap-gateway/src/calls.rs
+++ b/crates/mimosagap-gateway/src/calls.rs
@@ -52,6 +52,8 @@
 
 struct AttemptResult {
     target: TargetKey,
+    /// Number of the send, starting at 1.
+    attempt: u32,
     result: Result<BufferedResponse, ExchangeError>,
 }
 
@@ -75,11 +77,11 @@
 
 impl CallProgress {
     /// Takes back what was counted for an attempt that was not sent.
-    fn undo_send(&mut self, gateway: &SharedGateway, request: &RoutedRequest) {
+    fn undo_send(&mut self, gateway: &SharedGateway, request: &RoutedRequest, attempt: u32) {
         self.rate_limited_attempts += 1;
         self.executions -= 1;
         self.sends -= 1;
-        if self.sends > 0 {
+        if attempt > 1 {
             gateway.refund_retry(&request.service);
         }
     }
@@ -135,7 +137,7 @@
                         true
                     }
                     Err(ExchangeError::RateLimited) => {
-                        progress.undo_send(gateway, request);
+                        progress.undo_send(gateway, request, attempt.attempt);
                         true
                     }
                     Err(ExchangeError::Aborted | ExchangeError::LimitExceeded) => {
@@ -197,7 +199,11 @@
         target,
         future: Box::pin(async move {
             let result = run_attempt(gateway, request, target, attempt, max_permit_wait).await;
-            AttemptResult { target, result }
+            AttemptResult {
+                target,
+                attempt,
+                result,
+            }
         }),
     });
 }
