fix(gateway): a host that shuts down refuses what its exit would cut off

Cause: the process exits 0.8 s before the end of the grace period, but whether a generation ends in time was judged by that end, and calls were not judged at all.

--- a/crates/mimosagap-gateway/src/calls.rs
+++ b/crates/mimosagap-gateway/src/calls.rs
@@ -92,6 +92,11 @@
     gateway: &SharedGateway,
     request: &RoutedRequest,
 ) -> Response<ResponseBody> {
+    // A call rarely takes longer than its objective.
+    if gateway.exits_within(request.route.latency_objective) {
+        let reason = RefusalReason::ShuttingDown;
+        return refusal_response(gateway, request.into(), reason);
+    }
     let mut progress = CallProgress {
         tried: Vec::new(),
         sends: 0,
--- a/crates/mimosagap-gateway/src/run.rs
+++ b/crates/mimosagap-gateway/src/run.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use mimosagap_platform::settings::{self, HostSettings, SETTINGS_PATH_VARIABLE, SettingsError};
+use mimosagap_routing::shutdown::ShutdownWindow;
 use mimosagap_types::prelude::*;
 use tokio::net::UdpSocket;
 use tokio::signal::unix::{SignalKind, signal};
@@ -17,10 +18,6 @@
 use crate::store::StoreClient;
 use crate::{peers, store_sync};
 
-/// Part of the grace period reserved for the last log lines and the exit, before the process is
-/// killed.
-const EXIT_MARGIN: Duration = Duration::from_millis(800);
-
 /// Callers keep using an address for up to this many times its time to live.
 const ADDRESS_TTL_FACTOR: u32 = 2;
 
@@ -265,17 +262,13 @@
     gateway.registration_wakeup.notify_one();
     let in_flight = gateway.in_flight.get();
     gateway.log.event(&LogEvent::Stopping { host, in_flight });
-    let grace = gateway
-        .settings
-        .bounds
-        .grace_period
-        .saturating_sub(EXIT_MARGIN);
-    let min_drain_time = (ADDRESS_TTL * ADDRESS_TTL_FACTOR).min(grace);
+    let window = ShutdownWindow::new(stopping_since, gateway.settings.bounds.grace_period);
+    let min_drain_time = ADDRESS_TTL * ADDRESS_TTL_FACTOR;
     loop {
         tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
-        let elapsed = gateway.now().saturating_sub(stopping_since);
-        let is_idle = gateway.in_flight.get() == 0;
-        if elapsed >= grace || (elapsed >= min_drain_time && is_idle) {
+        let now = gateway.now();
+        let has_drained = now >= stopping_since + min_drain_time && gateway.in_flight.get() == 0;
+        if has_drained || window.is_over(now) {
             break;
         }
     }
--- a/crates/mimosagap-gateway/src/state.rs
+++ b/crates/mimosagap-gateway/src/state.rs
@@ -15,6 +15,7 @@
 use mimosagap_routing::output_length::LengthEstimator;
 use mimosagap_routing::quarantine::Quarantine;
 use mimosagap_routing::retry_budget::{RetryBounds, RetryBudget};
+use mimosagap_routing::shutdown::ShutdownWindow;
 use mimosagap_routing::targets::{TargetKey, TargetTable};
 use mimosagap_routing::token_time::TokenTimeEstimator;
 use mimosagap_routing::wait_queue::WaitQueue;
@@ -257,12 +258,18 @@
         self.with_state(|state| state.stopping_since.is_some())
     }
 
-    /// Time until the grace period ends; `None` if the process was not asked to stop.
-    pub fn shutdown_time_left(&self) -> Option<Duration> {
-        let now = self.now();
+    /// The time until this process exits; `None` if it was not asked to stop.
+    pub fn shutdown_window(&self) -> Option<ShutdownWindow> {
         let stopping_since = self.with_state(|state| state.stopping_since)?;
-        let deadline = stopping_since + self.settings.bounds.grace_period;
-        Some(deadline.saturating_sub(now))
+        let grace_period = self.settings.bounds.grace_period;
+        Some(ShutdownWindow::new(stopping_since, grace_period))
+    }
+
+    /// Whether this process exits before a request that takes this long would end.
+    pub fn exits_within(&self, expected_time: Duration) -> bool {
+        let now = self.now();
+        self.shutdown_window()
+            .is_some_and(|window| !window.can_complete(expected_time, now))
     }
 }
 
--- a/crates/mimosagap-gateway/src/streams.rs
+++ b/crates/mimosagap-gateway/src/streams.rs
@@ -37,10 +37,6 @@
 /// Limit on the sends of one request, including those that an engine rejected.
 const MAX_SENDS: u32 = 4;
 
-/// A host that shuts down starts a generation only if it is expected to take less than this
-/// fraction of the time left.
-const SHUTDOWN_TIME_FRACTION: f64 = 0.8;
-
 /// Time in microseconds in which an idle engine reads one prompt token.
 const PREFILL_MICROS_PER_TOKEN: u64 = 140;
 
@@ -124,10 +120,9 @@
     let mut executions = 0;
     let mut was_aborted = false;
     let mut is_counted = false;
-    if let Some(time_left) = gateway.shutdown_time_left()
-        && gateway.token_time(&request.service) * demand.expected_tokens + prefill_time(demand)
-            > time_left.mul_f64(SHUTDOWN_TIME_FRACTION)
-    {
+    let expected_time =
+        gateway.token_time(&request.service) * demand.expected_tokens + prefill_time(demand);
+    if gateway.exits_within(expected_time) {
         return StartOutcome::Refused(RefusalReason::ShuttingDown);
     }
     let reason = loop {
