fix(gateway): a host judges the placer's choice by what it knows itself

Cause: a placer that had been restarted after the announcement had not heard it and granted the engine, and the host that asked accepted a draining engine whenever the placer chose it, without the checks that it applies to its own choices: time since the notice, and whether the route allows another run.

Evidence: the log of gateway 0 has target_leaving for i-4 (source answer) at 3276109 ms and sends to it from 3280738 ms; gateway 2 started at 3278660 ms. Change: may_place_on is the one rule for both.

--- a/crates/mimosagap-gateway/src/remote_placement.rs
+++ b/crates/mimosagap-gateway/src/remote_placement.rs
@@ -11,7 +11,7 @@
 use std::time::Duration;
 
 use mimosagap_routing::placement::{
-    GenerationDemand, Placement, PlacementOptions, place_generation,
+    GenerationDemand, Placement, PlacementOptions, may_place_on, place_generation,
 };
 use mimosagap_routing::placer_selection::PlacerSelector;
 use mimosagap_routing::targets::{Locality, Target, TargetKey, TargetLoad};
@@ -156,10 +156,10 @@
             let usable_engine = gateway.with_state(|state| {
                 let key = state.targets.find_instance(&instance)?;
                 let target = state.targets.get(key)?;
-                let may_use = target.is_available(now) || target.is_available_while_draining(now);
-                may_use.then_some(key)
+                may_place_on(&state.targets, options, target, now).then_some(key)
             });
-            // An engine may have become unavailable, or may not be known to this host yet.
+            // An engine may be unavailable, leave without the placer's knowledge, or not be known to
+            // this host yet.
             usable_engine.map_or(PlacementOutcome::NoDecision, |target| {
                 PlacementOutcome::Placed(Placement {
                     target,
--- a/crates/mimosagap-routing/src/placement.rs
+++ b/crates/mimosagap-routing/src/placement.rs
@@ -196,6 +196,18 @@
             .is_some_and(|(time, until)| end(time) < until)
 }
 
+/// Whether this host may send a generation to an engine. A host that has just started does not know
+/// which engines announced that they leave, so the host that sends judges its choice by this, too.
+#[must_use]
+pub fn may_place_on(
+    targets: &TargetTable,
+    options: &PlacementOptions<'_>,
+    target: &Target,
+    now: Duration,
+) -> bool {
+    target.is_available(now) || ends_before_shutdown(targets, options, target, now)
+}
+
 /// Chooses an engine among those that `may_use` admits. `None` means that none has capacity.
 #[must_use]
 pub fn place_generation(
@@ -215,9 +227,7 @@
     targets
         .of_service(options.service)
         .filter(|(key, target)| may_use(*key, target))
-        .filter(|(_, target)| {
-            target.is_available(now) || ends_before_shutdown(targets, options, target, now)
-        })
+        .filter(|(_, target)| may_place_on(targets, options, target, now))
         .filter(|(_, target)| {
             options
                 .remote_partition_host
--- a/crates/mimosagap-routing/tests/placer_selection.rs
+++ b/crates/mimosagap-routing/tests/placer_selection.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use mimosagap_routing::hosts::{HostCapacity, HostRecord, HostTable};
-use mimosagap_routing::placement::place_generation;
+use mimosagap_routing::placement::{may_place_on, place_generation};
 use mimosagap_routing::placer_selection::PlacerSelector;
 use mimosagap_routing::targets::{PRIORITY_LEVELS, TargetKey, TargetLoad, TargetTable};
 use mimosagap_types::prelude::*;
@@ -130,3 +130,19 @@
     selector.record_failure("a1-1", NOW);
     assert_eq!(selected_placer(&selector, &hosts, NOW), None);
 }
+
+/// A placer that was restarted had not heard that an engine announced its leaving, and granted it
+/// for generations that must not be started again. The host that asked knew, and sent them there for
+/// seconds.
+#[test]
+fn an_engine_that_leaves_is_not_used_though_the_placer_grants_it() {
+    let (mut targets, keys) = engines(&["a", "a"]);
+    assert!(targets.mark_draining(keys[0], NOW));
+    let (service, home_zone) = (service(), ZoneName::new("a"));
+    let options = long_generation_options(&service, &home_zone);
+    let may_place = |key: TargetKey| {
+        let target = targets.get(key).expect("the target is listed");
+        may_place_on(&targets, &options, target, NOW + Duration::from_secs(5))
+    };
+    assert_eq!([keys[0], keys[1]].map(may_place), [false, true]);
+}
--- a/crates/mimosagap-soak/tests/soak.rs
+++ b/crates/mimosagap-soak/tests/soak.rs
@@ -41,6 +41,9 @@
 // A response was in transit when its gateway was killed, and the last lines of the log were lost.
 // The check accepted a missing cause only for responses before the kill, and of any gateway.
 #[case::response_in_transit_at_a_kill(include_str!("plans/1220.json"), 22_700)]
+// A restarted placer had not heard that an engine announced its leaving, and another gateway that
+// had heard it sent streams there when the placer granted the engine.
+#[case::placer_without_a_notice(include_str!("plans/7107.json"), 23_200)]
 fn a_plan_that_once_failed_passes(#[case] plan: &str, #[case] base_port: u16) {
     run_clean(serde_json::from_str(plan).expect("a plan"), base_port);
 }
