feat(log): prompt parts of sent requests, and the requests of a crashed target

The adapter now decodes the parts, the line sent shows them, and target_crashed names the request, its fingerprint, its parts and how many events the target had sent for it. No decision changes.

--- a/crates/mimosagap-gateway/src/calls.rs
+++ b/crates/mimosagap-gateway/src/calls.rs
@@ -289,7 +289,7 @@
             let error = cause.into();
             record_failed_attempt(gateway, request, target, attempt, error, started_at);
             if error == ExchangeError::Aborted {
-                crash_probe::probe_after_failure(gateway, target, request.fingerprint);
+                crash_probe::probe_after_failure(gateway, target, request, 0);
             }
             return Err(error);
         }
--- a/crates/mimosagap-gateway/src/exchange.rs
+++ b/crates/mimosagap-gateway/src/exchange.rs
@@ -13,6 +13,7 @@
     ResponseKind, classify_response, closes_connection, keep_alive_timeout,
 };
 use mimosagap_platform::request::{Continuation, ForwardParams, target_headers};
+use mimosagap_routing::prompt::describe_parts;
 use mimosagap_routing::rate_keeper::PermitClass;
 use mimosagap_routing::targets::{TargetEntry, TargetKey, TargetOutcome};
 
@@ -195,7 +196,7 @@
             Err(SendError::NotSent) if !is_first_use => {}
             Err(SendError::NotSent) => return Err(ExchangeError::Unreachable),
             Err(SendError::ConnectionFailed(_)) => {
-                crash_probe::probe_after_failure(gateway, key, request.fingerprint);
+                crash_probe::probe_after_failure(gateway, key, request, 0);
                 return Err(ExchangeError::Aborted);
             }
             Err(SendError::LimitExceeded) => return Err(ExchangeError::LimitExceeded),
@@ -330,6 +331,7 @@
     gateway.log.event(&LogEvent::Sent {
         id: &request.head.attempt_id,
         request: request.fingerprint.to_string(),
+        parts: describe_parts(&request.head.prompt_parts),
         target: &entry.instance,
         attempt,
         requests: load.requests,
--- a/crates/mimosagap-gateway/src/log.rs
+++ b/crates/mimosagap-gateway/src/log.rs
@@ -145,8 +145,14 @@
     TargetCrashed {
         /// Instance name of the target.
         target: &'a str,
-        /// Number of requests suspected of the crash.
-        suspects: usize,
+        /// Attempt id of a request that ran there.
+        id: &'a str,
+        /// Fingerprint of that request, equal for all attempts of the caller.
+        request: String,
+        /// Parts of its prompt; empty if it is not a generation.
+        parts: String,
+        /// Number of events that the target had sent for it.
+        events: u32,
     },
     /// A request is sent to a target.
     Sent {
@@ -154,6 +160,8 @@
         id: &'a str,
         /// Fingerprint of the request, equal for all attempts of the caller.
         request: String,
+        /// Parts of the prompt; empty if the request is not a generation.
+        parts: String,
         /// Instance name of the target.
         target: &'a str,
         /// Number of the send, from 1.
--- a/crates/mimosagap-gateway/src/stream_relay.rs
+++ b/crates/mimosagap-gateway/src/stream_relay.rs
@@ -247,7 +247,8 @@
                     crash_probe::probe_after_failure(
                         &gateway,
                         self.reservation.target,
-                        self.request.fingerprint,
+                        &self.request,
+                        self.generated_tokens / self.tokens_per_event.max(1),
                     );
                 }
                 SourceItem::LimitExceeded => self.record_failure(TargetOutcome::LimitExceeded),
--- a/crates/mimosagap-gateway/src/streams.rs
+++ b/crates/mimosagap-gateway/src/streams.rs
@@ -255,7 +255,7 @@
         }
         SourceItem::End | SourceItem::Aborted => {
             reservation.record_outcome(TargetOutcome::Failed);
-            crash_probe::probe_after_failure(gateway, target, request.fingerprint);
+            crash_probe::probe_after_failure(gateway, target, request, 0);
             Err(ExchangeError::Aborted)
         }
         SourceItem::LimitExceeded => {
--- a/crates/mimosagap-gateway/tests/log.rs
+++ b/crates/mimosagap-gateway/tests/log.rs
@@ -183,7 +183,10 @@
         },
         LogEvent::TargetCrashed {
             target: "i-1",
-            suspects: 1,
+            id: "a",
+            request: empty(),
+            parts: empty(),
+            events: 1,
         },
         LogEvent::LinesLeftOut {
             kind: "sent",
@@ -203,6 +206,7 @@
         LogEvent::Sent {
             id: "a",
             request: empty(),
+            parts: empty(),
             target: "i-1",
             attempt: 1,
             requests: 0,
--- a/crates/mimosagap-routing/src/lib.rs
+++ b/crates/mimosagap-routing/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod output_length;
 pub mod placement;
 pub mod placer_selection;
+pub mod prompt;
 pub mod quarantine;
 pub mod rate_keeper;
 pub mod rate_limit;
