test(soak): requests with one crashing part end engine after engine

Stand-ins for engines crash as soon as they begin to answer a prompt with a given part, whatever else it holds, before the head, after it or within the first event, and come back under another name. A client sends such requests, no two alike, to any gateway. Counted at the targets: arrivals later than 4 s after the fifth crash (allowed 3); and whether sound requests of the same route, key and first part still begin half as often as outside the series.

Drawn plans do not have the fault yet, since they would fail.

--- a/crates/mimosagap-soak/src/checker.rs
+++ b/crates/mimosagap-soak/src/checker.rs
@@ -5,6 +5,7 @@
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
+use crate::crash_check::{CrashChecker, CrashOutcome};
 use crate::rate_check::{RateChecker, RateUsage};
 use crate::standins::target::BACKOFF;
 
@@ -17,6 +18,22 @@
     AtMostOnce,
     /// A stream of events, which may be executed at most once.
     Stream,
+    /// A stream of events that may be executed any number of times and resumed at another target.
+    ResumableStream,
+}
+
+impl RequestKind {
+    /// Whether a request of this kind may be executed more than once.
+    #[must_use]
+    pub fn is_idempotent(self) -> bool {
+        matches!(self, Self::Idempotent | Self::ResumableStream)
+    }
+
+    /// Whether the response is a stream of events.
+    #[must_use]
+    pub fn is_stream(self) -> bool {
+        matches!(self, Self::Stream | Self::ResumableStream)
+    }
 }
 
 /// What is known of one request.
@@ -63,6 +80,7 @@
     /// When a target last asked a gateway to back off, and the requests that arrived since.
     backoffs: RefCell<HashMap<(usize, String), (Instant, u32)>>,
     rate_checker: RefCell<RateChecker>,
+    crash_checker: RefCell<CrashChecker>,
     /// Until when responses of a target may fail to reach the gateways.
     unreachable_until: RefCell<HashMap<String, Instant>>,
     /// When each retry arrived, and whether it was one of a stream.
@@ -161,12 +179,12 @@
         );
         let api_key = request.api_key.clone();
         drop(requests);
-        if executions > 1 && kind != RequestKind::Idempotent {
+        if executions > 1 && !kind.is_idempotent() {
             self.record_violation(format!(
                 "{kind:?} request {id} was executed {executions} times"
             ));
         }
-        if kind != RequestKind::Idempotent && matches!(status, Some(408 | 421 | 429 | 503)) {
+        if !kind.is_idempotent() && matches!(status, Some(408 | 421 | 429 | 503)) {
             self.record_violation(format!(
                 "request {id} was executed after its client received a refusal"
             ));
@@ -222,6 +240,58 @@
         self.rate_checker.borrow_mut().end_limit(target, now);
     }
 
+    /// Records that clients start to send requests with a part of a prompt that crashes targets.
+    pub fn start_crash_series(&self, part: &str) {
+        let mut crash_checker = self.crash_checker.borrow_mut();
+        crash_checker.start_series(part, Instant::now());
+    }
+
+    /// Records that clients send no more requests with a crashing part.
+    pub fn end_crash_series(&self, part: &str) {
+        let mut crash_checker = self.crash_checker.borrow_mut();
+        crash_checker.end_series(part, Instant::now());
+    }
+
+    /// Records that a target crashes under a request with a part.
+    pub fn record_part_crash(&self, part: &str) {
+        let mut crash_checker = self.crash_checker.borrow_mut();
+        crash_checker.record_crash(part, Instant::now());
+    }
+
+    /// Records that a request with a crashing part arrives at a target, and checks whether it may.
+    pub fn record_crashing_arrival(&self, id: &str, part: &str) {
+        let gateway = self
+            .requests
+            .borrow()
+            .get(id)
+            .and_then(|request| request.gateway);
+        let Some(gateway) = gateway else {
+            return;
+        };
+        let violation =
+            self.crash_checker
+                .borrow_mut()
+                .record_arrival(part, gateway, Instant::now(), |at| {
+                    self.were_hosts_connected(at)
+                });
+        if let Some(text) = violation {
+            self.record_violation(text);
+        }
+    }
+
+    /// Records a sound request that shares parts with crashing ones, and whether its response began.
+    pub fn record_sound_request(&self, sent_at: Instant, has_begun: bool) {
+        let mut crash_checker = self.crash_checker.borrow_mut();
+        crash_checker.record_sound_request(sent_at, has_begun);
+    }
+
+    /// How the series of requests with a crashing part went. Sound requests that were sent around
+    /// a disruption do not count.
+    pub fn crash_outcomes(&self) -> Vec<CrashOutcome> {
+        let crash_checker = self.crash_checker.borrow();
+        crash_checker.outcomes(|at| self.were_hosts_connected(at))
+    }
+
     /// How far the rate limits that have ended were used.
     pub fn rate_usages(&self) -> Vec<RateUsage> {
         self.rate_checker.borrow().usages().to_vec()
@@ -282,6 +352,9 @@
         let mut rate_checker = self.rate_checker.borrow_mut();
         rate_checker.excuse_gateway(gateway, Instant::now());
         drop(rate_checker);
+        self.crash_checker
+            .borrow_mut()
+            .excuse_gateway(gateway, Instant::now());
         let is_other = |(other, _): &(usize, String)| *other != gateway;
         self.drain_notices
             .borrow_mut()
@@ -331,7 +404,7 @@
         if let Some(request) = requests.get_mut(id) {
             request.arrivals += 1;
             if request.arrivals > 1 {
-                let is_stream = request.kind == RequestKind::Stream;
+                let is_stream = request.kind.is_stream();
                 self.retries.borrow_mut().push((Instant::now(), is_stream));
             }
         }
@@ -357,7 +430,10 @@
         let now = Instant::now();
         let request = self.requests.borrow().get(id).cloned();
         let disconnected_at = request.as_ref().and_then(|request| request.disconnected_at);
-        let executor = request.and_then(|request| request.executor);
+        // A stream that may be resumed is sent again while its first target may still run.
+        let executor = request
+            .filter(|request| request.kind == RequestKind::Stream)
+            .and_then(|request| request.executor);
         if let Some((executor, since)) = executor
             && executor != target
             && now > since + MIGRATION_OVERLAP_LIMIT
@@ -454,7 +530,7 @@
                     .filter(is_same_kind)
                     .filter(|(at, _)| within(*at));
                 let requests = records.values().filter(|record| {
-                    (record.kind == RequestKind::Stream) == is_stream && within(record.sent_at)
+                    record.kind.is_stream() == is_stream && within(record.sent_at)
                 });
                 let (count, requests) = (count.count(), requests.count());
                 if count > requests / requests_per_retry + slack {
@@ -492,10 +568,7 @@
         request.response = Some((status, Instant::now()));
         let (kind, executions) = (request.kind, request.executions);
         drop(requests);
-        if kind != RequestKind::Idempotent
-            && executions > 0
-            && matches!(status, 408 | 421 | 429 | 503)
-        {
+        if !kind.is_idempotent() && executions > 0 && matches!(status, 408 | 421 | 429 | 503) {
             self.record_violation(format!(
                 "{kind:?} request {id} was refused with {status} after it was executed"
             ));
--- a/crates/mimosagap-soak/src/client.rs
+++ b/crates/mimosagap-soak/src/client.rs
@@ -41,6 +41,13 @@
 /// Body frames that a client reads before it disconnects from a stream.
 const FRAMES_BEFORE_DISCONNECT: usize = 5;
 
+/// Longest pause between two requests with a crashing part.
+const CRASHING_REQUEST_INTERVAL: Duration = Duration::from_millis(600);
+
+/// The first part of the prompt of all streams, and the parts that some of them share.
+const SHARED_PART: &str = "c0ffee01";
+const GROUP_PARTS: [&str; 3] = ["9a0001", "9a0002", "9a0003"];
+
 /// What all clients of a run share.
 pub struct ClientContext {
     /// Records requests and responses.
@@ -81,9 +88,10 @@
     let mut rng = SmallRng::seed_from_u64(seed);
     let mut kept_connection = None;
     while !context.is_stopping.get() {
-        let kind = match rng.random_range(0..4) {
-            0 => RequestKind::Idempotent,
-            1 => RequestKind::Stream,
+        let kind = match rng.random_range(0..8) {
+            0 | 1 => RequestKind::Idempotent,
+            2 => RequestKind::Stream,
+            3 => RequestKind::ResumableStream,
             _ => RequestKind::AtMostOnce,
         };
         if rng.random_range(0..REQUESTS_PER_PROBE) == 0 {
@@ -96,6 +104,7 @@
             kind,
             api_key,
             disconnects,
+            crashing_part: None,
         };
         send_request(&context, &mut rng, &mut kept_connection, spec).await;
         // With more gateways than clients, kept connections would leave most gateways idle.
@@ -106,6 +115,34 @@
     }
 }
 
+/// Sends requests with a part that crashes targets for a time, no two alike, each to any gateway and
+/// once more if it fails.
+pub async fn run_crashing_client(
+    context: Rc<ClientContext>,
+    part: &'static str,
+    duration: Duration,
+    seed: u64,
+) {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let until = Instant::now() + duration;
+    context.checker.start_crash_series(part);
+    while Instant::now() < until && !context.is_stopping.get() {
+        let spec = RequestSpec {
+            kind: RequestKind::ResumableStream,
+            api_key: API_KEYS[0],
+            disconnects: false,
+            crashing_part: Some(part),
+        };
+        for _ in 0..2 {
+            if send_request(&context, &mut rng, &mut None, spec).await {
+                break;
+            }
+        }
+        tokio::time::sleep(CRASHING_REQUEST_INTERVAL.mul_f64(rng.random_range(0.2..1.0))).await;
+    }
+    context.checker.end_crash_series(part);
+}
+
 /// What a client sends, and how it reads the response.
 #[derive(Debug, Clone, Copy)]
 pub struct RequestSpec {
@@ -115,6 +152,8 @@
     pub api_key: &'static str,
     /// Whether the client disconnects in the middle of the stream.
     pub disconnects: bool,
+    /// A part of its prompt that crashes targets; `None` for a sound request.
+    pub crashing_part: Option<&'static str>,
 }
 
 /// An open connection of a client.
@@ -136,6 +175,7 @@
         kind,
         api_key,
         disconnects,
+        crashing_part,
     } = spec;
     let index = rng.random_range(0..context.gateway_addresses.len());
     let mut connection = match kept_connection.take() {
@@ -151,18 +191,29 @@
     let id = context.new_request_id();
     context.checker.record_sent(&id, kind, api_key);
     context.checker.record_gateway(&id, connection.gateway);
+    let sent_at = Instant::now();
+    let has_begun = Cell::new(false);
     let exchange = async {
         let response = connection
             .http
-            .send(build_request(&id, kind, api_key))
+            .send(build_request(&id, kind, api_key, crashing_part))
             .await?;
+        has_begun.set(response.status() == 200);
         if disconnects && response.status() == 200 {
             read_then_disconnect(context, &id, response.into_body()).await;
             return None;
         }
         check_response(context, &id, kind, response).await
     };
-    match tokio::time::timeout(REQUEST_TIMEOUT, exchange).await {
+    let result = tokio::time::timeout(REQUEST_TIMEOUT, exchange).await;
+    if kind == RequestKind::ResumableStream
+        && crashing_part.is_none()
+        && !context.checker.is_revoked(api_key)
+    {
+        let checker = &context.checker;
+        checker.record_sound_request(sent_at, has_begun.get());
+    }
+    match result {
         Ok(Some(status)) => {
             *kept_connection = Some(connection);
             status == 200
@@ -195,7 +246,7 @@
         .checker
         .record_sent(&id, RequestKind::Idempotent, API_KEYS[0]);
     context.checker.record_gateway(&id, index);
-    let mut request = build_request(&id, RequestKind::Idempotent, API_KEYS[0]);
+    let mut request = build_request(&id, RequestKind::Idempotent, API_KEYS[0], None);
     *request.uri_mut() = format!("/v{version}/x").parse().unwrap_or_default();
     let exchange = async {
         let mut connection = HttpConnection::connect(context.gateway_addresses[index]).await?;
@@ -211,11 +262,17 @@
     }
 }
 
-fn build_request(id: &str, kind: RequestKind, api_key: &str) -> Request<FullBody> {
+fn build_request(
+    id: &str,
+    kind: RequestKind,
+    api_key: &str,
+    crashing_part: Option<&str>,
+) -> Request<FullBody> {
     let (method, path) = match kind {
         RequestKind::Idempotent => ("GET", "/safe/x"),
         RequestKind::AtMostOnce => ("POST", "/once/x"),
         RequestKind::Stream => ("POST", "/stream/x"),
+        RequestKind::ResumableStream => ("POST", "/resumable/x"),
     };
     let mut builder = Request::builder()
         .method(method)
@@ -224,12 +281,15 @@
         .header("x-attempt-id", id)
         .header("x-deadline-ms", REQUEST_TIMEOUT.as_millis().to_string())
         .header("authorization", format!("Bearer {api_key}"));
-    if kind == RequestKind::Stream {
+    if kind.is_stream() {
+        let group = id.bytes().last().map_or(0, usize::from) % GROUP_PARTS.len();
+        let middle_part = crashing_part.unwrap_or(GROUP_PARTS[group]);
+        let parts = format!("{SHARED_PART}:60,{middle_part}:20,{id}:20");
         builder = builder
             .header("x-model", "m")
             .header("x-token-usage", "100,400")
             .header("x-length-hint", "160")
-            .header("x-prefix-hash", "1:100");
+            .header("x-prefix-hash", parts);
     }
     let body = if kind == RequestKind::Idempotent {
         Bytes::new()
@@ -261,7 +321,7 @@
         );
         context.checker.record_violation(text);
     }
-    if kind == RequestKind::Stream {
+    if kind.is_stream() {
         check_stream(context, id, response.into_body()).await?;
     } else {
         let body = read_body(response.into_body()).await?;
--- a/crates/mimosagap-soak/src/lib.rs
+++ b/crates/mimosagap-soak/src/lib.rs
@@ -9,6 +9,7 @@
 
 pub mod checker;
 pub mod client;
+pub mod crash_check;
 mod http;
 pub mod plan;
 pub mod process;
--- a/crates/mimosagap-soak/src/main.rs
+++ b/crates/mimosagap-soak/src/main.rs
@@ -6,6 +6,7 @@
 use std::process::ExitCode;
 use std::time::Duration;
 
+use mimosagap_soak::crash_check::CrashOutcome;
 use mimosagap_soak::plan::{FaultPlan, GATEWAY_COUNT};
 use mimosagap_soak::run::{RunOptions, RunOutcome, run_soak};
 use pico_args::Arguments;
@@ -20,6 +21,7 @@
   --count N       number of consecutive seeds to run, one after the other (default 1)
   --limit N       no drawn faults: a service and an engine name N thousandths of a request per second
                   for all gateways together, and half of it
+  --crashing-part no drawn faults: requests with one part of a prompt crash the targets that answer them
   --gateways N    number of gateways, from 1 to 300 (default 3)
   --seconds N     how long faults are injected (default 12)
   --plan FILE     run a stored plan; a failed run writes its plan.json into its folder
@@ -69,6 +71,7 @@
     }
     let plan_file: Option<PathBuf> = arguments.opt_value_from_str("--plan")?;
     let limit: Option<u32> = arguments.opt_value_from_str("--limit")?;
+    let has_crashing_part = arguments.contains("--crashing-part");
     let shrink = arguments.contains("--shrink");
     let program: Option<PathBuf> = arguments.opt_value_from_str("--program")?;
     let directory: Option<PathBuf> = arguments.opt_value_from_str("--folder")?;
@@ -78,9 +81,16 @@
         return Err(format!("unknown arguments: {rest:?}").into());
     }
     let length = Duration::from_secs(seconds);
+    if usize::from(plan_file.is_some())
+        + usize::from(limit.is_some())
+        + usize::from(has_crashing_part)
+        > 1
+    {
+        return Err("--plan, --limit and --crashing-part exclude each other".into());
+    }
     let plans = match (plan_file, limit) {
-        (Some(_), Some(_)) => return Err("--plan and --limit exclude each other".into()),
-        (Some(path), None) => vec![serde_json::from_str(&std::fs::read_to_string(path)?)?],
+        _ if has_crashing_part => vec![FaultPlan::with_crashing_part(first_seed, length, gateways)],
+        (Some(path), _) => vec![serde_json::from_str(&std::fs::read_to_string(path)?)?],
         (None, Some(limit)) => vec![FaultPlan::with_rate_limits(
             first_seed, length, gateways, limit,
         )],
@@ -152,6 +162,7 @@
                 served,
                 sent,
                 rate_usages,
+                crash_outcomes,
                 ..
             } = outcome;
             println!("seed {seed}: passed, {served} of {sent} requests served");
@@ -161,6 +172,7 @@
                     usage.target, usage.limit, usage.used, usage.worst_window
                 );
             }
+            print_crash_outcomes(crash_outcomes);
         }
         Ok(outcome) => {
             println!("seed {seed}: FAILED");
@@ -170,11 +182,27 @@
             for violation in &outcome.violations {
                 println!("  {violation}");
             }
+            print_crash_outcomes(&outcome.crash_outcomes);
         }
         Err(error) => println!("seed {seed}: not run: {error}"),
     }
 }
 
+fn print_crash_outcomes(outcomes: &[CrashOutcome]) {
+    for outcome in outcomes {
+        let ((during, sent_during), (outside, sent_outside)) =
+            (outcome.sound_during, outcome.sound_outside);
+        println!(
+            "  part {} crashed {} targets within {:.1} s, {} arrivals when it had to be known; sound \
+             requests begun {during} of {sent_during}, outside the series {outside} of {sent_outside}",
+            outcome.part,
+            outcome.crashes,
+            outcome.crash_time.as_secs_f64(),
+            outcome.late_arrivals
+        );
+    }
+}
+
 /// Removes each step without which the plan still fails, and prints the plan that is left.
 fn shrink_plan(options: &SoakOptions, plan: &FaultPlan, name: &str) {
     let mut smallest = plan.clone();
--- a/crates/mimosagap-soak/src/plan.rs
+++ b/crates/mimosagap-soak/src/plan.rs
@@ -47,6 +47,9 @@
     Revoke,
     /// Writes a new version of the configuration, which adds a route and removes an old one.
     NewConfig,
+    /// Clients send requests with a part of a prompt that crashes each target which answers them,
+    /// for a duration. The number selects the part from [`CRASHING_PARTS`].
+    CrashingPart(usize, Duration),
     /// Injects a fault into a link for a duration.
     Link(FleetLink, LinkMode, Duration),
 }
@@ -85,7 +88,8 @@
             | Self::Target(..)
             | Self::Link(..)
             | Self::Revoke
-            | Self::NewConfig => None,
+            | Self::NewConfig
+            | Self::CrashingPart(..) => None,
         }
     }
 }
@@ -109,6 +113,13 @@
 /// Limits, in thousandths of a request per second, that a drawn fault lets a target name.
 const DRAWN_RATE_LIMITS: std::ops::Range<u32> = 1500..12_000;
 
+/// Parts of prompts that crash targets.
+pub const CRASHING_PARTS: [&str; 3] = ["dead0001", "dead0002", "dead0003"];
+
+/// When [`FaultPlan::with_crashing_part`] starts to send requests with the part. The time before is
+/// what sound requests are compared with.
+const CRASH_SERIES_START: Duration = Duration::from_secs(6);
+
 /// When the targets of [`FaultPlan::with_rate_limits`] name their limits.
 const LIMIT_START: Duration = Duration::from_millis(500);
 
@@ -181,6 +192,22 @@
         }
     }
 
+    /// A plan without other faults in which requests with one part crash the targets that answer
+    /// them, from [`CRASH_SERIES_START`] until the end.
+    #[must_use]
+    pub fn with_crashing_part(seed: u64, length: Duration, gateway_count: usize) -> Self {
+        let duration = length.saturating_sub(CRASH_SERIES_START);
+        Self {
+            seed,
+            length,
+            steps: vec![FaultStep {
+                at: CRASH_SERIES_START,
+                fault: Fault::CrashingPart(0, duration),
+            }],
+            gateway_count,
+        }
+    }
+
     /// The same plan without the step at an index, to find a smaller plan that still fails.
     #[must_use]
     pub fn without_step(&self, step: usize) -> Self {
--- a/crates/mimosagap-soak/src/run.rs
+++ b/crates/mimosagap-soak/src/run.rs
@@ -18,9 +18,10 @@
 use crate::checker::{FailedRequest, InvariantChecker, RequestKind};
 use crate::client::{
     API_KEYS, CLIENTS_PER_GATEWAY, ClientContext, MAX_CLIENTS, ROUTE_HOSTNAME, RequestSpec,
-    run_client, send_request,
+    run_client, run_crashing_client, send_request,
 };
-use crate::plan::{Fault, FaultPlan, FaultStep, FleetLink, TARGET_COUNT};
+use crate::crash_check::CrashOutcome;
+use crate::plan::{CRASHING_PARTS, Fault, FaultPlan, FaultStep, FleetLink, TARGET_COUNT};
 use crate::process::{GatewayPlace, GatewayProcess, zone_name};
 use crate::rate_check::RateUsage;
 use crate::standins::store::{StoreMode, StoreStandin};
@@ -44,6 +45,11 @@
 /// Time from the draining or crash of a target until it is stopped and removed from the store.
 const DRAIN_TIME: Duration = Duration::from_secs(4);
 
+/// Time from the crash of a target under a request until another one takes its place, and until its
+/// registration expires.
+const CRASH_RESTART_TIME: Duration = Duration::from_millis(1500);
+const CRASH_LEASE_TIME: Duration = Duration::from_secs(3);
+
 /// Time for which a target announces its draining in its responses before it stops.
 const ANNOUNCE_TIME: Duration = Duration::from_secs(6);
 
@@ -97,6 +103,8 @@
     pub live_migrations: usize,
     /// How far the rate limits of targets were used, of those that held long enough undisturbed.
     pub rate_usages: Vec<RateUsage>,
+    /// How the series of requests with a crashing part went.
+    pub crash_outcomes: Vec<CrashOutcome>,
     /// Violated guarantees, in the order in which they were found.
     pub violations: Vec<String>,
 }
@@ -117,6 +125,8 @@
     region_count: usize,
     /// Faults that have to be reverted, and when.
     pending_reverts: Vec<(Instant, FaultRevert)>,
+    /// Targets that crashed under a request and are to be replaced, and when.
+    pending_restarts: Vec<(Instant, usize)>,
 }
 
 /// A gateway process and the proxies that inject faults into its links.
@@ -184,6 +194,13 @@
     }
     fleet.check_recovery(&context, *seed).await;
     fleet.checker.check_retry_budget();
+    let crash_outcomes = fleet.checker.crash_outcomes();
+    for violation in crash_outcomes
+        .iter()
+        .filter_map(CrashOutcome::sound_violation)
+    {
+        fleet.checker.record_violation(violation);
+    }
     tokio::time::sleep(IDLE_TIME).await;
     fleet.check_resources();
     fleet.stop_gateways().await;
@@ -194,6 +211,7 @@
         served,
         live_migrations,
         rate_usages: fleet.checker.rate_usages(),
+        crash_outcomes,
         violations: fleet.checker.violations(),
     })
 }
@@ -224,6 +242,7 @@
             last_target_number: 0,
             region_count: region_count(options.plan.gateway_count),
             pending_reverts: Vec::new(),
+            pending_restarts: Vec::new(),
         };
         for index in 0..TARGET_COUNT {
             let target = fleet.start_target(index).await?;
@@ -282,13 +301,14 @@
             json!({
                 "name": prefix, "hostname": ROUTE_HOSTNAME, "path_prefix": prefix, "route_kind": kind,
                 "timeout_ms": 3500, "target_latency_ms": 300, "priority": 1, "service": service,
-                "max_attempts": attempts, "target_gap_ms": 200,
+                "max_attempts": attempts, "target_gap_ms": 200, "resumable": prefix == "/resumable/",
             })
         };
         let mut routes = vec![
             route("/safe/", "safe", "plain", 2),
             route("/once/", "unsafe", "plain", 1),
             route("/stream/", "streaming", "model", 1),
+            route("/resumable/", "streaming", "model", 2),
         ];
         let added_versions = version.saturating_sub(RETAINED_ROUTES).max(1)..=version;
         routes.extend(
@@ -321,6 +341,7 @@
             self.store.expire_leases();
             self.revert_due(Instant::now());
             self.restart_exited()?;
+            self.restart_crashed().await?;
             while let Some(step) = steps.next_if(|step| step.at <= started_at.elapsed()) {
                 self.inject_fault(step.fault).await?;
             }
@@ -405,6 +426,7 @@
                 self.pending_reverts
                     .push((now + duration, FaultRevert::Target(index)));
             }
+            Fault::CrashingPart(number, duration) => self.start_crash_series(number, duration),
             Fault::Revoke => {
                 self.write_config(&API_KEYS[..1]);
                 self.checker.record_revocation(API_KEYS[1]);
@@ -421,6 +443,16 @@
         Ok(())
     }
 
+    /// Starts a client whose requests share a crashing part.
+    fn start_crash_series(&self, number: usize, duration: Duration) {
+        let part = CRASHING_PARTS[number % CRASHING_PARTS.len()];
+        self.target_context.crashing_parts.borrow_mut().push(part);
+        if let Some(context) = &self.client_context {
+            let client = run_crashing_client(Rc::clone(context), part, duration, number as u64);
+            tokio::task::spawn_local(client);
+        }
+    }
+
     /// Reverts the faults whose time has come.
     fn revert_due(&mut self, now: Instant) {
         let (due, later) = std::mem::take(&mut self.pending_reverts)
@@ -481,11 +513,42 @@
             self.store.expire_leases();
             self.revert_due(Instant::now());
             self.restart_exited()?;
+            self.restart_crashed().await?;
             tokio::time::sleep(Duration::from_millis(50)).await;
         }
         Ok(())
     }
 
+    /// Starts another target in place of each one that crashed under a request some time ago.
+    async fn restart_crashed(&mut self) -> std::io::Result<()> {
+        let now = Instant::now();
+        for index in 0..self.targets.len() {
+            let is_pending = self
+                .pending_restarts
+                .iter()
+                .any(|(_, other)| *other == index);
+            if self.targets[index].has_crashed() && !is_pending {
+                self.pending_restarts
+                    .push((now + CRASH_RESTART_TIME, index));
+                let crashed = Rc::clone(&self.targets[index]);
+                let revert = FaultRevert::RemoveTarget(crashed);
+                self.pending_reverts.push((now + CRASH_LEASE_TIME, revert));
+            }
+        }
+        let (due, later) = std::mem::take(&mut self.pending_restarts)
+            .into_iter()
+            .partition(|(at, _)| *at <= now);
+        self.pending_restarts = later;
+        let due: Vec<(Instant, usize)> = due;
+        for (_, index) in due {
+            // Another fault may have replaced it meanwhile.
+            if self.targets[index].has_crashed() {
+                self.targets[index] = self.start_target(index).await?;
+            }
+        }
+        Ok(())
+    }
+
     /// Checks that the fleet serves requests as before the faults.
     async fn check_recovery(&self, context: &ClientContext, seed: u64) {
         let mut rng = SmallRng::seed_from_u64(seed);
@@ -502,6 +565,7 @@
                 kind,
                 api_key: API_KEYS[0],
                 disconnects: false,
+                crashing_part: None,
             };
             let is_served = send_request(context, &mut rng, &mut None, spec).await;
             served += u32::from(is_served);
--- a/crates/mimosagap-soak/src/standins/target.rs
+++ b/crates/mimosagap-soak/src/standins/target.rs
@@ -1,18 +1,18 @@
 //! A stand-in for a target: it serves plain requests and streams, and can crash, drain or
 //! misbehave.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::convert::Infallible;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
-use futures_util::stream;
+use futures_util::{StreamExt, stream};
 use http_body_util::{Full, StreamBody};
 use hyper::body::{Body, Frame, Incoming};
 use hyper::{HeaderMap, Method, Request, Response, StatusCode};
-use mimosagap_standins::proxy::LinkProxy;
+use mimosagap_standins::proxy::{LinkMode, LinkProxy};
 use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
 use tokio::net::TcpListener;
@@ -26,6 +26,9 @@
 /// Time to execute a plain request.
 const CALL_DURATION: Duration = Duration::from_millis(15);
 
+/// Time to read a prompt under which the target crashes.
+const PREFILL_TIME: Duration = Duration::from_millis(80);
+
 const EVENT_INTERVAL: Duration = Duration::from_millis(20);
 
 /// Number of events of a stream.
@@ -77,6 +80,21 @@
     pub checker: Rc<InvariantChecker>,
     /// Their running generations, and the copies of these.
     pub generations: GenerationTable,
+    /// Parts of prompts that crash each target which begins to write an answer to them.
+    pub crashing_parts: RefCell<Vec<&'static str>>,
+}
+
+impl TargetContext {
+    /// The crashing part of a prompt, given as the value of its header. The last part belongs to the
+    /// request alone and never crashes a target.
+    fn crashing_part(&self, prompt_parts: &str) -> Option<&'static str> {
+        let (shared_parts, _) = prompt_parts.rsplit_once(',')?;
+        let mut ids = shared_parts
+            .split(',')
+            .map(|entry| entry.split(':').next().unwrap_or(entry));
+        let crashing_parts = self.crashing_parts.borrow();
+        ids.find_map(|id| crashing_parts.iter().copied().find(|part| *part == id))
+    }
 }
 
 /// One target: its server, and the proxy in front of it.
@@ -89,6 +107,7 @@
     pub proxy: LinkProxy,
     mode: Cell<TargetMode>,
     execution_count: Cell<u64>,
+    has_crashed: Cell<bool>,
     server_task: JoinHandle<()>,
 }
 
@@ -126,6 +145,7 @@
                 proxy,
                 mode: Cell::new(TargetMode::Well),
                 execution_count: Cell::new(0),
+                has_crashed: Cell::new(false),
                 server_task,
             }
         });
@@ -156,6 +176,21 @@
         self.server_task.abort();
     }
 
+    /// Crashes under a request with a part: connections are reset and new ones refused.
+    fn crash_under_request(&self, context: &TargetContext, part: &str) {
+        if self.has_crashed.replace(true) {
+            return;
+        }
+        context.checker.record_part_crash(part);
+        self.proxy.set_mode(LinkMode::Cut, Duration::ZERO);
+        self.server_task.abort();
+    }
+
+    /// Whether the target crashed under a request.
+    pub fn has_crashed(&self) -> bool {
+        self.has_crashed.get()
+    }
+
     /// Registers the target as draining; it continues to serve requests.
     pub fn drain(&self, store: &StoreStandin, checker: &InvariantChecker) {
         self.register(store, "draining");
@@ -170,7 +205,7 @@
 
     /// Handles a request and names the rate limit in the response, in [`TargetMode::LimitsRate`].
     async fn handle_request(
-        &self,
+        self: &Rc<Self>,
         context: &Rc<TargetContext>,
         request: Request<Incoming>,
     ) -> Response<TargetBody> {
@@ -189,7 +224,7 @@
     }
 
     async fn execute_request(
-        &self,
+        self: &Rc<Self>,
         context: &Rc<TargetContext>,
         id: &str,
         request: Request<Incoming>,
@@ -214,6 +249,10 @@
             return build_response(StatusCode::MISDIRECTED_REQUEST, id, Bytes::new());
         }
         checker.record_arrival(id, &self.instance_id);
+        let crashing_part = header("x-prefix-hash").and_then(|parts| context.crashing_part(&parts));
+        if let Some(part) = crashing_part {
+            checker.record_crashing_arrival(id, part);
+        }
         match self.mode.get() {
             TargetMode::Sheds => return rejection(id),
             TargetMode::Pauses => {
@@ -256,6 +295,9 @@
             TargetMode::DripsBody => return endless_response(id, DRIP_PACING),
             _ => {}
         }
+        if let Some(part) = crashing_part {
+            return self.crash_while_answering(context, id, part).await;
+        }
         if header("x-model").is_some() {
             return self.add_drain_notice(
                 checker,
@@ -271,6 +313,38 @@
         self.add_drain_notice(checker, id, response)
     }
 
+    /// Reads a prompt and crashes as soon as the answer begins: before its head, after it, or within
+    /// its first event.
+    async fn crash_while_answering(
+        self: &Rc<Self>,
+        context: &Rc<TargetContext>,
+        id: &str,
+        part: &'static str,
+    ) -> Response<TargetBody> {
+        tokio::time::sleep(PREFILL_TIME).await;
+        let beginning: &[u8] = match self.execution_count.get() % 3 {
+            0 => {
+                self.crash_under_request(context, part);
+                return std::future::pending().await;
+            }
+            1 => b"",
+            _ => b"id: 1\nda",
+        };
+        let crash = {
+            let (target, context) = (Rc::clone(self), Rc::clone(context));
+            async move {
+                tokio::time::sleep(EVENT_INTERVAL).await;
+                target.crash_under_request(&context, part);
+                std::future::pending::<Option<_>>().await
+            }
+        };
+        let first = Ok::<_, Infallible>(Frame::data(Bytes::from_static(beginning)));
+        let frames = stream::once(async { first })
+            .chain(stream::once(crash).filter_map(|item| async { item }));
+        let body: TargetBody = Box::pin(StreamBody::new(Box::pin(frames)));
+        build_response(StatusCode::OK, id, Bytes::new()).map(|_| body)
+    }
+
     /// Adds the drain notice to a response, in [`TargetMode::SaysLeaving`].
     fn add_drain_notice(
         &self,
--- a/crates/mimosagap-soak/tests/checker.rs
+++ b/crates/mimosagap-soak/tests/checker.rs
@@ -42,6 +42,7 @@
 #[case::at_most_once(RequestKind::AtMostOnce, 1)]
 #[case::stream(RequestKind::Stream, 1)]
 #[case::idempotent(RequestKind::Idempotent, 0)]
+#[case::resumable_stream(RequestKind::ResumableStream, 0)]
 fn a_second_execution_is_reported(#[case] kind: RequestKind, #[case] violations: usize) {
     let checker = checker_with_request(kind);
     checker.record_execution("a", "i-1", Some("team"), false);
--- a/crates/mimosagap-soak/tests/soak.rs
+++ b/crates/mimosagap-soak/tests/soak.rs
@@ -159,6 +159,20 @@
     assert!(usage.used >= 0.9 * usage.limit, "{usage:?}");
 }
 
+/// Requests that share one part of their prompts, and nothing else that sound requests do not have,
+/// crash the engines that answer them. No two are alike, so a fingerprint of the whole request never
+/// recognizes them.
+#[test]
+fn requests_with_one_crashing_part_end_engine_after_engine() {
+    const LENGTH_WITH_CRASHES: Duration = Duration::from_secs(26);
+    let plan = FaultPlan::with_crashing_part(905, LENGTH_WITH_CRASHES, 6);
+    let outcome = run_clean(plan, 23_300);
+    let [crashes] = &outcome.crash_outcomes[..] else {
+        panic!("one series was played");
+    };
+    assert!(crashes.crashes > 0, "{crashes:?}");
+}
+
 /// Runs a plan, and asserts that no guarantee was violated and that more than 100 requests
 /// succeeded. The logs are kept after a failure.
 fn run_clean(plan: FaultPlan, base_port: u16) -> RunOutcome {
