--- a/crates/mimosagap-explain/src/cause.rs
+++ b/crates/mimosagap-explain/src/cause.rs
@@ -96,7 +96,9 @@
 
 fn refusal_may_have_run(reason: RefusalReason) -> MayHaveRun {
     match reason {
-        RefusalReason::DeadlineAfterSend | RefusalReason::TargetAborted => MayHaveRun::Unknown,
+        RefusalReason::DeadlineAfterSend
+        | RefusalReason::TargetAborted
+        | RefusalReason::QuarantinedAfterSend => MayHaveRun::Unknown,
         _ => MayHaveRun::No,
     }
 }
@@ -127,7 +129,9 @@
         RefusalReason::TargetAborted => {
             "the exchange with a target failed; the target may have executed it"
         }
-        RefusalReason::Quarantined => "several targets crashed while they were executing it",
+        RefusalReason::Quarantined | RefusalReason::QuarantinedAfterSend => {
+            "several targets crashed under it or under a part of its prompt"
+        }
         RefusalReason::ShuttingDown => "the host was shutting down and could not have finished it",
     }
 }
@@ -166,7 +170,10 @@
             "look up the id in the service before sending the request again; `target_leaving` and \
              `target_crashed` lines say why the target stopped"
         }
-        RefusalReason::Quarantined => "inspect the request: targets that execute it crash",
+        RefusalReason::Quarantined | RefusalReason::QuarantinedAfterSend => {
+            "`suspect` names the request or the parts; `quarantined` and `target_crashed` lines with \
+             them show the crashes"
+        }
         RefusalReason::ShuttingDown => "none: another host serves the next attempt",
     }
 }
--- a/crates/mimosagap-explain/src/trace.rs
+++ b/crates/mimosagap-explain/src/trace.rs
@@ -246,21 +246,29 @@
     let hosts: BTreeSet<&str> = attempt_records()
         .map(|record| record.host.as_str())
         .collect();
+    let suspects: BTreeSet<&str> = attempt_records()
+        .filter_map(|record| record.text_field("suspect"))
+        .collect();
     let mut related_records: Vec<LogRecord> = logs
         .records()
         .iter()
-        .filter(|record| window.contains(&record.timestamp))
+        .filter(|record| {
+            window.contains(&record.timestamp)
+                || record.timestamp < started_at && speaks_against(record, &suspects)
+        })
         .filter(|record| {
             attempts
                 .iter()
                 .all(|attempt| record.id() != Some(&attempt.id))
         })
         .filter(|record| match record.event.as_str() {
+            "target_crashed" if speaks_against(record, &suspects) => true,
             "target_listed" | "target_leaving" | "target_crashed" | "attempt_failed"
             | "stream_broke" | "target_rate_limit" | "header_unread" => record
                 .text_field("target")
                 .is_some_and(|target| targets.contains(target)),
             "host" | "entry_unreadable" => false,
+            "quarantined" | "proved_sound" => speaks_against(record, &suspects),
             _ if record.id().is_some() => false,
             _ => hosts.contains(record.host.as_str()),
         })
@@ -277,6 +285,28 @@
     related_records
 }
 
+/// Whether a record is about a crash, a verdict or a proof that concerns one of these suspects: a
+/// request, or parts of a prompt, as `refused` lines name them.
+fn speaks_against(record: &LogRecord, suspects: &BTreeSet<&str>) -> bool {
+    suspects.iter().any(|suspect| match record.event.as_str() {
+        "quarantined" => record.text_field("what") == Some(suspect),
+        "proved_sound" => record
+            .text_field("what")
+            .and_then(|what| what.split_once(' '))
+            .is_some_and(|(_, proved)| suspect.contains(proved)),
+        "target_crashed" => match suspect.split_once(' ') {
+            Some(("request", fingerprint)) => record.text_field("request") == Some(fingerprint),
+            Some((_, parts)) => {
+                let crashed_under = record.text_field("parts").unwrap_or_default();
+                let crashed_under: BTreeSet<&str> = crashed_under.split(',').collect();
+                parts.split(',').all(|part| crashed_under.contains(part))
+            }
+            None => false,
+        },
+        _ => false,
+    })
+}
+
 fn collect_warnings(
     logs: &LogSet,
     attempts: &[AttemptTrace],
--- a/crates/mimosagap-explain/tests/trace.rs
+++ b/crates/mimosagap-explain/tests/trace.rs
@@ -113,3 +113,36 @@
     assert_eq!(limits, [Some(3.7), Some(2.0)]);
     assert_eq!(report.attempts[0].records.len(), 2);
 }
+
+/// A request that is refused for a part of its prompt was never sent, and the crashes under that part
+/// happened under other requests, at other hosts and long before.
+#[test]
+fn a_request_refused_for_a_part_shows_the_crashes_under_it() {
+    let mut logs = LogSet::default();
+    let log = [
+        r#"{"time_ms":1000,"boot_ms":10,"event":"started","host":"h1","version":"0"}"#,
+        r#"{"time_ms":2000,"boot_ms":1010,"event":"target_crashed","target":"i-1","id":"x","request":"1","parts":"aa,bad,x","events":0}"#,
+        r#"{"time_ms":2000,"boot_ms":1010,"event":"target_crashed","target":"i-2","id":"y","request":"2","parts":"aa,cc,y","events":9}"#,
+        r#"{"time_ms":3000,"boot_ms":2010,"event":"quarantined","what":"parts bad","crashes":3,"source":"crash"}"#,
+        r#"{"time_ms":3000,"boot_ms":2010,"event":"quarantined","what":"parts worse","crashes":3,"source":"crash"}"#,
+        r#"{"time_ms":900000,"boot_ms":899010,"event":"refused","id":"r","request":"3","suspect":"parts bad","reason":"quarantined","status":502,"after_ms":0}"#,
+    ];
+    logs.read_log("file", log.join("\n").as_bytes())
+        .expect("memory can be read");
+    let report = explain(&logs, "r", ExplainOptions::default()).expect("the id is there");
+    let related: Vec<(&str, Option<&str>)> = report
+        .related_records
+        .iter()
+        .map(|record| {
+            let what = record.text_field("target").or(record.text_field("what"));
+            (record.event.as_str(), what)
+        })
+        .collect();
+    assert_eq!(
+        related,
+        [
+            ("target_crashed", Some("i-1")),
+            ("quarantined", Some("parts bad"))
+        ]
+    );
+}
--- a/crates/mimosagap-gateway/src/calls.rs
+++ b/crates/mimosagap-gateway/src/calls.rs
@@ -16,7 +16,7 @@
 use mimosagap_routing::targets::{TargetKey, TargetOutcome};
 
 use crate::body_reader::{ResponsePace, read_to_end};
-use crate::crash_probe;
+use crate::crash_probe::{self, AnswerProgress};
 use crate::exchange::{
     ExchangeError, SendOptions, record_failed_attempt, release_connection, send_request,
     sleep_unless_zero,
@@ -26,6 +26,7 @@
 use crate::request::RoutedRequest;
 use crate::response::{ResponseBody, forwarded_head, full_body, refusal_response};
 use crate::state::{SharedGateway, millis};
+use crate::suspicion;
 
 /// An idempotent call is hedged, that is sent to a second target, when it has no response after
 /// this fraction of the route's latency objective. The slowest calls of a healthy target take less.
@@ -180,6 +181,10 @@
     running: &mut Vec<RunningAttempt<'a>>,
 ) {
     let now = gateway.now();
+    // Targets may have crashed under an earlier attempt.
+    if progress.sends > 0 && suspicion::is_blocked(gateway, request) {
+        return;
+    }
     if progress.sends >= MAX_SENDS || progress.executions >= request.route.max_attempts {
         return;
     }
@@ -289,7 +294,7 @@
             let error = cause.into();
             record_failed_attempt(gateway, request, target, attempt, error, started_at);
             if error == ExchangeError::Aborted {
-                crash_probe::probe_after_failure(gateway, target, request, 0);
+                crash_probe::probe_after_failure(gateway, target, request, AnswerProgress::NONE);
             }
             return Err(error);
         }
@@ -300,6 +305,9 @@
         TargetOutcome::Succeeded
     };
     reservation.record_outcome(outcome);
+    if !request.traits.shared_parts.is_empty() && outcome == TargetOutcome::Succeeded {
+        suspicion::report_sound(gateway, &request.traits);
+    }
     release_connection(gateway, target, &exchange.head, exchange.connection);
     Ok(BufferedResponse {
         head: exchange.head,
--- a/crates/mimosagap-gateway/src/crash_probe.rs
+++ b/crates/mimosagap-gateway/src/crash_probe.rs
@@ -1,10 +1,12 @@
 //! Distinguishes a crashed target from a failed connection.
 
+use std::io::ErrorKind;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use mimosagap_routing::prompt::describe_parts;
-use mimosagap_routing::quarantine::CrashFingerprint;
+use mimosagap_routing::quarantine::{CrashFingerprint, CrashReport, RequestTraits};
 use mimosagap_routing::targets::{TargetKey, TargetOutcome};
 use tokio::net::TcpStream;
 use tokio::time::timeout;
@@ -13,50 +15,120 @@
 use crate::log::LogEvent;
 use crate::request::RoutedRequest;
 use crate::state::SharedGateway;
+use crate::suspicion;
 
-/// A target that accepts no connection within this time after one failed counts as crashed.
+/// A target that accepts no connection within this time after one failed counts as unreachable.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(300);
 
-/// Probes a target after its connection failed while it may have been executing `request`, for which
-/// it had sent `events` events. If the target has crashed, the request is recorded as a suspect for
-/// the quarantine.
+/// Time for which a connection of a probe must last to show that the target runs.
+const PROBE_HOLD: Duration = Duration::from_millis(50);
+
+/// How far a target was with a request when its connection failed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct AnswerProgress {
+    /// Number of events that the target had sent.
+    pub events: u32,
+    /// Whether the answer went on for long enough to prove that the request is sound.
+    pub is_proved: bool,
+}
+
+impl AnswerProgress {
+    /// No answer had begun.
+    pub const NONE: Self = Self {
+        events: 0,
+        is_proved: false,
+    };
+}
+
+/// How a target reacts to a connection attempt.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum ProbeResult {
+    Alive,
+    Refused,
+    Silent,
+}
+
+/// Connects to a target and sees whether the connection lasts. A process that ends closes its
+/// connections one after the other and may still accept one, so a short connection is followed by
+/// another attempt.
+async fn probe(address: SocketAddr) -> ProbeResult {
+    match connect(address).await {
+        Err(result) => result,
+        Ok(stream) => {
+            let ended = timeout(PROBE_HOLD, stream.readable()).await;
+            if ended.is_err() {
+                return ProbeResult::Alive;
+            }
+            connect(address)
+                .await
+                .map_or_else(|result| result, |_| ProbeResult::Alive)
+        }
+    }
+}
+
+async fn connect(address: SocketAddr) -> Result<TcpStream, ProbeResult> {
+    match timeout(PROBE_TIMEOUT, TcpStream::connect(address)).await {
+        Ok(Ok(stream)) => Ok(stream),
+        Ok(Err(error))
+            if matches!(
+                error.kind(),
+                ErrorKind::ConnectionRefused | ErrorKind::ConnectionReset
+            ) =>
+        {
+            Err(ProbeResult::Refused)
+        }
+        Ok(Err(_)) | Err(_) => Err(ProbeResult::Silent),
+    }
+}
+
+/// Probes a target after its connection failed while it may have been executing `request`. If the
+/// target has crashed, the request is suspected, unless its answer proved it sound.
 pub fn probe_after_failure(
     gateway: &SharedGateway,
     key: TargetKey,
     request: &RoutedRequest,
-    events: u32,
+    progress: AnswerProgress,
 ) {
-    let now = gateway.now();
+    let failed_at = gateway.now();
     let entry = gateway.with_state(|state| {
         let target = state.targets.get(key)?;
-        (!target.is_leaving(now)).then(|| target.entry.clone())
+        (!target.is_leaving(failed_at)).then(|| target.entry.clone())
     });
     let Some(entry) = entry else {
         return;
     };
     let gateway = Rc::clone(gateway);
     let id = request.head.attempt_id.clone();
-    let fingerprint = request.fingerprint;
+    let traits = request.traits.clone();
     let parts = describe_parts(&request.head.prompt_parts);
     tokio::task::spawn_local(async move {
-        let probe = timeout(PROBE_TIMEOUT, TcpStream::connect(entry.address)).await;
-        if matches!(probe, Ok(Ok(_))) {
-            return;
-        }
+        let is_refused = match probe(entry.address).await {
+            ProbeResult::Alive => return,
+            ProbeResult::Refused => true,
+            ProbeResult::Silent => false,
+        };
         record_outcome(&gateway, key, TargetOutcome::Unreachable);
-        let crash = CrashFingerprint::new(&entry.instance, entry.started_unix_ms);
-        let now = gateway.now();
-        if gateway.with_state(|state| state.quarantine.record_crash(fingerprint, crash, now)) {
-            gateway.log.event(&LogEvent::TargetCrashed {
-                target: &entry.instance,
-                id: &id,
-                request: fingerprint.to_string(),
-                parts,
-                events,
-            });
-            let record = format!("{:016x}/{:016x}", fingerprint.0, crash.0);
-            gateway.pending_suspects.borrow_mut().push(record);
-            gateway.registration_wakeup.notify_one();
+        gateway.log.event(&LogEvent::TargetCrashed {
+            target: &entry.instance,
+            id: &id,
+            request: traits.fingerprint.to_string(),
+            parts,
+            events: progress.events,
+        });
+        if progress.is_proved {
+            return;
         }
+        // A host that refuses connections runs, and its target ended. One that is silent may be cut
+        // off, suspended or without power, which says nothing about parts of prompts.
+        let suspect = if is_refused {
+            traits
+        } else {
+            RequestTraits::new(traits.fingerprint, &[])
+        };
+        let report = CrashReport {
+            crash: CrashFingerprint::new(&entry.instance, entry.started_unix_ms),
+            request: suspect,
+        };
+        suspicion::report_crash(&gateway, report, failed_at);
     });
 }
--- a/crates/mimosagap-gateway/src/exchange.rs
+++ b/crates/mimosagap-gateway/src/exchange.rs
@@ -19,7 +19,7 @@
 
 use crate::body_reader::BodyError;
 use crate::connection::{HttpConnection, SendError};
-use crate::crash_probe;
+use crate::crash_probe::{self, AnswerProgress};
 use crate::load_reservation::record_outcome;
 use crate::log::LogEvent;
 use crate::rate_permits::{PermitOptions, acquire_permit};
@@ -196,7 +196,7 @@
             Err(SendError::NotSent) if !is_first_use => {}
             Err(SendError::NotSent) => return Err(ExchangeError::Unreachable),
             Err(SendError::ConnectionFailed(_)) => {
-                crash_probe::probe_after_failure(gateway, key, request, 0);
+                crash_probe::probe_after_failure(gateway, key, request, AnswerProgress::NONE);
                 return Err(ExchangeError::Aborted);
             }
             Err(SendError::LimitExceeded) => return Err(ExchangeError::LimitExceeded),
@@ -330,7 +330,7 @@
     let (config_version, config_age_ms) = gateway.config_version_and_age();
     gateway.log.event(&LogEvent::Sent {
         id: &request.head.attempt_id,
-        request: request.fingerprint.to_string(),
+        request: request.traits.fingerprint.to_string(),
         parts: describe_parts(&request.head.prompt_parts),
         target: &entry.instance,
         attempt,
--- a/crates/mimosagap-gateway/src/ingress.rs
+++ b/crates/mimosagap-gateway/src/ingress.rs
@@ -16,7 +16,7 @@
 use hyper::body::Incoming;
 use mimosagap_platform::request::RequestHead;
 use mimosagap_routing::config::{FleetConfig, Route, Team};
-use mimosagap_routing::quarantine::RequestFingerprint;
+use mimosagap_routing::quarantine::{Admission, RequestFingerprint, RequestTraits};
 use mimosagap_routing::refusal::RefusalReason;
 use mimosagap_types::prelude::*;
 use rand::Rng;
@@ -25,7 +25,7 @@
 use crate::request::RoutedRequest;
 use crate::response::{RefusedRequest, ResponseBody, refusal_response};
 use crate::state::{SharedGateway, millis};
-use crate::{calls, streams};
+use crate::{calls, streams, suspicion};
 
 /// Counts a request as in flight until dropped.
 pub struct InFlightGuard(SharedGateway);
@@ -88,10 +88,10 @@
             streams::handle_stream(&gateway, request, in_flight).await
         }
         Ok(request) => calls::handle_call(&gateway, &request).await,
-        Err(reason) => {
+        Err(IngressRefusal { reason, traits }) => {
             let request = RefusedRequest {
                 id: &id,
-                fingerprint: None,
+                traits: traits.as_ref(),
                 arrived_at,
                 service: None,
             };
@@ -106,6 +106,21 @@
     Ok(response)
 }
 
+/// Why a request is refused before it is handed on, and its traits if its body was read.
+struct IngressRefusal {
+    reason: RefusalReason,
+    traits: Option<RequestTraits>,
+}
+
+impl From<RefusalReason> for IngressRefusal {
+    fn from(reason: RefusalReason) -> Self {
+        Self {
+            reason,
+            traits: None,
+        }
+    }
+}
+
 /// Reads a request and resolves its route, team and service.
 async fn resolve_request(
     gateway: &SharedGateway,
@@ -113,7 +128,7 @@
     head: RequestHead,
     body: Incoming,
     arrived_at: Duration,
-) -> Result<RoutedRequest, RefusalReason> {
+) -> Result<RoutedRequest, IngressRefusal> {
     let config = gateway.config().ok_or(RefusalReason::NoConfig)?;
     let route = find_route(gateway, &config, &parts)?;
     find_team(gateway, &config, &route, &head)?;
@@ -129,9 +144,17 @@
         .map_or_else(|| "/".to_owned(), ToString::to_string);
     let team_name = team.as_ref().map_or("", |team| team.name.as_str());
     let fingerprint = RequestFingerprint::new(&path, team_name, &body);
-    if gateway.with_state(|state| state.quarantine.is_blocked(fingerprint)) {
-        return Err(RefusalReason::Quarantined);
-    }
+    let traits = RequestTraits::new(fingerprint, &head.prompt_parts);
+    let is_trial = match suspicion::admit(gateway, &head.attempt_id, &traits) {
+        Admission::Admitted => false,
+        Admission::OnTrial(_) => true,
+        Admission::Refused(_) => {
+            return Err(IngressRefusal {
+                reason: RefusalReason::Quarantined,
+                traits: Some(traits),
+            });
+        }
+    };
     Ok(RoutedRequest {
         method: parts.method,
         path,
@@ -143,7 +166,8 @@
         team,
         arrived_at,
         deadline: arrived_at + timeout,
-        fingerprint,
+        traits,
+        is_trial,
     })
 }
 
--- a/crates/mimosagap-gateway/src/lib.rs
+++ b/crates/mimosagap-gateway/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod log;
 pub mod metrics;
 pub mod mirror;
+mod notice_queue;
 mod peers;
 mod pending_responses;
 mod pool;
@@ -39,6 +40,7 @@
 mod stream_body;
 mod stream_relay;
 mod streams;
+mod suspicion;
 mod target_notices;
 
 pub use run::{Error, Options, Outcome, run};
--- a/crates/mimosagap-gateway/src/log.rs
+++ b/crates/mimosagap-gateway/src/log.rs
@@ -154,6 +154,29 @@
         /// Number of events that the target had sent for it.
         events: u32,
     },
+    /// Requests are refused from now on because targets crashed under them.
+    Quarantined {
+        /// The request or the parts of prompts that are refused.
+        what: String,
+        /// Crashes, or moments with crashes, that led to it.
+        crashes: usize,
+        /// How this host learned of it: by the last `crash`, or from another `host`.
+        source: &'a str,
+    },
+    /// A suspected request or part of a prompt was proved sound.
+    ProvedSound {
+        /// The request or the part.
+        what: String,
+        /// How this host learned of it.
+        source: &'a str,
+    },
+    /// A quarantined request runs on trial.
+    QuarantineTrial {
+        /// Attempt id, set by the caller anew for each retry.
+        id: &'a str,
+        /// The request or the parts of prompts that are refused otherwise.
+        what: String,
+    },
     /// A request is sent to a target.
     Sent {
         /// Attempt id, set by the caller anew for each retry.
@@ -225,6 +248,9 @@
         /// Fingerprint of the request, equal for all attempts of the caller; empty if its body
         /// was not read.
         request: String,
+        /// What a quarantined request is refused for; empty otherwise.
+        #[serde(skip_serializing_if = "String::is_empty")]
+        suspect: String,
         /// Name of the reason.
         reason: &'a str,
         /// HTTP status of the refusal.
--- a/crates/mimosagap-gateway/src/metrics.rs
+++ b/crates/mimosagap-gateway/src/metrics.rs
@@ -80,6 +80,9 @@
     pub permits: IntCounterVec,
     /// Headers that were not read, by cause.
     pub unread_headers: IntCounterVec,
+    /// Verdicts against requests or parts of prompts under which targets crashed, by how this host
+    /// learned of them.
+    pub quarantine_verdicts: IntCounterVec,
 }
 
 impl SignalMetrics {
@@ -100,6 +103,12 @@
                 &["source"],
             )?,
             limits,
+            quarantine_verdicts: register_counters(
+                registry,
+                "mimosagap_quarantine_verdicts_total",
+                "Requests or parts of prompts that were blocked",
+                &["source"],
+            )?,
             permits: register_counters(
                 registry,
                 "mimosagap_rate_permits_total",
--- a/crates/mimosagap-gateway/src/peers.rs
+++ b/crates/mimosagap-gateway/src/peers.rs
@@ -18,6 +18,7 @@
 use crate::rate_permits::{self, PermitRequest, PermitResponse};
 use crate::remote_placement::{self, PlacementRequest, PlacementResponse};
 use crate::state::SharedGateway;
+use crate::suspicion::{self, AgedNotice, TimedNotice};
 use crate::target_notices::{self, TargetNotice};
 
 /// Time for which changes are collected, so that one datagram carries all changes of one request.
@@ -41,6 +42,9 @@
 
 const MAX_NOTICES_PER_DATAGRAM: usize = 20;
 
+/// Most notices of crashes in one datagram; each has up to 16 parts of a prompt.
+const MAX_SUSPICIONS_PER_DATAGRAM: usize = 6;
+
 /// Datagram between hosts.
 #[derive(Debug)]
 #[derive(Serialize, Deserialize)]
@@ -53,6 +57,8 @@
     PlacementResponse(PlacementResponse),
     /// Notices that targets gave in their responses.
     TargetNotices(Vec<TargetNotice>),
+    /// What a host knows of requests that crash targets.
+    SuspicionNotices(Vec<AgedNotice>),
     /// A host asks the keeper of a target for a permit to send a request.
     PermitRequest(PermitRequest),
     /// Response of a keeper.
@@ -104,6 +110,11 @@
                     target_notices::apply_notice(&gateway, notice);
                 }
             }
+            Some(PeerMessage::SuspicionNotices(notices)) => {
+                for notice in &notices {
+                    suspicion::apply_notice(&gateway, notice);
+                }
+            }
             Some(PeerMessage::PermitRequest(request)) => {
                 let response = rate_permits::handle_request(&gateway, &request);
                 if let Some(bytes) = PeerMessage::PermitResponse(response).encode() {
@@ -138,10 +149,14 @@
                 send_changed_loads(&gateway, &socket, HostGroup::Near, &mut reported_near).await;
                 send_changed_loads(&gateway, &socket, HostGroup::Far, &mut reported_far).await;
                 send_notices(&gateway, &socket, gateway.target_notices.take_repeats()).await;
+                let repeats = gateway.suspicions.notices.take_repeats();
+                send_suspicions(&gateway, &socket, repeats).await;
                 gateway.log.flush();
             }
             () = next_change(&gateway) => {
                 send_notices(&gateway, &socket, gateway.target_notices.take_new()).await;
+                let unsent = gateway.suspicions.notices.take_new();
+                send_suspicions(&gateway, &socket, unsent).await;
                 send_changed_loads(&gateway, &socket, HostGroup::Near, &mut reported_near).await;
             }
         }
@@ -156,21 +171,34 @@
 
 /// Sends notices of targets to all other hosts.
 async fn send_notices(gateway: &SharedGateway, socket: &UdpSocket, notices: Vec<TargetNotice>) {
-    let own_host = &gateway.settings.host;
     for chunk in notices.chunks(MAX_NOTICES_PER_DATAGRAM) {
         let now = gateway.now();
         let chunk = chunk.iter().map(|notice| notice.to_ages(now)).collect();
-        let Some(bytes) = PeerMessage::TargetNotices(chunk).encode() else {
-            return;
-        };
-        let peers: Vec<SocketAddr> = gateway.with_state(|state| {
-            let other_hosts = state.hosts.live().filter(|(name, _)| name != own_host);
-            other_hosts.map(|(_, record)| record.peer_address).collect()
-        });
-        for peer in peers {
-            // A notice that cannot be sent is repeated.
-            let _ = socket.send_to(&bytes, peer).await;
-        }
+        send_to_all(gateway, socket, &PeerMessage::TargetNotices(chunk)).await;
+    }
+}
+
+/// Sends notices of requests that crash targets to all other hosts.
+async fn send_suspicions(gateway: &SharedGateway, socket: &UdpSocket, notices: Vec<TimedNotice>) {
+    for chunk in notices.chunks(MAX_SUSPICIONS_PER_DATAGRAM) {
+        let now = gateway.now();
+        let chunk = chunk.iter().map(|notice| notice.to_ages(now)).collect();
+        send_to_all(gateway, socket, &PeerMessage::SuspicionNotices(chunk)).await;
+    }
+}
+
+async fn send_to_all(gateway: &SharedGateway, socket: &UdpSocket, message: &PeerMessage) {
+    let Some(bytes) = message.encode() else {
+        return;
+    };
+    let own_host = &gateway.settings.host;
+    let peers: Vec<SocketAddr> = gateway.with_state(|state| {
+        let other_hosts = state.hosts.live().filter(|(name, _)| name != own_host);
+        other_hosts.map(|(_, record)| record.peer_address).collect()
+    });
+    for peer in peers {
+        // A notice that cannot be sent is repeated.
+        let _ = socket.send_to(&bytes, peer).await;
     }
 }
 
--- a/crates/mimosagap-gateway/src/request.rs
+++ b/crates/mimosagap-gateway/src/request.rs
@@ -7,7 +7,7 @@
 use http::{HeaderMap, Method};
 use mimosagap_platform::request::RequestHead;
 use mimosagap_routing::config::{Route, Team};
-use mimosagap_routing::quarantine::RequestFingerprint;
+use mimosagap_routing::quarantine::RequestTraits;
 use mimosagap_types::prelude::*;
 
 /// Time past a request's deadline during which a response that is on its way is still awaited.
@@ -35,8 +35,10 @@
     pub arrived_at: Duration,
     /// When the shorter timeout of caller and route ends, as time since boot.
     pub deadline: Duration,
-    /// Identifies the request across the caller's retries.
-    pub fingerprint: RequestFingerprint,
+    /// What the request is recognized by across the caller's retries, and in other requests.
+    pub traits: RequestTraits,
+    /// Whether the request runs to find out if the verdict against it still holds.
+    pub is_trial: bool,
 }
 
 impl RoutedRequest {
--- a/crates/mimosagap-gateway/src/response.rs
+++ b/crates/mimosagap-gateway/src/response.rs
@@ -9,7 +9,7 @@
 use http_body_util::{BodyExt, Full};
 use mimosagap_platform::names;
 use mimosagap_platform::request::end_to_end_headers;
-use mimosagap_routing::quarantine::RequestFingerprint;
+use mimosagap_routing::quarantine::RequestTraits;
 use mimosagap_routing::refusal::RefusalReason;
 use mimosagap_types::prelude::*;
 use rand::Rng;
@@ -69,8 +69,8 @@
 pub struct RefusedRequest<'a> {
     /// Attempt id as the caller sent it.
     pub id: &'a str,
-    /// Identifies the request across the caller's retries; `None` before its body is read.
-    pub fingerprint: Option<RequestFingerprint>,
+    /// What the request is recognized by; `None` before its body is read.
+    pub traits: Option<&'a RequestTraits>,
     /// When the head arrived, as time since boot.
     pub arrived_at: Duration,
     /// Service of the request; `None` before its route is found.
@@ -81,7 +81,7 @@
     fn from(request: &'a RoutedRequest) -> Self {
         Self {
             id: &request.head.attempt_id,
-            fingerprint: Some(request.fingerprint),
+            traits: Some(&request.traits),
             arrived_at: request.arrived_at,
             service: Some(&request.service),
         }
@@ -107,8 +107,9 @@
     gateway.log.event(&LogEvent::Refused {
         id,
         request: request
-            .fingerprint
-            .map_or_else(String::new, |fingerprint| fingerprint.to_string()),
+            .traits
+            .map_or_else(String::new, |traits| traits.fingerprint.to_string()),
+        suspect: suspect_text(gateway, request, reason),
         reason: reason.name(),
         status: reason.status(),
         after_ms: millis(gateway.now().saturating_sub(request.arrived_at)),
@@ -136,6 +137,20 @@
     response
 }
 
+/// What a quarantined request is refused for; empty for other refusals.
+fn suspect_text(gateway: &Gateway, request: RefusedRequest<'_>, reason: RefusalReason) -> String {
+    if !reason.is_quarantine() {
+        return String::new();
+    }
+    let blocked = request.traits.and_then(|traits| {
+        gateway.with_state(|state| {
+            let verdict = state.quarantine.blocking_verdict(traits)?;
+            Some(verdict.blocked.to_string())
+        })
+    });
+    blocked.unwrap_or_default()
+}
+
 /// Draws the time after which one of many refused callers is to return. With rate limits in force
 /// they return over the longer a time the more of them there are for each request that is allowed.
 fn spread_retry(
--- a/crates/mimosagap-gateway/src/state.rs
+++ b/crates/mimosagap-gateway/src/state.rs
@@ -28,10 +28,12 @@
 use crate::log::EventLog;
 use crate::metrics::GatewayMetrics;
 use crate::mirror::StoreMirror;
+use crate::notice_queue::NoticeQueue;
 use crate::pool::ConnectionPool;
 use crate::rate_permits::PermitClient;
 use crate::remote_placement::PlacementClient;
-use crate::target_notices::NoticeQueue;
+use crate::suspicion::SuspicionExchange;
+use crate::target_notices::TargetNotice;
 
 /// Value of [`GatewayState::store_recovered_at`] while the store is unreachable.
 pub const STORE_UNREACHABLE: Duration = Duration::MAX;
@@ -44,7 +46,7 @@
     pub targets: TargetTable,
     /// Hosts that the store lists.
     pub hosts: HostTable,
-    /// Requests suspected of crashing targets.
+    /// Requests and parts of prompts that are suspected of crashing targets.
     pub quarantine: Quarantine,
     /// Estimators of the time per output token, by service.
     pub token_time_estimators: HashMap<DeploymentName, TokenTimeEstimator>,
@@ -89,13 +91,14 @@
     pub store_changed: Notify,
     /// Notified when a changed load or a target's notice is to be sent to the other hosts.
     pub peer_update_due: Notify,
-    /// Wakes the registration task: suspects are to be written, or the process stops.
+    /// Wakes the registration task: records are to be written, or the process stops.
     pub registration_wakeup: Notify,
-    /// Suspects to be written to the store, as `REQUEST/CRASH` in hexadecimal: the end of their
-    /// key.
-    pub pending_suspects: RefCell<Vec<String>>,
+    /// Notified when requests are blocked that may be on their way.
+    pub quarantine_changed: Notify,
+    /// What this host still has to tell of requests that crash targets.
+    pub suspicions: SuspicionExchange,
     /// Notices of targets, to be sent to the other hosts.
-    pub target_notices: NoticeQueue,
+    pub target_notices: NoticeQueue<TargetNotice>,
     /// Client for placement requests to the placer of the region.
     pub placer_rpc: PlacementClient,
     /// Headers of targets that were reported as unread.
@@ -137,7 +140,8 @@
             store_changed: Notify::new(),
             peer_update_due: Notify::new(),
             registration_wakeup: Notify::new(),
-            pending_suspects: RefCell::default(),
+            quarantine_changed: Notify::new(),
+            suspicions: SuspicionExchange::default(),
             target_notices: NoticeQueue::default(),
             placer_rpc: PlacementClient::default(),
             header_audit: HeaderAudit::default(),
--- a/crates/mimosagap-gateway/src/store_sync.rs
+++ b/crates/mimosagap-gateway/src/store_sync.rs
@@ -1,4 +1,4 @@
-//! Keeps configuration, targets, hosts and suspects up to date from the store.
+//! Keeps configuration, targets, hosts and suspicions up to date from the store.
 //!
 //! One task follows the changes, either at the store itself or through a host of the region that
 //! does (a reader). Another task renews the lease of this host's record in the store.
@@ -11,7 +11,6 @@
 use mimosagap_platform::{config, entry, names, store};
 use mimosagap_routing::change_source::{ChangeSource, ReaderHost, SourceSelector};
 use mimosagap_routing::hosts::{self, HostCapacity, HostRecord};
-use mimosagap_routing::quarantine::{CRASH_RETENTION, CrashFingerprint, RequestFingerprint};
 use mimosagap_routing::targets;
 use rand::Rng;
 
@@ -19,16 +18,14 @@
 use crate::log::LogEvent;
 use crate::state::{Gateway, STORE_UNREACHABLE, SharedGateway};
 use crate::store::{StoreClient, StoreError};
+use crate::suspicion::{self, RECORD_TTL, SUSPICIONS_PREFIX, SuspicionRecord};
 use crate::target_notices;
 
-/// Prefix of all keys: one watch covers configuration, targets, hosts and suspects.
+/// Prefix of all keys: one watch covers configuration, targets, hosts and suspicions.
 const ALL_KEYS_PREFIX: &str = "";
 
 const HOSTS_PREFIX: &str = "mimosagap/hosts/";
 
-/// Key prefix of requests suspected of crashing a target.
-const SUSPECTS_PREFIX: &str = "mimosagap/suspects/";
-
 /// Longest wait of a watch for a change. The response also proves that nothing changed, and that
 /// proof has to be several times more recent than the bound on revoked keys.
 const WATCH_WAIT: Duration = Duration::from_millis(700);
@@ -301,8 +298,10 @@
             apply_target(gateway, instance, change.value.as_deref());
         } else if let Some(name) = change.key.strip_prefix(HOSTS_PREFIX) {
             apply_host(gateway, name, change.value.as_deref(), change.revision);
-        } else if let Some(record) = change.key.strip_prefix(SUSPECTS_PREFIX) {
-            apply_suspect(gateway, record);
+        } else if change.key.starts_with(SUSPICIONS_PREFIX)
+            && let Some(value) = &change.value
+        {
+            suspicion::apply_record(gateway, value);
         }
     }
     let now = gateway.now();
@@ -424,20 +423,7 @@
     gateway.log.event(&LogEvent::Host { name, listed });
     if listed && name != gateway.settings.host {
         target_notices::announce_rate_limits(gateway);
-    }
-}
-
-fn apply_suspect(gateway: &SharedGateway, record: &str) {
-    let parse_hex = |text: &str| u64::from_str_radix(text, 16).ok();
-    let fingerprints = record
-        .split_once('/')
-        .and_then(|(request, crash)| Some((parse_hex(request)?, parse_hex(crash)?)));
-    if let Some((request, crash)) = fingerprints {
-        let now = gateway.now();
-        gateway.with_state(|state| {
-            let quarantine = &mut state.quarantine;
-            quarantine.record_crash(RequestFingerprint(request), CrashFingerprint(crash), now);
-        });
+        suspicion::announce_verdicts(gateway);
     }
 }
 
@@ -466,7 +452,7 @@
     }
 }
 
-/// Keeps this host's record in the store until the process stops, and writes pending suspects.
+/// Keeps this host's record in the store until the process stops, and writes pending records.
 pub async fn maintain_registration(gateway: SharedGateway, client: StoreClient) {
     let settings = &gateway.settings;
     let record = HostRecord {
@@ -495,7 +481,7 @@
             Ok(renewed_lease) => {
                 lease = Some(renewed_lease);
                 consecutive_failures = 0;
-                write_suspects(&gateway, &client).await;
+                write_suspicions(&gateway, &client).await;
                 let wakeup = gateway.registration_wakeup.notified();
                 let _ = tokio::time::timeout(LEASE_RENEWAL_INTERVAL, wakeup).await;
             }
@@ -550,32 +536,34 @@
     Ok(lease)
 }
 
-async fn write_suspects(gateway: &Rc<Gateway>, client: &StoreClient) {
-    let records = std::mem::take(&mut *gateway.pending_suspects.borrow_mut());
+async fn write_suspicions(gateway: &Rc<Gateway>, client: &StoreClient) {
+    let records = std::mem::take(&mut *gateway.suspicions.pending_records.borrow_mut());
     if records.is_empty() {
         return;
     }
-    let result = try_write_suspects(client, &records).await;
+    let result = try_write_suspicions(client, &records).await;
     if let Err(error) = result {
         gateway.log.event(&LogEvent::Trouble {
-            what: "suspects cannot be written to the store; the next renewal retries",
+            what: "records of crashes cannot be written to the store; the next renewal retries",
             cause: error.to_string(),
         });
-        gateway.pending_suspects.borrow_mut().extend(records);
+        let mut pending = gateway.suspicions.pending_records.borrow_mut();
+        pending.extend(records);
     }
 }
 
-async fn try_write_suspects(client: &StoreClient, records: &[String]) -> Result<(), StoreError> {
+async fn try_write_suspicions(
+    client: &StoreClient,
+    records: &[SuspicionRecord],
+) -> Result<(), StoreError> {
     let body = client
-        .call(&StoreCall::GrantLease {
-            ttl: CRASH_RETENTION,
-        })
+        .call(&StoreCall::GrantLease { ttl: RECORD_TTL })
         .await?;
     let lease = store::decode_lease(&body).map_err(StoreError::Decode)?;
     for record in records {
         let put = StoreCall::Put {
-            key: format!("{SUSPECTS_PREFIX}{record}"),
-            value: Vec::new(),
+            key: record.key.clone(),
+            value: record.value.clone(),
             lease,
         };
         client.call(&put).await?;
--- a/crates/mimosagap-gateway/src/stream_relay.rs
+++ b/crates/mimosagap-gateway/src/stream_relay.rs
@@ -5,10 +5,11 @@
 
 use mimosagap_routing::migration::{GenerationState, KvCopy, MigrationStep, next_step};
 use mimosagap_routing::placement::GenerationDemand;
+use mimosagap_routing::quarantine::PROOF_TIME;
 use mimosagap_routing::targets::{TargetKey, TargetOutcome};
 use tokio::sync::{mpsc, oneshot};
 
-use crate::crash_probe;
+use crate::crash_probe::{self, AnswerProgress};
 use crate::event_source::{EventSource, SourceItem};
 use crate::exchange::{preconnect, release_connection, sleep_unless_zero};
 use crate::handover::{
@@ -22,6 +23,7 @@
 use crate::state::{SharedGateway, millis};
 use crate::stream_body::{StreamBody, StreamPart, stream_body};
 use crate::streams::StartedStream;
+use crate::suspicion;
 
 /// The reservation of a generation is resized whenever it has produced this many tokens.
 const RESIZE_INTERVAL_TOKENS: u32 = 32;
@@ -68,6 +70,8 @@
     first_event_at: Option<Duration>,
     last_event_at: Duration,
     longest_gap: Duration,
+    /// Whether the answer went on for long enough to prove that the request crashes no target.
+    is_proved: bool,
 }
 
 enum RelayEnd {
@@ -130,6 +134,7 @@
             is_resuming: false,
             is_preconnected: false,
             longest_gap: Duration::ZERO,
+            is_proved: false,
         };
         (relay, body)
     }
@@ -141,6 +146,7 @@
         self.handover = None;
         if matches!(end, RelayEnd::Complete) {
             self.reservation.record_outcome(TargetOutcome::Completed);
+            self.record_proof();
             self.record_length();
             // This fails only if the caller has left, and then no end is needed.
             let _ = self.part_sender.send(StreamPart::End).await;
@@ -248,7 +254,10 @@
                         &gateway,
                         self.reservation.target,
                         &self.request,
-                        self.generated_tokens / self.tokens_per_event.max(1),
+                        AnswerProgress {
+                            events: self.generated_tokens / self.tokens_per_event.max(1),
+                            is_proved: self.is_proved,
+                        },
                     );
                 }
                 SourceItem::LimitExceeded => self.record_failure(TargetOutcome::LimitExceeded),
@@ -358,8 +367,11 @@
         if self.generated_tokens > self.tokens_per_event {
             self.longest_gap = self.longest_gap.max(now.saturating_sub(self.last_event_at));
         }
-        self.first_event_at.get_or_insert(now);
+        let first_event_at = *self.first_event_at.get_or_insert(now);
         self.last_event_at = now;
+        if now.saturating_sub(first_event_at) >= PROOF_TIME {
+            self.record_proof();
+        }
         self.send_part(StreamPart::Event(event.bytes)).await
     }
 
@@ -388,6 +400,13 @@
         }
     }
 
+    /// Records, once, that the request crashes no target.
+    fn record_proof(&mut self) {
+        if !std::mem::replace(&mut self.is_proved, true) {
+            suspicion::report_sound(&self.gateway, &self.request.traits);
+        }
+    }
+
     fn record_length(&self) {
         if let Some(hint) = self.request.head.output_tokens_hint {
             self.gateway.with_state(|state| {
@@ -440,7 +459,10 @@
             return Some(task);
         }
         let route = &self.request.route;
-        if !route.kind.is_idempotent() || self.executions >= route.max_attempts {
+        if !route.kind.is_idempotent()
+            || self.executions >= route.max_attempts
+            || suspicion::is_blocked(&self.gateway, &self.request)
+        {
             return None;
         }
         self.executions += 1;
--- a/crates/mimosagap-gateway/src/streams.rs
+++ b/crates/mimosagap-gateway/src/streams.rs
@@ -17,7 +17,7 @@
 
 use crate::body_reader::{ResponsePace, read_to_end};
 use crate::calls::{BufferedResponse, forward_response, record_response};
-use crate::crash_probe;
+use crate::crash_probe::{self, AnswerProgress};
 use crate::event_source::{EventSource, SourceItem};
 use crate::exchange::{
     Exchange, ExchangeError, SendOptions, record_failed_attempt, release_connection, send_request,
@@ -33,6 +33,7 @@
 use crate::sse::StreamEvent;
 use crate::state::{GatewayState, SharedGateway, millis};
 use crate::stream_relay::StreamRelay;
+use crate::suspicion;
 
 /// Limit on the sends of one request, including those that an engine rejected.
 const MAX_SENDS: u32 = 4;
@@ -71,7 +72,22 @@
 ) -> Response<ResponseBody> {
     let request = Rc::new(request);
     let demand = estimate_demand(gateway, &request);
-    match start_stream(gateway, &request, demand).await {
+    let mut has_sent = false;
+    // A verdict against the request ends its wait, and the attempt of an engine that has not begun
+    // to answer.
+    let outcome = tokio::select! {
+        biased;
+        () = suspicion::blocked(gateway, &request) => None,
+        outcome = start_stream(gateway, &request, demand, &mut has_sent) => Some(outcome),
+    };
+    let outcome = outcome.unwrap_or_else(|| {
+        StartOutcome::Refused(if has_sent {
+            RefusalReason::QuarantinedAfterSend
+        } else {
+            RefusalReason::Quarantined
+        })
+    });
+    match outcome {
         StartOutcome::Refused(reason) => refusal_response(gateway, request.as_ref().into(), reason),
         StartOutcome::Responded(target, response) => {
             forward_response(gateway, &request, target, response)
@@ -114,6 +130,7 @@
     gateway: &SharedGateway,
     request: &Rc<RoutedRequest>,
     demand: GenerationDemand,
+    has_sent: &mut bool,
 ) -> StartOutcome {
     let mut tried = Vec::new();
     let mut sends = 0;
@@ -138,6 +155,7 @@
             break RefusalReason::TargetsRejected;
         }
         sends += 1;
+        *has_sent = true;
         let target = placement.target;
         let reservation =
             LoadReservation::for_stream(gateway, target, &demand, demand.prompt_tokens);
@@ -255,7 +273,7 @@
         }
         SourceItem::End | SourceItem::Aborted => {
             reservation.record_outcome(TargetOutcome::Failed);
-            crash_probe::probe_after_failure(gateway, target, request, 0);
+            crash_probe::probe_after_failure(gateway, target, request, AnswerProgress::NONE);
             Err(ExchangeError::Aborted)
         }
         SourceItem::LimitExceeded => {
@@ -430,7 +448,7 @@
         );
         gateway.log.event(&LogEvent::Waits {
             id: &request.head.attempt_id,
-            request: request.fingerprint.to_string(),
+            request: request.traits.fingerprint.to_string(),
             rank: demand.priority_level,
             ahead: queue.len(),
         });
--- a/crates/mimosagap-gateway/src/target_notices.rs
+++ b/crates/mimosagap-gateway/src/target_notices.rs
@@ -2,7 +2,6 @@
 //!
 //! Each signal is passed on to the other hosts as a notice.
 
-use std::cell::RefCell;
 use std::time::Duration;
 
 use http::{HeaderMap, StatusCode};
@@ -17,9 +16,6 @@
 use crate::log::LogEvent;
 use crate::state::{Gateway, millis};
 
-/// How often a notice is sent again after the first time, because datagrams get lost.
-const REPEAT_COUNT: u32 = 2;
-
 /// A target's signal as one host passes it on to the others.
 #[derive(Debug, Clone)]
 #[derive(Serialize, Deserialize)]
@@ -55,45 +51,6 @@
     }
 }
 
-/// Notices that are still to be sent to the other hosts.
-#[derive(Default)]
-pub struct NoticeQueue {
-    unsent: RefCell<Vec<TargetNotice>>,
-    repeats: RefCell<Vec<(TargetNotice, u32)>>,
-}
-
-impl NoticeQueue {
-    /// Adds a notice. One about a target's rate replaces an earlier one that was not sent yet.
-    fn push(&self, notice: TargetNotice) {
-        let mut unsent = self.unsent.borrow_mut();
-        if matches!(notice.signal, TargetSignal::Rate(_)) {
-            unsent.retain(|other| {
-                other.instance != notice.instance || !matches!(other.signal, TargetSignal::Rate(_))
-            });
-        }
-        unsent.push(notice);
-    }
-
-    /// Removes the notices that were not sent yet, and schedules them to be repeated.
-    pub fn take_new(&self) -> Vec<TargetNotice> {
-        let unsent = self.unsent.take();
-        let due = unsent.iter().cloned().map(|notice| (notice, REPEAT_COUNT));
-        self.repeats.borrow_mut().extend(due);
-        unsent
-    }
-
-    /// Notices that are due to be sent again; each call counts as one repeat.
-    pub fn take_repeats(&self) -> Vec<TargetNotice> {
-        let mut repeats = self.repeats.borrow_mut();
-        let due = repeats.iter().map(|(notice, _)| notice.clone()).collect();
-        repeats.retain_mut(|(_, repeats_left)| {
-            *repeats_left -= 1;
-            *repeats_left > 0
-        });
-        due
-    }
-}
-
 /// Reads a target's signals from the head of its response to a request sent at `asked_at`.
 pub fn observe_head(
     gateway: &Gateway,
@@ -263,10 +220,16 @@
     let entry =
         gateway.with_state(|state| state.targets.get(key).map(|target| target.entry.clone()));
     if let Some(entry) = entry {
-        gateway.target_notices.push(TargetNotice {
+        let notice = TargetNotice {
             instance: entry.instance,
             started_unix_ms: entry.started_unix_ms,
             signal,
+        };
+        let replaced_rate =
+            matches!(signal, TargetSignal::Rate(_)).then(|| notice.instance.clone());
+        gateway.target_notices.push(notice, |other| {
+            replaced_rate.as_ref() == Some(&other.instance)
+                && matches!(other.signal, TargetSignal::Rate(_))
         });
         gateway.peer_update_due.notify_one();
     }
--- a/crates/mimosagap-gateway/tests/log.rs
+++ b/crates/mimosagap-gateway/tests/log.rs
@@ -77,6 +77,7 @@
     LogEvent::Refused {
         id,
         request: String::new(),
+        suspect: String::new(),
         reason: "overload",
         status: 503,
         after_ms: 3,
@@ -188,6 +189,19 @@
             parts: empty(),
             events: 1,
         },
+        LogEvent::Quarantined {
+            what: empty(),
+            crashes: 3,
+            source: "crash",
+        },
+        LogEvent::ProvedSound {
+            what: empty(),
+            source: "answer",
+        },
+        LogEvent::QuarantineTrial {
+            id: "a",
+            what: empty(),
+        },
         LogEvent::LinesLeftOut {
             kind: "sent",
             count: 1,
--- a/crates/mimosagap-routing/src/prompt.rs
+++ b/crates/mimosagap-routing/src/prompt.rs
@@ -2,11 +2,14 @@
 
 use std::fmt;
 
+use serde::{Deserialize, Serialize};
+
 /// Number of parts that [`describe_parts`] names.
 const MAX_DESCRIBED_PARTS: usize = 8;
 
 /// Id of a part of a prompt. Requests that share the part have the same id in their prompts.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+#[derive(Serialize, Deserialize)]
 pub struct PromptPart(pub u64);
 
 impl fmt::Display for PromptPart {
--- a/crates/mimosagap-routing/src/quarantine.rs
+++ b/crates/mimosagap-routing/src/quarantine.rs
@@ -1,23 +1,69 @@
 //! Blocks requests that crash the targets which run them.
 //!
-//! A request may crash every engine that starts it, while its caller repeats it at any host. Each
-//! crash is recorded for all requests that ran on the crashed target; a request with three recorded
-//! crashes is not run again.
+//! A request may crash every engine that begins to answer it, while its caller repeats it at any
+//! host. Or one part of a prompt does, whatever else the prompt holds: then no two requests are
+//! alike, and sound requests share the caller and all other parts.
+//!
+//! Hosts tell each other which requests a target had not proved sound when it crashed, so all of
+//! them judge the same evidence:
+//!
+//! * A request is blocked after [`MAX_CRASHES`] crashes.
+//! * Parts are blocked after crashes at [`MAX_CRASHES`] different moments. Targets that end within
+//!   [`SAME_MOMENT`], such as those of a rack, count as one.
+//! * A part under which an answer was begun and went on is sound. Crashes in the
+//!   [`SOUNDNESS_MEMORY`] after that do not speak against it, nor do those before.
+//! * If several parts of a request have so many crashes, they are blocked together: only a request
+//!   with all of them is refused. A sound request with some of them runs and clears these.
+//!
+//! A verdict lasts for [`VERDICT_RETENTION`] after the last crash or refusal. Meanwhile one host of
+//! the fleet lets a request through from time to time, which ends a verdict that is wrong.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::{HashMap, VecDeque};
 use std::fmt;
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
+
 use crate::hashing::stable_hash;
+use crate::prompt::{PromptPart, describe_parts};
 
-/// Number of crashes from which on a request is blocked.
-const MAX_CRASHES: usize = 3;
+/// Number of crashes, or of moments with crashes, from which on a request or a part is blocked.
+pub const MAX_CRASHES: usize = 3;
 
-/// Time after its last crash for which the crashes of a request are kept.
+/// Time for which a crash is kept.
 pub const CRASH_RETENTION: Duration = Duration::from_mins(2);
 
+/// Crashes within this time count as one for the parts of prompts: targets that lose their power
+/// together say nothing about what they ran. Reports of hosts differ by the 60 ms that a crash and
+/// its report take between regions.
+pub const SAME_MOMENT: Duration = Duration::from_millis(80);
+
+/// Time for which a part that was proved sound is not suspected. It covers the restart of engines,
+/// during which few answers are begun.
+pub const SOUNDNESS_MEMORY: Duration = Duration::from_secs(15);
+
+/// Time for which an answer must go on after its first event to prove that its request is sound.
+pub const PROOF_TIME: Duration = Duration::from_millis(500);
+
+/// Time after the last crash or refusal for which a verdict is kept.
+pub const VERDICT_RETENTION: Duration = Duration::from_mins(10);
+
+/// Time after the last crash of a verdict until a request may run on trial; each trial doubles it.
+pub const TRIAL_DELAY: Duration = Duration::from_mins(1);
+
+/// Longest time between two trials.
+const MAX_TRIAL_DELAY: Duration = Duration::from_mins(30);
+
+/// Limits that bound the memory, whatever callers send. The oldest entries are dropped.
+const MAX_KEPT_CRASHES: usize = 128;
+const MAX_REQUESTS_PER_CRASH: usize = 16;
+const MAX_PARTS_PER_REQUEST: usize = 16;
+const MAX_VERDICTS: usize = 64;
+const MAX_SOUND_PARTS: usize = 4096;
+
 /// Identifies a request by its content, so that its repetitions are recognized.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct RequestFingerprint(pub u64);
 
 impl RequestFingerprint {
@@ -36,6 +82,7 @@
 
 /// Identifies one crash by the target process that ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct CrashFingerprint(pub u64);
 
 impl CrashFingerprint {
@@ -49,32 +96,451 @@
     }
 }
 
-/// The recorded crashes of each request.
+/// What a request is recognized by: its whole content, and the parts of its prompt that other
+/// requests may have too.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct RequestTraits {
+    /// Identifies the whole content.
+    pub fingerprint: RequestFingerprint,
+    /// Parts of the prompt in the order of their ids, each once.
+    pub shared_parts: Vec<PromptPart>,
+}
+
+impl RequestTraits {
+    /// Collects the traits of a request. The last part of a prompt belongs to the request or its
+    /// session alone and is left out; of a prompt with very many parts, the first ones count.
+    #[must_use]
+    pub fn new(fingerprint: RequestFingerprint, prompt_parts: &[PromptPart]) -> Self {
+        let shared_parts = prompt_parts.split_last().map_or(&[][..], |(_, rest)| rest);
+        let counted = shared_parts.len().min(MAX_PARTS_PER_REQUEST);
+        let mut shared_parts = shared_parts[..counted].to_vec();
+        shared_parts.sort_unstable();
+        shared_parts.dedup();
+        Self {
+            fingerprint,
+            shared_parts,
+        }
+    }
+}
+
+/// A crash of a target as one host saw it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct CrashReport {
+    /// The target process that ended.
+    pub crash: CrashFingerprint,
+    /// A request of the host that the target had not proved sound.
+    pub request: RequestTraits,
+}
+
+/// One trait of a request that a proof of soundness is about.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
+pub enum RequestTrait {
+    /// The whole content.
+    Request(RequestFingerprint),
+    /// One part of the prompt.
+    Part(PromptPart),
+}
+
+impl fmt::Display for RequestTrait {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Request(fingerprint) => write!(f, "request {fingerprint}"),
+            Self::Part(part) => write!(f, "part {part}"),
+        }
+    }
+}
+
+/// What requests are blocked for.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
+pub enum BlockedTrait {
+    /// The whole content.
+    Request(RequestFingerprint),
+    /// All of these parts, in the order of their ids.
+    Parts(Vec<PromptPart>),
+}
+
+impl BlockedTrait {
+    fn matches(&self, traits: &RequestTraits) -> bool {
+        match self {
+            Self::Request(fingerprint) => traits.fingerprint == *fingerprint,
+            Self::Parts(parts) => includes(&traits.shared_parts, parts),
+        }
+    }
+}
+
+impl fmt::Display for BlockedTrait {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Request(fingerprint) => write!(f, "request {fingerprint}"),
+            Self::Parts(parts) => write!(f, "parts {}", describe_parts(parts)),
+        }
+    }
+}
+
+/// Whether all of `parts` are among `all_parts`; both are sorted.
+fn includes(all_parts: &[PromptPart], parts: &[PromptPart]) -> bool {
+    parts
+        .iter()
+        .all(|part| all_parts.binary_search(part).is_ok())
+}
+
+/// A decision to refuse requests.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Verdict {
+    /// What is refused.
+    pub blocked: BlockedTrait,
+    /// Crashes, or moments with crashes, that led to it.
+    pub crashes: usize,
+    last_crash_at: Duration,
+    last_seen_at: Duration,
+    /// Trials that this host made.
+    trials: u32,
+    last_trial_at: Option<Duration>,
+}
+
+impl Verdict {
+    /// Time since the last crash.
+    #[must_use]
+    pub fn age(&self, now: Duration) -> Duration {
+        now.saturating_sub(self.last_crash_at)
+    }
+
+    fn trial_is_due(&self, now: Duration) -> bool {
+        let factor = 2_u32.saturating_pow(self.trials);
+        let delay = TRIAL_DELAY.saturating_mul(factor).min(MAX_TRIAL_DELAY);
+        let since = self
+            .last_crash_at
+            .max(self.last_trial_at.unwrap_or_default());
+        now.saturating_sub(since) >= delay
+    }
+}
+
+/// Whether a request may run.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Admission {
+    /// It may run.
+    Admitted,
+    /// It may run to find out whether a verdict still holds.
+    OnTrial(BlockedTrait),
+    /// It must not run.
+    Refused(BlockedTrait),
+}
+
+#[derive(Debug, Clone)]
+struct CrashRecord {
+    crash: CrashFingerprint,
+    at: Duration,
+    requests: Vec<RequestTraits>,
+}
+
+/// The crashes that the fleet saw, the traits that were proved sound, and the verdicts.
 #[derive(Debug, Clone, Default)]
 pub struct Quarantine {
-    crashes: HashMap<RequestFingerprint, (Duration, HashSet<CrashFingerprint>)>,
+    /// Oldest first.
+    crashes: VecDeque<CrashRecord>,
+    /// When an answer last proved each part sound.
+    sound_parts: HashMap<PromptPart, Duration>,
+    verdicts: Vec<Verdict>,
 }
 
 impl Quarantine {
-    /// Records that a request was running at a crash. Returns whether this is new.
-    pub fn record_crash(
+    /// Records a crash that a host saw at `at`. Returns the new verdict, if it leads to one.
+    pub fn record_crash(&mut self, report: &CrashReport, at: Duration) -> Option<Verdict> {
+        self.expire(at);
+        let known = self
+            .crashes
+            .iter()
+            .position(|record| record.crash == report.crash);
+        let index = known.unwrap_or_else(|| {
+            if self.crashes.len() >= MAX_KEPT_CRASHES {
+                self.crashes.pop_front();
+            }
+            self.crashes.push_back(CrashRecord {
+                crash: report.crash,
+                at,
+                requests: Vec::new(),
+            });
+            self.crashes.len() - 1
+        });
+        let record = &mut self.crashes[index];
+        record.at = record.at.min(at);
+        let is_known_request = record.requests.contains(&report.request);
+        if is_known_request || record.requests.len() >= MAX_REQUESTS_PER_CRASH {
+            return None;
+        }
+        record.requests.push(report.request.clone());
+        for verdict in &mut self.verdicts {
+            if verdict.blocked.matches(&report.request) {
+                verdict.last_crash_at = verdict.last_crash_at.max(at);
+                verdict.last_seen_at = verdict.last_seen_at.max(at);
+            }
+        }
+        if self.blocking_verdict(&report.request).is_some() {
+            return None;
+        }
+        let (blocked, crashes) = self.judge(&report.request)?;
+        let verdict = Verdict {
+            blocked,
+            crashes,
+            last_crash_at: at,
+            last_seen_at: at,
+            trials: 0,
+            last_trial_at: None,
+        };
+        self.insert_verdict(verdict.clone());
+        Some(verdict)
+    }
+
+    /// Takes over the verdict of another host, whose last crash was at `last_crash_at`. Parts that
+    /// were proved sound since are left out. Returns whether it is new.
+    pub fn apply_verdict(
         &mut self,
-        request: RequestFingerprint,
-        crash: CrashFingerprint,
+        blocked: &BlockedTrait,
+        crashes: usize,
+        last_crash_at: Duration,
         now: Duration,
     ) -> bool {
-        self.crashes
-            .retain(|_, (at, _)| now.saturating_sub(*at) < CRASH_RETENTION);
-        let (at, crashes) = self.crashes.entry(request).or_default();
-        *at = now;
-        crashes.insert(crash)
+        self.expire(now);
+        let blocked = match blocked {
+            BlockedTrait::Request(_) => blocked.clone(),
+            BlockedTrait::Parts(parts) => {
+                let is_suspect = |part: &&PromptPart| self.is_suspect(**part, last_crash_at);
+                BlockedTrait::Parts(parts.iter().filter(is_suspect).copied().collect())
+            }
+        };
+        if blocked == BlockedTrait::Parts(Vec::new()) {
+            return false;
+        }
+        let known = self
+            .verdicts
+            .iter_mut()
+            .find(|verdict| verdict.blocked == blocked);
+        if let Some(verdict) = known {
+            verdict.last_crash_at = verdict.last_crash_at.max(last_crash_at);
+            return false;
+        }
+        self.insert_verdict(Verdict {
+            blocked,
+            crashes,
+            last_crash_at,
+            last_seen_at: now,
+            trials: 0,
+            last_trial_at: None,
+        });
+        true
+    }
+
+    /// Records that the answer to a request went on for long enough to prove it sound. Returns the
+    /// traits that were suspected, which the other hosts have to learn.
+    pub fn record_sound(&mut self, traits: &RequestTraits, at: Duration) -> Vec<RequestTrait> {
+        let parts = traits.shared_parts.iter().copied().map(RequestTrait::Part);
+        let suspected = parts
+            .chain([RequestTrait::Request(traits.fingerprint)])
+            .filter(|proved| self.is_under_suspicion(*proved))
+            .collect();
+        for part in &traits.shared_parts {
+            self.apply_sound(RequestTrait::Part(*part), at);
+        }
+        self.apply_sound(RequestTrait::Request(traits.fingerprint), at);
+        suspected
     }
 
-    /// Whether a request must not run.
+    /// Records that a trait was proved sound at `at`, by this host or another one.
+    pub fn apply_sound(&mut self, proved: RequestTrait, at: Duration) {
+        let part = match proved {
+            RequestTrait::Part(part) => part,
+            RequestTrait::Request(fingerprint) => {
+                for record in &mut self.crashes {
+                    record
+                        .requests
+                        .retain(|request| request.fingerprint != fingerprint);
+                }
+                self.verdicts
+                    .retain(|verdict| verdict.blocked != BlockedTrait::Request(fingerprint));
+                return;
+            }
+        };
+        let proved_at = self.sound_parts.entry(part).or_insert(at);
+        *proved_at = (*proved_at).max(at);
+        if self.sound_parts.len() > MAX_SOUND_PARTS {
+            self.sound_parts
+                .retain(|_, proved_at| at.saturating_sub(*proved_at) < SOUNDNESS_MEMORY);
+        }
+        if self.sound_parts.len() > MAX_SOUND_PARTS {
+            self.drop_oldest_sound_parts();
+        }
+        for verdict in &mut self.verdicts {
+            if let BlockedTrait::Parts(blocked) = &mut verdict.blocked {
+                blocked.retain(|other| *other != part);
+            }
+        }
+        self.verdicts
+            .retain(|verdict| verdict.blocked != BlockedTrait::Parts(Vec::new()));
+    }
+
+    /// Decides whether a request may run. Trials are left to one host of the fleet.
+    pub fn admit(
+        &mut self,
+        traits: &RequestTraits,
+        is_trial_host: bool,
+        now: Duration,
+    ) -> Admission {
+        let is_expired = |verdict: &Verdict| {
+            now.saturating_sub(verdict.last_seen_at.max(verdict.last_crash_at)) >= VERDICT_RETENTION
+        };
+        let verdict = self
+            .verdicts
+            .iter_mut()
+            .find(|verdict| verdict.blocked.matches(traits) && !is_expired(verdict));
+        let Some(verdict) = verdict else {
+            return Admission::Admitted;
+        };
+        verdict.last_seen_at = now;
+        if is_trial_host && verdict.trial_is_due(now) {
+            verdict.trials += 1;
+            verdict.last_trial_at = Some(now);
+            return Admission::OnTrial(verdict.blocked.clone());
+        }
+        Admission::Refused(verdict.blocked.clone())
+    }
+
+    /// The verdict against a request, whether a trial is due or not.
     #[must_use]
-    pub fn is_blocked(&self, request: RequestFingerprint) -> bool {
+    pub fn blocking_verdict(&self, traits: &RequestTraits) -> Option<&Verdict> {
+        self.verdicts
+            .iter()
+            .find(|verdict| verdict.blocked.matches(traits))
+    }
+
+    /// All verdicts, oldest first.
+    #[must_use]
+    pub fn verdicts(&self) -> &[Verdict] {
+        &self.verdicts
+    }
+
+    /// The parts of a request that an answer proved sound not long before a crash at `crashed_at`,
+    /// or after it.
+    pub fn proved_parts(
+        &self,
+        request: &RequestTraits,
+        crashed_at: Duration,
+    ) -> impl Iterator<Item = PromptPart> {
+        let parts = request.shared_parts.iter().copied();
+        parts.filter(move |part| !self.is_suspect(*part, crashed_at))
+    }
+
+    /// Number of crashes that are kept.
+    #[must_use]
+    pub fn crash_count(&self) -> usize {
+        self.crashes.len()
+    }
+
+    /// What the crashes so far say about a request that took part in the last one.
+    fn judge(&self, request: &RequestTraits) -> Option<(BlockedTrait, usize)> {
+        let has_fingerprint = |record: &&CrashRecord| {
+            let mut requests = record.requests.iter();
+            requests.any(|other| other.fingerprint == request.fingerprint)
+        };
+        let repeats = self.crashes.iter().filter(has_fingerprint).count();
+        if repeats >= MAX_CRASHES {
+            return Some((BlockedTrait::Request(request.fingerprint), repeats));
+        }
+        let mut moments = usize::MAX;
+        let mut blamed = request.shared_parts.clone();
+        blamed.retain(|part| {
+            let part_moments = self.crash_moments(*part);
+            let is_blamed = part_moments >= MAX_CRASHES;
+            if is_blamed {
+                moments = moments.min(part_moments);
+            }
+            is_blamed
+        });
+        (!blamed.is_empty()).then_some((BlockedTrait::Parts(blamed), moments))
+    }
+
+    /// Number of different moments at which targets crashed under a part.
+    fn crash_moments(&self, part: PromptPart) -> usize {
+        let mut times: Vec<Duration> = self
+            .suspect_requests()
+            .filter(|(at, request)| self.is_suspect_in(part, request, *at))
+            .map(|(at, _)| at)
+            .collect();
+        times.sort_unstable();
+        let mut moments = 0;
+        let mut last_moment: Option<Duration> = None;
+        for at in times {
+            if last_moment.is_none_or(|last| at.saturating_sub(last) >= SAME_MOMENT) {
+                moments += 1;
+                last_moment = Some(at);
+            }
+        }
+        moments
+    }
+
+    fn suspect_requests(&self) -> impl Iterator<Item = (Duration, &RequestTraits)> {
+        self.crashes.iter().flat_map(|record| {
+            let requests = record.requests.iter();
+            requests.map(|request| (record.at, request))
+        })
+    }
+
+    fn is_suspect_in(&self, part: PromptPart, request: &RequestTraits, at: Duration) -> bool {
+        request.shared_parts.binary_search(&part).is_ok() && self.is_suspect(part, at)
+    }
+
+    /// Whether a crash at `crashed_at` speaks against a part.
+    fn is_suspect(&self, part: PromptPart, crashed_at: Duration) -> bool {
+        let proved_at = self.sound_parts.get(&part);
+        proved_at.is_none_or(|proved_at| *proved_at + SOUNDNESS_MEMORY <= crashed_at)
+    }
+
+    /// Whether a crash or a verdict speaks against a trait.
+    fn is_under_suspicion(&self, suspect: RequestTrait) -> bool {
+        let mut requests = self.suspect_requests();
+        match suspect {
+            RequestTrait::Request(fingerprint) => {
+                requests.any(|(_, request)| request.fingerprint == fingerprint)
+            }
+            RequestTrait::Part(part) => {
+                let is_blocked = |verdict: &Verdict| matches!(&verdict.blocked, BlockedTrait::Parts(parts) if parts.contains(&part));
+                requests.any(|(at, request)| self.is_suspect_in(part, request, at))
+                    || self.verdicts.iter().any(is_blocked)
+            }
+        }
+    }
+
+    fn insert_verdict(&mut self, verdict: Verdict) {
+        // A verdict on more parts is part of one on fewer.
+        if let BlockedTrait::Parts(parts) = &verdict.blocked {
+            self.verdicts.retain(|other| match &other.blocked {
+                BlockedTrait::Parts(others) => !includes(others, parts),
+                BlockedTrait::Request(_) => true,
+            });
+        }
+        if self.verdicts.len() >= MAX_VERDICTS {
+            self.verdicts.remove(0);
+        }
+        self.verdicts.push(verdict);
+    }
+
+    fn drop_oldest_sound_parts(&mut self) {
+        let mut times: Vec<Duration> = self.sound_parts.values().copied().collect();
+        let middle = times.len() / 2;
+        let (_, median, _) = times.select_nth_unstable(middle);
+        let median = *median;
+        self.sound_parts.retain(|_, proved_at| *proved_at > median);
+    }
+
+    fn expire(&mut self, now: Duration) {
         self.crashes
-            .get(&request)
-            .is_some_and(|(_, crashes)| crashes.len() >= MAX_CRASHES)
+            .retain(|record| now.saturating_sub(record.at) < CRASH_RETENTION);
+        self.verdicts.retain(|verdict| {
+            let seen_at = verdict.last_seen_at.max(verdict.last_crash_at);
+            now.saturating_sub(seen_at) < VERDICT_RETENTION
+        });
     }
 }
--- a/crates/mimosagap-routing/src/refusal.rs
+++ b/crates/mimosagap-routing/src/refusal.rs
@@ -32,15 +32,18 @@
     DeadlineAfterSend,
     /// A target ended the exchange without a complete response; the request may have run.
     TargetAborted,
-    /// The request is blocked because targets crashed while running it.
+    /// The request is blocked because targets crashed under it or under a part of its prompt. It was
+    /// not sent.
     Quarantined,
+    /// Like [`Self::Quarantined`], but the request was sent before.
+    QuarantinedAfterSend,
     /// The host is shutting down and cannot finish a request of this length in time.
     ShuttingDown,
 }
 
 impl RefusalReason {
     /// All reasons, in the order of their declaration.
-    pub const ALL: [Self; 15] = [
+    pub const ALL: [Self; 16] = [
         Self::NoConfig,
         Self::StaleConfig,
         Self::NoRoute,
@@ -55,6 +58,7 @@
         Self::DeadlineAfterSend,
         Self::TargetAborted,
         Self::Quarantined,
+        Self::QuarantinedAfterSend,
         Self::ShuttingDown,
     ];
 
@@ -81,7 +85,7 @@
             Self::Malformed => 400,
             Self::BodyTooLong => 413,
             Self::DeadlineAfterSend => 504,
-            Self::TargetAborted | Self::Quarantined => 502,
+            Self::TargetAborted | Self::Quarantined | Self::QuarantinedAfterSend => 502,
         }
     }
 
@@ -103,10 +107,17 @@
             Self::DeadlineAfterSend => "late_sent",
             Self::TargetAborted => "target_broke",
             Self::Quarantined => "quarantined",
+            Self::QuarantinedAfterSend => "quarantined_sent",
             Self::ShuttingDown => "leaving",
         }
     }
 
+    /// Whether the request is refused because targets crashed under it.
+    #[must_use]
+    pub fn is_quarantine(self) -> bool {
+        matches!(self, Self::Quarantined | Self::QuarantinedAfterSend)
+    }
+
     /// Time after which the caller should retry, before jitter; `None` if the refusal states none.
     /// `backoff_remaining` is the time until the first backoff or hold ends, if all targets have one.
     #[must_use]
--- a/crates/mimosagap-soak/src/plan.rs
+++ b/crates/mimosagap-soak/src/plan.rs
@@ -120,6 +120,9 @@
 /// what sound requests are compared with.
 const CRASH_SERIES_START: Duration = Duration::from_secs(6);
 
+/// For how long a drawn fault lets clients send requests with a crashing part.
+const CRASH_SERIES_TIME: Duration = Duration::from_secs(10);
+
 /// When the targets of [`FaultPlan::with_rate_limits`] name their limits.
 const LIMIT_START: Duration = Duration::from_millis(500);
 
@@ -236,7 +239,7 @@
     let duration = Duration::from_millis(rng.random_range(300..3000));
     let gateway = rng.random_range(0..gateway_count);
     let target = rng.random_range(0..TARGET_COUNT);
-    match rng.random_range(0..24) {
+    match rng.random_range(0..25) {
         0 | 1 => Fault::KillGateway(gateway),
         2 => Fault::StopGateway(gateway),
         3 => Fault::PauseGateway(gateway, duration),
@@ -265,6 +268,7 @@
             TargetMode::LimitsRate(rng.random_range(DRAWN_RATE_LIMITS)),
             DRAWN_LIMIT_TIME,
         ),
+        23 => Fault::CrashingPart(rng.random_range(0..CRASHING_PARTS.len()), CRASH_SERIES_TIME),
         _ => Fault::TakeTarget(target, duration.min(MAX_DRAIN_NOTICE)),
     }
 }
