--- a/crates/mimosagap-soak/src/client.rs
+++ b/crates/mimosagap-soak/src/client.rs
@@ -15,6 +15,7 @@
 
 use crate::checker::{InvariantChecker, RequestKind};
 use crate::http::{FullBody, HttpConnection, read_body};
+use crate::plan::CRASHING_REQUEST_PART;
 use crate::standins::target::STREAM_EVENTS;
 
 /// The `hostname` of all routes, sent as the `host` header.
@@ -41,6 +42,9 @@
 /// Body frames that a client reads before it disconnects from a stream.
 const FRAMES_BEFORE_DISCONNECT: usize = 5;
 
+/// Pause between two repetitions of a crashing request. Targets are back by then.
+const REPETITION_PAUSE: Duration = Duration::from_millis(2500);
+
 /// Longest pause between two requests with a crashing part.
 const CRASHING_REQUEST_INTERVAL: Duration = Duration::from_millis(600);
 
@@ -143,6 +147,24 @@
     context.checker.end_crash_series(part);
 }
 
+/// Sends one request, the content of which crashes targets, again and again for a time.
+pub async fn run_repeating_client(context: Rc<ClientContext>, duration: Duration) {
+    let mut rng = SmallRng::seed_from_u64(0);
+    let until = Instant::now() + duration;
+    context.checker.start_crash_series(CRASHING_REQUEST_PART);
+    while Instant::now() < until && !context.is_stopping.get() {
+        let spec = RequestSpec {
+            kind: RequestKind::ResumableStream,
+            api_key: API_KEYS[0],
+            disconnects: false,
+            crashing_part: Some(CRASHING_REQUEST_PART),
+        };
+        send_request(&context, &mut rng, &mut None, spec).await;
+        tokio::time::sleep(REPETITION_PAUSE).await;
+    }
+    context.checker.end_crash_series(CRASHING_REQUEST_PART);
+}
+
 /// What a client sends, and how it reads the response.
 #[derive(Debug, Clone, Copy)]
 pub struct RequestSpec {
@@ -282,14 +304,21 @@
         .header("x-deadline-ms", REQUEST_TIMEOUT.as_millis().to_string())
         .header("authorization", format!("Bearer {api_key}"));
     if kind.is_stream() {
-        let group = id.bytes().last().map_or(0, usize::from) % GROUP_PARTS.len();
-        let middle_part = crashing_part.unwrap_or(GROUP_PARTS[group]);
-        let parts = format!("{SHARED_PART}:60,{middle_part}:20,{id}:20");
         builder = builder
             .header("x-model", "m")
             .header("x-token-usage", "100,400")
-            .header("x-length-hint", "160")
-            .header("x-prefix-hash", parts);
+            .header("x-length-hint", "160");
+    }
+    if kind.is_stream() && crashing_part != Some(CRASHING_REQUEST_PART) {
+        let group = id.bytes().last().map_or(0, usize::from) % GROUP_PARTS.len();
+        let middle_part = crashing_part.unwrap_or(GROUP_PARTS[group]);
+        let parts = format!("{SHARED_PART}:60,{middle_part}:20,{id}:20");
+        builder = builder.header("x-prefix-hash", parts);
+    }
+    if crashing_part == Some(CRASHING_REQUEST_PART) {
+        let body = Bytes::from_static(b"always the same");
+        let builder = builder.header("x-prefix-hash", format!("{CRASHING_REQUEST_PART}:100"));
+        return builder.body(Full::new(body)).unwrap_or_default();
     }
     let body = if kind == RequestKind::Idempotent {
         Bytes::new()
--- a/crates/mimosagap-soak/src/plan.rs
+++ b/crates/mimosagap-soak/src/plan.rs
@@ -50,6 +50,9 @@
     /// Clients send requests with a part of a prompt that crashes each target which answers them,
     /// for a duration. The number selects the part from [`CRASHING_PARTS`].
     CrashingPart(usize, Duration),
+    /// A client sends one request, the content of which crashes each target that answers it, again
+    /// and again for a duration.
+    CrashingRequest(Duration),
     /// Injects a fault into a link for a duration.
     Link(FleetLink, LinkMode, Duration),
 }
@@ -89,7 +92,8 @@
             | Self::Link(..)
             | Self::Revoke
             | Self::NewConfig
-            | Self::CrashingPart(..) => None,
+            | Self::CrashingPart(..)
+            | Self::CrashingRequest(_) => None,
         }
     }
 }
@@ -116,6 +120,9 @@
 /// Parts of prompts that crash targets.
 pub const CRASHING_PARTS: [&str; 3] = ["dead0001", "dead0002", "dead0003"];
 
+/// The only part in the prompt of the request that [`Fault::CrashingRequest`] repeats.
+pub const CRASHING_REQUEST_PART: &str = "dead0009";
+
 /// When [`FaultPlan::with_crashing_part`] starts to send requests with the part. The time before is
 /// what sound requests are compared with.
 const CRASH_SERIES_START: Duration = Duration::from_secs(6);
--- a/crates/mimosagap-soak/src/run.rs
+++ b/crates/mimosagap-soak/src/run.rs
@@ -18,7 +18,7 @@
 use crate::checker::{FailedRequest, InvariantChecker, RequestKind};
 use crate::client::{
     API_KEYS, CLIENTS_PER_GATEWAY, ClientContext, MAX_CLIENTS, ROUTE_HOSTNAME, RequestSpec,
-    run_client, run_crashing_client, send_request,
+    run_client, run_crashing_client, run_repeating_client, send_request,
 };
 use crate::crash_check::CrashOutcome;
 use crate::plan::{CRASHING_PARTS, Fault, FaultPlan, FaultStep, FleetLink, TARGET_COUNT};
@@ -427,6 +427,12 @@
                     .push((now + duration, FaultRevert::Target(index)));
             }
             Fault::CrashingPart(number, duration) => self.start_crash_series(number, duration),
+            Fault::CrashingRequest(duration) => {
+                if let Some(context) = &self.client_context {
+                    let client = run_repeating_client(Rc::clone(context), duration);
+                    tokio::task::spawn_local(client);
+                }
+            }
             Fault::Revoke => {
                 self.write_config(&API_KEYS[..1]);
                 self.checker.record_revocation(API_KEYS[1]);
--- a/crates/mimosagap-soak/src/standins/target.rs
+++ b/crates/mimosagap-soak/src/standins/target.rs
@@ -20,6 +20,7 @@
 
 use crate::checker::InvariantChecker;
 use crate::http::{read_body, serve};
+use crate::plan::CRASHING_REQUEST_PART;
 use crate::standins::generations::GenerationTable;
 use crate::standins::store::StoreStandin;
 
@@ -86,8 +87,11 @@
 
 impl TargetContext {
     /// The crashing part of a prompt, given as the value of its header. The last part belongs to the
-    /// request alone and never crashes a target.
+    /// request alone; only that of the request which crashes targets by its whole content counts.
     fn crashing_part(&self, prompt_parts: &str) -> Option<&'static str> {
+        if prompt_parts.split(':').next() == Some(CRASHING_REQUEST_PART) {
+            return Some(CRASHING_REQUEST_PART);
+        }
         let (shared_parts, _) = prompt_parts.rsplit_once(',')?;
         let mut ids = shared_parts
             .split(',')
--- a/crates/mimosagap-soak/tests/soak.rs
+++ b/crates/mimosagap-soak/tests/soak.rs
@@ -173,6 +173,28 @@
     assert!(crashes.crashes > 0, "{crashes:?}");
 }
 
+/// One request crashes every engine that answers it: two in its first attempts, a third when its
+/// caller repeats it. Its next send within that repetition must not reach a fourth engine.
+#[test]
+fn a_request_reaches_a_fourth_engine_after_three_crashed() {
+    let plan = FaultPlan {
+        seed: 906,
+        length: Duration::from_secs(10),
+        steps: vec![FaultStep {
+            at: Duration::from_secs(1),
+            fault: Fault::CrashingRequest(Duration::from_secs(8)),
+        }],
+        gateway_count: GATEWAY_COUNT,
+    };
+    let outcome = run_clean(plan, 23_400);
+    let crashes: Vec<usize> = outcome
+        .crash_outcomes
+        .iter()
+        .map(|outcome| outcome.crashes)
+        .collect();
+    assert_eq!(crashes, [3]);
+}
+
 /// Runs a plan, and asserts that no guarantee was violated and that more than 100 requests
 /// succeeded. The logs are kept after a failure.
 fn run_clean(plan: FaultPlan, base_port: u16) -> RunOutcome {
