feat(log): the store's era, and configurations that are not taken

The adapter now decodes Store-Era, store_era lines say when it changes and config_skipped lines what was not taken and why. No decision changes.

--- a/crates/mimosagap-gateway/src/log.rs
+++ b/crates/mimosagap-gateway/src/log.rs
@@ -154,6 +154,24 @@
         /// Number of events that the target had sent for it.
         events: u32,
     },
+    /// The store names another era: it came back from an older copy of its data.
+    StoreEra {
+        /// The era from now on; `None` if the store names none.
+        era: Option<u64>,
+        /// The era before; `None` if it named none.
+        previous: Option<u64>,
+    },
+    /// A configuration of the store was not taken.
+    ConfigSkipped {
+        /// Its version.
+        version: u64,
+        /// The revision that wrote it.
+        revision: u64,
+        /// Version of the configuration in force.
+        version_in_force: u64,
+        /// The revision that wrote that one.
+        revision_in_force: u64,
+    },
     /// Requests are refused from now on because targets crashed under them.
     Quarantined {
         /// The request or the parts of prompts that are refused.
@@ -249,7 +267,6 @@
         /// was not read.
         request: String,
         /// What a quarantined request is refused for; empty otherwise.
-        #[serde(skip_serializing_if = "String::is_empty")]
         suspect: String,
         /// Name of the reason.
         reason: &'a str,
--- a/crates/mimosagap-gateway/src/state.rs
+++ b/crates/mimosagap-gateway/src/state.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use mimosagap_platform::settings::HostSettings;
+use mimosagap_platform::store::StoreEra;
 use mimosagap_routing::buffer_budget::BufferBudget;
 use mimosagap_routing::config::FleetConfig;
 use mimosagap_routing::config_state::{ConfigState, StalenessBounds};
@@ -62,6 +63,8 @@
     pub rng: SmallRng,
     /// When the process was asked to stop; `None` before.
     pub stopping_since: Option<Duration>,
+    /// The era that the store named last; `None` if it named none.
+    pub store_era: Option<StoreEra>,
     /// When the store became reachable again after its last outage; [`STORE_UNREACHABLE`] during an
     /// outage, `None` if there was none.
     pub store_recovered_at: Option<Duration>,
@@ -159,6 +162,7 @@
                 connection_pool: ConnectionPool::default(),
                 rng: SmallRng::from_os_rng(),
                 stopping_since: None,
+                store_era: None,
                 store_recovered_at: None,
                 mirror: StoreMirror::default(),
                 last_ticket: 0,
--- a/crates/mimosagap-gateway/src/store.rs
+++ b/crates/mimosagap-gateway/src/store.rs
@@ -10,7 +10,7 @@
 use http::header::{self, HeaderValue};
 use http_body_util::Full;
 use mimosagap_platform::DecodeError;
-use mimosagap_platform::store::{StoreCall, StoreStatusError, check_status};
+use mimosagap_platform::store::{StoreCall, StoreEra, StoreStatusError, check_status, named_era};
 use prometheus::IntCounterVec;
 use tokio::time::timeout;
 
@@ -65,6 +65,15 @@
     }
 }
 
+/// A successful response of the store.
+#[derive(Debug)]
+pub struct StoreResponse {
+    /// The body.
+    pub body: Bytes,
+    /// The era that it names; `None` if it names none.
+    pub era: Option<StoreEra>,
+}
+
 /// A client that keeps one connection to the store. Its user makes one call at a time.
 pub struct StoreClient {
     address: SocketAddr,
@@ -85,7 +94,7 @@
 
     /// Makes a call and counts its result. A failed call closes its connection, because nothing
     /// more arrives on a connection that lost a response.
-    pub async fn call(&self, call: &StoreCall) -> Result<Bytes, StoreError> {
+    pub async fn call(&self, call: &StoreCall) -> Result<StoreResponse, StoreError> {
         let call_timeout = match call {
             StoreCall::Watch { wait, .. } => CALL_TIMEOUT + *wait,
             _ => CALL_TIMEOUT,
@@ -98,7 +107,7 @@
         result
     }
 
-    async fn try_call(&self, call: &StoreCall) -> Result<Bytes, StoreError> {
+    async fn try_call(&self, call: &StoreCall) -> Result<StoreResponse, StoreError> {
         let idle_connection = self
             .connection
             .borrow_mut()
@@ -123,7 +132,8 @@
         let (head, body) = response.map_err(|error| StoreError::Connection(error.to_string()))?;
         self.connection.replace(Some(connection));
         check_status(head.status).map_err(StoreError::Rejected)?;
-        Ok(body)
+        let era = named_era(&head.headers).map_err(StoreError::Decode)?;
+        Ok(StoreResponse { body, era })
     }
 
     async fn connect(&self) -> Result<HttpConnection, StoreError> {
--- a/crates/mimosagap-gateway/src/store_sync.rs
+++ b/crates/mimosagap-gateway/src/store_sync.rs
@@ -7,7 +7,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use mimosagap_platform::store::{ChangeBatch, StoreCall, StoreChange, StoreStatusError};
+use mimosagap_platform::store::{ChangeBatch, StoreCall, StoreChange, StoreEra, StoreStatusError};
 use mimosagap_platform::{config, entry, names, store};
 use mimosagap_routing::change_source::{ChangeSource, ReaderHost, SourceSelector};
 use mimosagap_routing::hosts::{self, HostCapacity, HostRecord};
@@ -230,7 +230,9 @@
             prefix: ALL_KEYS_PREFIX.to_owned(),
             after,
         };
-        let page = decode(&client.call(&call).await?)?;
+        let response = client.call(&call).await?;
+        note_era(gateway, response.era);
+        let page = decode(&response.body)?;
         first_revision.get_or_insert(page.revision);
         let last_key = page.changes.last().map(|change| change.key.clone());
         items.extend(page.changes);
@@ -257,7 +259,9 @@
         after,
         wait: WATCH_WAIT,
     };
-    let changes = decode(&client.call(&call).await?)?;
+    let response = client.call(&call).await?;
+    note_era(gateway, response.era);
+    let changes = decode(&response.body)?;
     let revision = changes.revision.max(after);
     end_outage(gateway);
     apply_changes(gateway, &changes.changes, revision);
@@ -269,6 +273,17 @@
     store::decode_changes(body).map_err(StoreError::Decode)
 }
 
+/// Logs when the store names another era than before.
+fn note_era(gateway: &Gateway, era: Option<StoreEra>) {
+    let previous = gateway.with_state(|state| std::mem::replace(&mut state.store_era, era));
+    if era != previous {
+        gateway.log.event(&LogEvent::StoreEra {
+            era: era.map(|era| era.0),
+            previous: previous.map(|era| era.0),
+        });
+    }
+}
+
 /// Notes that the store responds. Entries whose leases lapsed during an outage have a short time
 /// from now on to be registered again.
 fn end_outage(gateway: &Gateway) {
@@ -325,7 +340,9 @@
         return;
     };
     let revision = change.revision;
-    if gateway.with_state(|state| state.config.revision()) >= revision {
+    let known_revision = gateway.with_state(|state| state.config.revision());
+    if known_revision >= revision {
+        log_skipped_config(gateway, value, revision, known_revision);
         return;
     }
     match config::decode(value) {
@@ -359,6 +376,24 @@
     }
 }
 
+/// Logs a configuration that is not the one in force and is not taken either.
+fn log_skipped_config(gateway: &Gateway, value: &[u8], revision: u64, known_revision: u64) {
+    let Some(in_force) = gateway.config() else {
+        return;
+    };
+    match config::decode(value) {
+        Ok(skipped) if skipped.version != in_force.version => {
+            gateway.log.event(&LogEvent::ConfigSkipped {
+                version: skipped.version,
+                revision,
+                version_in_force: in_force.version,
+                revision_in_force: known_revision,
+            });
+        }
+        _ => {}
+    }
+}
+
 fn apply_target(gateway: &SharedGateway, instance: &str, value: Option<&[u8]>) {
     let Some(value) = value else {
         remove_target(gateway, instance);
@@ -521,12 +556,12 @@
         client.call(&StoreCall::KeepAlive { lease }).await?;
         return Ok(lease);
     }
-    let body = client
+    let response = client
         .call(&StoreCall::GrantLease {
             ttl: HOST_LEASE_TTL,
         })
         .await?;
-    let lease = store::decode_lease(&body).map_err(StoreError::Decode)?;
+    let lease = store::decode_lease(&response.body).map_err(StoreError::Decode)?;
     let put = StoreCall::Put {
         key: key.to_owned(),
         value: value.to_vec(),
@@ -556,10 +591,10 @@
     client: &StoreClient,
     records: &[SuspicionRecord],
 ) -> Result<(), StoreError> {
-    let body = client
+    let response = client
         .call(&StoreCall::GrantLease { ttl: RECORD_TTL })
         .await?;
-    let lease = store::decode_lease(&body).map_err(StoreError::Decode)?;
+    let lease = store::decode_lease(&response.body).map_err(StoreError::Decode)?;
     for record in records {
         let put = StoreCall::Put {
             key: record.key.clone(),
--- a/crates/mimosagap-gateway/tests/log.rs
+++ b/crates/mimosagap-gateway/tests/log.rs
@@ -189,6 +189,31 @@
             parts: empty(),
             events: 1,
         },
+        LogEvent::LinesLeftOut {
+            kind: "sent",
+            count: 1,
+        },
+        LogEvent::Trouble {
+            what: "accept",
+            cause: empty(),
+        },
+    ]
+}
+
+/// One event of each kind that concerns the store's history or requests that crash targets.
+fn belief_events() -> Vec<LogEvent<'static>> {
+    let empty = String::new;
+    vec![
+        LogEvent::StoreEra {
+            era: Some(2),
+            previous: None,
+        },
+        LogEvent::ConfigSkipped {
+            version: 2,
+            revision: 1,
+            version_in_force: 3,
+            revision_in_force: 2,
+        },
         LogEvent::Quarantined {
             what: empty(),
             crashes: 3,
@@ -202,14 +227,6 @@
             id: "a",
             what: empty(),
         },
-        LogEvent::LinesLeftOut {
-            kind: "sent",
-            count: 1,
-        },
-        LogEvent::Trouble {
-            what: "accept",
-            cause: empty(),
-        },
     ]
 }
 
@@ -314,7 +331,11 @@
 fn each_event_has_the_documented_fields() {
     let output = SharedOutput::default();
     let log = EventLog::new(SystemClock, output.clone()).expect("a thread starts");
-    let events: Vec<LogEvent<'_>> = state_events().into_iter().chain(request_events()).collect();
+    let events: Vec<LogEvent<'_>> = state_events()
+        .into_iter()
+        .chain(belief_events())
+        .chain(request_events())
+        .collect();
     for event in &events {
         log.event(event);
     }
