test(soak): a change after the store came back from an older copy is not in force

The stand-in for the store keeps copies and can come back from one: revisions and lease ids are given out again, a watch from a revision that it does not have gets 410, Store-Era rises, and operators and targets write theirs again within 1.5 s. Drawn plans do not have the fault yet, since they would fail.

--- a/crates/mimosagap-soak/src/plan.rs
+++ b/crates/mimosagap-soak/src/plan.rs
@@ -29,6 +29,13 @@
     KillAll,
     /// Changes how the store behaves for a duration.
     Store(StoreMode, Duration),
+    /// The store is away for a duration and comes back from a copy that was this old when it went.
+    RestoreStore {
+        /// Age of the copy.
+        age: Duration,
+        /// How long the store is away.
+        away: Duration,
+    },
     /// Compacts the store, which drops its history of changes.
     Compact,
     /// Crashes a target and starts another in its place.
@@ -77,6 +84,7 @@
         match self {
             Self::PauseGateway(_, duration)
             | Self::Store(_, duration)
+            | Self::RestoreStore { away: duration, .. }
             | Self::Link(FleetLink::Callers(_) | FleetLink::Store(_), _, duration) => {
                 Some(duration)
             }
--- a/crates/mimosagap-soak/src/run.rs
+++ b/crates/mimosagap-soak/src/run.rs
@@ -148,6 +148,8 @@
 
 enum FaultRevert {
     Store,
+    /// The store comes back from a copy of this age.
+    RestoreStore(Duration),
     Link(FleetLink),
     Target(usize),
     ResumeGateway(usize),
@@ -390,6 +392,11 @@
                 self.pending_reverts
                     .push((now + duration, FaultRevert::Store));
             }
+            Fault::RestoreStore { age, away } => {
+                self.store.set_mode(StoreMode::Busy);
+                self.pending_reverts
+                    .push((now + away, FaultRevert::RestoreStore(age + away)));
+            }
             Fault::Compact => self.store.compact(),
             Fault::CrashTarget(index) => {
                 self.targets[index].crash();
@@ -438,12 +445,8 @@
                 self.checker.record_revocation(API_KEYS[1]);
             }
             Fault::NewConfig => {
-                let key_count = if self.checker.is_revoked(API_KEYS[1]) {
-                    1
-                } else {
-                    2
-                };
-                self.write_config(&API_KEYS[..key_count]);
+                let is_revoked = self.checker.is_revoked(API_KEYS[1]);
+                self.write_config(&API_KEYS[..if is_revoked { 1 } else { 2 }]);
             }
         }
         Ok(())
@@ -469,6 +472,10 @@
         for (_, revert) in due {
             match revert {
                 FaultRevert::Store => self.store.set_mode(StoreMode::Well),
+                FaultRevert::RestoreStore(age) => {
+                    self.store.restore(age);
+                    self.store.set_mode(StoreMode::Well);
+                }
                 FaultRevert::Target(index) => {
                     let target = &self.targets[index];
                     target.set_mode(TargetMode::Well);
--- a/crates/mimosagap-soak/src/standins/store.rs
+++ b/crates/mimosagap-soak/src/standins/store.rs
@@ -1,7 +1,7 @@
 //! A stand-in for the platform's key-value store, with leases, watches and faults.
 
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -35,6 +35,24 @@
     LosesAnswers,
 }
 
+/// A copy of what the store holds, from which it can come back.
+#[derive(Debug, Clone)]
+struct StoreCopy {
+    taken_at: Instant,
+    revision: u64,
+    items: BTreeMap<String, StoredItem>,
+    /// TTLs of the leases by id.
+    leases: HashMap<u64, Duration>,
+    next_lease: u64,
+}
+
+/// Interval of the copies, and for how long they are kept.
+const COPY_INTERVAL: Duration = Duration::from_millis(250);
+const COPY_RETENTION: Duration = Duration::from_secs(15);
+
+/// Time within which operators and targets write again what a copy lacks.
+const REWRITE_TIME: Duration = Duration::from_millis(1500);
+
 #[derive(Debug, Clone)]
 struct StoredItem {
     value: Vec<u8>,
@@ -59,6 +77,13 @@
     /// When each lease was last renewed, and its TTL.
     leases: RefCell<HashMap<u64, (Instant, Duration)>>,
     next_lease: Cell<u64>,
+    /// How often the store came back from a copy.
+    era: Cell<u64>,
+    copies: RefCell<VecDeque<StoreCopy>>,
+    /// What operators and targets wrote last; what is not in here they removed.
+    authored: RefCell<BTreeMap<String, Vec<u8>>>,
+    /// Keys that operators and targets write again after the store came back, and when.
+    pending_rewrites: RefCell<Vec<(Instant, String)>>,
     change_notify: Notify,
 }
 
@@ -72,6 +97,10 @@
             compacted_revision: Cell::new(0),
             leases: RefCell::default(),
             next_lease: Cell::new(1),
+            era: Cell::new(1),
+            copies: RefCell::default(),
+            authored: RefCell::default(),
+            pending_rewrites: RefCell::default(),
             change_notify: Notify::new(),
         }
     }
@@ -100,7 +129,11 @@
 
     /// Writes a key without a lease, whatever the mode.
     pub fn put(&self, key: &str, value: &Value) {
-        self.write(key, value.to_string().into_bytes(), 0);
+        let value = value.to_string().into_bytes();
+        let mut authored = self.authored.borrow_mut();
+        authored.insert(key.to_owned(), value.clone());
+        drop(authored);
+        self.write(key, value, 0);
     }
 
     fn write(&self, key: &str, value: Vec<u8>, lease: u64) {
@@ -115,8 +148,13 @@
         self.items.borrow_mut().insert(key.to_owned(), item);
     }
 
-    /// Deletes a key, whatever the mode.
+    /// Deletes a key that was written with [`Self::put`], whatever the mode.
     pub fn remove(&self, key: &str) {
+        self.authored.borrow_mut().remove(key);
+        self.delete(key);
+    }
+
+    fn delete(&self, key: &str) {
         if self.items.borrow_mut().remove(key).is_some() {
             let revision = self.revision.get() + 1;
             self.revision.set(revision);
@@ -136,8 +174,10 @@
         self.change_notify.notify_waiters();
     }
 
-    /// Revokes the leases that were not renewed within their TTL, and deletes their keys.
+    /// Revokes the leases that were not renewed within their TTL, deletes their keys, and does other
+    /// work that is due.
     pub fn expire_leases(&self) {
+        self.do_due_work();
         let now = Instant::now();
         let expired: Vec<u64> = self
             .leases
@@ -161,8 +201,84 @@
             .map(|(key, _)| key.clone())
             .collect();
         for key in keys {
-            self.remove(&key);
+            self.delete(&key);
+        }
+    }
+
+    /// Comes back from the newest copy that is at least `age` old: what was written since is gone,
+    /// leases too, and revisions and lease ids are given out again. Operators and targets write
+    /// theirs again within [`REWRITE_TIME`].
+    pub fn restore(&self, age: Duration) {
+        let now = Instant::now();
+        let copies = self.copies.borrow();
+        let is_old = |copy: &&StoreCopy| now.duration_since(copy.taken_at) >= age;
+        let Some(copy) = copies.iter().rfind(is_old).or(copies.front()).cloned() else {
+            return;
+        };
+        drop(copies);
+        self.copies.borrow_mut().clear();
+        self.revision.set(copy.revision);
+        self.next_lease.set(copy.next_lease);
+        let leases = copy.leases.iter().map(|(lease, ttl)| (*lease, (now, *ttl)));
+        *self.leases.borrow_mut() = leases.collect();
+        *self.items.borrow_mut() = copy.items;
+        self.era.set(self.era.get() + 1);
+        self.compact();
+        self.schedule_rewrites(now);
+        self.change_notify.notify_waiters();
+    }
+
+    /// Schedules what operators and targets write again, one key after the other.
+    fn schedule_rewrites(&self, now: Instant) {
+        let items = self.items.borrow();
+        let authored = self.authored.borrow();
+        let is_lost = |key: &&String| items.get(*key).map(|item| &item.value) != authored.get(*key);
+        let is_removed = |key: &&String| {
+            let is_own = key.starts_with("op/") || key.starts_with("servers/");
+            is_own && !authored.contains_key(*key)
+        };
+        let lost = authored.keys().filter(is_lost);
+        let keys: Vec<String> = lost
+            .chain(items.keys().filter(is_removed))
+            .cloned()
+            .collect();
+        let count = u32::try_from(keys.len()).unwrap_or(u32::MAX).max(1);
+        let times = (1..).map(|number| now + REWRITE_TIME * number / count);
+        *self.pending_rewrites.borrow_mut() = times.zip(keys).collect();
+    }
+
+    /// Does what is due: takes copies, and writes again what operators and targets had written.
+    fn do_due_work(&self) {
+        let now = Instant::now();
+        let (due, later) = std::mem::take(&mut *self.pending_rewrites.borrow_mut())
+            .into_iter()
+            .partition(|(at, _)| *at <= now);
+        *self.pending_rewrites.borrow_mut() = later;
+        let due: Vec<(Instant, String)> = due;
+        for (_, key) in due {
+            let value = self.authored.borrow().get(&key).cloned();
+            match value {
+                Some(value) => self.write(&key, value, 0),
+                None => self.delete(&key),
+            }
+        }
+        let mut copies = self.copies.borrow_mut();
+        let is_recent = |copy: &StoreCopy| now.duration_since(copy.taken_at) < COPY_INTERVAL;
+        if self.mode.get() != StoreMode::Well || copies.back().is_some_and(is_recent) {
+            return;
         }
+        copies.retain(|copy| now.duration_since(copy.taken_at) < COPY_RETENTION);
+        let leases = self.leases.borrow();
+        copies.push_back(StoreCopy {
+            taken_at: now,
+            revision: self.revision.get(),
+            items: self.items.borrow().clone(),
+            leases: leases
+                .iter()
+                .map(|(lease, (_, ttl))| (*lease, *ttl))
+                .collect(),
+            next_lease: self.next_lease.get(),
+        });
     }
 
     /// Handles a request according to the mode.
@@ -184,11 +300,14 @@
             .map(|(name, value)| (name.to_owned(), value.to_owned()))
             .collect();
         let is_write = head.method != hyper::Method::GET;
+        let era = self.era.get();
         let (status, value) = self.dispatch(head.uri.path(), &query, &body).await;
         if is_write && self.mode.get() == StoreMode::LosesAnswers {
             std::future::pending::<()>().await;
         }
-        json_response(status, &value)
+        let mut response = json_response(status, &value);
+        response.headers_mut().insert("store-era", era.into());
+        response
     }
 
     /// Executes one call of the API. Paths with a lease have the form `/kv-keep/LEASE`.
@@ -254,7 +373,7 @@
         let deadline = tokio::time::Instant::now() + wait;
         loop {
             let notified = self.change_notify.notified();
-            if after < self.compacted_revision.get() {
+            if after < self.compacted_revision.get() || after > self.revision.get() {
                 return (StatusCode::GONE, Value::Null);
             }
             let events: Vec<Value> = self
--- a/crates/mimosagap-soak/tests/soak.rs
+++ b/crates/mimosagap-soak/tests/soak.rs
@@ -195,6 +195,32 @@
     assert_eq!(crashes, [3]);
 }
 
+/// The store comes back from a copy that lacks two configurations, and gives their revisions out
+/// again for others. Changes that were in force must stay so, and new ones must come into force.
+#[test]
+fn a_change_after_the_store_came_back_from_an_older_copy_is_not_in_force() {
+    let secs = Duration::from_secs;
+    let step = |at, fault| FaultStep { at, fault };
+    let restore = Fault::RestoreStore {
+        age: secs(5),
+        away: secs(1),
+    };
+    let plan = FaultPlan {
+        seed: 907,
+        length: secs(22),
+        steps: vec![
+            step(secs(3), Fault::NewConfig),
+            step(secs(5), Fault::NewConfig),
+            step(secs(6), restore),
+            step(secs(9), Fault::NewConfig),
+            step(secs(13), Fault::NewConfig),
+            step(secs(14), Fault::DrainTarget(0)),
+        ],
+        gateway_count: 6,
+    };
+    run_clean(plan, 23_800);
+}
+
 /// Runs a plan, and asserts that no guarantee was violated and that more than 100 requests
 /// succeeded. The logs are kept after a failure.
 fn run_clean(plan: FaultPlan, base_port: u16) -> RunOutcome {
