--- a/crates/mimosagap-gateway/src/change_feed.rs
+++ b/crates/mimosagap-gateway/src/change_feed.rs
@@ -8,8 +8,10 @@
 use bytes::Bytes;
 use http::{Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
+use mimosagap_platform::names;
 use mimosagap_platform::store::StoreChange;
 use mimosagap_routing::change_source::{READER_STALE_AFTER, ReaderFailure, poll_delay};
+use mimosagap_routing::store_revision::{StoreEra, StoreRevision};
 use serde::{Deserialize, Serialize};
 use tokio::time::timeout;
 
@@ -21,6 +23,12 @@
 /// Path of the feed on the port for other hosts.
 pub const FEED_PATH: &str = "/changes";
 
+/// Path of the configuration in force on the port for other hosts.
+pub const CONFIG_PATH: &str = "/config";
+
+/// Time within which another host must send its configuration.
+const CONFIG_TIMEOUT: Duration = Duration::from_millis(300);
+
 /// Time for which a poll waits for a change.
 const POLL_WAIT: Duration = Duration::from_millis(500);
 
@@ -41,7 +49,7 @@
     age_ms: u64,
     /// Time since the end of the last outage of the store that the reader saw, in milliseconds.
     since_recovery_ms: Option<u64>,
-    revision: u64,
+    revision: StoreRevision,
     is_snapshot: bool,
     /// Time for which the reader held the request, in milliseconds.
     held_ms: u64,
@@ -53,7 +61,7 @@
     /// Changes in the order of their revisions, or all items if `is_snapshot`.
     pub changes: Vec<StoreChange>,
     /// Revision of the store up to which the changes reach.
-    pub revision: u64,
+    pub revision: StoreRevision,
     /// Whether `changes` holds all items rather than those that changed.
     pub is_snapshot: bool,
     /// Time between the reader's last poll of the store and its response.
@@ -66,19 +74,52 @@
     pub next_poll_delay: Duration,
 }
 
+/// Parses the revision that a poll names as `after=ERA.NUMBER`.
+fn parse_revision(query: &str) -> Option<StoreRevision> {
+    let (era, number) = query.strip_prefix("after=")?.split_once('.')?;
+    let era = StoreEra(era.parse().ok()?);
+    Some(StoreRevision::new(era, number.parse().ok()?))
+}
+
+/// Serves the configuration in force, for a host that has none or an older one of the store.
+pub fn handle_config_request(gateway: &SharedGateway) -> Response<ResponseBody> {
+    let value = gateway.with_state(|state| {
+        let is_in_force = state.config.config().is_some();
+        let value = state.mirror.value(names::CONFIG_KEY);
+        value.filter(|_| is_in_force).map(<[u8]>::to_vec)
+    });
+    match value {
+        Some(value) => local_response(StatusCode::OK, "application/octet-stream", value),
+        None => local_response(StatusCode::SERVICE_UNAVAILABLE, "text/plain", Vec::new()),
+    }
+}
+
+/// Asks another host for the configuration that it has in force; `None` if it has none or does not
+/// respond in time.
+pub async fn fetch_config(host: SocketAddr) -> Option<Bytes> {
+    let fetch = async {
+        let mut connection = HttpConnection::open(host).await.ok()?;
+        let mut request = Request::new(Full::new(Bytes::new()));
+        *request.uri_mut() = CONFIG_PATH.parse().unwrap_or_default();
+        let (head, body) = connection.call(request, MAX_RESPONSE_BYTES).await.ok()?;
+        (head.status == StatusCode::OK).then_some(body)
+    };
+    timeout(CONFIG_TIMEOUT, fetch).await.ok().flatten()
+}
+
 /// Serves a poll of another host, which names the revision that it has.
 pub async fn handle_poll(gateway: &SharedGateway, query: &str) -> Response<ResponseBody> {
-    let after = query
-        .strip_prefix("after=")
-        .and_then(|value| value.parse().ok())
-        .unwrap_or(0);
+    let after = parse_revision(query).unwrap_or_default();
     let requested_at = gateway.now();
     let deadline = tokio::time::sleep(POLL_WAIT);
     tokio::pin!(deadline);
     loop {
         let store_changed = gateway.store_changed.notified();
         let can_respond = gateway.with_state(|state| {
-            state.mirror.revision() > after || state.store_recovered_at == Some(STORE_UNREACHABLE)
+            let revision = state.mirror.revision();
+            let is_behind = revision.era < after.era;
+            let is_away = state.store_recovered_at == Some(STORE_UNREACHABLE);
+            revision > after || is_behind || is_away
         });
         if can_respond {
             break;
@@ -90,7 +131,8 @@
     }
     let now = gateway.now();
     let message = gateway.with_state(|state| {
-        if state.store_recovered_at == Some(STORE_UNREACHABLE) {
+        let is_behind = state.mirror.revision().era < after.era;
+        if is_behind || state.store_recovered_at == Some(STORE_UNREACHABLE) {
             return None;
         }
         let age = state
@@ -163,7 +205,7 @@
         &mut self,
         gateway: &Gateway,
         reader: SocketAddr,
-        after: u64,
+        after: StoreRevision,
     ) -> Result<FeedResponse, FeedError> {
         let no_response = |error: &dyn fmt::Display| FeedError::NoResponse(error.to_string());
         let timed_out = |_| FeedError::NoResponse("the reader did not respond in time".to_owned());
@@ -178,7 +220,7 @@
                 .map_err(|error| no_response(&error))?,
         };
         let mut request = Request::new(Full::new(Bytes::new()));
-        *request.uri_mut() = format!("{FEED_PATH}?after={after}")
+        *request.uri_mut() = format!("{FEED_PATH}?after={}.{}", after.era.0, after.number)
             .parse()
             .unwrap_or_default();
         let response = timeout(POLL_WAIT + RESPONSE_TIMEOUT, connection.send(request))
--- a/crates/mimosagap-gateway/src/listeners.rs
+++ b/crates/mimosagap-gateway/src/listeners.rs
@@ -159,7 +159,9 @@
     request: Request<Incoming>,
 ) -> Result<Response<ResponseBody>, Infallible> {
     let uri = request.uri();
-    Ok(if uri.path() == change_feed::FEED_PATH {
+    Ok(if uri.path() == change_feed::CONFIG_PATH {
+        change_feed::handle_config_request(&gateway)
+    } else if uri.path() == change_feed::FEED_PATH {
         change_feed::handle_poll(&gateway, uri.query().unwrap_or_default()).await
     } else {
         local_response(StatusCode::NOT_FOUND, "text/plain", Vec::new())
--- a/crates/mimosagap-gateway/src/log.rs
+++ b/crates/mimosagap-gateway/src/log.rs
@@ -156,10 +156,10 @@
     },
     /// The store names another era: it came back from an older copy of its data.
     StoreEra {
-        /// The era from now on; `None` if the store names none.
-        era: Option<u64>,
-        /// The era before; `None` if it named none.
-        previous: Option<u64>,
+        /// The era from now on.
+        era: u64,
+        /// The era before.
+        previous: u64,
     },
     /// A configuration of the store was not taken.
     ConfigSkipped {
@@ -169,7 +169,7 @@
         revision: u64,
         /// Version of the configuration in force.
         version_in_force: u64,
-        /// The revision that wrote that one.
+        /// The revision that wrote that one, maybe in an earlier era.
         revision_in_force: u64,
     },
     /// Requests are refused from now on because targets crashed under them.
--- a/crates/mimosagap-gateway/src/mirror.rs
+++ b/crates/mimosagap-gateway/src/mirror.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 
 use mimosagap_platform::store::StoreChange;
+use mimosagap_routing::store_revision::{StoreEra, StoreRevision};
 use serde::{Deserialize, Serialize};
 
 use crate::delta::ValueDelta;
@@ -27,9 +28,15 @@
     old_versions: HashMap<String, VecDeque<(u64, Vec<u8>)>>,
     /// Changes up to this revision are not in `recent_changes`.
     floor_revision: u64,
+    /// The era of all revisions.
+    era: StoreEra,
     revision: u64,
 }
 
+/// Number that stands for the revision of a value which this host kept although the store shows an
+/// older one. It is the base of no delta, because hosts may have kept different values.
+pub const KEPT_VALUE_REVISION: u64 = 0;
+
 /// Change of one key, as sent between hosts.
 #[derive(Debug, Clone, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
@@ -50,7 +57,7 @@
 }
 
 impl StoreMirror {
-    /// Applies changes up to a revision.
+    /// Applies changes of the same era up to a revision.
     pub fn apply(&mut self, changes: &[StoreChange], revision: u64) {
         for change in changes {
             let replaced = match &change.value {
@@ -61,12 +68,18 @@
                 None => self.items.remove(&change.key),
             };
             if let Some(replaced) = replaced
+                && replaced.0 != KEPT_VALUE_REVISION
                 && replaced.1.len() >= MIN_DELTA_VALUE_BYTES
             {
                 self.keep_old_version(&change.key, replaced);
             }
+            // A kept value has no revision of its own; it counts as changed now.
+            let changed_at = match change.revision {
+                KEPT_VALUE_REVISION => revision,
+                number => number,
+            };
             self.recent_changes
-                .push_back((change.revision, change.key.clone()));
+                .push_back((changed_at, change.key.clone()));
         }
         while self.recent_changes.len() > MAX_RECENT_CHANGES {
             if let Some((oldest, _)) = self.recent_changes.pop_front() {
@@ -89,26 +102,48 @@
     }
 
     /// Replaces the content by a full listing of the store.
-    pub fn reset(&mut self, items: &[StoreChange], revision: u64) {
+    pub fn reset(&mut self, items: &[StoreChange], revision: StoreRevision) {
         *self = Self {
-            floor_revision: revision,
+            floor_revision: revision.number,
+            era: revision.era,
             ..Self::default()
         };
-        self.apply(items, revision);
+        self.apply(items, revision.number);
         self.recent_changes.clear();
     }
 
     /// Revision up to which all changes are applied.
     #[must_use]
-    pub fn revision(&self) -> u64 {
-        self.revision
+    pub fn revision(&self) -> StoreRevision {
+        StoreRevision::new(self.era, self.revision)
+    }
+
+    /// Current value of a key; `None` if there is none.
+    #[must_use]
+    pub fn value(&self, key: &str) -> Option<&[u8]> {
+        self.items.get(key).map(|(_, value)| value.as_slice())
+    }
+
+    /// Replaces the value of a key by a newer one than the store shows.
+    pub fn keep_value(&mut self, key: &str, value: Vec<u8>) {
+        let kept = StoreChange {
+            key: key.to_owned(),
+            revision: KEPT_VALUE_REVISION,
+            value: Some(value),
+        };
+        self.apply(&[kept], self.revision);
+        // Hosts that have the kept value lack the versions that deltas would start from.
+        self.old_versions.remove(key);
     }
 
     /// What a host lacks that has everything up to a revision: `true` with all items if the changes
-    /// since then are no longer kept, otherwise `false` with those changes.
+    /// since then are not kept or the revision is one of another era, otherwise `false` with those
+    /// changes.
     #[must_use]
-    pub fn changes_since(&self, revision: u64) -> (bool, Vec<KeyChange>) {
-        if revision < self.floor_revision {
+    pub fn changes_since(&self, revision: StoreRevision) -> (bool, Vec<KeyChange>) {
+        let is_other_era = revision.era != self.era;
+        let revision = revision.number;
+        if is_other_era || revision < self.floor_revision {
             let all_items = self.items.keys().map(|key| self.key_change(key, None, 0));
             return (true, all_items.collect());
         }
--- a/crates/mimosagap-gateway/src/rate_permits.rs
+++ b/crates/mimosagap-gateway/src/rate_permits.rs
@@ -11,7 +11,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use mimosagap_routing::keeper_selection::{KeeperSelector, rate_fraction};
+use mimosagap_routing::keeper_selection::{KeeperSelector, MAX_PROOF_AGE, rate_fraction};
 use mimosagap_routing::rate_keeper::{PermitAsk, PermitClass, PermitDecision, RateKeeper};
 use mimosagap_routing::rate_limit::RateStatement;
 use mimosagap_routing::retry_budget::RetryBudget;
@@ -419,7 +419,12 @@
     };
     target_notices::record_statement(gateway, key, request.statement, "host");
     gateway.with_state(|state| {
-        let proof_age = state.config.contact_age(now);
+        // Until all hosts have registered again with a store that lost their records, another one may
+        // take itself for the keeper.
+        let is_settled = state
+            .store_restored_at
+            .is_none_or(|at| now.saturating_sub(at) >= MAX_PROOF_AGE);
+        let proof_age = state.config.contact_age(now).filter(|_| is_settled);
         let region = state.targets.region_of(key);
         let fraction = rate_fraction(&state.hosts, region, &gateway.settings.host, proof_age);
         let Some(target) = state.targets.get_mut(key) else {
--- a/crates/mimosagap-gateway/src/state.rs
+++ b/crates/mimosagap-gateway/src/state.rs
@@ -7,7 +7,6 @@
 use std::time::Duration;
 
 use mimosagap_platform::settings::HostSettings;
-use mimosagap_platform::store::StoreEra;
 use mimosagap_routing::buffer_budget::BufferBudget;
 use mimosagap_routing::config::FleetConfig;
 use mimosagap_routing::config_state::{ConfigState, StalenessBounds};
@@ -17,6 +16,7 @@
 use mimosagap_routing::quarantine::Quarantine;
 use mimosagap_routing::retry_budget::{RetryBounds, RetryBudget};
 use mimosagap_routing::shutdown::ShutdownWindow;
+use mimosagap_routing::store_revision::EraTracker;
 use mimosagap_routing::targets::{TargetKey, TargetTable};
 use mimosagap_routing::token_time::TokenTimeEstimator;
 use mimosagap_routing::wait_queue::WaitQueue;
@@ -63,8 +63,12 @@
     pub rng: SmallRng,
     /// When the process was asked to stop; `None` before.
     pub stopping_since: Option<Duration>,
-    /// The era that the store named last; `None` if it named none.
-    pub store_era: Option<StoreEra>,
+    /// The era of the store's revisions and leases.
+    pub store_era: EraTracker,
+    /// When this host learned that the store came back from an older copy; `None` if it never did.
+    pub store_restored_at: Option<Duration>,
+    /// Entries of targets that count as removed, as the copy showed them again.
+    pub restored_entries: HashMap<String, Vec<u8>>,
     /// When the store became reachable again after its last outage; [`STORE_UNREACHABLE`] during an
     /// outage, `None` if there was none.
     pub store_recovered_at: Option<Duration>,
@@ -162,7 +166,9 @@
                 connection_pool: ConnectionPool::default(),
                 rng: SmallRng::from_os_rng(),
                 stopping_since: None,
-                store_era: None,
+                store_era: EraTracker::default(),
+                store_restored_at: None,
+                restored_entries: HashMap::new(),
                 store_recovered_at: None,
                 mirror: StoreMirror::default(),
                 last_ticket: 0,
--- a/crates/mimosagap-gateway/src/store.rs
+++ b/crates/mimosagap-gateway/src/store.rs
@@ -10,7 +10,8 @@
 use http::header::{self, HeaderValue};
 use http_body_util::Full;
 use mimosagap_platform::DecodeError;
-use mimosagap_platform::store::{StoreCall, StoreEra, StoreStatusError, check_status, named_era};
+use mimosagap_platform::store::{StoreCall, StoreStatusError, check_status, named_era};
+use mimosagap_routing::store_revision::StoreEra;
 use prometheus::IntCounterVec;
 use tokio::time::timeout;
 
@@ -34,6 +35,10 @@
     Rejected(StoreStatusError),
     /// The response could not be decoded.
     Decode(DecodeError),
+    /// The response is one of before the store came back from a copy.
+    OutdatedEra,
+    /// The store came back from a copy, so the call referred to something that is void.
+    NewEra,
 }
 
 impl StoreError {
@@ -48,6 +53,8 @@
             Self::Rejected(StoreStatusError::Unavailable) => "unavailable",
             Self::Rejected(StoreStatusError::Other(_)) => "other_status",
             Self::Decode(_) => "unreadable",
+            Self::OutdatedEra => "outdated_era",
+            Self::NewEra => "new_era",
         }
     }
 }
@@ -61,17 +68,36 @@
                 write!(f, "the store rejected the call: {status_error:?}")
             }
             Self::Decode(error) => error.fmt(f),
+            Self::OutdatedEra => {
+                write!(
+                    f,
+                    "the response is older than the store's return from a copy"
+                )
+            }
+            Self::NewEra => write!(f, "the store came back from an older copy of its data"),
         }
     }
 }
 
-/// A successful response of the store.
+/// What a call brought: the store names its era in refusals too.
 #[derive(Debug)]
-pub struct StoreResponse {
-    /// The body.
-    pub body: Bytes,
-    /// The era that it names; `None` if it names none.
+pub struct StoreReply {
+    /// The body, or why there is none.
+    pub result: Result<Bytes, StoreError>,
+    /// The era that the response names; `None` if there was no response or it names none.
     pub era: Option<StoreEra>,
+    /// Why the era of the response cannot be read.
+    pub era_error: Option<DecodeError>,
+}
+
+impl From<StoreError> for StoreReply {
+    fn from(error: StoreError) -> Self {
+        Self {
+            result: Err(error),
+            era: None,
+            era_error: None,
+        }
+    }
 }
 
 /// A client that keeps one connection to the store. Its user makes one call at a time.
@@ -94,20 +120,25 @@
 
     /// Makes a call and counts its result. A failed call closes its connection, because nothing
     /// more arrives on a connection that lost a response.
-    pub async fn call(&self, call: &StoreCall) -> Result<StoreResponse, StoreError> {
+    pub async fn call(&self, call: &StoreCall) -> StoreReply {
         let call_timeout = match call {
             StoreCall::Watch { wait, .. } => CALL_TIMEOUT + *wait,
             _ => CALL_TIMEOUT,
         };
-        let result = timeout(call_timeout, self.try_call(call))
-            .await
-            .unwrap_or(Err(StoreError::Timeout));
-        let label = result.as_ref().map_or_else(StoreError::name, |_| "ok");
+        let reply = match timeout(call_timeout, self.try_call(call)).await {
+            Ok(Ok(reply)) => reply,
+            Ok(Err(error)) => error.into(),
+            Err(_) => StoreError::Timeout.into(),
+        };
+        let label = reply
+            .result
+            .as_ref()
+            .map_or_else(StoreError::name, |_| "ok");
         self.calls.with_label_values(&[call.name(), label]).inc();
-        result
+        reply
     }
 
-    async fn try_call(&self, call: &StoreCall) -> Result<StoreResponse, StoreError> {
+    async fn try_call(&self, call: &StoreCall) -> Result<StoreReply, StoreError> {
         let idle_connection = self
             .connection
             .borrow_mut()
@@ -131,9 +162,16 @@
         };
         let (head, body) = response.map_err(|error| StoreError::Connection(error.to_string()))?;
         self.connection.replace(Some(connection));
-        check_status(head.status).map_err(StoreError::Rejected)?;
-        let era = named_era(&head.headers).map_err(StoreError::Decode)?;
-        Ok(StoreResponse { body, era })
+        let result = check_status(head.status).map_err(StoreError::Rejected);
+        let (era, era_error) = match named_era(&head.headers) {
+            Ok(era) => (era, None),
+            Err(error) => (None, Some(error)),
+        };
+        Ok(StoreReply {
+            result: result.map(|()| body),
+            era,
+            era_error,
+        })
     }
 
     async fn connect(&self) -> Result<HttpConnection, StoreError> {
--- a/crates/mimosagap-gateway/src/store_sync.rs
+++ b/crates/mimosagap-gateway/src/store_sync.rs
@@ -7,15 +7,19 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use mimosagap_platform::store::{ChangeBatch, StoreCall, StoreChange, StoreEra, StoreStatusError};
+use bytes::Bytes;
+use mimosagap_platform::store::{ChangeBatch, StoreCall, StoreChange, StoreStatusError};
 use mimosagap_platform::{config, entry, names, store};
 use mimosagap_routing::change_source::{ChangeSource, ReaderHost, SourceSelector};
 use mimosagap_routing::hosts::{self, HostCapacity, HostRecord};
+use mimosagap_routing::store_revision::{EraObservation, StoreEra, StoreRevision};
 use mimosagap_routing::targets;
 use rand::Rng;
+use rand::seq::SliceRandom;
 
-use crate::change_feed::{FeedClient, FeedError, FeedResponse};
+use crate::change_feed::{FeedClient, FeedError, FeedResponse, fetch_config};
 use crate::log::LogEvent;
+use crate::mirror::KEPT_VALUE_REVISION;
 use crate::state::{Gateway, STORE_UNREACHABLE, SharedGateway};
 use crate::store::{StoreClient, StoreError};
 use crate::suspicion::{self, RECORD_TTL, SUSPICIONS_PREFIX, SuspicionRecord};
@@ -57,8 +61,16 @@
 /// this host's readers do not report it.
 const OUTAGE_RENEWAL_INTERVAL: Duration = Duration::from_secs(4);
 
-/// Time for which removed targets are kept, for the log and for requests in flight.
-const REMOVED_TARGET_RETENTION: Duration = Duration::from_secs(10);
+/// Time for which removed targets are kept, for the log, for requests in flight, and to recognize
+/// them in a store that comes back from a copy in which they are still listed.
+const REMOVED_TARGET_RETENTION: Duration = Duration::from_secs(30);
+
+/// Time after the store came back from a copy for which a target stays removed although the copy
+/// lists it. By then the entry of a target that ended has lost its lease, after three heartbeats.
+const RESTORED_ENTRY_TIME: Duration = Duration::from_secs(5);
+
+/// Other hosts that are asked for a newer configuration than the store shows.
+const MAX_CONFIG_SOURCES: usize = 3;
 
 /// Follows the store until the process ends, directly or through a reader of its region.
 pub async fn follow_store(gateway: SharedGateway, client: StoreClient) {
@@ -83,7 +95,7 @@
     feed_client: FeedClient,
     source_selector: SourceSelector,
     /// Revision up to which all changes are applied; `None` requires a full read.
-    revision: Option<u64>,
+    revision: Option<StoreRevision>,
     consecutive_failures: u32,
     is_store_reachable: bool,
 }
@@ -101,18 +113,29 @@
             (ChangeSource::Reader(reader), Some(after)) => self.poll_reader(&reader, after).await,
             _ => self.poll_store().await,
         }
+        recheck_restored_entries(&self.gateway);
     }
 
-    async fn poll_reader(&mut self, reader: &ReaderHost, after: u64) {
+    async fn poll_reader(&mut self, reader: &ReaderHost, after: StoreRevision) {
         if reader.recently_failed {
             tokio::time::sleep(FAILED_READER_DELAY).await;
         }
         let requested_at = self.gateway.now();
-        match self
+        let response = self
             .feed_client
             .poll(&self.gateway, reader.address, after)
-            .await
-        {
+            .await;
+        let response = response.and_then(|response| {
+            let era = Some(response.revision.era);
+            match observe_era(&self.gateway, era, requested_at) {
+                EraObservation::Outdated => Err(FeedError::Stale),
+                EraObservation::Changed { .. } if !response.is_snapshot => {
+                    Err(FeedError::UnknownBase)
+                }
+                _ => Ok(response),
+            }
+        });
+        match response {
             Ok(response) => {
                 self.revision = Some(response.revision);
                 apply_feed_response(&self.gateway, &response, requested_at);
@@ -133,8 +156,10 @@
     }
 
     async fn poll_store(&mut self) {
-        let needs_full_read = self.revision.is_none();
-        let result = match self.revision {
+        let era = self.gateway.with_state(|state| state.store_era.current());
+        let known_revision = self.revision.filter(|revision| revision.era == era);
+        let needs_full_read = known_revision.is_none();
+        let result = match known_revision {
             None => read_all_keys(&self.gateway, &self.client).await,
             Some(after) => watch_changes(&self.gateway, &self.client, after).await,
         };
@@ -151,7 +176,9 @@
                 };
                 tokio::time::sleep(delay).await;
             }
-            Err(StoreError::Rejected(StoreStatusError::HistoryGone)) => self.revision = None,
+            Err(StoreError::Rejected(StoreStatusError::HistoryGone) | StoreError::NewEra) => {
+                self.revision = None;
+            }
             Err(error) => {
                 self.source_selector
                     .record_store_failure(self.gateway.now());
@@ -197,21 +224,50 @@
 }
 
 /// Applies changes, adds them to the mirror and wakes the tasks that wait for changes.
-fn apply_changes(gateway: &SharedGateway, changes: &[StoreChange], revision: u64) {
-    dispatch_changes(gateway, changes);
-    gateway.with_state(|state| state.mirror.apply(changes, revision));
+fn apply_changes(gateway: &SharedGateway, changes: &[StoreChange], revision: StoreRevision) {
+    let outcome = dispatch_changes(gateway, changes, revision.era);
+    gateway.with_state(|state| {
+        let kept = outcome.kept_config(state.mirror.value(names::CONFIG_KEY));
+        state.mirror.apply(changes, revision.number);
+        if let Some(value) = kept {
+            state.mirror.keep_value(names::CONFIG_KEY, value);
+        }
+    });
     gateway.store_changed.notify_waiters();
 }
 
 /// Replaces everything by a full listing of the store and wakes the tasks that wait for changes.
-fn apply_full_read(gateway: &SharedGateway, items: &[StoreChange], revision: u64) {
+fn apply_full_read(gateway: &SharedGateway, items: &[StoreChange], revision: StoreRevision) {
     let keys: HashSet<String> = items.iter().map(|change| change.key.clone()).collect();
-    dispatch_changes(gateway, items);
+    let outcome = dispatch_changes(gateway, items, revision.era);
     remove_unlisted(gateway, &keys);
-    gateway.with_state(|state| state.mirror.reset(items, revision));
+    gateway.with_state(|state| {
+        let kept = outcome.kept_config(state.mirror.value(names::CONFIG_KEY));
+        state.mirror.reset(items, revision);
+        if let Some(value) = kept {
+            state.mirror.keep_value(names::CONFIG_KEY, value);
+        }
+    });
     gateway.store_changed.notify_waiters();
 }
 
+/// What a batch of changes says about the configuration.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum ConfigOutcome {
+    /// It is the one in force, or there is none among the changes.
+    InForce,
+    /// It is older than the one in force.
+    Older,
+}
+
+impl ConfigOutcome {
+    /// The value to keep in the mirror in place of an older one, so that other hosts get the
+    /// configuration in force from this one.
+    fn kept_config(self, mirrored: Option<&[u8]>) -> Option<Vec<u8>> {
+        mirrored.filter(|_| self == Self::Older).map(<[u8]>::to_vec)
+    }
+}
+
 /// Backoff after consecutive failures, with jitter so that hosts do not retry at the same time.
 fn failure_backoff(gateway: &Gateway, consecutive_failures: u32) -> Duration {
     let (first, longest) = FAILURE_BACKOFF;
@@ -220,7 +276,10 @@
 }
 
 /// Reads all keys. Returns the revision from which changes follow.
-async fn read_all_keys(gateway: &SharedGateway, client: &StoreClient) -> Result<u64, StoreError> {
+async fn read_all_keys(
+    gateway: &SharedGateway,
+    client: &StoreClient,
+) -> Result<StoreRevision, StoreError> {
     let requested_at = gateway.now();
     let mut after = String::new();
     let mut first_revision = None;
@@ -230,9 +289,13 @@
             prefix: ALL_KEYS_PREFIX.to_owned(),
             after,
         };
-        let response = client.call(&call).await?;
-        note_era(gateway, response.era);
-        let page = decode(&response.body)?;
+        let era = gateway.with_state(|state| state.store_era.current());
+        let page = decode(&call_store(gateway, client, &call).await?)?;
+        if era != gateway.with_state(|state| state.store_era.current()) && first_revision.is_some()
+        {
+            // The pages so far are those of another store.
+            return Err(StoreError::NewEra);
+        }
         first_revision.get_or_insert(page.revision);
         let last_key = page.changes.last().map(|change| change.key.clone());
         items.extend(page.changes);
@@ -241,8 +304,14 @@
             _ => break,
         }
     }
-    let revision = first_revision.unwrap_or(0);
+    let era = gateway.with_state(|state| state.store_era.current());
+    let revision = StoreRevision::new(era, first_revision.unwrap_or(0));
     end_outage(gateway);
+    if gateway.config().is_none() {
+        // The store may have come back from a copy just now, and other hosts know better.
+        let hosts = listed_peers(gateway, &items);
+        adopt_newer_config(gateway, hosts, era).await;
+    }
     apply_full_read(gateway, &items, revision);
     gateway.with_state(|state| state.config.confirm_by_read(requested_at));
     Ok(revision)
@@ -251,18 +320,21 @@
 async fn watch_changes(
     gateway: &SharedGateway,
     client: &StoreClient,
-    after: u64,
-) -> Result<u64, StoreError> {
+    after: StoreRevision,
+) -> Result<StoreRevision, StoreError> {
     let requested_at = gateway.now();
     let call = StoreCall::Watch {
         prefix: ALL_KEYS_PREFIX.to_owned(),
-        after,
+        after: after.number,
         wait: WATCH_WAIT,
     };
-    let response = client.call(&call).await?;
-    note_era(gateway, response.era);
-    let changes = decode(&response.body)?;
-    let revision = changes.revision.max(after);
+    let changes = decode(&call_store(gateway, client, &call).await?)?;
+    let era = gateway.with_state(|state| state.store_era.current());
+    if era != after.era || changes.revision < after.number {
+        // The numbers are those of another history, whether the store says so or not.
+        return Err(StoreError::NewEra);
+    }
+    let revision = StoreRevision::new(era, changes.revision);
     end_outage(gateway);
     apply_changes(gateway, &changes.changes, revision);
     gateway.with_state(|state| state.config.confirm_by_watch(requested_at));
@@ -273,15 +345,89 @@
     store::decode_changes(body).map_err(StoreError::Decode)
 }
 
-/// Logs when the store names another era than before.
-fn note_era(gateway: &Gateway, era: Option<StoreEra>) {
-    let previous = gateway.with_state(|state| std::mem::replace(&mut state.store_era, era));
-    if era != previous {
-        gateway.log.event(&LogEvent::StoreEra {
-            era: era.map(|era| era.0),
-            previous: previous.map(|era| era.0),
+/// Calls the store and notes the era that it names.
+async fn call_store(
+    gateway: &SharedGateway,
+    client: &StoreClient,
+    call: &StoreCall,
+) -> Result<Bytes, StoreError> {
+    let requested_at = gateway.now();
+    let reply = client.call(call).await;
+    if let Some(error) = reply.era_error {
+        gateway.log.event(&LogEvent::Trouble {
+            what: "the era of the store cannot be read and is taken as unchanged",
+            cause: error.to_string(),
         });
     }
+    match observe_era(gateway, reply.era, requested_at) {
+        EraObservation::Outdated => Err(StoreError::OutdatedEra),
+        _ => reply.result,
+    }
+}
+
+/// Notes the era in a response to a request sent at `requested_at`. In a new era this host
+/// registers again and asks others for a newer configuration than the store shows.
+fn observe_era(
+    gateway: &SharedGateway,
+    era: Option<StoreEra>,
+    requested_at: Duration,
+) -> EraObservation {
+    let now = gateway.now();
+    let observation = gateway.with_state(|state| state.store_era.observe(era, requested_at, now));
+    let (EraObservation::Changed { previous }, Some(era)) = (observation, era) else {
+        return observation;
+    };
+    gateway.log.event(&LogEvent::StoreEra {
+        era: era.0,
+        previous: previous.0,
+    });
+    gateway.with_state(|state| {
+        state.store_restored_at = Some(now);
+        // Entries that the copy lacks are written again shortly, as after an outage.
+        state.store_recovered_at = Some(now);
+    });
+    gateway.suspicions.rewrite_records(now);
+    gateway.registration_wakeup.notify_one();
+    let peers = gateway.with_state(|state| {
+        let peers = state.hosts.live();
+        let peers = peers.filter(|(name, _)| *name != gateway.settings.host);
+        peers.map(|(_, record)| record.clone()).collect()
+    });
+    let gateway = Rc::clone(gateway);
+    tokio::task::spawn_local(async move { adopt_newer_config(&gateway, peers, era).await });
+    observation
+}
+
+/// The other hosts among the items of a full read.
+fn listed_peers(gateway: &Gateway, items: &[StoreChange]) -> Vec<HostRecord> {
+    let peers = items.iter().filter_map(|item| {
+        let name = item.key.strip_prefix(HOSTS_PREFIX)?;
+        let record = serde_json::from_slice(item.value.as_deref()?).ok()?;
+        (name != gateway.settings.host).then_some(record)
+    });
+    peers.collect()
+}
+
+/// Asks a few hosts, those of the own region first, for their configuration and takes the newest
+/// one, if it is newer than the one in force here.
+async fn adopt_newer_config(gateway: &SharedGateway, mut peers: Vec<HostRecord>, era: StoreEra) {
+    gateway.with_state(|state| peers.shuffle(&mut state.rng));
+    peers.sort_by_key(|record| record.region != gateway.settings.region);
+    for record in peers.iter().take(MAX_CONFIG_SOURCES) {
+        let Some(value) = fetch_config(record.peer_address).await else {
+            continue;
+        };
+        let kept = StoreChange {
+            key: names::CONFIG_KEY.to_owned(),
+            revision: KEPT_VALUE_REVISION,
+            value: Some(value.to_vec()),
+        };
+        let version_before = gateway.config().map(|config| config.version);
+        apply_config(gateway, &kept, era);
+        if gateway.config().map(|config| config.version) != version_before {
+            gateway.with_state(|state| state.mirror.keep_value(names::CONFIG_KEY, value.to_vec()));
+        }
+    }
 }
 
 /// Notes that the store responds. Entries whose leases lapsed during an outage have a short time
@@ -305,14 +451,20 @@
 
 /// Applies each change by the prefix of its key, and purges targets and hosts whose retention after
 /// their removal has ended.
-fn dispatch_changes(gateway: &SharedGateway, changes: &[StoreChange]) {
+fn dispatch_changes(
+    gateway: &SharedGateway,
+    changes: &[StoreChange],
+    era: StoreEra,
+) -> ConfigOutcome {
+    let mut outcome = ConfigOutcome::InForce;
     for change in changes {
         if change.key == names::CONFIG_KEY {
-            apply_config(gateway, change);
+            outcome = apply_config(gateway, change, era);
         } else if let Some(instance) = entry::instance_from_key(&change.key) {
             apply_target(gateway, instance, change.value.as_deref());
         } else if let Some(name) = change.key.strip_prefix(HOSTS_PREFIX) {
-            apply_host(gateway, name, change.value.as_deref(), change.revision);
+            let revision = StoreRevision::new(era, change.revision);
+            apply_host(gateway, name, change.value.as_deref(), revision);
         } else if change.key.starts_with(SUSPICIONS_PREFIX)
             && let Some(value) = &change.value
         {
@@ -333,21 +485,36 @@
         let count = i64::try_from(state.hosts.len()).unwrap_or(i64::MAX);
         known.with_label_values(&["hosts"]).set(count);
     });
+    outcome
 }
 
-fn apply_config(gateway: &SharedGateway, change: &StoreChange) {
+fn apply_config(gateway: &SharedGateway, change: &StoreChange, era: StoreEra) -> ConfigOutcome {
     let Some(value) = &change.value else {
-        return;
+        return ConfigOutcome::InForce;
     };
-    let revision = change.revision;
+    let revision = StoreRevision::new(era, change.revision);
     let known_revision = gateway.with_state(|state| state.config.revision());
-    if known_revision >= revision {
-        log_skipped_config(gateway, value, revision, known_revision);
-        return;
+    if known_revision == revision && revision.number != KEPT_VALUE_REVISION {
+        return ConfigOutcome::InForce;
     }
     match config::decode(value) {
         Ok(fleet_config) => {
             let version = fleet_config.version;
+            let version_in_force = gateway.config().map(|config| config.version);
+            if let Some(version_in_force) = version_in_force
+                && version < version_in_force
+            {
+                gateway.log.event(&LogEvent::ConfigSkipped {
+                    version,
+                    revision: revision.number,
+                    version_in_force,
+                    revision_in_force: known_revision.number,
+                });
+                return ConfigOutcome::Older;
+            }
+            if revision.number == KEPT_VALUE_REVISION && version_in_force == Some(version) {
+                return ConfigOutcome::InForce;
+            }
             let engines: HashMap<_, _> = fleet_config
                 .services()
                 .filter_map(|service| service.engine.map(|engine| (service.name.clone(), engine)))
@@ -364,33 +531,20 @@
                     .metrics
                     .config_version
                     .set(i64::try_from(version).unwrap_or(i64::MAX));
-                gateway
-                    .log
-                    .event(&LogEvent::ConfigInForce { version, revision });
+                gateway.log.event(&LogEvent::ConfigInForce {
+                    version,
+                    revision: revision.number,
+                });
             }
+            ConfigOutcome::InForce
         }
-        Err(error) => gateway.log.event(&LogEvent::ConfigUnreadable {
-            revision,
-            cause: error.to_string(),
-        }),
-    }
-}
-
-/// Logs a configuration that is not the one in force and is not taken either.
-fn log_skipped_config(gateway: &Gateway, value: &[u8], revision: u64, known_revision: u64) {
-    let Some(in_force) = gateway.config() else {
-        return;
-    };
-    match config::decode(value) {
-        Ok(skipped) if skipped.version != in_force.version => {
-            gateway.log.event(&LogEvent::ConfigSkipped {
-                version: skipped.version,
-                revision,
-                version_in_force: in_force.version,
-                revision_in_force: known_revision,
+        Err(error) => {
+            gateway.log.event(&LogEvent::ConfigUnreadable {
+                revision: revision.number,
+                cause: error.to_string(),
             });
+            ConfigOutcome::InForce
         }
-        _ => {}
     }
 }
 
@@ -411,6 +565,13 @@
         }
     };
     let now = gateway.now();
+    if is_restored_entry(gateway, instance, entry.started_unix_ms) {
+        gateway.with_state(|state| {
+            let restored = &mut state.restored_entries;
+            restored.insert(instance.to_owned(), value.to_vec());
+        });
+        return;
+    }
     let (is_draining, address) = (entry.is_draining, entry.address);
     let (_, is_changed) = gateway.with_state(|state| {
         let targets = &mut state.targets;
@@ -431,6 +592,46 @@
     }
 }
 
+/// Whether an entry is that of a target which ended before the store came back from a copy.
+fn is_restored_entry(gateway: &Gateway, instance: &str, started_unix_ms: u64) -> bool {
+    let now = gateway.now();
+    gateway
+        .with_state(|state| {
+            let restored_at = state
+                .store_restored_at
+                .filter(|at| now < *at + RESTORED_ENTRY_TIME)?;
+            let target = state.targets.get(state.targets.find_instance(instance)?)?;
+            let is_same_process = target.entry.started_unix_ms == started_unix_ms;
+            let was_removed = target.removed_at.is_some_and(|at| at <= restored_at);
+            Some(is_same_process && was_removed)
+        })
+        .unwrap_or(false)
+}
+
+/// Takes the entries that the copy of the store showed again and that the store still lists when the
+/// leases of ended targets have expired: their targets live.
+fn recheck_restored_entries(gateway: &SharedGateway) {
+    let now = gateway.now();
+    let due: Vec<(String, Vec<u8>)> = gateway.with_state(|state| {
+        let is_due = state
+            .store_restored_at
+            .is_none_or(|at| now >= at + RESTORED_ENTRY_TIME);
+        if is_due {
+            std::mem::take(&mut state.restored_entries)
+                .into_iter()
+                .collect()
+        } else {
+            Vec::new()
+        }
+    });
+    for (instance, value) in due {
+        let key = format!("{}{instance}", names::TARGETS_PREFIX);
+        if gateway.with_state(|state| state.mirror.value(&key).is_some()) {
+            apply_target(gateway, &instance, Some(&value));
+        }
+    }
+}
+
 fn remove_target(gateway: &SharedGateway, instance: &str) {
     let removed_at = removal_time(gateway, targets::OUTAGE_GRACE);
     let key = gateway.with_state(|state| state.targets.mark_removed(instance, removed_at));
@@ -447,7 +648,7 @@
     gateway.target_leaving.notify_waiters();
 }
 
-fn apply_host(gateway: &SharedGateway, name: &str, value: Option<&[u8]>, revision: u64) {
+fn apply_host(gateway: &SharedGateway, name: &str, value: Option<&[u8]>, revision: StoreRevision) {
     let record = value.and_then(|value| serde_json::from_slice::<HostRecord>(value).ok());
     let removed_at = removal_time(gateway, hosts::OUTAGE_GRACE);
     let listed = record.is_some();
@@ -483,7 +684,7 @@
         remove_target(gateway, &instance);
     }
     for host in hosts {
-        apply_host(gateway, &host, None, 0);
+        apply_host(gateway, &host, None, StoreRevision::default());
     }
 }
 
@@ -502,17 +703,20 @@
     };
     let value = serde_json::to_vec(&record).unwrap_or_default();
     let key = format!("{HOSTS_PREFIX}{}", settings.host);
-    let mut lease = None;
+    let mut lease: Option<HeldLease> = None;
     let mut consecutive_failures = 0;
     loop {
+        // A lease of an earlier era is gone, and its id may be another host's by now.
+        let era = gateway.with_state(|state| state.store_era.current());
+        lease = lease.filter(|lease| lease.era == era);
         if gateway.is_stopping() {
-            if let Some(lease) = lease.take() {
+            if let Some(HeldLease { id, .. }) = lease {
                 // The lease expires by itself if the call fails.
-                let _ = client.call(&StoreCall::RevokeLease { lease }).await;
+                let _ = call_store(&gateway, &client, &StoreCall::RevokeLease { lease: id }).await;
             }
             return;
         }
-        match renew_lease(&client, lease, &key, &value).await {
+        match renew_lease(&gateway, &client, lease, &key, &value).await {
             Ok(renewed_lease) => {
                 lease = Some(renewed_lease);
                 consecutive_failures = 0;
@@ -521,7 +725,10 @@
                 let _ = tokio::time::timeout(LEASE_RENEWAL_INTERVAL, wakeup).await;
             }
             Err(error) => {
-                if matches!(error, StoreError::Rejected(StoreStatusError::NotFound)) {
+                if matches!(
+                    error,
+                    StoreError::Rejected(StoreStatusError::NotFound) | StoreError::NewEra
+                ) {
                     lease = None;
                     continue;
                 }
@@ -545,30 +752,50 @@
     }
 }
 
+/// A lease that the store granted in an era.
+#[derive(Debug, Clone, Copy)]
+struct HeldLease {
+    id: u64,
+    era: StoreEra,
+}
+
 /// Renews the lease of this host's record, or takes a lease and writes the record.
 async fn renew_lease(
+    gateway: &SharedGateway,
     client: &StoreClient,
-    lease: Option<u64>,
+    lease: Option<HeldLease>,
     key: &str,
     value: &[u8],
-) -> Result<u64, StoreError> {
+) -> Result<HeldLease, StoreError> {
+    let current_era = || gateway.with_state(|state| state.store_era.current());
     if let Some(lease) = lease {
-        client.call(&StoreCall::KeepAlive { lease }).await?;
-        return Ok(lease);
+        let call = StoreCall::KeepAlive { lease: lease.id };
+        call_store(gateway, client, &call).await?;
+        return if lease.era == current_era() {
+            Ok(lease)
+        } else {
+            Err(StoreError::NewEra)
+        };
     }
-    let response = client
-        .call(&StoreCall::GrantLease {
-            ttl: HOST_LEASE_TTL,
-        })
-        .await?;
-    let lease = store::decode_lease(&response.body).map_err(StoreError::Decode)?;
+    let call = StoreCall::GrantLease {
+        ttl: HOST_LEASE_TTL,
+    };
+    let body = call_store(gateway, client, &call).await?;
+    let lease = HeldLease {
+        id: store::decode_lease(&body).map_err(StoreError::Decode)?,
+        era: current_era(),
+    };
     let put = StoreCall::Put {
         key: key.to_owned(),
         value: value.to_vec(),
-        lease,
+        lease: lease.id,
     };
-    client.call(&put).await?;
-    Ok(lease)
+    call_store(gateway, client, &put).await?;
+    if lease.era == current_era() {
+        Ok(lease)
+    } else {
+        Err(StoreError::NewEra)
+    }
 }
 
 async fn write_suspicions(gateway: &Rc<Gateway>, client: &StoreClient) {
@@ -576,7 +803,7 @@
     if records.is_empty() {
         return;
     }
-    let result = try_write_suspicions(client, &records).await;
+    let result = try_write_suspicions(gateway, client, &records).await;
     if let Err(error) = result {
         gateway.log.event(&LogEvent::Trouble {
             what: "records of crashes cannot be written to the store; the next renewal retries",
@@ -588,20 +815,20 @@
 }
 
 async fn try_write_suspicions(
+    gateway: &SharedGateway,
     client: &StoreClient,
     records: &[SuspicionRecord],
 ) -> Result<(), StoreError> {
-    let response = client
-        .call(&StoreCall::GrantLease { ttl: RECORD_TTL })
-        .await?;
-    let lease = store::decode_lease(&response.body).map_err(StoreError::Decode)?;
+    let call = StoreCall::GrantLease { ttl: RECORD_TTL };
+    let body = call_store(gateway, client, &call).await?;
+    let lease = store::decode_lease(&body).map_err(StoreError::Decode)?;
     for record in records {
         let put = StoreCall::Put {
             key: record.key.clone(),
             value: record.value.clone(),
             lease,
         };
-        client.call(&put).await?;
+        call_store(gateway, client, &put).await?;
     }
     Ok(())
 }
--- a/crates/mimosagap-gateway/src/suspicion.rs
+++ b/crates/mimosagap-gateway/src/suspicion.rs
@@ -4,7 +4,7 @@
 //! records of the store, for hosts that are cut off from the others or start later.
 
 use std::cell::RefCell;
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -120,11 +120,39 @@
     pub notices: NoticeQueue<TimedNotice>,
     /// Records to be written to the store.
     pub pending_records: RefCell<Vec<SuspicionRecord>>,
+    /// Records that this host wrote or is to write, and since when; for a store that lost them.
+    own_records: RefCell<VecDeque<(Duration, SuspicionRecord)>>,
     /// When each proof was last told to all hosts.
     announced_proofs: RefCell<HashMap<RequestTrait, Duration>>,
 }
 
 impl SuspicionExchange {
+    /// Adds a record to be written to the store. Returns whether there is room for it.
+    fn push_record(&self, record: SuspicionRecord, now: Duration) -> bool {
+        let mut pending = self.pending_records.borrow_mut();
+        if pending.len() >= MAX_PENDING_RECORDS {
+            return false;
+        }
+        let mut own = self.own_records.borrow_mut();
+        own.retain(|(since, _)| now.saturating_sub(*since) < RECORD_TTL);
+        if own.len() >= MAX_PENDING_RECORDS {
+            own.pop_front();
+        }
+        own.push_back((now, record.clone()));
+        pending.push(record);
+        true
+    }
+
+    /// Schedules all records of this host to be written again, because the store lost them.
+    pub fn rewrite_records(&self, now: Duration) {
+        let own = self.own_records.borrow();
+        let recent = own
+            .iter()
+            .filter(|(since, _)| now.saturating_sub(*since) < RECORD_TTL);
+        let records = recent.map(|(_, record)| record.clone()).collect();
+        *self.pending_records.borrow_mut() = records;
+    }
+
     /// Notes that all hosts are told of a proof. Returns whether they were not told lately.
     fn note_announcement(&self, proved: RequestTrait, now: Duration) -> bool {
         let mut announced = self.announced_proofs.borrow_mut();
@@ -296,12 +324,11 @@
 /// Sends a notice to the other hosts, and writes it to the store if `is_lasting`.
 fn share(gateway: &Gateway, notice: SuspicionNotice, at: Duration, is_lasting: bool) {
     if is_lasting {
-        let mut pending = gateway.suspicions.pending_records.borrow_mut();
-        if pending.len() < MAX_PENDING_RECORDS {
-            pending.push(SuspicionRecord {
-                key: notice.record_key(gateway.host_hash),
-                value: encode(&notice),
-            });
+        let record = SuspicionRecord {
+            key: notice.record_key(gateway.host_hash),
+            value: encode(&notice),
+        };
+        if gateway.suspicions.push_record(record, gateway.now()) {
             gateway.registration_wakeup.notify_one();
         }
     }
--- a/crates/mimosagap-gateway/tests/log.rs
+++ b/crates/mimosagap-gateway/tests/log.rs
@@ -205,8 +205,8 @@
     let empty = String::new;
     vec![
         LogEvent::StoreEra {
-            era: Some(2),
-            previous: None,
+            era: 2,
+            previous: 1,
         },
         LogEvent::ConfigSkipped {
             version: 2,
--- a/crates/mimosagap-gateway/tests/mirror.rs
+++ b/crates/mimosagap-gateway/tests/mirror.rs
@@ -3,6 +3,7 @@
 use mimosagap_gateway::delta::ValueDelta;
 use mimosagap_gateway::mirror::StoreMirror;
 use mimosagap_platform::store::StoreChange;
+use mimosagap_routing::store_revision::{StoreEra, StoreRevision};
 use rstest::rstest;
 
 const KEY: &str = "config";
@@ -23,6 +24,11 @@
     .into_bytes()
 }
 
+/// A revision of the first era.
+fn at(number: u64) -> StoreRevision {
+    StoreRevision::new(StoreEra::default(), number)
+}
+
 fn change(key: &str, revision: u64, value: Option<Vec<u8>>) -> StoreChange {
     StoreChange {
         key: key.to_owned(),
@@ -43,13 +49,13 @@
     if is_snapshot {
         host.reset(&store_changes, reader.revision());
     } else {
-        host.apply(&store_changes, reader.revision());
+        host.apply(&store_changes, reader.revision().number);
     }
     bytes.len()
 }
 
 fn is_equal(reader: &StoreMirror, host: &StoreMirror) -> bool {
-    let all_items = |mirror: &StoreMirror| mirror.changes_since(0);
+    let all_items = |mirror: &StoreMirror| mirror.changes_since(StoreRevision::default());
     all_items(reader) == all_items(host)
 }
 
@@ -119,8 +125,66 @@
     catch_up(&reader, &mut host);
     reader.apply(&[change("a", 3, None), change("b", 4, None)], 4);
     reader.apply(&[change("a", 5, Some(vec![5]))], 5);
-    let (_, changes) = reader.changes_since(2);
+    let (_, changes) = reader.changes_since(at(2));
     assert_eq!(changes.len(), 2);
     catch_up(&reader, &mut host);
     assert!(is_equal(&reader, &host));
 }
+
+/// The store came back from an older copy, and the reader read it again. A host that has a revision of
+/// before gets everything, whether its number is lower or higher than those of the reader.
+#[rstest]
+#[case::lower(1)]
+#[case::equal(3)]
+#[case::higher(9)]
+fn a_host_of_an_earlier_era_gets_all_items(#[case] known: u64) {
+    let (mut reader, mut host) = (StoreMirror::default(), StoreMirror::default());
+    host.apply(
+        &[
+            change("a", known, Some(vec![1])),
+            change("b", known, Some(vec![1])),
+        ],
+        known,
+    );
+    let restored = StoreRevision::new(StoreEra(2), 3);
+    reader.reset(&[change("a", 3, Some(vec![2]))], restored);
+    let (is_snapshot, changes) = reader.changes_since(host.revision());
+    assert!(is_snapshot);
+    assert_eq!(changes.len(), 1);
+    catch_up(&reader, &mut host);
+    assert!(is_equal(&reader, &host));
+    assert_eq!(host.revision(), restored);
+    // From then on only changes are sent.
+    reader.apply(&[change("c", 4, Some(vec![3]))], 4);
+    let (is_snapshot, changes) = reader.changes_since(host.revision());
+    assert!(!is_snapshot);
+    assert_eq!(changes.len(), 1);
+}
+
+/// The copy holds an older configuration than the one in force. The reader serves the newer one, and
+/// changes after it are not lost.
+#[test]
+fn a_kept_value_is_served_in_place_of_the_older_one_of_the_store() {
+    let (mut reader, mut host) = (StoreMirror::default(), StoreMirror::default());
+    let newer = config(12, 100, 0);
+    reader.reset(
+        &[change(KEY, 3, Some(config(5, 100, 0)))],
+        StoreRevision::new(StoreEra(2), 3),
+    );
+    reader.keep_value(KEY, newer.clone());
+    assert_eq!(reader.value(KEY), Some(&newer[..]));
+    catch_up(&reader, &mut host);
+    assert_eq!(host.value(KEY), Some(&newer[..]));
+    for number in 4..8 {
+        reader.apply(&[change("a", number, Some(vec![1]))], number);
+        reader.keep_value(KEY, newer.clone());
+    }
+    catch_up(&reader, &mut host);
+    assert!(is_equal(&reader, &host));
+    assert_eq!(host.value("a"), Some(&[1][..]));
+    // The operators write it again; hosts may have kept different values, so it is sent in full.
+    reader.apply(&[change(KEY, 9, Some(newer.clone()))], 9);
+    host.keep_value(KEY, config(11, 100, 0));
+    catch_up(&reader, &mut host);
+    assert_eq!(host.value(KEY), Some(&newer[..]));
+}
--- a/crates/mimosagap-routing/src/config_state.rs
+++ b/crates/mimosagap-routing/src/config_state.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use crate::config::FleetConfig;
+use crate::store_revision::StoreRevision;
 
 /// How far the response to a watch may lag behind the store. During a compaction of the store a
 /// watch may stay silent for this long while other calls are served, so its response confirms only
@@ -36,7 +37,7 @@
 #[derive(Debug, Clone)]
 pub struct ConfigState {
     bounds: StalenessBounds,
-    current: Option<(u64, Arc<FleetConfig>)>,
+    current: Option<(StoreRevision, Arc<FleetConfig>)>,
     last_contact_at: Option<Duration>,
     confirmed_at: Option<Duration>,
 }
@@ -53,14 +54,17 @@
         }
     }
 
-    /// Applies the configuration of a store revision if both its revision is newer and its version
-    /// is no older than the current one. Returns whether it was applied.
-    pub fn apply(&mut self, revision: u64, config: FleetConfig) -> bool {
+    /// Applies the configuration of a store revision if its version is newer than the current one,
+    /// or equal and written later. Returns whether it was applied.
+    ///
+    /// The operators' versions only increase, also when the store comes back from an older copy, in
+    /// which an older configuration stands at a later time and numbers are given out again.
+    pub fn apply(&mut self, revision: StoreRevision, config: FleetConfig) -> bool {
         let is_newer = self
             .current
             .as_ref()
             .is_none_or(|(current_revision, current_config)| {
-                revision > *current_revision && config.version >= current_config.version
+                (config.version, revision) > (current_config.version, *current_revision)
             });
         if is_newer {
             self.current = Some((revision, Arc::new(config)));
@@ -87,10 +91,11 @@
         self.current.as_ref().map(|(_, config)| config)
     }
 
-    /// The store revision of the configuration; 0 before the first one.
+    /// The store revision of the configuration; before all others without one.
     #[must_use]
-    pub fn revision(&self) -> u64 {
-        self.current.as_ref().map_or(0, |(revision, _)| *revision)
+    pub fn revision(&self) -> StoreRevision {
+        let current = self.current.as_ref();
+        current.map_or_else(StoreRevision::default, |(revision, _)| *revision)
     }
 
     /// Time since the configuration was last confirmed; `None` if it never was.
--- a/crates/mimosagap-routing/src/hosts.rs
+++ b/crates/mimosagap-routing/src/hosts.rs
@@ -7,6 +7,8 @@
 use mimosagap_types::prelude::*;
 use serde::{Deserialize, Serialize};
 
+use crate::store_revision::StoreRevision;
+
 /// Time after the end of a store outage for which a host stays listed whose record vanished around
 /// the outage. Its lease may have expired only because it could not be renewed.
 pub const OUTAGE_GRACE: Duration = Duration::from_secs(3);
@@ -44,7 +46,7 @@
 struct HostEntry {
     record: HostRecord,
     /// The store revision that wrote the record; a host that registers anew has a later one.
-    revision: u64,
+    revision: StoreRevision,
     removed_at: Option<Duration>,
 }
 
@@ -56,7 +58,7 @@
 
 impl HostTable {
     /// Inserts or replaces the record of a host, which a store revision wrote.
-    pub fn upsert(&mut self, name: &str, record: HostRecord, revision: u64) {
+    pub fn upsert(&mut self, name: &str, record: HostRecord, revision: StoreRevision) {
         let entry = HostEntry {
             record,
             revision,
--- a/crates/mimosagap-routing/src/lib.rs
+++ b/crates/mimosagap-routing/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod refusal;
 pub mod retry_budget;
 pub mod shutdown;
+pub mod store_revision;
 pub mod target_backoff;
 pub mod targets;
 pub mod token_time;
--- a/crates/mimosagap-routing/tests/config_state.rs
+++ b/crates/mimosagap-routing/tests/config_state.rs
@@ -5,6 +5,7 @@
 use mimosagap_routing::change_source::poll_delay;
 use mimosagap_routing::config::{FleetConfig, RequestLimits};
 use mimosagap_routing::config_state::{ConfigState, MAX_WATCH_LAG, StalenessBounds};
+use mimosagap_routing::store_revision::{StoreEra, StoreRevision};
 
 /// Bound on the time after the revocation of a key from which no request with it may run.
 const REVOCATION: Duration = Duration::from_secs(5);
@@ -21,6 +22,10 @@
     })
 }
 
+fn revision(number: u64) -> StoreRevision {
+    StoreRevision::new(StoreEra(1), number)
+}
+
 fn config(version: u64) -> FleetConfig {
     let limits = RequestLimits {
         max_body_bytes: 1 << 20,
@@ -33,7 +38,7 @@
 #[test]
 fn a_host_without_contact_stops_accepting_keys_before_the_revocation_bound() {
     let mut state = config_state(true);
-    state.apply(7, config(1));
+    state.apply(revision(7), config(1));
     state.confirm_by_read(seconds(100));
     assert!(state.may_accept_keys(seconds(104)));
     assert!(!state.may_accept_keys(seconds(105)));
@@ -42,7 +47,7 @@
 #[test]
 fn a_watch_confirms_only_the_state_before_its_maximum_lag() {
     let mut state = config_state(true);
-    state.apply(7, config(1));
+    state.apply(revision(7), config(1));
     state.confirm_by_watch(seconds(100));
     let deadline = (seconds(100) + seconds(5)).saturating_sub(MAX_WATCH_LAG);
     assert!(!state.may_accept_keys(deadline));
@@ -52,7 +57,7 @@
 #[test]
 fn without_strict_revocation_keys_are_accepted_without_contact() {
     let mut state = config_state(false);
-    state.apply(7, config(1));
+    state.apply(revision(7), config(1));
     state.confirm_by_read(seconds(100));
     assert!(state.may_accept_keys(seconds(1000)));
 }
@@ -60,7 +65,7 @@
 #[test]
 fn rejecting_an_unknown_route_needs_recent_contact() {
     let mut state = config_state(true);
-    state.apply(7, config(1));
+    state.apply(revision(7), config(1));
     assert!(!state.may_reject_unknown(seconds(100)));
     state.confirm_by_watch(seconds(100));
     assert!(state.may_reject_unknown(seconds(102)));
@@ -70,17 +75,36 @@
 #[test]
 fn an_older_configuration_is_not_applied() {
     let mut state = config_state(true);
-    assert!(state.apply(9, config(3)));
-    assert!(!state.apply(8, config(2)));
-    assert!(!state.apply(9, config(3)));
-    assert!(!state.apply(10, config(2)));
+    assert!(state.apply(revision(9), config(3)));
+    assert!(!state.apply(revision(8), config(2)));
+    assert!(!state.apply(revision(9), config(3)));
+    assert!(!state.apply(revision(10), config(2)));
     assert_eq!(state.config().map(|config| config.version), Some(3));
 }
 
+/// The store comes back from an older copy: its revisions are given out again for newer versions, and
+/// the older version in the copy stands at a later time.
+#[test]
+fn a_newer_version_is_applied_whatever_its_revision() {
+    let mut state = config_state(true);
+    assert!(state.apply(revision(26), config(12)));
+    let restored = |number| StoreRevision::new(StoreEra(2), number);
+    assert!(!state.apply(restored(24), config(5)), "the copy is older");
+    assert_eq!(state.config().map(|config| config.version), Some(12));
+    assert!(state.apply(restored(25), config(12)), "written again");
+    assert!(state.apply(restored(26), config(15)), "the number was seen");
+    assert!(
+        !state.apply(revision(40), config(14)),
+        "an answer from before"
+    );
+    assert_eq!(state.config().map(|config| config.version), Some(15));
+    assert_eq!(state.revision(), restored(26));
+}
+
 #[test]
 fn an_older_confirmation_does_not_replace_a_newer_one() {
     let mut state = config_state(true);
-    state.apply(7, config(1));
+    state.apply(revision(7), config(1));
     state.confirm_by_read(seconds(100));
     state.confirm_by_read(seconds(90));
     assert!(state.may_accept_keys(seconds(104)));
--- a/crates/mimosagap-routing/tests/host_selection.rs
+++ b/crates/mimosagap-routing/tests/host_selection.rs
@@ -6,6 +6,7 @@
 use mimosagap_routing::change_source::{ChangeSource, ReaderFailure, SourceSelector};
 use mimosagap_routing::discovery::host_addresses;
 use mimosagap_routing::hosts::{HostCapacity, HostRecord, HostTable};
+use mimosagap_routing::store_revision::{StoreEra, StoreRevision};
 use mimosagap_types::prelude::*;
 
 const NOW: Duration = Duration::from_secs(1000);
@@ -20,7 +21,7 @@
             capacity: HostCapacity::default(),
             region: RegionName::new(&zone[..1]),
         };
-        hosts.upsert(name, record, 1);
+        hosts.upsert(name, record, revision(1));
     }
     hosts
 }
@@ -289,10 +290,14 @@
             ..record.clone()
         })
         .expect("the host is listed");
-    hosts.upsert("h4", strong_record, 1);
+    hosts.upsert("h4", strong_record, revision(1));
     let selector = SourceSelector::default();
     for (own_name, _) in ZONE {
         let expected = (own_name != "h4").then(|| "h4".to_owned());
         assert_eq!(selected_reader(&selector, &hosts, own_name, NOW), expected);
     }
 }
+
+fn revision(number: u64) -> StoreRevision {
+    StoreRevision::new(StoreEra(1), number)
+}
--- a/crates/mimosagap-routing/tests/placer_selection.rs
+++ b/crates/mimosagap-routing/tests/placer_selection.rs
@@ -9,6 +9,7 @@
 use mimosagap_routing::hosts::{HostCapacity, HostRecord, HostTable};
 use mimosagap_routing::placement::{may_place_on, place_generation};
 use mimosagap_routing::placer_selection::PlacerSelector;
+use mimosagap_routing::store_revision::{StoreEra, StoreRevision};
 use mimosagap_routing::targets::{PRIORITY_LEVELS, TargetKey, TargetLoad, TargetTable};
 use mimosagap_types::prelude::*;
 use options::long_generation_options;
@@ -97,7 +98,7 @@
             capacity: HostCapacity::default(),
             region: RegionName::new(&name[..1]),
         };
-        hosts.upsert(name, record, 1);
+        hosts.upsert(name, record, revision(1));
     }
     hosts
 }
@@ -146,3 +147,7 @@
     };
     assert_eq!([keys[0], keys[1]].map(may_place), [false, true]);
 }
+
+fn revision(number: u64) -> StoreRevision {
+    StoreRevision::new(StoreEra(1), number)
+}
--- a/crates/mimosagap-routing/tests/rate_keeper.rs
+++ b/crates/mimosagap-routing/tests/rate_keeper.rs
@@ -7,6 +7,7 @@
     DEPUTY_FRACTION, KeeperSelector, MAX_PROOF_AGE, rate_fraction,
 };
 use mimosagap_routing::rate_keeper::{PermitAsk, PermitClass, PermitDecision, RateKeeper};
+use mimosagap_routing::store_revision::{StoreEra, StoreRevision};
 use mimosagap_types::prelude::*;
 use rstest::rstest;
 
@@ -145,7 +146,7 @@
 fn host_table() -> HostTable {
     let mut hosts = HostTable::default();
     for (name, revision) in [("a2", 5), ("a1", 7), ("a3", 9), ("b1", 2)] {
-        hosts.upsert(name, record(&name[..1]), revision);
+        hosts.upsert(name, record(&name[..1]), store_revision(revision));
     }
     hosts
 }
@@ -167,14 +168,14 @@
 ) {
     let mut hosts = host_table();
     assert_eq!(selected(&hosts, region, NOW).as_deref(), Some(expected));
-    hosts.upsert("a0", record("a"), 11);
+    hosts.upsert("a0", record("a"), store_revision(11));
     assert_eq!(selected(&hosts, region, NOW).as_deref(), Some(expected));
 }
 
 #[test]
 fn a_host_that_registers_anew_comes_last() {
     let mut hosts = host_table();
-    hosts.upsert("a2", record("a"), 12);
+    hosts.upsert("a2", record("a"), store_revision(12));
     assert_eq!(selected(&hosts, "a", NOW).as_deref(), Some("a1"));
 }
 
@@ -215,3 +216,7 @@
     let fraction = rate_fraction(&host_table(), Some(&region), host, proof_age);
     assert!((fraction - expected).abs() < f64::EPSILON, "{fraction}");
 }
+
+fn store_revision(number: u64) -> StoreRevision {
+    StoreRevision::new(StoreEra(1), number)
+}
--- a/crates/mimosagap-routing/tests/support/rate_simulation.rs
+++ b/crates/mimosagap-routing/tests/support/rate_simulation.rs
@@ -12,6 +12,7 @@
 use mimosagap_routing::keeper_selection::{KeeperSelector, rate_fraction};
 use mimosagap_routing::rate_keeper::{PermitAsk, PermitClass, PermitDecision, RateKeeper};
 use mimosagap_routing::rate_limit::{RateChange, RateStatement, TargetRate};
+use mimosagap_routing::store_revision::{StoreEra, StoreRevision};
 use mimosagap_types::prelude::*;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -181,7 +182,11 @@
     pub fn new(options: SimulationOptions) -> Self {
         let mut all_hosts = HostTable::default();
         for index in 0..options.host_count {
-            all_hosts.upsert(&host_name(index), host_record(index), index as u64 + 1);
+            all_hosts.upsert(
+                &host_name(index),
+                host_record(index),
+                store_revision(index as u64 + 1),
+            );
         }
         let hosts = (0..options.host_count).map(|_| SimHost {
             incarnation: 0,
@@ -337,7 +342,9 @@
                 let (name, now) = (host_name(other), self.now);
                 let hosts = &mut self.hosts[host].hosts;
                 match revision {
-                    Some(revision) => hosts.upsert(&name, host_record(other), revision),
+                    Some(revision) => {
+                        hosts.upsert(&name, host_record(other), store_revision(revision));
+                    }
                     None => hosts.mark_removed(&name, now),
                 }
                 hosts.purge_removed(now);
@@ -620,3 +627,7 @@
         .count();
     count as f64 / until.saturating_sub(from).as_secs_f64()
 }
+
+fn store_revision(number: u64) -> StoreRevision {
+    StoreRevision::new(StoreEra(1), number)
+}
--- a/crates/mimosagap-soak/src/plan.rs
+++ b/crates/mimosagap-soak/src/plan.rs
@@ -254,7 +254,7 @@
     let duration = Duration::from_millis(rng.random_range(300..3000));
     let gateway = rng.random_range(0..gateway_count);
     let target = rng.random_range(0..TARGET_COUNT);
-    match rng.random_range(0..25) {
+    match rng.random_range(0..26) {
         0 | 1 => Fault::KillGateway(gateway),
         2 => Fault::StopGateway(gateway),
         3 => Fault::PauseGateway(gateway, duration),
@@ -283,6 +283,10 @@
             TargetMode::LimitsRate(rng.random_range(DRAWN_RATE_LIMITS)),
             DRAWN_LIMIT_TIME,
         ),
+        24 => Fault::RestoreStore {
+            age: duration * 3,
+            away: duration / 2,
+        },
         23 => Fault::CrashingPart(rng.random_range(0..CRASHING_PARTS.len()), CRASH_SERIES_TIME),
         _ => Fault::TakeTarget(target, duration.min(MAX_DRAIN_NOTICE)),
     }
