refactor(gateway): trials and announcements of verdicts cost nothing without a verdict

The host that may try a blocked request is looked up by sorting all hosts; now only when a trial is due or a verdict is to be told. The search for a newer configuration at the start of a host ends after 500 ms, since three hosts without power would have held it up for 900 ms. New datagrams come last in their enumeration, so that hosts of the version before decode the others. Tests of routing and gateway pass.

--- a/crates/mimosagap-gateway/src/peers.rs
+++ b/crates/mimosagap-gateway/src/peers.rs
@@ -57,12 +57,13 @@
     PlacementResponse(PlacementResponse),
     /// Notices that targets gave in their responses.
     TargetNotices(Vec<TargetNotice>),
-    /// What a host knows of requests that crash targets.
-    SuspicionNotices(Vec<AgedNotice>),
     /// A host asks the keeper of a target for a permit to send a request.
     PermitRequest(PermitRequest),
     /// Response of a keeper.
     PermitResponse(PermitResponse),
+    /// What a host knows of requests that crash targets. New variants come last, so that hosts of an
+    /// earlier version still decode the others.
+    SuspicionNotices(Vec<AgedNotice>),
 }
 
 impl PeerMessage {
--- a/crates/mimosagap-gateway/src/store_sync.rs
+++ b/crates/mimosagap-gateway/src/store_sync.rs
@@ -69,6 +69,9 @@
 /// lists it. By then the entry of a target that ended has lost its lease, after three heartbeats.
 const RESTORED_ENTRY_TIME: Duration = Duration::from_secs(5);
 
+/// Longest time for which a host that starts looks for a newer configuration at other hosts.
+const MAX_CONFIG_SEARCH: Duration = Duration::from_millis(500);
+
 /// Other hosts that are asked for a newer configuration than the store shows.
 const MAX_CONFIG_SOURCES: usize = 3;
 
@@ -309,8 +312,10 @@
     end_outage(gateway);
     if gateway.config().is_none() {
         // The store may have come back from a copy just now, and other hosts know better.
-        let hosts = listed_peers(gateway, &items);
-        adopt_newer_config(gateway, hosts, era).await;
+        let peers = listed_peers(gateway, &items);
+        let search = adopt_newer_config(gateway, peers, era);
+        // Without an answer in time the store's configuration has to do.
+        let _ = tokio::time::timeout(MAX_CONFIG_SEARCH, search).await;
     }
     apply_full_read(gateway, &items, revision);
     gateway.with_state(|state| state.config.confirm_by_read(requested_at));
--- a/crates/mimosagap-gateway/src/suspicion.rs
+++ b/crates/mimosagap-gateway/src/suspicion.rs
@@ -19,7 +19,7 @@
 use crate::log::LogEvent;
 use crate::notice_queue::NoticeQueue;
 use crate::request::RoutedRequest;
-use crate::state::{Gateway, SharedGateway};
+use crate::state::{Gateway, GatewayState, SharedGateway};
 
 /// Prefix of the store keys of notices.
 pub const SUSPICIONS_PREFIX: &str = "mimosagap/suspicions/";
@@ -168,8 +168,11 @@
 pub fn admit(gateway: &Gateway, id: &str, traits: &RequestTraits) -> Admission {
     let now = gateway.now();
     let admission = gateway.with_state(|state| {
-        let is_trial_host = is_keeper(&state.hosts, None, &gateway.settings.host);
-        state.quarantine.admit(traits, is_trial_host, now)
+        let GatewayState {
+            quarantine, hosts, ..
+        } = state;
+        let is_trial_host = || is_keeper(hosts, None, &gateway.settings.host);
+        quarantine.admit(traits, is_trial_host, now)
     });
     if let Admission::OnTrial(blocked) = &admission {
         gateway.log.event(&LogEvent::QuarantineTrial {
@@ -219,9 +222,11 @@
 /// Tells the other hosts the verdicts, because one of them has just started.
 pub fn announce_verdicts(gateway: &Gateway) {
     let verdicts = gateway.with_state(|state| {
-        let is_announcer = is_keeper(&state.hosts, None, &gateway.settings.host);
+        let verdicts = state.quarantine.verdicts();
+        let is_announcer =
+            !verdicts.is_empty() && is_keeper(&state.hosts, None, &gateway.settings.host);
         if is_announcer {
-            state.quarantine.verdicts().to_vec()
+            verdicts.to_vec()
         } else {
             Vec::new()
         }
--- a/crates/mimosagap-routing/src/quarantine.rs
+++ b/crates/mimosagap-routing/src/quarantine.rs
@@ -382,11 +382,12 @@
             .retain(|verdict| verdict.blocked != BlockedTrait::Parts(Vec::new()));
     }
 
-    /// Decides whether a request may run. Trials are left to one host of the fleet.
+    /// Decides whether a request may run. Trials are left to one host of the fleet;
+    /// `is_trial_host` is asked only if one is due.
     pub fn admit(
         &mut self,
         traits: &RequestTraits,
-        is_trial_host: bool,
+        is_trial_host: impl FnOnce() -> bool,
         now: Duration,
     ) -> Admission {
         let is_expired = |verdict: &Verdict| {
@@ -400,7 +401,7 @@
             return Admission::Admitted;
         };
         verdict.last_seen_at = now;
-        if is_trial_host && verdict.trial_is_due(now) {
+        if verdict.trial_is_due(now) && is_trial_host() {
             verdict.trials += 1;
             verdict.last_trial_at = Some(now);
             return Admission::OnTrial(verdict.blocked.clone());
--- a/crates/mimosagap-routing/tests/quarantine.rs
+++ b/crates/mimosagap-routing/tests/quarantine.rs
@@ -254,23 +254,23 @@
     let last_crash = secs(2.0);
     let is_refused = |admission| matches!(admission, Admission::Refused(_));
     let early = last_crash + TRIAL_DELAY.saturating_sub(Duration::from_millis(1));
-    assert!(is_refused(quarantine.admit(&blocked, true, early)));
+    assert!(is_refused(quarantine.admit(&blocked, || true, early)));
     let due = last_crash + TRIAL_DELAY;
-    assert!(is_refused(quarantine.admit(&blocked, false, due)));
+    assert!(is_refused(quarantine.admit(&blocked, || false, due)));
     assert!(matches!(
-        quarantine.admit(&blocked, true, due),
+        quarantine.admit(&blocked, || true, due),
         Admission::OnTrial(_)
     ));
-    assert!(is_refused(quarantine.admit(&blocked, true, due)));
+    assert!(is_refused(quarantine.admit(&blocked, || true, due)));
     // The trial crashes an engine; the next one waits twice as long.
     quarantine.record_crash(&report(10, &blocked), due);
     assert!(is_refused(quarantine.admit(
         &blocked,
-        true,
+        || true,
         due + TRIAL_DELAY
     )));
     assert!(matches!(
-        quarantine.admit(&blocked, true, due + TRIAL_DELAY * 2),
+        quarantine.admit(&blocked, || true, due + TRIAL_DELAY * 2),
         Admission::OnTrial(_)
     ));
 }
@@ -281,13 +281,13 @@
     let blocked = request(9, &[TEAM]);
     let due = secs(2.0) + TRIAL_DELAY;
     assert!(matches!(
-        quarantine.admit(&blocked, true, due),
+        quarantine.admit(&blocked, || true, due),
         Admission::OnTrial(_)
     ));
     quarantine.record_sound(&blocked, due + Duration::from_secs(1));
     let later = due + Duration::from_secs(2);
     assert_eq!(
-        quarantine.admit(&request(10, &[TEAM]), false, later),
+        quarantine.admit(&request(10, &[TEAM]), || false, later),
         Admission::Admitted
     );
 }
@@ -313,12 +313,15 @@
     for _ in 0..3 {
         now += VERDICT_RETENTION.mul_f64(0.9);
         assert!(matches!(
-            quarantine.admit(&blocked, false, now),
+            quarantine.admit(&blocked, || false, now),
             Admission::Refused(_)
         ));
     }
     now += VERDICT_RETENTION;
-    assert_eq!(quarantine.admit(&blocked, false, now), Admission::Admitted);
+    assert_eq!(
+        quarantine.admit(&blocked, || false, now),
+        Admission::Admitted
+    );
 }
 
 /// Callers choose the parts of their prompts, and every request may bring new ones.
--- a/crates/mimosagap-routing/tests/support/crash_simulation.rs
+++ b/crates/mimosagap-routing/tests/support/crash_simulation.rs
@@ -320,7 +320,7 @@
         let is_first_attempt = request.attempt == 1 && !request.is_repeat;
         let admission = host
             .quarantine
-            .admit(&request.traits, request.host == 0, self.now);
+            .admit(&request.traits, || request.host == 0, self.now);
         if let Admission::Refused(blocked) = admission {
             if !request.is_bad {
                 let is_for_part = matches!(blocked, BlockedTrait::Parts(_));
