test(soak): two returns of the store, and all gateways registered at the end

Two returns in a row after all gateways were killed and one was stopped, so that the ids of their leases are given out again. After each recovery the soak now checks that every gateway has its record in the store.

--- a/crates/mimosagap-soak/src/run.rs
+++ b/crates/mimosagap-soak/src/run.rs
@@ -582,6 +582,15 @@
             let is_served = send_request(context, &mut rng, &mut None, spec).await;
             served += u32::from(is_served);
         }
+        for index in 0..self.gateways.len() {
+            if !self
+                .store
+                .has_key(&format!("mimosagap/hosts/gateway-{index}"))
+            {
+                let text = format!("gateway {index} is not registered after the recovery");
+                self.checker.record_violation(text);
+            }
+        }
         if served < required {
             let text = format!(
                 "only {served} of {probes} requests succeeded after the recovery, at least \
--- a/crates/mimosagap-soak/src/standins/store.rs
+++ b/crates/mimosagap-soak/src/standins/store.rs
@@ -149,6 +149,11 @@
         self.items.borrow_mut().insert(key.to_owned(), item);
     }
 
+    /// Whether a key has a value.
+    pub fn has_key(&self, key: &str) -> bool {
+        self.items.borrow().contains_key(key)
+    }
+
     /// Deletes a key that was written with [`Self::put`], whatever the mode.
     pub fn remove(&self, key: &str) {
         self.authored.borrow_mut().remove(key);
--- a/crates/mimosagap-soak/tests/soak.rs
+++ b/crates/mimosagap-soak/tests/soak.rs
@@ -221,6 +221,32 @@
     run_clean(plan, 23_800);
 }
 
+/// The store comes back twice, from copies that lack the leases of restarted gateways, and gives the
+/// ids of these leases out again. All gateways must be registered afterwards, with the newest
+/// configuration.
+#[test]
+fn two_returns_of_the_store_lose_a_registration_or_a_configuration() {
+    let secs = Duration::from_secs;
+    let step = |at, fault| FaultStep { at, fault };
+    let restore = |age| Fault::RestoreStore {
+        age: secs(age),
+        away: Duration::from_millis(300),
+    };
+    let plan = FaultPlan {
+        seed: 908,
+        length: secs(14),
+        steps: vec![
+            step(secs(3), Fault::KillAll),
+            step(secs(5), restore(3)),
+            step(secs(6), Fault::StopGateway(1)),
+            step(secs(8), restore(2)),
+            step(secs(9), Fault::NewConfig),
+        ],
+        gateway_count: 6,
+    };
+    run_clean(plan, 23_900);
+}
+
 /// Runs a plan, and asserts that no guarantee was violated and that more than 100 requests
 /// succeeded. The logs are kept after a failure.
 fn run_clean(plan: FaultPlan, base_port: u16) -> RunOutcome {
