fix(routing): sound parts are not blamed for the crashes beside them

Two parts crashed engines while all gateways were killed; afterwards requests with two parts that many sound ones share were refused until the end, 32 of 40 requests succeeded after the recovery.

Cause: the restarted gateways remembered no proof of soundness, and three engines held many answers that had just begun, so that parts of these stood in as many crashes as the part at fault. Evidence: the crashed requests with the blamed parts had 2 to 15 events, those at fault none.

Now requests whose answer had begun are suspects only if none had not; a crash under a request that is blocked speaks against no other part; a host that has just started needs four moments; 250 ms prove a part. Ruled out: late proofs, since none was made between the crashes.

--- a/crates/mimosagap-gateway/src/crash_probe.rs
+++ b/crates/mimosagap-gateway/src/crash_probe.rs
@@ -128,6 +128,7 @@
         let report = CrashReport {
             crash: CrashFingerprint::new(&entry.instance, entry.started_unix_ms),
             request: suspect,
+            has_begun: progress.events > 0,
         };
         suspicion::report_crash(&gateway, report, failed_at);
     });
--- a/crates/mimosagap-gateway/src/state.rs
+++ b/crates/mimosagap-gateway/src/state.rs
@@ -158,7 +158,7 @@
                 config: ConfigState::new(bounds),
                 targets,
                 hosts: HostTable::default(),
-                quarantine: Quarantine::default(),
+                quarantine: Quarantine::new(clock.since_boot()),
                 token_time_estimators: HashMap::new(),
                 length_estimators: HashMap::new(),
                 retry_budgets: HashMap::new(),
--- a/crates/mimosagap-routing/src/quarantine.rs
+++ b/crates/mimosagap-routing/src/quarantine.rs
@@ -10,6 +10,8 @@
 //! * A request is blocked after [`MAX_CRASHES`] crashes.
 //! * Parts are blocked after crashes at [`MAX_CRASHES`] different moments. Targets that end within
 //!   [`SAME_MOMENT`], such as those of a rack, count as one.
+//! * Requests whose answer had begun are suspects only if none had not, and a crash under a request
+//!   that is blocked speaks against no other part.
 //! * A part under which an answer was begun and went on is sound. Crashes in the
 //!   [`SOUNDNESS_MEMORY`] after that do not speak against it, nor do those before.
 //! * If several parts of a request have so many crashes, they are blocked together: only a request
@@ -43,7 +45,12 @@
 pub const SOUNDNESS_MEMORY: Duration = Duration::from_secs(15);
 
 /// Time for which an answer must go on after its first event to prove that its request is sound.
-pub const PROOF_TIME: Duration = Duration::from_millis(500);
+/// Engines end within some 100 ms of the beginning.
+pub const PROOF_TIME: Duration = Duration::from_millis(250);
+
+/// Number of moments with crashes from which on a host blocks parts that started less than
+/// [`SOUNDNESS_MEMORY`] ago, because it has seen few proofs.
+pub const MAX_CRASHES_AFTER_START: usize = 4;
 
 /// Time after the last crash or refusal for which a verdict is kept.
 pub const VERDICT_RETENTION: Duration = Duration::from_mins(10);
@@ -132,6 +139,9 @@
     pub crash: CrashFingerprint,
     /// A request of the host that the target had not proved sound.
     pub request: RequestTraits,
+    /// Whether the target had sent an event for it. A request that crashes targets ends most of them
+    /// before that.
+    pub has_begun: bool,
 }
 
 /// One trait of a request that a proof of soundness is about.
@@ -235,6 +245,19 @@
     crash: CrashFingerprint,
     at: Duration,
     requests: Vec<RequestTraits>,
+    /// Requests for which the target had sent an event. They are suspects only if it crashed under no
+    /// other request.
+    begun_requests: Vec<RequestTraits>,
+}
+
+impl CrashRecord {
+    fn suspects(&self) -> &[RequestTraits] {
+        if self.requests.is_empty() {
+            &self.begun_requests
+        } else {
+            &self.requests
+        }
+    }
 }
 
 /// The crashes that the fleet saw, the traits that were proved sound, and the verdicts.
@@ -245,9 +268,19 @@
     /// When an answer last proved each part sound.
     sound_parts: HashMap<PromptPart, Duration>,
     verdicts: Vec<Verdict>,
+    started_at: Duration,
 }
 
 impl Quarantine {
+    /// Creates the quarantine of a host that started at `started_at`.
+    #[must_use]
+    pub fn new(started_at: Duration) -> Self {
+        Self {
+            started_at,
+            ..Self::default()
+        }
+    }
+
     /// Records a crash that a host saw at `at`. Returns the new verdict, if it leads to one.
     pub fn record_crash(&mut self, report: &CrashReport, at: Duration) -> Option<Verdict> {
         self.expire(at);
@@ -263,16 +296,21 @@
                 crash: report.crash,
                 at,
                 requests: Vec::new(),
+                begun_requests: Vec::new(),
             });
             self.crashes.len() - 1
         });
         let record = &mut self.crashes[index];
         record.at = record.at.min(at);
-        let is_known_request = record.requests.contains(&report.request);
-        if is_known_request || record.requests.len() >= MAX_REQUESTS_PER_CRASH {
+        let requests = if report.has_begun {
+            &mut record.begun_requests
+        } else {
+            &mut record.requests
+        };
+        if requests.contains(&report.request) || requests.len() >= MAX_REQUESTS_PER_CRASH {
             return None;
         }
-        record.requests.push(report.request.clone());
+        requests.push(report.request.clone());
         for verdict in &mut self.verdicts {
             if verdict.blocked.matches(&report.request) {
                 verdict.last_crash_at = verdict.last_crash_at.max(at);
@@ -282,7 +320,7 @@
         if self.blocking_verdict(&report.request).is_some() {
             return None;
         }
-        let (blocked, crashes) = self.judge(&report.request)?;
+        let (blocked, crashes) = self.judge(&report.request, at)?;
         let verdict = Verdict {
             blocked,
             crashes,
@@ -355,9 +393,9 @@
             RequestTrait::Part(part) => part,
             RequestTrait::Request(fingerprint) => {
                 for record in &mut self.crashes {
-                    record
-                        .requests
-                        .retain(|request| request.fingerprint != fingerprint);
+                    for requests in [&mut record.requests, &mut record.begun_requests] {
+                        requests.retain(|request| request.fingerprint != fingerprint);
+                    }
                 }
                 self.verdicts
                     .retain(|verdict| verdict.blocked != BlockedTrait::Request(fingerprint));
@@ -441,20 +479,26 @@
     }
 
     /// What the crashes so far say about a request that took part in the last one.
-    fn judge(&self, request: &RequestTraits) -> Option<(BlockedTrait, usize)> {
+    fn judge(&self, request: &RequestTraits, at: Duration) -> Option<(BlockedTrait, usize)> {
         let has_fingerprint = |record: &&CrashRecord| {
-            let mut requests = record.requests.iter();
+            let mut requests = record.requests.iter().chain(&record.begun_requests);
             requests.any(|other| other.fingerprint == request.fingerprint)
         };
         let repeats = self.crashes.iter().filter(has_fingerprint).count();
         if repeats >= MAX_CRASHES {
             return Some((BlockedTrait::Request(request.fingerprint), repeats));
         }
+        let is_new_host = at.saturating_sub(self.started_at) < SOUNDNESS_MEMORY;
+        let max_moments = if is_new_host {
+            MAX_CRASHES_AFTER_START
+        } else {
+            MAX_CRASHES
+        };
         let mut moments = usize::MAX;
         let mut blamed = request.shared_parts.clone();
         blamed.retain(|part| {
             let part_moments = self.crash_moments(*part);
-            let is_blamed = part_moments >= MAX_CRASHES;
+            let is_blamed = part_moments >= max_moments;
             if is_blamed {
                 moments = moments.min(part_moments);
             }
@@ -463,12 +507,29 @@
         (!blamed.is_empty()).then_some((BlockedTrait::Parts(blamed), moments))
     }
 
-    /// Number of different moments at which targets crashed under a part.
+    /// Number of different moments at which targets crashed under a part, and under no request that
+    /// is blocked for another one.
     fn crash_moments(&self, part: PromptPart) -> usize {
+        let is_explained = |record: &&CrashRecord| {
+            let mut verdicts = self.verdicts.iter();
+            verdicts.any(|verdict| {
+                matches!(&verdict.blocked, BlockedTrait::Parts(parts) if !parts.contains(&part))
+                    && record
+                        .suspects()
+                        .iter()
+                        .any(|request| verdict.blocked.matches(request))
+            })
+        };
+        let is_against = |record: &&CrashRecord| {
+            let mut suspects = record.suspects().iter();
+            suspects.any(|request| self.is_suspect_in(part, request, record.at))
+        };
         let mut times: Vec<Duration> = self
-            .suspect_requests()
-            .filter(|(at, request)| self.is_suspect_in(part, request, *at))
-            .map(|(at, _)| at)
+            .crashes
+            .iter()
+            .filter(is_against)
+            .filter(|record| !is_explained(record))
+            .map(|record| record.at)
             .collect();
         times.sort_unstable();
         let mut moments = 0;
@@ -484,7 +545,7 @@
 
     fn suspect_requests(&self) -> impl Iterator<Item = (Duration, &RequestTraits)> {
         self.crashes.iter().flat_map(|record| {
-            let requests = record.requests.iter();
+            let requests = record.suspects().iter();
             requests.map(|request| (record.at, request))
         })
     }
--- a/crates/mimosagap-routing/tests/quarantine.rs
+++ b/crates/mimosagap-routing/tests/quarantine.rs
@@ -30,6 +30,7 @@
     CrashReport {
         crash: CrashFingerprint(crash),
         request: request.clone(),
+        has_begun: false,
     }
 }
 
@@ -185,6 +186,61 @@
     assert!(!is_blocked(&quarantine, &request(12, &[COMMON, TEAM])));
 }
 
+/// Many answers have just begun when an engine ends under a request that has not.
+#[test]
+fn requests_with_a_begun_answer_are_not_blamed_beside_one_without() {
+    let mut quarantine = Quarantine::default();
+    for number in 0..6 {
+        let at = NOW + Duration::from_secs(number);
+        let begun = CrashReport {
+            has_begun: true,
+            ..report(number, &request(100 + number, &[TEAM]))
+        };
+        quarantine.record_crash(&report(number, &request(number, &[BAD])), at);
+        quarantine.record_crash(&begun, at);
+    }
+    assert!(is_blocked(&quarantine, &request(9, &[BAD])));
+    assert!(!is_blocked(&quarantine, &request(9, &[TEAM])));
+}
+
+/// The answer may begin before the engine ends.
+#[test]
+fn a_part_is_blamed_if_all_answers_had_begun() {
+    let mut quarantine = Quarantine::default();
+    for number in 0..3 {
+        let begun = CrashReport {
+            has_begun: true,
+            ..report(number, &request(number, &[BAD]))
+        };
+        quarantine.record_crash(&begun, NOW + Duration::from_secs(number));
+    }
+    assert!(is_blocked(&quarantine, &request(9, &[BAD])));
+}
+
+/// Requests with a blocked part that were on their way crash more engines, each with other requests.
+#[test]
+fn a_crash_under_a_blocked_part_speaks_against_no_other() {
+    let mut quarantine = quarantine_after(&[&[BAD], &[BAD], &[BAD]]);
+    for number in 10..16 {
+        let at = NOW + Duration::from_secs(number);
+        quarantine.record_crash(&report(number, &request(number, &[BAD])), at);
+        quarantine.record_crash(&report(number, &request(number, &[TEAM])), at);
+    }
+    assert!(!is_blocked(&quarantine, &request(9, &[TEAM])));
+}
+
+/// All hosts were killed, and none has seen a proof since.
+#[test]
+fn a_host_that_has_just_started_needs_one_crash_more() {
+    let mut quarantine = Quarantine::new(NOW);
+    for number in 0..4 {
+        assert!(!is_blocked(&quarantine, &request(9, &[TEAM])));
+        let at = NOW + Duration::from_secs(number);
+        quarantine.record_crash(&report(number, &request(number, &[TEAM])), at);
+    }
+    assert!(is_blocked(&quarantine, &request(9, &[TEAM])));
+}
+
 #[test]
 fn a_bad_first_part_blocks_all_prompts_that_begin_with_it() {
     let quarantine = quarantine_after(&[&[BAD, TEAM], &[BAD, COMMON], &[BAD, PromptPart(7)]]);
--- a/crates/mimosagap-routing/tests/support/crash_simulation.rs
+++ b/crates/mimosagap-routing/tests/support/crash_simulation.rs
@@ -159,6 +159,7 @@
     request: Request,
     engine: usize,
     incarnation: u64,
+    has_begun: bool,
     is_proved: bool,
 }
 
@@ -257,7 +258,7 @@
         match fault {
             SimFault::Restart(host) => {
                 // It reads the verdicts from the store.
-                let mut quarantine = Quarantine::default();
+                let mut quarantine = Quarantine::new(self.now);
                 for other in &self.hosts {
                     for verdict in other.quarantine.verdicts() {
                         let at = self.now.saturating_sub(verdict.age(self.now));
@@ -354,6 +355,7 @@
                 request,
                 engine,
                 incarnation: self.engines[engine].incarnation,
+                has_begun: false,
                 is_proved: false,
             },
         );
@@ -362,9 +364,10 @@
     }
 
     fn begin(&mut self, id: u64) {
-        let Some(running) = self.running.get(&id) else {
+        let Some(running) = self.running.get_mut(&id) else {
             return;
         };
+        running.has_begun = !running.request.is_bad;
         if running.request.is_bad {
             self.schedule(self.now + CRASH_DELAY, Event::Crash(id));
             return;
@@ -415,6 +418,7 @@
             let report = CrashReport {
                 crash,
                 request: lost.request.traits.clone(),
+                has_begun: lost.has_begun,
             };
             self.report_crash(host, report);
             self.repeat(lost.request);
--- a/crates/mimosagap-soak/tests/soak.rs
+++ b/crates/mimosagap-soak/tests/soak.rs
@@ -44,6 +44,9 @@
 // A restarted placer had not heard that an engine announced its leaving, and another gateway that
 // had heard it sent streams there when the placer granted the engine.
 #[case::placer_without_a_notice(include_str!("plans/7107.json"), 23_200)]
+// Two parts crashed engines while all gateways were restarted and remembered no proof. Parts of sound
+// requests whose answers had just begun were blocked for good.
+#[case::sound_parts_blamed_after_a_kill_of_all(include_str!("plans/6014.json"), 24_000)]
 fn a_plan_that_once_failed_passes(#[case] plan: &str, #[case] base_port: u16) {
     run_clean(serde_json::from_str(plan).expect("a plan"), base_port);
 }
