feat(log): versions of engines, and streams that callers resume

The adapter now decodes the version of an entry and the header that names the attempt which began a stream; target_listed, sent and stream_went_on show them. No decision uses them yet.

--- a/crates/mimosagap-gateway/src/exchange.rs
+++ b/crates/mimosagap-gateway/src/exchange.rs
@@ -16,6 +16,7 @@
 use mimosagap_routing::prompt::describe_parts;
 use mimosagap_routing::rate_keeper::PermitClass;
 use mimosagap_routing::targets::{TargetEntry, TargetKey, TargetOutcome};
+use mimosagap_types::prelude::*;
 
 use crate::body_reader::BodyError;
 use crate::connection::{HttpConnection, SendError};
@@ -176,7 +177,7 @@
         .await
         .map_err(|_| ExchangeError::RateLimited)?;
     let asked_at = gateway.now();
-    log_attempt(gateway, request, key, &entry, options.attempt);
+    log_attempt(gateway, request, key, &entry, options);
     let must_be_fresh = !request.route.kind.is_idempotent();
     loop {
         let mut connection = acquire_connection(gateway, key, entry.address, must_be_fresh).await?;
@@ -322,7 +323,7 @@
     request: &RoutedRequest,
     key: TargetKey,
     entry: &TargetEntry,
-    attempt: u32,
+    options: SendOptions<'_>,
 ) {
     let now = gateway.now();
     let load = gateway.with_state(|state| state.targets.get(key).map(|target| target.load(now)));
@@ -333,7 +334,14 @@
         request: request.traits.fingerprint.to_string(),
         parts: describe_parts(&request.head.prompt_parts),
         target: &entry.instance,
-        attempt,
+        version: entry.version.as_ref().map_or("", SoftwareVersion::as_str),
+        resumes: request.head.resumed_attempt.as_deref().unwrap_or(""),
+        last_event: options
+            .continuation
+            .map(|continuation| continuation.last_event_id)
+            .or(request.head.last_event_id)
+            .unwrap_or(0),
+        attempt: options.attempt,
         requests: load.requests,
         tokens: load.kv_tokens,
         config_version,
--- a/crates/mimosagap-gateway/src/log.rs
+++ b/crates/mimosagap-gateway/src/log.rs
@@ -91,6 +91,8 @@
         target: &'a str,
         /// Socket address of the target.
         address: String,
+        /// Version of its software; empty if its entry names none.
+        version: &'a str,
     },
     /// A target is leaving or was removed.
     TargetLeaving {
@@ -205,6 +207,12 @@
         parts: String,
         /// Instance name of the target.
         target: &'a str,
+        /// Version of the target's software; empty if its entry names none.
+        version: &'a str,
+        /// Attempt that began the stream which this one continues; empty if it starts a new one.
+        resumes: &'a str,
+        /// Id of the last event that the caller has; 0 if the stream starts.
+        last_event: u64,
         /// Number of the send, from 1.
         attempt: u32,
         /// Requests in flight at the target, as far as this host knows.
@@ -369,6 +377,10 @@
         id: &'a str,
         /// Instance name of the new engine.
         target: &'a str,
+        /// Version of the engine that brought the event before; empty if unknown.
+        from_version: &'a str,
+        /// Version of the new engine; empty if unknown.
+        version: &'a str,
         /// Id of the last event before; 0 if there is none.
         last_event: u64,
         /// Milliseconds since the last event.
--- a/crates/mimosagap-gateway/src/state.rs
+++ b/crates/mimosagap-gateway/src/state.rs
@@ -221,6 +221,11 @@
         })
     }
 
+    /// Version of the software of a target; `None` if its entry names none or it is unknown.
+    pub fn software_version(&self, key: TargetKey) -> Option<SoftwareVersion> {
+        self.with_state(|state| state.targets.get(key)?.entry.version.clone())
+    }
+
     /// Counts the first send of a request, which adds to the retry budget of its service.
     pub fn count_request(&self, service: &DeploymentName) {
         let (now, bounds) = (self.now(), self.retry_bounds());
--- a/crates/mimosagap-gateway/src/store_sync.rs
+++ b/crates/mimosagap-gateway/src/store_sync.rs
@@ -12,6 +12,7 @@
 use mimosagap_routing::hosts::{self, HostRecord};
 use mimosagap_routing::store_revision::{EraObservation, StoreEra, StoreRevision};
 use mimosagap_routing::targets;
+use mimosagap_types::prelude::*;
 use rand::Rng;
 
 use crate::change_feed::{FeedClient, FeedError, FeedResponse};
@@ -480,6 +481,7 @@
         return;
     }
     let (is_draining, address) = (entry.is_draining, entry.address);
+    let version = entry.version.clone();
     let (_, is_changed) = gateway.with_state(|state| {
         let targets = &mut state.targets;
         let locality = targets.locality_between(&gateway.settings.zone, &entry.zone);
@@ -494,6 +496,7 @@
         gateway.log.event(&LogEvent::TargetListed {
             target: instance,
             address: address.to_string(),
+            version: version.as_ref().map_or("", SoftwareVersion::as_str),
         });
         gateway.capacity_freed.notify_waiters();
     }
--- a/crates/mimosagap-gateway/src/stream_relay.rs
+++ b/crates/mimosagap-gateway/src/stream_relay.rs
@@ -7,6 +7,7 @@
 use mimosagap_routing::placement::GenerationDemand;
 use mimosagap_routing::quarantine::PROOF_TIME;
 use mimosagap_routing::targets::{TargetKey, TargetOutcome};
+use mimosagap_types::prelude::*;
 use tokio::sync::{mpsc, oneshot};
 
 use crate::crash_probe::{self, AnswerProgress};
@@ -62,6 +63,8 @@
     /// When the connection to the leaving engine is closed, even if the next engine has sent
     /// nothing yet.
     overlap_ends_at: Duration,
+    /// Version of the engine that brought the last event.
+    version: Option<SoftwareVersion>,
     /// Whether the stream was resumed and no event has been forwarded since.
     is_resuming: bool,
     /// Whether a connection to the engine with the copy was requested ahead of the handover.
@@ -108,6 +111,7 @@
             engine.map_or(1, |engine| engine.tokens_per_event)
         });
         let stream = *stream;
+        let version = gateway.software_version(stream.reservation.target);
         let relay = Self {
             first_event_at: None,
             last_event_at: gateway.now(),
@@ -131,6 +135,7 @@
             next_copy_at: Duration::ZERO,
             handover: None,
             overlap_ends_at: Duration::ZERO,
+            version,
             is_resuming: false,
             is_preconnected: false,
             longest_gap: Duration::ZERO,
@@ -345,9 +350,14 @@
             }
         }
         if std::mem::take(&mut self.is_resuming) {
+            let target = self.reservation.target;
+            let version = self.gateway.software_version(target);
+            let from_version = std::mem::replace(&mut self.version, version);
             self.gateway.log.event(&LogEvent::StreamWentOn {
                 id: &self.request.head.attempt_id,
-                target: &self.gateway.instance(self.reservation.target),
+                target: &self.gateway.instance(target),
+                from_version: from_version.as_ref().map_or("", SoftwareVersion::as_str),
+                version: self.version.as_ref().map_or("", SoftwareVersion::as_str),
                 last_event: self.last_event_id.unwrap_or(0),
                 silent_ms: self.gap_ms(),
             });
--- a/crates/mimosagap-gateway/tests/log.rs
+++ b/crates/mimosagap-gateway/tests/log.rs
@@ -144,6 +144,7 @@
         LogEvent::TargetListed {
             target: "i-1",
             address: empty(),
+            version: "v1",
         },
         LogEvent::TargetLeaving {
             target: "i-1",
@@ -239,6 +240,9 @@
             request: empty(),
             parts: empty(),
             target: "i-1",
+            version: "v1",
+            resumes: "",
+            last_event: 0,
             attempt: 1,
             requests: 0,
             tokens: 0,
@@ -290,6 +294,8 @@
         LogEvent::StreamWentOn {
             id: "a",
             target: "i-1",
+            from_version: "v1",
+            version: "v1",
             last_event: 1,
             silent_ms: 1,
         },
--- a/crates/mimosagap-routing/src/targets.rs
+++ b/crates/mimosagap-routing/src/targets.rs
@@ -75,6 +75,8 @@
     pub address: SocketAddr,
     /// The availability zone of the target.
     pub zone: ZoneName,
+    /// Version of its software; `None` if its entry names none.
+    pub version: Option<SoftwareVersion>,
     /// Number of requests that it runs concurrently.
     pub slots: u32,
     /// Whether it has announced its termination.
--- a/crates/mimosagap-types/src/ids.rs
+++ b/crates/mimosagap-types/src/ids.rs
@@ -62,6 +62,10 @@
     /// The name of a region.
     RegionName
 );
+name_type!(
+    /// The version of the software of an engine, as the engine names it. Versions have no order.
+    SoftwareVersion
+);
 name_type!(
     /// The id of a daemon process. A restarted daemon has a new id.
     DaemonId
