test(soak): streams are joined from two software versions

What callers saw: events of two versions of an engine's software in one stream, within one answer and over their attempts. Engines of the soak now have a version that each event names, plans can replace an engine by one of another version, and clients resume streams that broke, naming the attempt that brought the first event.

--- a/crates/mimosagap-soak/src/checker.rs
+++ b/crates/mimosagap-soak/src/checker.rs
@@ -8,6 +8,7 @@
 use crate::crash_check::{CrashChecker, CrashOutcome};
 use crate::rate_check::{RateChecker, RateUsage};
 use crate::standins::target::BACKOFF;
+use crate::version_check::{StreamAttempt, VersionChecker, VersionOutcome};
 
 /// The kind of a request, which decides how often it may be executed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -81,6 +82,7 @@
     backoffs: RefCell<HashMap<(usize, String), (Instant, u32)>>,
     rate_checker: RefCell<RateChecker>,
     crash_checker: RefCell<CrashChecker>,
+    version_checker: RefCell<VersionChecker>,
     /// Until when responses of a target may fail to reach the gateways.
     unreachable_until: RefCell<HashMap<String, Instant>>,
     /// When each retry arrived, and whether it was one of a stream.
@@ -292,6 +294,24 @@
         crash_checker.outcomes(|at| self.were_hosts_connected(at))
     }
 
+    /// Records an attempt at a stream once it has ended.
+    pub fn record_stream_attempt(&self, attempt: StreamAttempt) {
+        let mut version_checker = self.version_checker.borrow_mut();
+        version_checker.record_attempt(attempt);
+    }
+
+    /// Records that a stream holds events of two versions, by the attempt that began it.
+    pub fn record_joined_stream(&self, id: &str) {
+        self.version_checker.borrow_mut().record_joined(id);
+    }
+
+    /// How streams fared beside engines of other versions. Attempts around a disruption do not
+    /// count.
+    pub fn version_outcome(&self) -> VersionOutcome {
+        let version_checker = self.version_checker.borrow();
+        version_checker.outcome(|at| self.were_hosts_connected(at))
+    }
+
     /// How far the rate limits that have ended were used.
     pub fn rate_usages(&self) -> Vec<RateUsage> {
         self.rate_checker.borrow().usages().to_vec()
--- a/crates/mimosagap-soak/src/client.rs
+++ b/crates/mimosagap-soak/src/client.rs
@@ -9,6 +9,7 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
+use hyper::header::HeaderValue;
 use hyper::{Request, Response};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -16,7 +17,9 @@
 use crate::checker::{InvariantChecker, RequestKind};
 use crate::http::{FullBody, HttpConnection, read_body};
 use crate::plan::CRASHING_REQUEST_PART;
-use crate::standins::target::STREAM_EVENTS;
+use crate::standins::target::TargetContext;
+use crate::transcript::StreamTranscript;
+use crate::version_check::StreamAttempt;
 
 /// The `hostname` of all routes, sent as the `host` header.
 pub const ROUTE_HOSTNAME: &str = "soak.example";
@@ -48,6 +51,12 @@
 /// Longest pause between two requests with a crashing part.
 const CRASHING_REQUEST_INTERVAL: Duration = Duration::from_millis(600);
 
+/// Longest pause before a client resumes a stream.
+const MAX_RESUME_PAUSE: Duration = Duration::from_secs(8);
+
+/// How long a client waits for a stream that it resumes, over all attempts.
+const RESUMABLE_TIMEOUT: Duration = Duration::from_secs(12);
+
 /// The first part of the prompt of all streams, and the parts that some of them share.
 const SHARED_PART: &str = "c0ffee01";
 const GROUP_PARTS: [&str; 3] = ["9a0001", "9a0002", "9a0003"];
@@ -363,27 +372,132 @@
     Some(status)
 }
 
-async fn check_stream(context: &ClientContext, id: &str, mut body: Incoming) -> Option<()> {
-    let mut text = String::new();
+/// Reads a stream that starts with its first event, and checks that a complete one holds all events.
+async fn check_stream(context: &ClientContext, id: &str, body: Incoming) -> Option<()> {
+    let mut transcript = StreamTranscript::default();
+    let is_ended = read_events(context, id, &mut transcript, body).await;
+    if transcript.is_joined() {
+        context.checker.record_joined_stream(id);
+    }
+    if is_ended && !transcript.is_complete() {
+        let text = format!("the stream of request {id} ended as complete with {transcript:?}");
+        context.checker.record_violation(text);
+    }
+    is_ended.then_some(())
+}
+
+/// Adds the events of a response to the attempt `id` to a transcript. Returns whether the response
+/// ended as complete.
+async fn read_events(
+    context: &ClientContext,
+    id: &str,
+    transcript: &mut StreamTranscript,
+    mut body: Incoming,
+) -> bool {
     loop {
         match body.frame().await {
             Some(Ok(frame)) => {
-                if let Some(bytes) = frame.data_ref() {
-                    text.push_str(&String::from_utf8_lossy(bytes));
+                let Some(bytes) = frame.data_ref() else {
+                    continue;
+                };
+                if let Err(error) = transcript.push(id, bytes) {
+                    let text = format!("the stream of request {id} holds {error}");
+                    context.checker.record_violation(text);
+                    return false;
                 }
             }
-            Some(Err(_)) => return None,
-            None => break,
+            Some(Err(_)) => {
+                transcript.discard_partial();
+                return false;
+            }
+            None => return true,
         }
     }
-    let events: Vec<String> = (1..=STREAM_EVENTS)
-        .map(|number| format!("id: {number}\ndata: {id}\n\n"))
-        .collect();
-    let expected = events.concat();
-    if text != expected {
-        let text =
-            format!("the stream of request {id} ended as complete with the wrong events {text:?}");
+}
+
+/// Sends streams until [`ClientContext::is_stopping`] is set, and resumes each one that breaks after
+/// a pause, at any gateway.
+pub async fn run_resuming_client(
+    context: Rc<ClientContext>,
+    targets: Rc<TargetContext>,
+    seed: u64,
+) {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    while !context.is_stopping.get() {
+        let mut transcript = StreamTranscript::default();
+        let deadline = Instant::now() + RESUMABLE_TIMEOUT;
+        loop {
+            let time_left = deadline.saturating_duration_since(Instant::now());
+            if time_left.is_zero() || context.is_stopping.get() {
+                break;
+            }
+            if attempt_stream(&context, &targets, &mut rng, &mut transcript, time_left).await {
+                break;
+            }
+            tokio::time::sleep(MAX_RESUME_PAUSE.mul_f64(rng.random())).await;
+        }
+        if let Some(id) = transcript.first_attempt()
+            && transcript.is_joined()
+        {
+            context.checker.record_joined_stream(id);
+        }
+        tokio::time::sleep(Duration::from_millis(rng.random_range(5..60))).await;
+    }
+}
+
+/// Makes one attempt at a stream, from the event after the last one received. Returns whether the
+/// stream has ended.
+async fn attempt_stream(
+    context: &ClientContext,
+    targets: &TargetContext,
+    rng: &mut SmallRng,
+    transcript: &mut StreamTranscript,
+    time_left: Duration,
+) -> bool {
+    let gateway = rng.random_range(0..context.gateway_addresses.len());
+    let address = context.gateway_addresses[gateway];
+    let Some(mut connection) = HttpConnection::connect(address).await else {
+        return false;
+    };
+    let (kind, api_key) = (RequestKind::ResumableStream, API_KEYS[0]);
+    let id = context.new_request_id();
+    let mut request = build_request(&id, kind, api_key, None);
+    let headers = request.headers_mut();
+    let deadline_ms = u32::try_from(time_left.as_millis()).unwrap_or(u32::MAX);
+    headers.insert("x-deadline-ms", deadline_ms.into());
+    if let Some(first_attempt) = transcript.first_attempt() {
+        headers.insert("last-event-id", transcript.last_event_id().into());
+        if let Ok(first_attempt) = HeaderValue::from_str(first_attempt) {
+            headers.insert("resumes", first_attempt);
+        }
+    }
+    let serving_engines = transcript
+        .version()
+        .map(|version| targets.count_serving(version));
+    let last_event_id = transcript.last_event_id();
+    context.checker.record_sent(&id, kind, api_key);
+    context.checker.record_gateway(&id, gateway);
+    let sent_at = Instant::now();
+    let exchange = async {
+        let response = connection.send(request).await?;
+        let status = response.status().as_u16();
+        context.checker.record_response(&id, status);
+        if status != 200 {
+            return None;
+        }
+        Some(read_events(context, &id, transcript, response.into_body()).await)
+    };
+    let is_ended = tokio::time::timeout(time_left.min(REQUEST_TIMEOUT), exchange).await;
+    let is_ended = matches!(is_ended, Ok(Some(true)));
+    if is_ended && !transcript.is_complete() {
+        let text = format!("the stream of request {id} ended as complete with {transcript:?}");
         context.checker.record_violation(text);
     }
-    Some(())
+    transcript.discard_partial();
+    context.checker.record_stream_attempt(StreamAttempt {
+        sent_at,
+        has_event: is_ended || transcript.last_event_id() > last_event_id,
+        serving_engines,
+    });
+    is_ended
 }
--- a/crates/mimosagap-soak/src/lib.rs
+++ b/crates/mimosagap-soak/src/lib.rs
@@ -16,3 +16,5 @@
 pub mod rate_check;
 pub mod run;
 pub mod standins;
+pub mod transcript;
+pub mod version_check;
--- a/crates/mimosagap-soak/src/main.rs
+++ b/crates/mimosagap-soak/src/main.rs
@@ -9,6 +9,7 @@
 use mimosagap_soak::crash_check::CrashOutcome;
 use mimosagap_soak::plan::{FaultPlan, GATEWAY_COUNT};
 use mimosagap_soak::run::{RunOptions, RunOutcome, run_soak};
+use mimosagap_soak::version_check::{AttemptCount, VersionOutcome};
 use pico_args::Arguments;
 
 const HELP: &str = "\
@@ -22,6 +23,8 @@
   --limit N       no drawn faults: a service and an engine name N thousandths of a request per second
                   for all gateways together, and half of it
   --crashing-part no drawn faults: requests with one part of a prompt crash the targets that answer them
+  --versions      no drawn faults: engines get other versions of the software, all gateways are killed, and
+                  clients resume the streams that broke
   --gateways N    number of gateways, from 1 to 300 (default 3)
   --seconds N     how long faults are injected (default 12)
   --plan FILE     run a stored plan; a failed run writes its plan.json into its folder
@@ -72,6 +75,7 @@
     let plan_file: Option<PathBuf> = arguments.opt_value_from_str("--plan")?;
     let limit: Option<u32> = arguments.opt_value_from_str("--limit")?;
     let has_crashing_part = arguments.contains("--crashing-part");
+    let has_versions = arguments.contains("--versions");
     let shrink = arguments.contains("--shrink");
     let program: Option<PathBuf> = arguments.opt_value_from_str("--program")?;
     let directory: Option<PathBuf> = arguments.opt_value_from_str("--folder")?;
@@ -84,12 +88,14 @@
     if usize::from(plan_file.is_some())
         + usize::from(limit.is_some())
         + usize::from(has_crashing_part)
+        + usize::from(has_versions)
         > 1
     {
-        return Err("--plan, --limit and --crashing-part exclude each other".into());
+        return Err("--plan, --limit, --crashing-part and --versions exclude each other".into());
     }
     let plans = match (plan_file, limit) {
         _ if has_crashing_part => vec![FaultPlan::with_crashing_part(first_seed, length, gateways)],
+        _ if has_versions => vec![FaultPlan::with_versions(first_seed, length, gateways)],
         (Some(path), _) => vec![serde_json::from_str(&std::fs::read_to_string(path)?)?],
         (None, Some(limit)) => vec![FaultPlan::with_rate_limits(
             first_seed, length, gateways, limit,
@@ -163,6 +169,7 @@
                 sent,
                 rate_usages,
                 crash_outcomes,
+                version_outcome,
                 ..
             } = outcome;
             println!("seed {seed}: passed, {served} of {sent} requests served");
@@ -173,6 +180,7 @@
                 );
             }
             print_crash_outcomes(crash_outcomes);
+            print_version_outcome(version_outcome);
         }
         Ok(outcome) => {
             println!("seed {seed}: FAILED");
@@ -183,11 +191,27 @@
                 println!("  {violation}");
             }
             print_crash_outcomes(&outcome.crash_outcomes);
+            print_version_outcome(&outcome.version_outcome);
         }
         Err(error) => println!("seed {seed}: not run: {error}"),
     }
 }
 
+fn print_version_outcome(outcome: &VersionOutcome) {
+    if outcome.all_resumed.sent == 0 && outcome.joined_streams.is_empty() {
+        return;
+    }
+    let show = |count: AttemptCount| format!("{} of {}", count.served, count.sent);
+    println!(
+        "  streams joined from two versions: {}; resumed streams that went on: {}, of those with hosts \
+         connected and two engines {}; new streams begun: {}",
+        outcome.joined_streams.len(),
+        show(outcome.all_resumed),
+        show(outcome.resumed),
+        show(outcome.new)
+    );
+}
+
 fn print_crash_outcomes(outcomes: &[CrashOutcome]) {
     for outcome in outcomes {
         let ((during, sent_during), (outside, sent_outside)) =
--- a/crates/mimosagap-soak/src/plan.rs
+++ b/crates/mimosagap-soak/src/plan.rs
@@ -48,6 +48,15 @@
     /// A target announces its draining in its responses only and stops later; another is started in
     /// its place.
     SaysLeaving(usize),
+    /// Drains a target, and starts one with another version of the software in its place.
+    UpgradeTarget {
+        /// Index of the target.
+        target: usize,
+        /// Number of the new version.
+        version: u8,
+        /// Time until the old one is stopped, even if it still has work.
+        notice: Duration,
+    },
     /// Changes how a target behaves for a duration.
     Target(usize, TargetMode, Duration),
     /// Revokes an API key.
@@ -95,6 +104,7 @@
             | Self::CrashTarget(_)
             | Self::DrainTarget(_)
             | Self::TakeTarget(..)
+            | Self::UpgradeTarget { .. }
             | Self::SaysLeaving(_)
             | Self::Target(..)
             | Self::Link(..)
@@ -144,8 +154,17 @@
 /// For how long a drawn fault lets a target name a limit. The check needs 8 s.
 const DRAWN_LIMIT_TIME: Duration = Duration::from_secs(11);
 
-/// Targets in the fleet: the first half are plain services, the others are model engines, which
-/// stream.
+/// Plain targets in the fleet; the others are model engines, which stream.
+pub const PLAIN_TARGET_COUNT: usize = 3;
+
+/// Engines of [`FaultPlan::with_versions`], the clients that resume its streams, the time between two
+/// upgrades, and from the notice of an engine until it is stopped.
+const VERSION_ENGINES: usize = 6;
+const RESUMING_CLIENTS: usize = 40;
+const UPGRADE_INTERVAL: Duration = Duration::from_millis(200);
+const DRAIN_NOTICE: Duration = Duration::from_secs(2);
+
+/// Targets in the fleet of a plan that does not state the number of engines.
 pub const TARGET_COUNT: usize = 6;
 
 /// The input of a run: the same plan gives the same faults and requests.
@@ -161,6 +180,29 @@
     /// Gateways in the fleet.
     #[serde(default = "default_gateway_count")]
     pub gateway_count: usize,
+    /// Engines in the fleet, whose indexes follow those of the plain targets.
+    #[serde(default = "default_engine_count")]
+    pub engine_count: usize,
+    /// Clients that resume streams which break, for as long as faults are injected.
+    #[serde(default)]
+    pub resuming_clients: usize,
+}
+
+impl Default for FaultPlan {
+    fn default() -> Self {
+        Self {
+            seed: 0,
+            length: Duration::ZERO,
+            steps: Vec::new(),
+            gateway_count: GATEWAY_COUNT,
+            engine_count: default_engine_count(),
+            resuming_clients: 0,
+        }
+    }
+}
+
+fn default_engine_count() -> usize {
+    TARGET_COUNT - PLAIN_TARGET_COUNT
 }
 
 fn default_gateway_count() -> usize {
@@ -183,6 +225,7 @@
             length,
             steps,
             gateway_count,
+            ..Self::default()
         }
     }
 
@@ -207,6 +250,7 @@
                 limit(TARGET_COUNT / 2, millirequests / 2),
             ],
             gateway_count,
+            ..Self::default()
         }
     }
 
@@ -223,6 +267,49 @@
                 fault: Fault::CrashingPart(0, duration),
             }],
             gateway_count,
+            ..Self::default()
+        }
+    }
+
+    /// A plan in which half of the engines get another version of the software, all gateways are
+    /// killed, and all engines get a third version before the gateways are killed again, while
+    /// clients resume the streams that broke.
+    #[must_use]
+    pub fn with_versions(seed: u64, length: Duration, gateway_count: usize) -> Self {
+        let engines = PLAIN_TARGET_COUNT..PLAIN_TARGET_COUNT + VERSION_ENGINES;
+        let upgrade = |at: Duration, target, version| FaultStep {
+            at,
+            fault: Fault::UpgradeTarget {
+                target,
+                version,
+                notice: DRAIN_NOTICE,
+            },
+        };
+        let kill = |at| FaultStep {
+            at,
+            fault: Fault::KillAll,
+        };
+        let (first, second) = (length / 8, length / 2);
+        let pause = UPGRADE_INTERVAL;
+        let mut steps = vec![kill(length / 4), kill(second + DRAIN_NOTICE)];
+        steps.extend(
+            (0..)
+                .zip(engines.clone().step_by(2))
+                .map(|(number, target)| upgrade(first + pause * number, target, 2)),
+        );
+        steps.extend(
+            (0..)
+                .zip(engines)
+                .map(|(number, target)| upgrade(second + pause * number, target, 3)),
+        );
+        steps.sort_by_key(|step| step.at);
+        Self {
+            seed,
+            length,
+            steps,
+            gateway_count,
+            engine_count: VERSION_ENGINES,
+            resuming_clients: RESUMING_CLIENTS,
         }
     }
 
--- a/crates/mimosagap-soak/src/run.rs
+++ b/crates/mimosagap-soak/src/run.rs
@@ -18,14 +18,20 @@
 use crate::checker::{FailedRequest, InvariantChecker, RequestKind};
 use crate::client::{
     API_KEYS, CLIENTS_PER_GATEWAY, ClientContext, MAX_CLIENTS, ROUTE_HOSTNAME, RequestSpec,
-    run_client, run_crashing_client, run_repeating_client, send_request,
+    run_client, run_crashing_client, run_repeating_client, run_resuming_client, send_request,
 };
 use crate::crash_check::CrashOutcome;
-use crate::plan::{CRASHING_PARTS, Fault, FaultPlan, FaultStep, FleetLink, TARGET_COUNT};
+use crate::plan::{CRASHING_PARTS, Fault, FaultPlan, FaultStep, FleetLink, PLAIN_TARGET_COUNT};
 use crate::process::{GatewayPlace, GatewayProcess, zone_name};
 use crate::rate_check::RateUsage;
 use crate::standins::store::{StoreMode, StoreStandin};
-use crate::standins::target::{TargetContext, TargetMode, TargetStandin};
+use crate::standins::target::{
+    ENGINE_SERVICE, PLAIN_SERVICE, TargetContext, TargetMode, TargetPlace, TargetStandin,
+};
+use crate::version_check::VersionOutcome;
+
+/// Number of the software version of all targets at the start.
+const FIRST_VERSION: u8 = 1;
 
 /// A fleet of more gateways than this has three regions.
 const MAX_GATEWAYS_OF_ONE_REGION: usize = 16;
@@ -105,6 +111,8 @@
     pub rate_usages: Vec<RateUsage>,
     /// How the series of requests with a crashing part went.
     pub crash_outcomes: Vec<CrashOutcome>,
+    /// How streams fared beside engines of other software versions.
+    pub version_outcome: VersionOutcome,
     /// Violated guarantees, in the order in which they were found.
     pub violations: Vec<String>,
 }
@@ -120,6 +128,8 @@
     /// Which gateways were killed and when they last ran: the last lines of their logs are lost.
     kills: Vec<(usize, Instant)>,
     targets: Vec<Rc<TargetStandin>>,
+    /// The number of the software version of the target at each index.
+    target_versions: Vec<u8>,
     /// The number in the name of the last target that was started.
     last_target_number: u64,
     region_count: usize,
@@ -177,16 +187,26 @@
         length,
         steps,
         gateway_count,
+        resuming_clients,
+        ..
     } = &options.plan;
     let start_time = START_TIME_PER_GATEWAY * u32::try_from(*gateway_count).unwrap_or(u32::MAX);
     tokio::time::sleep(start_time.max(Duration::from_secs(1))).await;
     let client_count = (CLIENTS_PER_GATEWAY * gateway_count).min(MAX_CLIENTS) as u64;
-    let tasks: Vec<_> = (0..client_count)
+    let client_seed = |number: u64| seed.wrapping_mul(1000).wrapping_add(number);
+    let mut tasks: Vec<_> = (0..client_count)
         .map(|number| {
-            let seed = seed.wrapping_mul(1000).wrapping_add(number);
-            tokio::task::spawn_local(run_client(Rc::clone(&context), seed))
+            tokio::task::spawn_local(run_client(Rc::clone(&context), client_seed(number)))
         })
         .collect();
+    tasks.extend((0..*resuming_clients as u64).map(|number| {
+        let client = run_resuming_client(
+            Rc::clone(&context),
+            Rc::clone(&fleet.target_context),
+            client_seed(client_count + number),
+        );
+        tokio::task::spawn_local(client)
+    }));
     fleet.inject_faults(steps, *length).await?;
     fleet.recover().await?;
     context.is_stopping.set(true);
@@ -203,6 +223,10 @@
     {
         fleet.checker.record_violation(violation);
     }
+    let version_outcome = fleet.checker.version_outcome();
+    for violation in version_outcome.violations() {
+        fleet.checker.record_violation(violation);
+    }
     tokio::time::sleep(IDLE_TIME).await;
     fleet.check_resources();
     fleet.stop_gateways().await;
@@ -214,6 +238,7 @@
         live_migrations,
         rate_usages: fleet.checker.rate_usages(),
         crash_outcomes,
+        version_outcome,
         violations: fleet.checker.violations(),
     })
 }
@@ -250,12 +275,14 @@
             client_context: None,
             kills: Vec::new(),
             targets: Vec::new(),
+            target_versions: Vec::new(),
             last_target_number: 0,
             region_count: region_count(options.plan.gateway_count),
             pending_reverts: Vec::new(),
             pending_restarts: Vec::new(),
         };
-        for index in 0..TARGET_COUNT {
+        for index in 0..PLAIN_TARGET_COUNT + options.plan.engine_count {
+            fleet.target_versions.push(FIRST_VERSION);
             let target = fleet.start_target(index).await?;
             fleet.targets.push(target);
         }
@@ -287,21 +314,18 @@
     /// Starts the target that takes the place at an index, under a new name.
     async fn start_target(&mut self, index: usize) -> std::io::Result<Rc<TargetStandin>> {
         self.last_target_number += 1;
-        let service = if index < TARGET_COUNT / 2 {
-            "plain"
+        let service = if index < PLAIN_TARGET_COUNT {
+            PLAIN_SERVICE
         } else {
-            "model"
+            ENGINE_SERVICE
         };
         let instance_id = format!("i-{}", self.last_target_number);
-        let zone = zone_name(index % self.region_count);
-        TargetStandin::start(
-            instance_id,
+        let place = TargetPlace {
             service,
-            &zone,
-            &self.target_context,
-            &self.store,
-        )
-        .await
+            zone: zone_name(index % self.region_count),
+            version: format!("v{}", self.target_versions[index]),
+        };
+        TargetStandin::start(instance_id, place, &self.target_context, &self.store).await
     }
 
     /// Writes the next version of the configuration, which adds the route `/vN/` for version N.
@@ -408,34 +432,22 @@
             }
             Fault::Compact => self.store.compact(),
             Fault::CrashTarget(index) => {
-                self.targets[index].crash();
-                let replaced_target = Rc::clone(&self.targets[index]);
-                self.pending_reverts
-                    .push((now + DRAIN_TIME, FaultRevert::RemoveTarget(replaced_target)));
-                self.targets[index] = self.start_target(index).await?;
+                self.targets[index].crash(&self.target_context);
+                self.replace_target(index, DRAIN_TIME).await?;
             }
-            Fault::DrainTarget(index) => {
-                self.targets[index].drain(&self.store, &self.checker);
-                let replaced_target = Rc::clone(&self.targets[index]);
-                self.pending_reverts
-                    .push((now + DRAIN_TIME, FaultRevert::RemoveTarget(replaced_target)));
-                self.targets[index] = self.start_target(index).await?;
-            }
-            Fault::TakeTarget(index, duration) => {
-                self.targets[index].drain(&self.store, &self.checker);
-                let replaced_target = Rc::clone(&self.targets[index]);
-                self.pending_reverts
-                    .push((now + duration, FaultRevert::RemoveTarget(replaced_target)));
-                self.targets[index] = self.start_target(index).await?;
+            Fault::DrainTarget(index) => self.drain_target(index, DRAIN_TIME).await?,
+            Fault::TakeTarget(index, notice) => self.drain_target(index, notice).await?,
+            Fault::UpgradeTarget {
+                target,
+                version,
+                notice,
+            } => {
+                self.target_versions[target] = version;
+                self.drain_target(target, notice).await?;
             }
             Fault::SaysLeaving(index) => {
                 self.targets[index].set_mode(TargetMode::SaysLeaving);
-                let replaced_target = Rc::clone(&self.targets[index]);
-                self.pending_reverts.push((
-                    now + ANNOUNCE_TIME,
-                    FaultRevert::RemoveTarget(replaced_target),
-                ));
-                self.targets[index] = self.start_target(index).await?;
+                self.replace_target(index, ANNOUNCE_TIME).await?;
             }
             Fault::Target(index, mode, duration) => {
                 self.targets[index].set_mode(mode);
@@ -461,6 +473,27 @@
         Ok(())
     }
 
+    /// Drains a target and replaces it.
+    async fn drain_target(&mut self, index: usize, notice: Duration) -> std::io::Result<()> {
+        self.targets[index].drain(&self.store, &self.target_context);
+        self.replace_target(index, notice).await
+    }
+
+    /// Starts another target in the place of one that is removed after a time.
+    async fn replace_target(
+        &mut self,
+        index: usize,
+        removed_after: Duration,
+    ) -> std::io::Result<()> {
+        let replaced_target = Rc::clone(&self.targets[index]);
+        self.pending_reverts.push((
+            Instant::now() + removed_after,
+            FaultRevert::RemoveTarget(replaced_target),
+        ));
+        self.targets[index] = self.start_target(index).await?;
+        Ok(())
+    }
+
     /// Starts a client whose requests share a crashing part.
     fn start_crash_series(&self, number: usize, duration: Duration) {
         let part = CRASHING_PARTS[number % CRASHING_PARTS.len()];
--- a/crates/mimosagap-soak/src/standins/target.rs
+++ b/crates/mimosagap-soak/src/standins/target.rs
@@ -2,6 +2,7 @@
 //! misbehave.
 
 use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
 use std::convert::Infallible;
 use std::pin::Pin;
 use std::rc::Rc;
@@ -24,6 +25,11 @@
 use crate::standins::generations::GenerationTable;
 use crate::standins::store::StoreStandin;
 
+/// Services of the targets: model engines, which stream, and plain targets.
+pub const ENGINE_SERVICE: &str = "model";
+/// See [`ENGINE_SERVICE`].
+pub const PLAIN_SERVICE: &str = "plain";
+
 /// Time to execute a plain request.
 const CALL_DURATION: Duration = Duration::from_millis(15);
 
@@ -83,9 +89,17 @@
     pub generations: GenerationTable,
     /// Parts of prompts that crash each target which begins to write an answer to them.
     pub crashing_parts: RefCell<Vec<&'static str>>,
+    /// Engines that serve and do not drain, with the version of their software.
+    serving_engines: RefCell<HashMap<String, String>>,
 }
 
 impl TargetContext {
+    /// Number of engines that serve a version of the software and do not drain.
+    pub fn count_serving(&self, version: &str) -> usize {
+        let engines = self.serving_engines.borrow();
+        engines.values().filter(|other| *other == version).count()
+    }
+
     /// The crashing part of a prompt, given as the value of its header. The last part belongs to the
     /// request alone; only that of the request which crashes targets by its whole content counts.
     fn crashing_part(&self, prompt_parts: &str) -> Option<&'static str> {
@@ -101,12 +115,22 @@
     }
 }
 
+/// What a target registers besides its name and address.
+#[derive(Debug, Clone)]
+pub struct TargetPlace {
+    /// The service of the target.
+    pub service: &'static str,
+    /// The availability zone of the target.
+    pub zone: String,
+    /// The version of its software.
+    pub version: String,
+}
+
 /// One target: its server, and the proxy in front of it.
 pub struct TargetStandin {
     /// Its name in the store and in the requests that are meant for it only.
     pub instance_id: String,
-    service: String,
-    zone: String,
+    place: TargetPlace,
     /// The proxy in front of it, whose address it registers.
     pub proxy: LinkProxy,
     mode: Cell<TargetMode>,
@@ -124,8 +148,7 @@
     /// If no port is free.
     pub async fn start(
         instance_id: String,
-        service: &str,
-        zone: &str,
+        place: TargetPlace,
         context: &Rc<TargetContext>,
         store: &StoreStandin,
     ) -> std::io::Result<Rc<Self>> {
@@ -144,8 +167,7 @@
             });
             Self {
                 instance_id,
-                service: service.to_owned(),
-                zone: zone.to_owned(),
+                place,
                 proxy,
                 mode: Cell::new(TargetMode::Well),
                 execution_count: Cell::new(0),
@@ -154,6 +176,11 @@
             }
         });
         target.register(store, "ready");
+        if target.place.service == ENGINE_SERVICE {
+            let version = target.place.version.clone();
+            let mut engines = context.serving_engines.borrow_mut();
+            engines.insert(target.instance_id.clone(), version);
+        }
         Ok(target)
     }
 
@@ -164,8 +191,9 @@
     /// Writes the registration, with the state `ready` or `draining`.
     fn register(&self, store: &StoreStandin, state: &str) {
         let registration = json!({
-            "service": self.service, "address": self.proxy.address().to_string(), "zone": self.zone,
-            "slots": 8, "state": state, "sequence": 1, "born": 1,
+            "service": self.place.service, "address": self.proxy.address().to_string(),
+            "zone": self.place.zone, "version": self.place.version, "slots": 8, "state": state,
+            "cold_remaining_ms": 0, "sequence": 1, "born": 1,
         });
         store.put(&self.store_key(), &registration);
     }
@@ -176,16 +204,24 @@
     }
 
     /// Stops at once; the registration stays.
-    pub fn crash(&self) {
+    pub fn crash(&self, context: &TargetContext) {
+        self.stop_serving(context);
         self.server_task.abort();
     }
 
+    /// Counts the target no longer as one that serves its version.
+    fn stop_serving(&self, context: &TargetContext) {
+        let mut engines = context.serving_engines.borrow_mut();
+        engines.remove(&self.instance_id);
+    }
+
     /// Crashes under a request with a part: connections are reset and new ones refused.
     fn crash_under_request(&self, context: &TargetContext, part: &str) {
         if self.has_crashed.replace(true) {
             return;
         }
         context.checker.record_part_crash(part);
+        self.stop_serving(context);
         self.proxy.set_mode(LinkMode::Cut, Duration::ZERO);
         self.server_task.abort();
     }
@@ -196,9 +232,10 @@
     }
 
     /// Registers the target as draining; it continues to serve requests.
-    pub fn drain(&self, store: &StoreStandin, checker: &InvariantChecker) {
+    pub fn drain(&self, store: &StoreStandin, context: &TargetContext) {
         self.register(store, "draining");
-        checker.record_drain(&self.instance_id);
+        self.stop_serving(context);
+        context.checker.record_drain(&self.instance_id);
     }
 
     /// Deletes the registration and stops.
@@ -400,7 +437,7 @@
         id: &str,
         last_event_id: u64,
     ) -> Response<TargetBody> {
-        let guard = GenerationGuard::new(context, id, &self.instance_id);
+        let guard = GenerationGuard::new(context, id, self);
         let events = stream::unfold((guard, last_event_id + 1), |(guard, number)| async move {
             if number > STREAM_EVENTS {
                 return None;
@@ -410,7 +447,8 @@
                 .context
                 .checker
                 .record_stream_event(&guard.request_id, &guard.instance_id);
-            let event = format!("id: {number}\ndata: {}\n\n", guard.request_id);
+            let (id, version) = (&guard.request_id, &guard.version);
+            let event = format!("id: {number}\ndata: {id} {version}\n\n");
             let frame = Ok::<_, Infallible>(Frame::data(Bytes::from(event)));
             Some((frame, (guard, number + 1)))
         });
@@ -424,15 +462,17 @@
     context: Rc<TargetContext>,
     request_id: String,
     instance_id: String,
+    version: String,
 }
 
 impl GenerationGuard {
-    fn new(context: &Rc<TargetContext>, request_id: &str, instance_id: &str) -> Self {
-        context.generations.start(request_id, instance_id);
+    fn new(context: &Rc<TargetContext>, request_id: &str, target: &TargetStandin) -> Self {
+        context.generations.start(request_id, &target.instance_id);
         Self {
             context: Rc::clone(context),
             request_id: request_id.to_owned(),
-            instance_id: instance_id.to_owned(),
+            instance_id: target.instance_id.clone(),
+            version: target.place.version.clone(),
         }
     }
 }
--- a/crates/mimosagap-soak/tests/soak.rs
+++ b/crates/mimosagap-soak/tests/soak.rs
@@ -69,6 +69,7 @@
             })
             .collect(),
         gateway_count: GATEWAY_COUNT,
+        ..FaultPlan::default()
     };
     let outcome = run_clean(plan, 22_600);
     assert!(outcome.live_migrations > 0, "no stream was migrated");
@@ -111,6 +112,7 @@
         length: LENGTH,
         steps: steps.collect(),
         gateway_count: GATEWAY_COUNT,
+        ..FaultPlan::default()
     };
     run_clean(plan, 22_800);
 }
@@ -124,6 +126,7 @@
         length: LENGTH,
         steps: each_target_in_turn(Fault::SaysLeaving),
         gateway_count: GATEWAY_COUNT,
+        ..FaultPlan::default()
     };
     run_clean(plan, 22_900);
 }
@@ -140,6 +143,7 @@
             Fault::Target(target, TargetMode::Pauses, REJECTION_TIME)
         }),
         gateway_count: GATEWAY_COUNT,
+        ..FaultPlan::default()
     };
     run_clean(plan, 23_000);
 }
@@ -188,6 +192,7 @@
             fault: Fault::CrashingRequest(Duration::from_secs(8)),
         }],
         gateway_count: GATEWAY_COUNT,
+        ..FaultPlan::default()
     };
     let outcome = run_clean(plan, 23_400);
     let crashes: Vec<usize> = outcome
@@ -220,6 +225,7 @@
             step(secs(14), Fault::DrainTarget(0)),
         ],
         gateway_count: 6,
+        ..FaultPlan::default()
     };
     run_clean(plan, 23_800);
 }
@@ -246,10 +252,58 @@
             step(secs(9), Fault::NewConfig),
         ],
         gateway_count: 6,
+        ..FaultPlan::default()
     };
     run_clean(plan, 23_900);
 }
 
+/// Half of the engines get another version of the software, then engines of both versions crash or
+/// leave. Streams are copied, handed over and restarted; none may go on at the other version.
+#[test]
+fn streams_hold_events_of_two_versions_within_one_answer() {
+    let secs = Duration::from_secs;
+    let step = |millis, fault| FaultStep {
+        at: Duration::from_millis(millis),
+        fault,
+    };
+    let upgrade = |target| Fault::UpgradeTarget {
+        target,
+        version: 2,
+        notice: secs(1),
+    };
+    let plan = FaultPlan {
+        seed: 909,
+        length: secs(12),
+        steps: vec![
+            step(1000, upgrade(3)),
+            step(1400, upgrade(4)),
+            step(1800, upgrade(5)),
+            step(4000, Fault::CrashTarget(6)),
+            step(4500, Fault::CrashTarget(3)),
+            step(6000, Fault::TakeTarget(7, secs(1))),
+            step(6500, Fault::TakeTarget(4, secs(1))),
+            step(8000, Fault::CrashTarget(8)),
+            step(9000, Fault::CrashTarget(5)),
+        ],
+        gateway_count: 6,
+        engine_count: 6,
+        ..FaultPlan::default()
+    };
+    let outcome = run_clean(plan, 24_100).version_outcome;
+    assert!(outcome.joined_streams.is_empty(), "{outcome:?}");
+}
+
+/// Clients resume streams, with two versions of the software in service or just after the engines of
+/// the old one left, and after all gateways were killed, so that none remembers where a stream
+/// began. A stream may go on only at the version that began it, and half as many must go on as new
+/// ones begin if two engines serve it.
+#[test]
+fn a_resumed_stream_goes_on_at_another_version_after_a_kill_of_all_gateways() {
+    let plan = FaultPlan::with_versions(910, Duration::from_secs(24), 6);
+    let outcome = run_clean(plan, 24_200).version_outcome;
+    assert!(outcome.resumed.sent >= 12, "{outcome:?}");
+}
+
 /// Runs a plan, and asserts that no guarantee was violated and that more than 100 requests
 /// succeeded. The logs are kept after a failure.
 fn run_clean(plan: FaultPlan, base_port: u16) -> RunOutcome {
