fix(routing): a running stream goes on only at the version that began it

What callers saw: events of engines of two software versions in one answer.

The version is a fact fixed at the first event and carried by the relay. Every choice of an engine for a running stream takes it as a constraint, in two places: may_place_on (placement here, by the placer, and the check of what the placer granted) and choose_destination (copies, and with them handovers). An engine of unknown version continues nothing, and one that starts again under its id with another version is another target.

--- a/crates/mimosagap-gateway/src/handover.rs
+++ b/crates/mimosagap-gateway/src/handover.rs
@@ -8,6 +8,7 @@
 use mimosagap_platform::request::Continuation;
 use mimosagap_routing::placement::GenerationDemand;
 use mimosagap_routing::targets::TargetKey;
+use mimosagap_types::prelude::*;
 use tokio::time::timeout;
 
 use crate::event_source::{EventSource, SourceItem};
@@ -97,11 +98,15 @@
     })
 }
 
-/// Restarts a generation at another engine, which reads the prompt again.
-pub async fn restart_stream(job: HandoverJob, failed: TargetKey) -> Option<ResumedStream> {
+/// Restarts a generation at another engine of the same version, which reads the prompt again.
+pub async fn restart_stream(
+    job: HandoverJob,
+    version: SoftwareVersion,
+    failed: TargetKey,
+) -> Option<ResumedStream> {
     let (gateway, request) = (&job.gateway, &job.request);
     let tried = [failed];
-    let placement = find_engine(gateway, request, job.demand, &tried).await;
+    let placement = find_engine(gateway, request, job.demand, Some(&version), &tried).await;
     let placement = placement.ok()?;
     if !gateway.try_spend_retry(&request.service) {
         return None;
--- a/crates/mimosagap-gateway/src/remote_placement.rs
+++ b/crates/mimosagap-gateway/src/remote_placement.rs
@@ -46,6 +46,9 @@
     restart_time: Option<Duration>,
     /// Instances that must not be chosen.
     excluded: Vec<String>,
+    /// Version of the engine that began the generation; `None` if none has. The last field, so that
+    /// hosts of an earlier version still decode the others.
+    version: Option<SoftwareVersion>,
 }
 
 /// The placer's response to a [`PlacementRequest`].
@@ -144,6 +147,7 @@
         max_queue_time: options.max_queue_time,
         restart_time: options.restart_time,
         excluded: excluded.iter().map(|key| gateway.instance(*key)).collect(),
+        version: options.version.cloned(),
     };
     let response = send_request(client, address, request, &mut pending);
     match timeout(RESPONSE_TIMEOUT, response).await {
@@ -223,6 +227,7 @@
         let options = PlacementOptions {
             service: &request.service,
             demand,
+            version: request.version.as_ref(),
             home_zone: &request.home_zone,
             max_queue_time: request.max_queue_time,
             restart_time: request.restart_time,
--- a/crates/mimosagap-gateway/src/stream_relay.rs
+++ b/crates/mimosagap-gateway/src/stream_relay.rs
@@ -63,7 +63,8 @@
     /// When the connection to the leaving engine is closed, even if the next engine has sent
     /// nothing yet.
     overlap_ends_at: Duration,
-    /// Version of the engine that brought the last event.
+    /// Version of the engine that began the stream, which is the only one that may continue it;
+    /// `None` if unknown.
     version: Option<SoftwareVersion>,
     /// Whether the stream was resumed and no event has been forwarded since.
     is_resuming: bool,
@@ -111,7 +112,6 @@
             engine.map_or(1, |engine| engine.tokens_per_event)
         });
         let stream = *stream;
-        let version = gateway.software_version(stream.reservation.target);
         let relay = Self {
             first_event_at: None,
             last_event_at: gateway.now(),
@@ -135,7 +135,7 @@
             next_copy_at: Duration::ZERO,
             handover: None,
             overlap_ends_at: Duration::ZERO,
-            version,
+            version: stream.version,
             is_resuming: false,
             is_preconnected: false,
             longest_gap: Duration::ZERO,
@@ -352,12 +352,11 @@
         if std::mem::take(&mut self.is_resuming) {
             let target = self.reservation.target;
             let version = self.gateway.software_version(target);
-            let from_version = std::mem::replace(&mut self.version, version);
             self.gateway.log.event(&LogEvent::StreamWentOn {
                 id: &self.request.head.attempt_id,
                 target: &self.gateway.instance(target),
-                from_version: from_version.as_ref().map_or("", SoftwareVersion::as_str),
-                version: self.version.as_ref().map_or("", SoftwareVersion::as_str),
+                from_version: self.version.as_ref().map_or("", SoftwareVersion::as_str),
+                version: version.as_ref().map_or("", SoftwareVersion::as_str),
                 last_event: self.last_event_id.unwrap_or(0),
                 silent_ms: self.gap_ms(),
             });
@@ -468,6 +467,7 @@
         if let Some(task) = self.hand_over_to_standby() {
             return Some(task);
         }
+        let version = self.version.clone()?;
         let route = &self.request.route;
         if !route.kind.is_idempotent()
             || self.executions >= route.max_attempts
@@ -480,7 +480,8 @@
             demand: self.demand,
             ..self.next_handover_job()
         };
-        Some(Box::pin(restart_stream(job, self.reservation.target)))
+        let failed = self.reservation.target;
+        Some(Box::pin(restart_stream(job, version, failed)))
     }
 
     /// Starts to resume from the standby copy.
--- a/crates/mimosagap-gateway/src/streams.rs
+++ b/crates/mimosagap-gateway/src/streams.rs
@@ -13,6 +13,7 @@
 use mimosagap_routing::refusal::RefusalReason;
 use mimosagap_routing::targets::{Locality, PRIORITY_LEVELS, Target, TargetKey, TargetOutcome};
 use mimosagap_routing::wait_queue::{QueuedRequest, WaitQueue, max_queue_time};
+use mimosagap_types::prelude::*;
 use rand::Rng;
 
 use crate::body_reader::{ResponsePace, read_to_end};
@@ -113,6 +114,8 @@
     pub first_event: StreamEvent,
     /// Load of the generation on its engine.
     pub reservation: LoadReservation,
+    /// Version of the engine that began the stream; `None` if unknown.
+    pub version: Option<SoftwareVersion>,
     /// Number of sends so far.
     pub sends: u32,
     /// Number of sends that an engine may have executed.
@@ -143,7 +146,7 @@
         return StartOutcome::Refused(RefusalReason::ShuttingDown);
     }
     let reason = loop {
-        let placement = match find_engine(gateway, request, demand, &tried).await {
+        let placement = match find_engine(gateway, request, demand, None, &tried).await {
             Ok(placement) => placement,
             Err(reason) => break reason,
         };
@@ -266,6 +269,7 @@
             Ok(FirstOutput::Event(Box::new(StartedStream {
                 source,
                 first_event,
+                version: gateway.software_version(target),
                 reservation,
                 sends: attempt,
                 executions: 1,
@@ -348,6 +352,7 @@
     gateway: &SharedGateway,
     request: &RoutedRequest,
     demand: GenerationDemand,
+    version: Option<&SoftwareVersion>,
     tried: &[TargetKey],
     cost_jitter: Duration,
 ) -> Option<Placement> {
@@ -358,6 +363,7 @@
     let regional_options = PlacementOptions {
         service: &request.service,
         demand,
+        version,
         home_zone: &gateway.settings.zone,
         max_queue_time,
         restart_time: (request.route.kind.is_idempotent() && demand.generated_tokens == 0)
@@ -394,11 +400,13 @@
     }
 }
 
-/// Finds an engine with free capacity, waiting for one if it can be expected in time.
+/// Finds an engine with free capacity, waiting for one if it can be expected in time. A stream that
+/// an engine has begun goes on only at an engine of the same `version`.
 pub async fn find_engine(
     gateway: &SharedGateway,
     request: &RoutedRequest,
     demand: GenerationDemand,
+    version: Option<&SoftwareVersion>,
     tried: &[TargetKey],
 ) -> Result<Placement, RefusalReason> {
     let now = gateway.now();
@@ -413,7 +421,8 @@
         queue.must_queue(demand.priority_level)
     });
     if !must_queue
-        && let Some(placement) = choose_engine(gateway, request, demand, tried, max_jitter).await
+        && let Some(placement) =
+            choose_engine(gateway, request, demand, version, tried, max_jitter).await
     {
         return Ok(placement);
     }
@@ -422,6 +431,7 @@
         let running_requests: u32 = state
             .targets
             .of_service(&request.service)
+            .filter(|(_, target)| version.is_none_or(|version| target.has_version(version)))
             .inspect(|(_, target)| has_available |= target.is_available_within(permit_wait, now))
             .map(|(_, target)| target.local_load.requests)
             .sum();
@@ -472,7 +482,7 @@
         });
         if is_front
             && let Some(placement) =
-                choose_engine(gateway, request, demand, tried, max_jitter).await
+                choose_engine(gateway, request, demand, version, tried, max_jitter).await
         {
             return Ok(placement);
         }
--- a/crates/mimosagap-routing/src/migration.rs
+++ b/crates/mimosagap-routing/src/migration.rs
@@ -135,7 +135,7 @@
 }
 
 /// Chooses the engine that receives a generation of `kv_tokens` tokens from `source`. `None` means
-/// that no engine outside `excluded_targets` has free capacity.
+/// that no engine of the same version outside `excluded_targets` has free capacity.
 #[must_use]
 pub fn choose_destination(
     targets: &TargetTable,
@@ -146,6 +146,7 @@
     now: Duration,
 ) -> Option<TargetKey> {
     let engine_spec = targets.engine_spec(service)?;
+    let version = source.entry.version.as_ref()?;
     let may_leave_region = source
         .draining_since
         .is_some_and(|since| now >= since + OTHER_REGION_COPY_DELAY);
@@ -174,6 +175,7 @@
         .of_service(service)
         .filter(|(key, target)| target.is_available(now) && !excluded_targets.contains(key))
         .filter(|(_, target)| target.entry.instance != source.entry.instance)
+        .filter(|(_, target)| target.has_version(version))
         .filter_map(|(key, target)| cost(target).map(|cost| (cost, key)))
         .min_by(|(first, _), (second, _)| first.total_cmp(second))
         .map(|(_, key)| key)
--- a/crates/mimosagap-routing/src/placement.rs
+++ b/crates/mimosagap-routing/src/placement.rs
@@ -135,6 +135,9 @@
     pub service: &'a DeploymentName,
     /// Resources that it needs.
     pub demand: GenerationDemand,
+    /// Version of the engine that began it, which is the only one that may continue it; `None` if no
+    /// engine has begun it.
+    pub version: Option<&'a SoftwareVersion>,
     /// Zone of the host that serves the caller.
     pub home_zone: &'a ZoneName,
     /// Maximum time that it may wait for the prefill of other prompts.
@@ -205,7 +208,10 @@
     target: &Target,
     now: Duration,
 ) -> bool {
-    target.is_available(now) || ends_before_shutdown(targets, options, target, now)
+    options
+        .version
+        .is_none_or(|version| target.has_version(version))
+        && (target.is_available(now) || ends_before_shutdown(targets, options, target, now))
 }
 
 /// Chooses an engine among those that `may_use` admits. `None` means that none has capacity.
--- a/crates/mimosagap-routing/src/targets.rs
+++ b/crates/mimosagap-routing/src/targets.rs
@@ -201,6 +201,13 @@
         }
     }
 
+    /// Whether it can continue a stream that an engine of this version began. An engine whose version
+    /// is unknown continues none.
+    #[must_use]
+    pub fn has_version(&self, version: &SoftwareVersion) -> bool {
+        self.entry.version.as_ref() == Some(version)
+    }
+
     /// Whether new requests may be sent to it.
     #[must_use]
     pub fn is_available(&self, now: Duration) -> bool {
@@ -327,6 +334,7 @@
             let target = &mut self.targets[key];
             let is_same_process = target.entry.started_unix_ms == entry.started_unix_ms
                 && target.entry.address == entry.address
+                && target.entry.version == entry.version
                 && target.entry.service == entry.service;
             if is_same_process {
                 target.removed_at = None;
--- a/crates/mimosagap-routing/tests/support/options.rs
+++ b/crates/mimosagap-routing/tests/support/options.rs
@@ -15,6 +15,7 @@
 ) -> PlacementOptions<'a> {
     PlacementOptions {
         service,
+        version: None,
         demand: LONG_GENERATION,
         home_zone,
         max_queue_time: Duration::MAX,
