fix(gateway): a resumed stream goes on only at the version that began it

What callers saw: a stream that broke and was taken up again, at any host, went on at any version, with status 200 and nothing in the answer to show it.

The store now holds the versions at which streams of a service may have begun: a version is written there before the first stream begins (version_registry). With one, every stream is of that one; the read that confirms it runs beside the placement and the prompt. With several, hosts record in the store, when a resumable stream is sent, at which version (stream_origins); a host that did not send it reads the records. What cannot be told (version_unknown) or has no engine (version_gone) is refused at once as not run. Records are kept from the feed between hosts, and a watch that brought only records waits 250 ms.

--- a/crates/mimosagap-explain/src/cause.rs
+++ b/crates/mimosagap-explain/src/cause.rs
@@ -98,7 +98,8 @@
     match reason {
         RefusalReason::DeadlineAfterSend
         | RefusalReason::TargetAborted
-        | RefusalReason::QuarantinedAfterSend => MayHaveRun::Unknown,
+        | RefusalReason::QuarantinedAfterSend
+        | RefusalReason::VersionUnknownAfterSend => MayHaveRun::Unknown,
         _ => MayHaveRun::No,
     }
 }
@@ -132,6 +133,12 @@
         RefusalReason::Quarantined | RefusalReason::QuarantinedAfterSend => {
             "several targets crashed under it or under a part of its prompt"
         }
+        RefusalReason::VersionUnknown | RefusalReason::VersionUnknownAfterSend => {
+            "it resumes a stream, and the host could not tell which software version began it"
+        }
+        RefusalReason::VersionGone => {
+            "it resumes a stream, and no engine of the software version that began it was available"
+        }
         RefusalReason::ShuttingDown => "the host was shutting down and could not have finished it",
     }
 }
@@ -174,6 +181,14 @@
             "`suspect` names the request or the parts; `quarantined` and `target_crashed` lines with \
              them show the crashes"
         }
+        RefusalReason::VersionUnknown | RefusalReason::VersionUnknownAfterSend => {
+            "check the `sent` lines of the attempt in `resumes`, the `store` lines of its host and \
+             of this one, and `version_admitted`"
+        }
+        RefusalReason::VersionGone => {
+            "check the `version` of the `target_listed` lines and the `target_leaving` lines; the \
+             caller has to start the stream anew"
+        }
         RefusalReason::ShuttingDown => "none: another host serves the next attempt",
     }
 }
--- a/crates/mimosagap-gateway/src/log.rs
+++ b/crates/mimosagap-gateway/src/log.rs
@@ -197,6 +197,39 @@
         /// The request or the parts of prompts that are refused otherwise.
         what: String,
     },
+    /// Streams may begin at a version of a service from now on.
+    VersionAdmitted {
+        /// Name of the service.
+        service: &'a str,
+        /// Version of the software of its engines.
+        version: &'a str,
+        /// How this host learned of it.
+        source: &'a str,
+    },
+    /// A version of a service is forgotten, because no engine of it is left.
+    VersionRetired {
+        /// Name of the service.
+        service: &'a str,
+        /// Version of the software of its engines.
+        version: &'a str,
+    },
+    /// A request that resumes a stream is bound to the version that began it.
+    StreamResumed {
+        /// Attempt id, set by the caller anew for each retry.
+        id: &'a str,
+        /// Attempt that began the stream; empty if the caller names none.
+        resumes: &'a str,
+        /// Id of the last event that the caller has.
+        last_event: u64,
+        /// Service of the stream.
+        service: &'a str,
+        /// Version of the engine that began it.
+        version: &'a str,
+        /// How the version is known.
+        source: &'a str,
+        /// Milliseconds until it was known.
+        after_ms: u64,
+    },
     /// A request is sent to a target.
     Sent {
         /// Attempt id, set by the caller anew for each retry.
@@ -430,7 +463,8 @@
             Self::Move { .. }
             | Self::Handover { .. }
             | Self::StreamBroke { .. }
-            | Self::StreamWentOn { .. } => (6, "move"),
+            | Self::StreamWentOn { .. }
+            | Self::StreamResumed { .. } => (6, "move"),
             Self::TargetListed { .. }
             | Self::TargetLeaving { .. }
             | Self::TargetPauses { .. }
--- a/crates/mimosagap-gateway/src/metrics.rs
+++ b/crates/mimosagap-gateway/src/metrics.rs
@@ -133,6 +133,34 @@
     }
 }
 
+/// Metrics of streams that callers resume.
+#[derive(Clone)]
+pub struct ResumptionMetrics {
+    /// Requests that resume a stream, by how its version is known or why they are refused.
+    pub requests: IntCounterVec,
+    /// Segments of records of streams that were written to the store, by result.
+    pub records: IntCounterVec,
+}
+
+impl ResumptionMetrics {
+    fn new(registry: &Registry) -> Result<Self, prometheus::Error> {
+        Ok(Self {
+            requests: register_counters(
+                registry,
+                "mimosagap_resumed_streams_total",
+                "Requests that resume a stream",
+                &["source"],
+            )?,
+            records: register_counters(
+                registry,
+                "mimosagap_stream_records_total",
+                "Segments of records of streams written to the store",
+                &["result"],
+            )?,
+        })
+    }
+}
+
 /// All metrics of the gateway. [`LabelLimit`] bounds the number of series.
 #[derive(Clone)]
 pub struct GatewayMetrics {
@@ -158,6 +186,8 @@
     pub target_connections: IntCounterVec,
     /// What targets say in headers.
     pub target_signals: SignalMetrics,
+    /// Streams that callers resume.
+    pub resumptions: ResumptionMetrics,
     /// Requests in flight.
     pub in_flight: IntGauge,
     /// Open connections of callers.
@@ -204,6 +234,7 @@
             &["result"],
         )?;
         let target_signals = SignalMetrics::new(&registry)?;
+        let resumptions = ResumptionMetrics::new(&registry)?;
         let in_flight = register_gauge("mimosagap_in_flight", "Requests in flight")?;
         let config_version = register_gauge("mimosagap_config_version", "Configuration in force")?;
         let known_members =
@@ -264,6 +295,7 @@
             store_calls,
             target_connections,
             target_signals,
+            resumptions,
             in_flight,
             caller_connections,
             config_version,
--- a/crates/mimosagap-gateway/src/registration.rs
+++ b/crates/mimosagap-gateway/src/registration.rs
@@ -3,10 +3,10 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use mimosagap_platform::store::{self, StoreCall, StoreStatusError};
+use mimosagap_platform::store::{StoreCall, StoreStatusError};
 use mimosagap_routing::hosts::{HostCapacity, HostRecord};
-use mimosagap_routing::store_revision::StoreEra;
 
+use crate::lease::{HeldLease, grant_lease, renew_lease};
 use crate::log::LogEvent;
 use crate::state::{Gateway, STORE_UNREACHABLE, SharedGateway};
 use crate::store::{StoreClient, StoreError};
@@ -43,8 +43,7 @@
     let mut consecutive_failures = 0;
     loop {
         // A lease of an earlier era is gone, and its id may be another host's by now.
-        let era = gateway.with_state(|state| state.store_era.current());
-        lease = lease.filter(|lease| lease.era == era);
+        lease = lease.filter(|lease| lease.is_current(&gateway));
         if gateway.is_stopping() {
             if let Some(HeldLease { id, .. }) = lease {
                 // The lease expires by itself if the call fails.
@@ -52,7 +51,7 @@
             }
             return;
         }
-        match renew_lease(&gateway, &client, lease, &key, &value).await {
+        match keep_record(&gateway, &client, lease, &key, &value).await {
             Ok(renewed_lease) => {
                 lease = Some(renewed_lease);
                 consecutive_failures = 0;
@@ -88,46 +87,22 @@
     }
 }
 
-/// A lease that the store granted in an era.
-#[derive(Debug, Clone, Copy)]
-struct HeldLease {
-    id: u64,
-    era: StoreEra,
-}
-
 /// Renews the lease of this host's record, or takes a lease and writes the record.
-async fn renew_lease(
+async fn keep_record(
     gateway: &SharedGateway,
     client: &StoreClient,
     lease: Option<HeldLease>,
     key: &str,
     value: &[u8],
 ) -> Result<HeldLease, StoreError> {
-    let current_era = || gateway.with_state(|state| state.store_era.current());
     if let Some(lease) = lease {
-        let call = StoreCall::KeepAlive { lease: lease.id };
-        call_store(gateway, client, &call).await?;
-        return if lease.era == current_era() {
-            Ok(lease)
-        } else {
-            Err(StoreError::NewEra)
-        };
+        renew_lease(gateway, client, lease).await?;
+        return Ok(lease);
     }
-    let call = StoreCall::GrantLease {
-        ttl: HOST_LEASE_TTL,
-    };
-    let body = call_store(gateway, client, &call).await?;
-    let lease = HeldLease {
-        id: store::decode_lease(&body).map_err(StoreError::Decode)?,
-        era: current_era(),
-    };
-    let put = StoreCall::Put {
-        key: key.to_owned(),
-        value: value.to_vec(),
-        lease: lease.id,
-    };
+    let lease = grant_lease(gateway, client, HOST_LEASE_TTL).await?;
+    let put = StoreCall::put(key.to_owned(), value.to_vec(), lease.id);
     call_store(gateway, client, &put).await?;
-    if lease.era == current_era() {
+    if lease.is_current(gateway) {
         Ok(lease)
     } else {
         Err(StoreError::NewEra)
@@ -155,15 +130,9 @@
     client: &StoreClient,
     records: &[SuspicionRecord],
 ) -> Result<(), StoreError> {
-    let call = StoreCall::GrantLease { ttl: RECORD_TTL };
-    let body = call_store(gateway, client, &call).await?;
-    let lease = store::decode_lease(&body).map_err(StoreError::Decode)?;
+    let lease = grant_lease(gateway, client, RECORD_TTL).await?;
     for record in records {
-        let put = StoreCall::Put {
-            key: record.key.clone(),
-            value: record.value.clone(),
-            lease,
-        };
+        let put = StoreCall::put(record.key.clone(), record.value.clone(), lease.id);
         call_store(gateway, client, &put).await?;
     }
     Ok(())
--- a/crates/mimosagap-gateway/src/run.rs
+++ b/crates/mimosagap-gateway/src/run.rs
@@ -16,7 +16,7 @@
 use crate::metrics::GatewayMetrics;
 use crate::state::{Gateway, SharedGateway};
 use crate::store::StoreClient;
-use crate::{peers, registration, store_sync};
+use crate::{peers, registration, store_sync, stream_records, version_admission};
 
 /// Callers keep using an address for up to this many times its time to live.
 const ADDRESS_TTL_FACTOR: u32 = 2;
@@ -179,6 +179,16 @@
         Rc::clone(&gateway),
         registration_client,
     ));
+    let version_client = StoreClient::new(store_address, store_calls.clone());
+    tokio::task::spawn_local(version_admission::maintain_versions(
+        Rc::clone(&gateway),
+        version_client,
+    ));
+    let record_client = StoreClient::new(store_address, store_calls.clone());
+    tokio::task::spawn_local(stream_records::maintain_records(
+        Rc::clone(&gateway),
+        record_client,
+    ));
     let host = gateway.settings.host.as_str();
     let version = env!("CARGO_PKG_VERSION");
     gateway.log.event(&LogEvent::Started { host, version });
--- a/crates/mimosagap-gateway/src/state.rs
+++ b/crates/mimosagap-gateway/src/state.rs
@@ -17,8 +17,10 @@
 use mimosagap_routing::retry_budget::{RetryBounds, RetryBudget};
 use mimosagap_routing::shutdown::ShutdownWindow;
 use mimosagap_routing::store_revision::EraTracker;
+use mimosagap_routing::stream_origins::StreamOrigins;
 use mimosagap_routing::targets::{TargetKey, TargetTable};
 use mimosagap_routing::token_time::TokenTimeEstimator;
+use mimosagap_routing::version_registry::VersionRegistry;
 use mimosagap_routing::wait_queue::WaitQueue;
 use mimosagap_types::prelude::*;
 use rand::SeedableRng;
@@ -33,6 +35,8 @@
 use crate::pool::ConnectionPool;
 use crate::rate_permits::PermitClient;
 use crate::remote_placement::PlacementClient;
+use crate::resumption::OriginReader;
+use crate::store::StoreClient;
 use crate::suspicion::SuspicionExchange;
 use crate::target_notices::TargetNotice;
 
@@ -78,6 +82,8 @@
     pub last_ticket: u64,
     /// Memory budget of responses that are still being read.
     pub buffer_budget: BufferBudget,
+    /// At which version each stream began.
+    pub stream_origins: StreamOrigins,
 }
 
 /// A gateway process: settings, log, metrics, notifications between tasks, and state.
@@ -102,6 +108,12 @@
     pub registration_wakeup: Notify,
     /// Notified when requests are blocked that may be on their way.
     pub quarantine_changed: Notify,
+    /// Wakes the task that records streams in the store.
+    pub records_due: Notify,
+    /// Notified when records of streams were written to the store.
+    pub records_written: Notify,
+    /// Reads from the store where streams began.
+    pub origin_reader: OriginReader,
     /// What this host still has to tell of requests that crash targets.
     pub suspicions: SuspicionExchange,
     /// Notices of targets, to be sent to the other hosts.
@@ -136,6 +148,9 @@
         };
         let mut targets = TargetTable::with_regions(settings.zone_regions.clone());
         targets.set_drain_timeout(settings.bounds.drain_timeout);
+        *targets.versions_mut() = VersionRegistry::new(clock.since_boot());
+        let store_client = StoreClient::new(settings.store_address, metrics.store_calls.clone());
+        let origin_reader = OriginReader::new(store_client);
         let buffer_budget = BufferBudget::with_memory(settings.memory_bytes);
         Self {
             host_hash: stable_hash(&[settings.host.as_bytes()]),
@@ -148,6 +163,9 @@
             peer_update_due: Notify::new(),
             registration_wakeup: Notify::new(),
             quarantine_changed: Notify::new(),
+            records_due: Notify::new(),
+            records_written: Notify::new(),
+            origin_reader,
             suspicions: SuspicionExchange::default(),
             target_notices: NoticeQueue::default(),
             placer_rpc: PlacementClient::default(),
@@ -173,6 +191,7 @@
                 mirror: StoreMirror::default(),
                 last_ticket: 0,
                 buffer_budget,
+                stream_origins: StreamOrigins::default(),
             }),
             clock,
         }
--- a/crates/mimosagap-gateway/src/store_era.rs
+++ b/crates/mimosagap-gateway/src/store_era.rs
@@ -69,6 +69,8 @@
         state.store_recovered_at = Some(now);
     });
     gateway.suspicions.rewrite_records(now);
+    gateway.with_state(|state| state.stream_origins.mark_all_dirty());
+    gateway.records_due.notify_one();
     gateway.registration_wakeup.notify_one();
     let peers = gateway.with_state(|state| {
         let peers = state.hosts.live();
--- a/crates/mimosagap-gateway/src/store_sync.rs
+++ b/crates/mimosagap-gateway/src/store_sync.rs
@@ -24,8 +24,10 @@
     adopt_newer_config, call_store, is_restored_entry, listed_peers, observe_era,
     recheck_restored_entries,
 };
+use crate::stream_records::{self, STREAMS_PREFIX};
 use crate::suspicion::{self, SUSPICIONS_PREFIX};
 use crate::target_notices;
+use crate::version_admission::{self, VERSIONS_PREFIX};
 
 /// Prefix of all keys: one watch covers configuration, targets, hosts and suspicions.
 const ALL_KEYS_PREFIX: &str = "";
@@ -40,6 +42,10 @@
 /// Delay between two watches, so that one call returns the changes of several targets.
 const WATCH_DELAY: Duration = Duration::from_millis(80);
 
+/// Delay between two watches if the first one returned only records of streams, which come several
+/// times a second while engines of two versions serve.
+const RECORDS_WATCH_DELAY: Duration = Duration::from_millis(250);
+
 /// Delay after a full read. Many hosts may start at once, and each of their records would otherwise
 /// cost a watch of its own.
 const FULL_READ_DELAY: Duration = Duration::from_millis(600);
@@ -147,22 +153,18 @@
     async fn poll_store(&mut self) {
         let era = self.gateway.with_state(|state| state.store_era.current());
         let known_revision = self.revision.filter(|revision| revision.era == era);
-        let needs_full_read = known_revision.is_none();
         let result = match known_revision {
-            None => read_all_keys(&self.gateway, &self.client).await,
+            None => read_all_keys(&self.gateway, &self.client)
+                .await
+                .map(|revision| (revision, FULL_READ_DELAY)),
             Some(after) => watch_changes(&self.gateway, &self.client, after).await,
         };
         match result {
-            Ok(revision) => {
+            Ok((revision, delay)) => {
                 self.revision = Some(revision);
                 self.consecutive_failures = 0;
                 self.source_selector.record_store_success();
                 self.set_reachable(true, String::new());
-                let delay = if needs_full_read {
-                    FULL_READ_DELAY
-                } else {
-                    WATCH_DELAY
-                };
                 tokio::time::sleep(delay).await;
             }
             Err(StoreError::Rejected(StoreStatusError::HistoryGone) | StoreError::NewEra) => {
@@ -212,12 +214,17 @@
     gateway.with_state(|state| state.config.confirm_by_watch(polled_at));
 }
 
-/// Applies changes, adds them to the mirror and wakes the tasks that wait for changes.
+/// Applies changes, adds them to the mirror and wakes the tasks that wait for changes. Records of
+/// streams are not served to other hosts: those that need one read it from the store.
 fn apply_changes(gateway: &SharedGateway, changes: &[StoreChange], revision: StoreRevision) {
     let outcome = dispatch_changes(gateway, changes, revision.era);
+    if has_only_stream_records(changes) {
+        return;
+    }
+    let mirrored = without_stream_records(changes);
     gateway.with_state(|state| {
         let kept = outcome.kept_config(state.mirror.value(names::CONFIG_KEY));
-        state.mirror.apply(changes, revision.number);
+        state.mirror.apply(&mirrored, revision.number);
         if let Some(value) = kept {
             state.mirror.keep_value(names::CONFIG_KEY, value);
         }
@@ -232,7 +239,8 @@
     remove_unlisted(gateway, &keys);
     gateway.with_state(|state| {
         let kept = outcome.kept_config(state.mirror.value(names::CONFIG_KEY));
-        state.mirror.reset(items, revision);
+        let mirrored = without_stream_records(items);
+        state.mirror.reset(&mirrored, revision);
         if let Some(value) = kept {
             state.mirror.keep_value(names::CONFIG_KEY, value);
         }
@@ -240,6 +248,20 @@
     gateway.store_changed.notify_waiters();
 }
 
+fn is_stream_record(change: &StoreChange) -> bool {
+    change.key.starts_with(STREAMS_PREFIX)
+}
+
+/// Whether there are changes, and all of them are records of streams.
+fn has_only_stream_records(changes: &[StoreChange]) -> bool {
+    !changes.is_empty() && changes.iter().all(is_stream_record)
+}
+
+fn without_stream_records(changes: &[StoreChange]) -> Vec<StoreChange> {
+    let others = changes.iter().filter(|change| !is_stream_record(change));
+    others.cloned().collect()
+}
+
 /// What a batch of changes says about the configuration.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ConfigOutcome {
@@ -264,18 +286,18 @@
     gateway.with_state(|state| delay.mul_f64(state.rng.random_range(0.7..1.3)))
 }
 
-/// Reads all keys. Returns the revision from which changes follow.
-async fn read_all_keys(
+/// Reads all items under a prefix. Returns them with the revision from which changes follow.
+pub async fn read_range(
     gateway: &SharedGateway,
     client: &StoreClient,
-) -> Result<StoreRevision, StoreError> {
-    let requested_at = gateway.now();
+    prefix: &str,
+) -> Result<(Vec<StoreChange>, u64), StoreError> {
     let mut after = String::new();
     let mut first_revision = None;
     let mut items = Vec::new();
     loop {
         let call = StoreCall::Range {
-            prefix: ALL_KEYS_PREFIX.to_owned(),
+            prefix: prefix.to_owned(),
             after,
         };
         let era = gateway.with_state(|state| state.store_era.current());
@@ -290,11 +312,20 @@
         items.extend(page.changes);
         match last_key {
             Some(last_key) if page.has_more => after = last_key,
-            _ => break,
+            _ => return Ok((items, first_revision.unwrap_or(0))),
         }
     }
+}
+
+/// Reads all keys. Returns the revision from which changes follow.
+async fn read_all_keys(
+    gateway: &SharedGateway,
+    client: &StoreClient,
+) -> Result<StoreRevision, StoreError> {
+    let requested_at = gateway.now();
+    let (items, first_revision) = read_range(gateway, client, ALL_KEYS_PREFIX).await?;
     let era = gateway.with_state(|state| state.store_era.current());
-    let revision = StoreRevision::new(era, first_revision.unwrap_or(0));
+    let revision = StoreRevision::new(era, first_revision);
     end_outage(gateway);
     if gateway.config().is_none() {
         // The store may have come back from a copy just now, and other hosts know better.
@@ -308,11 +339,13 @@
     Ok(revision)
 }
 
+/// Waits for changes after a revision and applies them. Returns the revision that they reach, and the
+/// delay before the next watch.
 async fn watch_changes(
     gateway: &SharedGateway,
     client: &StoreClient,
     after: StoreRevision,
-) -> Result<StoreRevision, StoreError> {
+) -> Result<(StoreRevision, Duration), StoreError> {
     let requested_at = gateway.now();
     let call = StoreCall::Watch {
         prefix: ALL_KEYS_PREFIX.to_owned(),
@@ -329,7 +362,12 @@
     end_outage(gateway);
     apply_changes(gateway, &changes.changes, revision);
     gateway.with_state(|state| state.config.confirm_by_watch(requested_at));
-    Ok(revision)
+    let delay = if has_only_stream_records(&changes.changes) {
+        RECORDS_WATCH_DELAY
+    } else {
+        WATCH_DELAY
+    };
+    Ok((revision, delay))
 }
 
 fn decode(body: &[u8]) -> Result<ChangeBatch, StoreError> {
@@ -371,6 +409,13 @@
         } else if let Some(name) = change.key.strip_prefix(HOSTS_PREFIX) {
             let revision = StoreRevision::new(era, change.revision);
             apply_host(gateway, name, change.value.as_deref(), revision);
+        } else if change.key.starts_with(VERSIONS_PREFIX) {
+            version_admission::apply_version(gateway, &change.key, change.value.as_deref());
+        } else if change.key.starts_with(STREAMS_PREFIX) {
+            // A record that was removed or whose lease ended is needed no longer.
+            if let Some(value) = &change.value {
+                stream_records::apply_record(gateway, value);
+            }
         } else if change.key.starts_with(SUSPICIONS_PREFIX)
             && let Some(value) = &change.value
         {
@@ -535,6 +580,7 @@
 
 /// Removes the targets and hosts that a full read did not list.
 fn remove_unlisted(gateway: &SharedGateway, keys: &HashSet<String>) {
+    version_admission::note_unlisted(gateway, |key| keys.contains(key));
     let (instances, hosts) = gateway.with_state(|state| {
         let instances: Vec<String> = state
             .targets
--- a/crates/mimosagap-gateway/src/stream_relay.rs
+++ b/crates/mimosagap-gateway/src/stream_relay.rs
@@ -19,6 +19,7 @@
 use crate::load_reservation::LoadReservation;
 use crate::log::{LogEvent, STREAM_COMPLETE};
 use crate::request::RoutedRequest;
+use crate::resumption;
 use crate::sse::StreamEvent;
 use crate::standby::{CopyJob, StandbyCopy, create_standby, release_standby};
 use crate::state::{SharedGateway, millis};
@@ -153,6 +154,7 @@
             self.reservation.record_outcome(TargetOutcome::Completed);
             self.record_proof();
             self.record_length();
+            resumption::note_complete(&self.gateway, &self.request);
             // This fails only if the caller has left, and then no end is needed.
             let _ = self.part_sender.send(StreamPart::End).await;
             if let Some(source) = self.source.take() {
--- a/crates/mimosagap-gateway/src/streams.rs
+++ b/crates/mimosagap-gateway/src/streams.rs
@@ -31,6 +31,7 @@
 use crate::remote_placement::{self, PlacementOutcome};
 use crate::request::RoutedRequest;
 use crate::response::{ResponseBody, forwarded_head, refusal_response};
+use crate::resumption::{self, StreamStart};
 use crate::sse::StreamEvent;
 use crate::state::{GatewayState, SharedGateway, millis};
 use crate::stream_relay::StreamRelay;
@@ -68,9 +69,16 @@
 /// rest.
 pub async fn handle_stream(
     gateway: &SharedGateway,
-    request: RoutedRequest,
+    mut request: RoutedRequest,
     in_flight: InFlightGuard,
 ) -> Response<ResponseBody> {
+    let start = match resumption::resolve(gateway, &request).await {
+        Ok(start) => start,
+        Err(reason) => return refusal_response(gateway, (&request).into(), reason),
+    };
+    if let Some(origin) = start.origin() {
+        request.service = origin.service.clone();
+    }
     let request = Rc::new(request);
     let demand = estimate_demand(gateway, &request);
     let mut has_sent = false;
@@ -78,14 +86,14 @@
     // to answer.
     let outcome = tokio::select! {
         biased;
-        () = suspicion::blocked(gateway, &request) => None,
-        outcome = start_stream(gateway, &request, demand, &mut has_sent) => Some(outcome),
+        () = suspicion::blocked(gateway, &request) => Err(RefusalReason::Quarantined),
+        outcome = start_confirmed(gateway, &request, demand, &start, &mut has_sent) => outcome,
     };
-    let outcome = outcome.unwrap_or_else(|| {
+    let outcome = outcome.unwrap_or_else(|reason| {
         StartOutcome::Refused(if has_sent {
-            RefusalReason::QuarantinedAfterSend
+            reason.after_send()
         } else {
-            RefusalReason::Quarantined
+            reason
         })
     });
     match outcome {
@@ -128,11 +136,29 @@
     Stream(Box<StartedStream>),
 }
 
-/// Sends a generation to engines until one produces the first event.
+/// Starts a stream while the store confirms the version that it resumes at.
+async fn start_confirmed(
+    gateway: &SharedGateway,
+    request: &Rc<RoutedRequest>,
+    demand: GenerationDemand,
+    start: &StreamStart,
+    has_sent: &mut bool,
+) -> Result<StartOutcome, RefusalReason> {
+    let version = start.origin().map(|origin| &origin.version);
+    let (outcome, ()) = tokio::try_join!(
+        async { Ok(start_stream(gateway, request, demand, version, has_sent).await) },
+        resumption::confirm(gateway, request, start),
+    )?;
+    Ok(outcome)
+}
+
+/// Sends a generation to engines until one produces the first event; one that resumes a stream goes
+/// to engines of its version only.
 async fn start_stream(
     gateway: &SharedGateway,
     request: &Rc<RoutedRequest>,
     demand: GenerationDemand,
+    version: Option<&SoftwareVersion>,
     has_sent: &mut bool,
 ) -> StartOutcome {
     let mut tried = Vec::new();
@@ -146,10 +172,15 @@
         return StartOutcome::Refused(RefusalReason::ShuttingDown);
     }
     let reason = loop {
-        let placement = match find_engine(gateway, request, demand, None, &tried).await {
+        let placement = match find_engine(gateway, request, demand, version, &tried).await {
             Ok(placement) => placement,
             Err(reason) => break reason,
         };
+        let target = placement.target;
+        if !resumption::note_send(gateway, request, target).await {
+            tried.push(target);
+            continue;
+        }
         if sends == 0 {
             if !std::mem::replace(&mut is_counted, true) {
                 gateway.count_request(&request.service);
@@ -159,7 +190,6 @@
         }
         sends += 1;
         *has_sent = true;
-        let target = placement.target;
         let reservation =
             LoadReservation::for_stream(gateway, target, &demand, demand.prompt_tokens);
         let timeout = request.response_time_left(gateway.now());
@@ -439,7 +469,10 @@
             return Err(RefusalReason::RateLimited);
         }
         if !has_available {
-            return Err(RefusalReason::NoTarget);
+            return Err(match version {
+                Some(_) => RefusalReason::VersionGone,
+                None => RefusalReason::NoTarget,
+            });
         }
         let queue: &mut WaitQueue = state
             .wait_queues
--- a/crates/mimosagap-gateway/tests/log.rs
+++ b/crates/mimosagap-gateway/tests/log.rs
@@ -291,6 +291,24 @@
             silent_ms: 1,
             is_running: true,
         },
+        LogEvent::VersionAdmitted {
+            service: "s",
+            version: "v1",
+            source: "store",
+        },
+        LogEvent::VersionRetired {
+            service: "s",
+            version: "v1",
+        },
+        LogEvent::StreamResumed {
+            id: "b",
+            resumes: "a",
+            last_event: 1,
+            service: "s",
+            version: "v1",
+            source: "memory",
+            after_ms: 1,
+        },
         LogEvent::StreamWentOn {
             id: "a",
             target: "i-1",
--- a/crates/mimosagap-routing/src/placement.rs
+++ b/crates/mimosagap-routing/src/placement.rs
@@ -199,6 +199,15 @@
             .is_some_and(|(time, until)| end(time) < until)
 }
 
+/// Whether an engine has the version that began the generation, or one at which it may begin.
+fn may_run(targets: &TargetTable, options: &PlacementOptions<'_>, target: &Target) -> bool {
+    match (options.version, &target.entry.version) {
+        (Some(version), _) => target.has_version(version),
+        (None, Some(version)) => targets.versions().is_admitted(options.service, version),
+        (None, None) => false,
+    }
+}
+
 /// Whether this host may send a generation to an engine. A host that has just started does not know
 /// which engines announced that they leave, so the host that sends judges its choice by this, too.
 #[must_use]
@@ -208,9 +217,7 @@
     target: &Target,
     now: Duration,
 ) -> bool {
-    options
-        .version
-        .is_none_or(|version| target.has_version(version))
+    may_run(targets, options, target)
         && (target.is_available(now) || ends_before_shutdown(targets, options, target, now))
 }
 
--- a/crates/mimosagap-routing/src/refusal.rs
+++ b/crates/mimosagap-routing/src/refusal.rs
@@ -37,13 +37,19 @@
     Quarantined,
     /// Like [`Self::Quarantined`], but the request was sent before.
     QuarantinedAfterSend,
+    /// The request resumes a stream, and the version of the engine that began it cannot be told.
+    VersionUnknown,
+    /// Like [`Self::VersionUnknown`], but the request was sent before.
+    VersionUnknownAfterSend,
+    /// The request resumes a stream, and no engine of the version that began it is available.
+    VersionGone,
     /// The host is shutting down and cannot finish a request of this length in time.
     ShuttingDown,
 }
 
 impl RefusalReason {
     /// All reasons, in the order of their declaration.
-    pub const ALL: [Self; 16] = [
+    pub const ALL: [Self; 19] = [
         Self::NoConfig,
         Self::StaleConfig,
         Self::NoRoute,
@@ -59,6 +65,9 @@
         Self::TargetAborted,
         Self::Quarantined,
         Self::QuarantinedAfterSend,
+        Self::VersionUnknown,
+        Self::VersionUnknownAfterSend,
+        Self::VersionGone,
         Self::ShuttingDown,
     ];
 
@@ -79,13 +88,18 @@
             | Self::RateLimited
             | Self::TargetsRejected
             | Self::DeadlineBeforeSend
+            | Self::VersionUnknown
+            | Self::VersionGone
             | Self::ShuttingDown => 503,
             Self::NoRoute => 404,
             Self::UnknownKey => 401,
             Self::Malformed => 400,
             Self::BodyTooLong => 413,
             Self::DeadlineAfterSend => 504,
-            Self::TargetAborted | Self::Quarantined | Self::QuarantinedAfterSend => 502,
+            Self::TargetAborted
+            | Self::Quarantined
+            | Self::QuarantinedAfterSend
+            | Self::VersionUnknownAfterSend => 502,
         }
     }
 
@@ -108,10 +122,23 @@
             Self::TargetAborted => "target_broke",
             Self::Quarantined => "quarantined",
             Self::QuarantinedAfterSend => "quarantined_sent",
+            Self::VersionUnknown => "version_unknown",
+            Self::VersionUnknownAfterSend => "version_unknown_sent",
+            Self::VersionGone => "version_gone",
             Self::ShuttingDown => "leaving",
         }
     }
 
+    /// The reason if the request was sent before.
+    #[must_use]
+    pub fn after_send(self) -> Self {
+        match self {
+            Self::Quarantined => Self::QuarantinedAfterSend,
+            Self::VersionUnknown => Self::VersionUnknownAfterSend,
+            other => other,
+        }
+    }
+
     /// Whether the request is refused because targets crashed under it.
     #[must_use]
     pub fn is_quarantine(self) -> bool {
@@ -130,6 +157,10 @@
             Self::NoTarget | Self::RateLimited | Self::TargetsRejected => {
                 Some(backoff_remaining.max(Duration::from_millis(400)))
             }
+            // By then the host that began the stream has recorded it.
+            Self::VersionUnknown => Some(Duration::from_millis(600)),
+            // An engine that crashed may start again with the same version.
+            Self::VersionGone => Some(backoff_remaining.max(Duration::from_secs(2))),
             Self::Overload => Some(backoff_remaining.max(Duration::from_millis(1500))),
             _ => None,
         }
--- a/crates/mimosagap-routing/src/targets.rs
+++ b/crates/mimosagap-routing/src/targets.rs
@@ -12,6 +12,7 @@
 use crate::rate_keeper::RateKeeper;
 use crate::rate_limit::{RateChange, RateStatement, TargetRate};
 use crate::target_backoff::TargetBackoff;
+use crate::version_registry::{RegistryStep, VersionRegistry};
 
 new_key_type! {
     /// Key of a target in a [`TargetTable`]; not reused after the target is deleted.
@@ -234,10 +235,16 @@
             && self.rate.hold_time(now).is_zero()
     }
 
+    /// Whether its entry has vanished.
+    #[must_use]
+    pub fn is_removed(&self, now: Duration) -> bool {
+        self.removed_at.is_some_and(|at| now >= at)
+    }
+
     /// Whether it is draining or removed.
     #[must_use]
     pub fn is_leaving(&self, now: Duration) -> bool {
-        self.draining_since.is_some() || self.removed_at.is_some_and(|at| now >= at)
+        self.draining_since.is_some() || self.is_removed(now)
     }
 
     /// Load caused by all hosts, as far as this host knows.
@@ -297,6 +304,8 @@
     drain_times: HashMap<DeploymentName, DrainTimes>,
     /// Time after its notice for which a draining engine is used at most.
     max_drain_use: Duration,
+    /// Software versions at which streams may begin.
+    versions: VersionRegistry,
 }
 
 impl TargetTable {
@@ -309,6 +318,25 @@
         }
     }
 
+    /// Software versions at which streams may begin.
+    #[must_use]
+    pub fn versions(&self) -> &VersionRegistry {
+        &self.versions
+    }
+
+    /// Software versions at which streams may begin, to change them.
+    pub fn versions_mut(&mut self) -> &mut VersionRegistry {
+        &mut self.versions
+    }
+
+    /// Compares the admitted versions with the listed engines. Returns what is due.
+    pub fn update_versions(&mut self, now: Duration) -> Vec<RegistryStep> {
+        let mut versions = std::mem::take(&mut self.versions);
+        let steps = versions.update(self, now);
+        self.versions = versions;
+        steps
+    }
+
     /// Distance between two zones. A zone without a known region is in a region of its own.
     #[must_use]
     pub fn locality_between(&self, first: &ZoneName, second: &ZoneName) -> Locality {
--- a/crates/mimosagap-routing/tests/support/mod.rs
+++ b/crates/mimosagap-routing/tests/support/mod.rs
@@ -61,6 +61,9 @@
             kv_copy_ttl: Duration::from_secs(5),
         },
     )]));
+    let version = SoftwareVersion::new("v1");
+    let versions = targets.versions_mut();
+    versions.admit((service(), version), Duration::ZERO);
     let keys = zones
         .iter()
         .zip(0..)
--- a/crates/mimosagap-soak/src/client.rs
+++ b/crates/mimosagap-soak/src/client.rs
@@ -52,7 +52,10 @@
 const CRASHING_REQUEST_INTERVAL: Duration = Duration::from_millis(600);
 
 /// Longest pause before a client resumes a stream.
-const MAX_RESUME_PAUSE: Duration = Duration::from_secs(8);
+const MAX_RESUME_PAUSE: Duration = Duration::from_secs(9);
+
+/// How often a client that pauses looks whether the run ends.
+const STOP_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
 /// How long a client waits for a stream that it resumes, over all attempts.
 const RESUMABLE_TIMEOUT: Duration = Duration::from_secs(12);
@@ -434,7 +437,10 @@
             if attempt_stream(&context, &targets, &mut rng, &mut transcript, time_left).await {
                 break;
             }
-            tokio::time::sleep(MAX_RESUME_PAUSE.mul_f64(rng.random())).await;
+            let resumes_at = Instant::now() + MAX_RESUME_PAUSE.mul_f64(rng.random());
+            while Instant::now() < resumes_at && !context.is_stopping.get() {
+                tokio::time::sleep(STOP_POLL_INTERVAL).await;
+            }
         }
         if let Some(id) = transcript.first_attempt()
             && transcript.is_joined()
--- a/crates/mimosagap-soak/src/plan.rs
+++ b/crates/mimosagap-soak/src/plan.rs
@@ -159,8 +159,8 @@
 
 /// Engines of [`FaultPlan::with_versions`], the clients that resume its streams, the time between two
 /// upgrades, and from the notice of an engine until it is stopped.
-const VERSION_ENGINES: usize = 6;
-const RESUMING_CLIENTS: usize = 40;
+const VERSION_ENGINES: usize = 8;
+const RESUMING_CLIENTS: usize = 64;
 const UPGRADE_INTERVAL: Duration = Duration::from_millis(200);
 const DRAIN_NOTICE: Duration = Duration::from_secs(2);
 
@@ -289,7 +289,7 @@
             at,
             fault: Fault::KillAll,
         };
-        let (first, second) = (length / 8, length / 2);
+        let (first, second) = (length / 8, length * 5 / 8);
         let pause = UPGRADE_INTERVAL;
         let mut steps = vec![kill(length / 4), kill(second + DRAIN_NOTICE)];
         steps.extend(
--- a/crates/mimosagap-soak/src/standins/store.rs
+++ b/crates/mimosagap-soak/src/standins/store.rs
@@ -399,7 +399,7 @@
         }
     }
 
-    /// Writes the keys of a transaction in order, until one names an unknown lease.
+    /// Writes the keys of a transaction in order, until one names an unknown lease, and removes others.
     fn commit_puts(&self, document: &Value) -> (StatusCode, Value) {
         for put in document["set_keys"].as_array().into_iter().flatten() {
             let lease = put["lease"].as_u64().unwrap_or(0);
@@ -410,6 +410,9 @@
             let value = STANDARD.decode(put["value"].as_str().unwrap_or_default());
             self.write(key, value.unwrap_or_default(), lease);
         }
+        for key in document["remove"].as_array().into_iter().flatten() {
+            self.delete(key.as_str().unwrap_or_default());
+        }
         (StatusCode::OK, json!({"revision": self.revision.get()}))
     }
 }
