--- a/crates/mimosagap-gateway/src/exchange.rs
+++ b/crates/mimosagap-gateway/src/exchange.rs
@@ -16,7 +16,6 @@
 use mimosagap_routing::prompt::describe_parts;
 use mimosagap_routing::rate_keeper::PermitClass;
 use mimosagap_routing::targets::{TargetEntry, TargetKey, TargetOutcome};
-use mimosagap_types::prelude::*;
 
 use crate::body_reader::BodyError;
 use crate::connection::{HttpConnection, SendError};
@@ -334,7 +333,7 @@
         request: request.traits.fingerprint.to_string(),
         parts: describe_parts(&request.head.prompt_parts),
         target: &entry.instance,
-        version: entry.version.as_ref().map_or("", SoftwareVersion::as_str),
+        version: entry.version.as_str(),
         resumes: request.head.resumed_attempt.as_deref().unwrap_or(""),
         last_event: options
             .continuation
--- a/crates/mimosagap-gateway/src/log.rs
+++ b/crates/mimosagap-gateway/src/log.rs
@@ -91,7 +91,7 @@
         target: &'a str,
         /// Socket address of the target.
         address: String,
-        /// Version of its software; empty if its entry names none.
+        /// Version of its software.
         version: &'a str,
     },
     /// A target is leaving or was removed.
@@ -240,7 +240,7 @@
         parts: String,
         /// Instance name of the target.
         target: &'a str,
-        /// Version of the target's software; empty if its entry names none.
+        /// Version of the target's software.
         version: &'a str,
         /// Attempt that began the stream which this one continues; empty if it starts a new one.
         resumes: &'a str,
--- a/crates/mimosagap-gateway/src/state.rs
+++ b/crates/mimosagap-gateway/src/state.rs
@@ -240,9 +240,9 @@
         })
     }
 
-    /// Version of the software of a target; `None` if its entry names none or it is unknown.
+    /// Version of the software of a target; `None` if another process has taken its place.
     pub fn software_version(&self, key: TargetKey) -> Option<SoftwareVersion> {
-        self.with_state(|state| state.targets.get(key)?.entry.version.clone())
+        self.with_state(|state| Some(state.targets.get(key)?.entry.version.clone()))
     }
 
     /// Counts the first send of a request, which adds to the retry budget of its service.
--- a/crates/mimosagap-gateway/src/store_sync.rs
+++ b/crates/mimosagap-gateway/src/store_sync.rs
@@ -12,7 +12,6 @@
 use mimosagap_routing::hosts::{self, HostRecord};
 use mimosagap_routing::store_revision::{EraObservation, StoreEra, StoreRevision};
 use mimosagap_routing::targets;
-use mimosagap_types::prelude::*;
 use rand::Rng;
 
 use crate::change_feed::{FeedClient, FeedError, FeedResponse};
@@ -541,7 +540,7 @@
         gateway.log.event(&LogEvent::TargetListed {
             target: instance,
             address: address.to_string(),
-            version: version.as_ref().map_or("", SoftwareVersion::as_str),
+            version: version.as_str(),
         });
         gateway.capacity_freed.notify_waiters();
     }
--- a/crates/mimosagap-routing/src/migration.rs
+++ b/crates/mimosagap-routing/src/migration.rs
@@ -146,7 +146,7 @@
     now: Duration,
 ) -> Option<TargetKey> {
     let engine_spec = targets.engine_spec(service)?;
-    let version = source.entry.version.as_ref()?;
+    let version = &source.entry.version;
     let may_leave_region = source
         .draining_since
         .is_some_and(|since| now >= since + OTHER_REGION_COPY_DELAY);
--- a/crates/mimosagap-routing/src/placement.rs
+++ b/crates/mimosagap-routing/src/placement.rs
@@ -201,10 +201,11 @@
 
 /// Whether an engine has the version that began the generation, or one at which it may begin.
 fn may_run(targets: &TargetTable, options: &PlacementOptions<'_>, target: &Target) -> bool {
-    match (options.version, &target.entry.version) {
-        (Some(version), _) => target.has_version(version),
-        (None, Some(version)) => targets.versions().is_admitted(options.service, version),
-        (None, None) => false,
+    match options.version {
+        Some(version) => target.has_version(version),
+        None => targets
+            .versions()
+            .is_admitted(options.service, &target.entry.version),
     }
 }
 
--- a/crates/mimosagap-routing/src/targets.rs
+++ b/crates/mimosagap-routing/src/targets.rs
@@ -76,8 +76,8 @@
     pub address: SocketAddr,
     /// The availability zone of the target.
     pub zone: ZoneName,
-    /// Version of its software; `None` if its entry names none.
-    pub version: Option<SoftwareVersion>,
+    /// Version of its software; versions have no order.
+    pub version: SoftwareVersion,
     /// Number of requests that it runs concurrently.
     pub slots: u32,
     /// Whether it has announced its termination.
@@ -202,11 +202,10 @@
         }
     }
 
-    /// Whether it can continue a stream that an engine of this version began. An engine whose version
-    /// is unknown continues none.
+    /// Whether it can continue a stream that an engine of this version began.
     #[must_use]
     pub fn has_version(&self, version: &SoftwareVersion) -> bool {
-        self.entry.version.as_ref() == Some(version)
+        self.entry.version == *version
     }
 
     /// Whether new requests may be sent to it.
--- a/crates/mimosagap-routing/src/version_registry.rs
+++ b/crates/mimosagap-routing/src/version_registry.rs
@@ -144,9 +144,7 @@
         let mut available = BTreeMap::new();
         for (_, target) in targets.iter() {
             let service = &target.entry.service;
-            let Some(version) = &target.entry.version else {
-                continue;
-            };
+            let version = &target.entry.version;
             if targets.engine_spec(service).is_none() || target.is_removed(now) {
                 continue;
             }
