fix(routing): short streams are not recorded, and records do not delay other changes

Cause: each resumable stream was written to the store as it was sent, 70 to 130 writes a second from 63 to 85 hosts; the watches of all readers fell up to ten seconds behind (target_leaving lines of seed 1: 42.2 s for an entry of 33.1 s, on all hosts). 10,100 to 16,900 calls to the store, 1,825 before.

A stream is now recorded if it still runs some time after its send, 6 ms for each host and half a second at most, and a batch of 16 or more changes is followed by the next watch at once. Streams of the soak have the length that their hint asks for; those that clients resume have 60 events.

--- a/crates/mimosagap-gateway/src/resumption.rs
+++ b/crates/mimosagap-gateway/src/resumption.rs
@@ -10,7 +10,7 @@
 
 use mimosagap_routing::config::RouteKind;
 use mimosagap_routing::refusal::RefusalReason;
-use mimosagap_routing::stream_origins::{StreamId, StreamOrigin};
+use mimosagap_routing::stream_origins::{StreamId, StreamOrigin, record_delay};
 use mimosagap_routing::targets::TargetKey;
 use tokio::sync::Mutex;
 use tokio::time::timeout;
@@ -57,7 +57,8 @@
         for change in &versions {
             apply_version(gateway, &change.key, change.value.as_deref());
         }
-        let is_any_mixed = gateway.with_state(|state| state.targets.versions().has_several());
+        let is_any_mixed =
+            gateway.with_state(|state| state.targets.versions().mixed_services().next().is_some());
         if is_any_mixed {
             let (records, _) = read_range(gateway, &client, STREAMS_PREFIX).await?;
             for record in records.iter().filter_map(|change| change.value.as_deref()) {
@@ -266,21 +267,17 @@
         .into_iter()
         .flatten()
     {
-        let (is_noted, is_due) = gateway.with_state(|state| {
+        let is_noted = gateway.with_state(|state| {
             let origins = &mut state.stream_origins;
-            let is_noted = origins
-                .note_sent(id, origin.clone(), expires_at, now)
-                .is_ok();
-            if !is_noted {
+            let noted = origins.note_sent(id, origin.clone(), expires_at, now);
+            if noted.is_err() {
                 origins.replace(id, origin.clone());
             } else if state.targets.versions().is_mixed(&origin.service) {
-                origins.record(id);
+                origins.schedule(id, now + record_delay(state.hosts.len()));
             }
-            (is_noted, origins.has_writes())
+            noted.is_ok()
         });
-        if is_due {
-            gateway.records_due.notify_one();
-        }
+        gateway.records_due.notify_one();
         if !is_noted && !is_stored_in_time(gateway, id).await {
             return false;
         }
--- a/crates/mimosagap-gateway/src/store_sync.rs
+++ b/crates/mimosagap-gateway/src/store_sync.rs
@@ -45,6 +45,9 @@
 /// times a second while engines of two versions serve.
 const RECORDS_WATCH_DELAY: Duration = Duration::from_millis(250);
 
+/// Number of changes from which a batch may be one of several, so that the next watch does not wait.
+const FULL_BATCH_CHANGES: usize = 16;
+
 /// Delay after a full read. Many hosts may start at once, and each of their records would otherwise
 /// cost a watch of its own.
 const FULL_READ_DELAY: Duration = Duration::from_millis(600);
@@ -361,7 +364,9 @@
     end_outage(gateway);
     apply_changes(gateway, &changes.changes, revision);
     gateway.with_state(|state| state.config.confirm_by_watch(requested_at));
-    let delay = if has_only_stream_records(&changes.changes) {
+    let delay = if changes.changes.len() < FULL_BATCH_CHANGES
+        && has_only_stream_records(&changes.changes)
+    {
         RECORDS_WATCH_DELAY
     } else {
         WATCH_DELAY
--- a/crates/mimosagap-gateway/src/stream_records.rs
+++ b/crates/mimosagap-gateway/src/stream_records.rs
@@ -51,17 +51,36 @@
         consecutive_failures: 0,
     };
     loop {
-        let is_due = timeout(RENEWAL_INTERVAL, writer.gateway.records_due.notified()).await;
+        writer.wait_until_due().await;
         if let Err(error) = writer.write_due().await {
             writer.note_failure(&error).await;
         }
-        if is_due.is_ok() {
-            tokio::time::sleep(WRITE_INTERVAL).await;
-        }
+        tokio::time::sleep(WRITE_INTERVAL).await;
     }
 }
 
 impl RecordWriter {
+    /// Waits until segments are to be written or the lease is to be renewed.
+    async fn wait_until_due(&self) {
+        let gateway = &self.gateway;
+        loop {
+            let records_due = gateway.records_due.notified();
+            let (has_writes, next_record_at) = gateway.with_state(|state| {
+                let origins = &mut state.stream_origins;
+                origins.record_due(gateway.now());
+                (origins.has_writes(), origins.next_record_at())
+            });
+            if has_writes {
+                return;
+            }
+            let wait =
+                next_record_at.map_or(RENEWAL_INTERVAL, |at| at.saturating_sub(gateway.now()));
+            if timeout(wait, records_due).await.is_err() && next_record_at.is_none() {
+                return;
+            }
+        }
+    }
+
     /// Keeps the lease while records are needed, and writes the segments that changed.
     async fn write_due(&mut self) -> Result<(), StoreError> {
         let now = self.gateway.now();
--- a/crates/mimosagap-gateway/src/version_admission.rs
+++ b/crates/mimosagap-gateway/src/version_admission.rs
@@ -1,5 +1,6 @@
 //! Admits software versions in the store, before any stream begins there.
 
+use std::collections::HashSet;
 use std::time::Duration;
 
 use mimosagap_platform::store::StoreCall;
@@ -36,11 +37,12 @@
 
 /// Admits and retires versions until the process ends.
 pub async fn maintain_versions(gateway: SharedGateway, client: StoreClient) {
+    let mut mixed_services = HashSet::new();
     loop {
         let store_changed = gateway.store_changed.notified();
         let now = gateway.now();
         let steps = gateway.with_state(|state| state.targets.update_versions(now));
-        record_mixed_services(&gateway);
+        record_mixed_services(&gateway, &mut mixed_services);
         let mut has_failed = false;
         for step in steps {
             has_failed |= take_step(&gateway, &client, step).await.is_err();
@@ -54,17 +56,18 @@
     }
 }
 
-/// Schedules the streams of services with several versions to be recorded, also those that began
-/// while there was only one.
-fn record_mixed_services(gateway: &Gateway) {
-    let has_writes = gateway.with_state(|state| {
-        let versions = state.targets.versions();
-        state
-            .stream_origins
-            .record_all(|service| versions.is_mixed(service));
-        state.stream_origins.has_writes()
+/// Records the running streams of services that have become mixed, which began while there was one
+/// version.
+fn record_mixed_services(gateway: &Gateway, known: &mut HashSet<DeploymentName>) {
+    gateway.with_state(|state| {
+        let mixed = state.targets.versions().mixed_services();
+        let mixed: HashSet<DeploymentName> = mixed.cloned().collect();
+        for service in mixed.difference(known) {
+            state.stream_origins.record_all(service);
+        }
+        *known = mixed;
     });
-    if has_writes {
+    if gateway.with_state(|state| state.stream_origins.has_writes()) {
         gateway.records_due.notify_one();
     }
 }
--- a/crates/mimosagap-routing/src/stream_origins.rs
+++ b/crates/mimosagap-routing/src/stream_origins.rs
@@ -3,11 +3,13 @@
 //!
 //! Callers resume a stream at any host and name that attempt. A host remembers the streams that it
 //! sent to engines. While several versions serve, it also records them in the store, so that other
-//! hosts know of them when it is gone. A record is made when the request is sent, some hundred
-//! milliseconds before the first event. The records of a host form segments, one key of the store
-//! each: the open segment grows until it is full, and a segment is written again when it changes.
+//! hosts know of them when it is gone. Most streams are short, and at hundreds of hosts a write for
+//! each would cost more than all other calls and keep the hosts' watches busy; so a stream is
+//! recorded if it still runs [`record_delay`] after it was sent. The records of a host form
+//! segments, one key of the store each: the open segment grows until it is full, and a segment is
+//! written again when it changes.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::time::Duration;
 
 use mimosagap_types::prelude::*;
@@ -15,6 +17,10 @@
 
 use crate::hashing::stable_hash;
 
+/// Time from the send of a stream until it is recorded, for each host of the fleet, and at most.
+const RECORD_DELAY_PER_HOST: Duration = Duration::from_millis(6);
+const MAX_RECORD_DELAY: Duration = Duration::from_millis(500);
+
 /// Streams in one segment.
 const SEGMENT_STREAMS: usize = 64;
 
@@ -27,6 +33,15 @@
 /// Longest time for which a stream is remembered, whatever its caller asks for.
 pub const MAX_STREAM_TIME: Duration = Duration::from_mins(2);
 
+/// Time from the send of a stream until it is recorded, unless it has ended by then.
+#[must_use]
+pub fn record_delay(host_count: usize) -> Duration {
+    let host_count = u32::try_from(host_count).unwrap_or(u32::MAX);
+    RECORD_DELAY_PER_HOST
+        .saturating_mul(host_count)
+        .min(MAX_RECORD_DELAY)
+}
+
 /// Identifies an attempt of a team. Teams cannot name each other's attempts.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
 #[derive(Serialize, Deserialize)]
@@ -111,6 +126,8 @@
     streams: HashMap<StreamId, KnownStream>,
     segments: BTreeMap<u32, Segment>,
     next_segment: u32,
+    /// Streams that are to be recorded if they still run then, in order of time.
+    scheduled: VecDeque<(Duration, StreamId)>,
 }
 
 impl StreamOrigins {
@@ -216,12 +233,12 @@
         }
     }
 
-    /// Schedules all streams of a mixed service that are not recorded yet.
-    pub fn record_all(&mut self, is_mixed: impl Fn(&DeploymentName) -> bool) {
+    /// Adds all streams of a service to the records, which is mixed from now on.
+    pub fn record_all(&mut self, service: &DeploymentName) {
         let mut unrecorded: Vec<StreamId> = self
             .streams
             .iter()
-            .filter(|(_, known)| known.segment.is_none() && is_mixed(&known.origin.service))
+            .filter(|(_, known)| known.segment.is_none() && known.origin.service == *service)
             .map(|(id, _)| *id)
             .collect();
         unrecorded.sort_unstable();
@@ -230,8 +247,29 @@
         }
     }
 
-    /// Schedules a stream to be recorded.
-    pub fn record(&mut self, id: StreamId) {
+    /// Schedules a stream to be recorded if it still runs at `due_at`.
+    pub fn schedule(&mut self, id: StreamId, due_at: Duration) {
+        self.scheduled.push_back((due_at, id));
+    }
+
+    /// When the next stream is to be recorded.
+    #[must_use]
+    pub fn next_record_at(&self) -> Option<Duration> {
+        self.scheduled.front().map(|(due_at, _)| *due_at)
+    }
+
+    /// Adds the streams to the records whose time has come.
+    pub fn record_due(&mut self, now: Duration) {
+        while let Some((due_at, id)) = self.scheduled.front().copied()
+            && due_at <= now
+        {
+            self.scheduled.pop_front();
+            self.record(id);
+        }
+    }
+
+    /// Adds a stream to the records, unless it has ended.
+    fn record(&mut self, id: StreamId) {
         let Some(known) = self.streams.get_mut(&id) else {
             return;
         };
--- a/crates/mimosagap-routing/src/version_registry.rs
+++ b/crates/mimosagap-routing/src/version_registry.rs
@@ -127,10 +127,10 @@
         admitted + pending.count() > 1
     }
 
-    /// Whether several versions of any service are admitted or listed.
-    #[must_use]
-    pub fn has_several(&self) -> bool {
-        self.admitted.keys().any(|service| self.is_mixed(service))
+    /// Services of which several versions are admitted or listed.
+    pub fn mixed_services(&self) -> impl Iterator<Item = &DeploymentName> {
+        let services = self.admitted.keys();
+        services.filter(|service| self.is_mixed(service))
     }
 
     /// Whether a listed version waits to be admitted.
--- a/crates/mimosagap-routing/tests/stream_origins.rs
+++ b/crates/mimosagap-routing/tests/stream_origins.rs
@@ -3,7 +3,8 @@
 use std::time::Duration;
 
 use mimosagap_routing::stream_origins::{
-    MAX_STREAM_TIME, OriginError, SegmentWrite, StreamId, StreamOrigin, StreamOrigins, StreamRecord,
+    MAX_STREAM_TIME, OriginError, SegmentWrite, StreamId, StreamOrigin, StreamOrigins,
+    StreamRecord, record_delay,
 };
 use mimosagap_types::prelude::*;
 use rstest::rstest;
@@ -29,8 +30,9 @@
         let id = stream(number);
         let noted = origins.note_sent(id, origin(version), NOW + PATIENCE, NOW);
         assert_eq!(noted, Ok(()));
-        origins.record(id);
+        origins.schedule(id, NOW);
     }
+    origins.record_due(NOW);
     origins
 }
 
@@ -115,9 +117,9 @@
         assert_eq!(noted, Ok(()));
     }
     host.complete(stream(0));
-    host.record_all(|_| false);
+    host.record_all(&DeploymentName::new("other"));
     assert!(!host.has_writes());
-    host.record_all(|service| service.as_str() == "model");
+    host.record_all(&DeploymentName::new("model"));
     let restarted = restarted_host(&host.take_writes(NOW), NOW);
     assert_eq!(restarted.get(stream(0), NOW), None);
     assert_eq!(restarted.get(stream(1), NOW), Some(&origin("v1")));
@@ -195,3 +197,32 @@
     assert!(host.has_live_records(NOW));
     assert!(!host.has_live_records(NOW + PATIENCE));
 }
+
+/// Hundreds of hosts send many short streams. A write for each would delay what hosts hear of
+/// targets that leave.
+#[test]
+fn a_stream_that_ends_soon_is_not_recorded() {
+    let mut host = StreamOrigins::default();
+    for number in 0..2 {
+        let noted = host.note_sent(stream(number), origin("v1"), NOW + PATIENCE, NOW);
+        assert_eq!(noted, Ok(()));
+        host.schedule(stream(number), NOW + record_delay(300));
+    }
+    assert_eq!(host.next_record_at(), Some(NOW + record_delay(300)));
+    host.record_due(NOW + record_delay(300) / 2);
+    assert!(!host.has_writes());
+    host.complete(stream(0));
+    host.record_due(NOW + record_delay(300));
+    let restarted = restarted_host(&host.take_writes(NOW), NOW);
+    assert_eq!(restarted.get(stream(0), NOW), None);
+    assert_eq!(restarted.get(stream(1), NOW), Some(&origin("v1")));
+}
+
+/// A few hosts write little, so they lose little when they are killed.
+#[rstest]
+#[case::small_fleet(6, 36)]
+#[case::large_fleet(77, 462)]
+#[case::hundreds_of_hosts(300, 500)]
+fn the_delay_of_a_record_grows_with_the_fleet(#[case] hosts: usize, #[case] millis: u64) {
+    assert_eq!(record_delay(hosts), Duration::from_millis(millis));
+}
--- a/crates/mimosagap-soak/src/client.rs
+++ b/crates/mimosagap-soak/src/client.rs
@@ -17,7 +17,7 @@
 use crate::checker::{InvariantChecker, RequestKind};
 use crate::http::{FullBody, HttpConnection, read_body};
 use crate::plan::CRASHING_REQUEST_PART;
-use crate::standins::target::TargetContext;
+use crate::standins::target::{TOKENS_PER_EVENT, TargetContext};
 use crate::transcript::StreamTranscript;
 use crate::version_check::StreamAttempt;
 
@@ -51,6 +51,10 @@
 /// Longest pause between two requests with a crashing part.
 const CRASHING_REQUEST_INTERVAL: Duration = Duration::from_millis(600);
 
+/// Events of a stream, and of one that its client resumes if it breaks.
+const STREAM_EVENTS: u64 = 40;
+const RESUMABLE_EVENTS: u64 = 60;
+
 /// Longest pause before a client resumes a stream.
 const MAX_RESUME_PAUSE: Duration = Duration::from_secs(9);
 
@@ -319,7 +323,7 @@
         builder = builder
             .header("x-model", "m")
             .header("x-token-usage", "100,400")
-            .header("x-length-hint", "160");
+            .header("x-length-hint", STREAM_EVENTS * TOKENS_PER_EVENT);
     }
     if kind.is_stream() && crashing_part != Some(CRASHING_REQUEST_PART) {
         let group = id.bytes().last().map_or(0, usize::from) % GROUP_PARTS.len();
@@ -382,7 +386,7 @@
     if transcript.is_joined() {
         context.checker.record_joined_stream(id);
     }
-    if is_ended && !transcript.is_complete() {
+    if is_ended && !transcript.is_complete(STREAM_EVENTS) {
         let text = format!("the stream of request {id} ended as complete with {transcript:?}");
         context.checker.record_violation(text);
     }
@@ -471,6 +475,10 @@
     let headers = request.headers_mut();
     let deadline_ms = u32::try_from(time_left.as_millis()).unwrap_or(u32::MAX);
     headers.insert("x-deadline-ms", deadline_ms.into());
+    headers.insert(
+        "x-length-hint",
+        (RESUMABLE_EVENTS * TOKENS_PER_EVENT).into(),
+    );
     if let Some(first_attempt) = transcript.first_attempt() {
         headers.insert("last-event-id", transcript.last_event_id().into());
         if let Ok(first_attempt) = HeaderValue::from_str(first_attempt) {
@@ -495,7 +503,7 @@
     };
     let is_ended = tokio::time::timeout(time_left.min(REQUEST_TIMEOUT), exchange).await;
     let is_ended = matches!(is_ended, Ok(Some(true)));
-    if is_ended && !transcript.is_complete() {
+    if is_ended && !transcript.is_complete(RESUMABLE_EVENTS) {
         let text = format!("the stream of request {id} ended as complete with {transcript:?}");
         context.checker.record_violation(text);
     }
--- a/crates/mimosagap-soak/src/standins/target.rs
+++ b/crates/mimosagap-soak/src/standins/target.rs
@@ -38,8 +38,8 @@
 
 const EVENT_INTERVAL: Duration = Duration::from_millis(20);
 
-/// Number of events of a stream.
-pub const STREAM_EVENTS: u64 = 40;
+/// Tokens in one event of a stream, which has as many events as its length hint asks for.
+pub const TOKENS_PER_EVENT: u64 = 4;
 
 /// Time to copy the KV cache of a generation to another engine.
 const KV_COPY_TIME: Duration = Duration::from_millis(60);
@@ -305,7 +305,6 @@
             }
             _ => {}
         }
-        let last_event_id = header("last-event-id").and_then(|id| id.parse().ok());
         if let Some(copy) = header("kv-from") {
             let handle = copy.split_once('/').map_or("", |(_, handle)| handle);
             let address = self.proxy.address().to_string();
@@ -313,7 +312,7 @@
                 return rejection(id);
             }
             checker.record_migration(id, &self.instance_id);
-            return self.stream(context, id, last_event_id.unwrap_or(0));
+            return self.stream(context, id, &head.headers);
         }
         let has_api_key = head.headers.contains_key("authorization");
         checker.record_execution(
@@ -340,11 +339,7 @@
             return self.crash_while_answering(context, id, part).await;
         }
         if header("x-model").is_some() {
-            return self.add_drain_notice(
-                checker,
-                id,
-                self.stream(context, id, last_event_id.unwrap_or(0)),
-            );
+            return self.add_drain_notice(checker, id, self.stream(context, id, &head.headers));
         }
         tokio::time::sleep(CALL_DURATION).await;
         if self.mode.get() == TargetMode::BreaksOff {
@@ -430,16 +425,20 @@
         build_response(StatusCode::OK, "", Bytes::from(response))
     }
 
-    /// Streams the events after `last_event_id`, as one generation.
+    /// Streams the events after the last one that the caller has, as one generation.
     fn stream(
         &self,
         context: &Rc<TargetContext>,
         id: &str,
-        last_event_id: u64,
+        headers: &HeaderMap,
     ) -> Response<TargetBody> {
+        let number = |name| header_text(headers, name).and_then(|value| value.parse().ok());
+        let last_event_id: u64 = number("last-event-id").unwrap_or(0);
+        let event_count = number("x-length-hint").unwrap_or(0) / TOKENS_PER_EVENT;
         let guard = GenerationGuard::new(context, id, self);
-        let events = stream::unfold((guard, last_event_id + 1), |(guard, number)| async move {
-            if number > STREAM_EVENTS {
+        let first_event_id = last_event_id + 1;
+        let events = stream::unfold((guard, first_event_id), move |(guard, number)| async move {
+            if number > event_count {
                 return None;
             }
             tokio::time::sleep(EVENT_INTERVAL).await;
--- a/crates/mimosagap-soak/src/transcript.rs
+++ b/crates/mimosagap-soak/src/transcript.rs
@@ -1,7 +1,5 @@
 //! The events of a stream as its client received them, over all of its attempts.
 
-use crate::standins::target::STREAM_EVENTS;
-
 /// The events of one stream.
 #[derive(Debug, Default)]
 pub struct StreamTranscript {
@@ -42,10 +40,10 @@
         self.pending.clear();
     }
 
-    /// Whether all events are there and nothing else.
+    /// Whether all events of a stream of this length are there and nothing else.
     #[must_use]
-    pub fn is_complete(&self) -> bool {
-        self.last_event_id == STREAM_EVENTS && self.pending.is_empty()
+    pub fn is_complete(&self, event_count: u64) -> bool {
+        self.last_event_id == event_count && self.pending.is_empty()
     }
 
     /// Whether the events come from engines of two versions.
--- a/crates/mimosagap-soak/tests/version_check.rs
+++ b/crates/mimosagap-soak/tests/version_check.rs
@@ -3,11 +3,13 @@
 
 use std::time::{Duration, Instant};
 
-use mimosagap_soak::standins::target::STREAM_EVENTS;
 use mimosagap_soak::transcript::StreamTranscript;
 use mimosagap_soak::version_check::{StreamAttempt, VersionChecker, VersionOutcome};
 use rstest::rstest;
 
+/// Events of a whole stream.
+const STREAM_EVENTS: u64 = 40;
+
 fn event(number: u64, id: &str, version: &str) -> String {
     format!("id: {number}\ndata: {id} {version}\n\n")
 }
@@ -31,7 +33,7 @@
 fn a_joined_stream_is_found_over_two_attempts(#[case] version: &str, #[case] is_joined: bool) {
     let transcript = resumed_transcript(version);
     assert_eq!(transcript.is_joined(), is_joined);
-    assert!(transcript.is_complete());
+    assert!(transcript.is_complete(STREAM_EVENTS));
     assert_eq!(transcript.first_attempt(), Some("a"));
 }
 
