--- a/crates/mimosagap-gateway/src/standby.rs
+++ b/crates/mimosagap-gateway/src/standby.rs
@@ -11,7 +11,7 @@
 use http::{Request, StatusCode};
 use http_body_util::Full;
 use mimosagap_platform::engine::{
-    EngineCall, KvCopyResponse, copy_kv_cache, decode_kv_copy, release_kv_copy,
+    EngineCall, KvCopyResponse, copy_kv_cache, decode_kv_copy, names_request, release_kv_copy,
 };
 use mimosagap_routing::migration;
 use mimosagap_routing::placement::GenerationDemand;
@@ -245,6 +245,9 @@
         .call(request, MAX_RESPONSE_BYTES)
         .await
         .map_err(|error| error.to_string())?;
+    if names_request(&head.headers) {
+        return Err("the response belongs to another request".to_owned());
+    }
     target_notices::observe_leaving(gateway, key, &head.headers);
     target_notices::observe_rate_limit(gateway, key, &head.headers, asked_at);
     release_connection(gateway, key, &head, connection);
--- a/crates/mimosagap-soak/tests/close_delimited.rs
+++ b/crates/mimosagap-soak/tests/close_delimited.rs
@@ -1,21 +1,17 @@
 //! Targets whose responses have neither a length nor chunks and end with their connection. A gateway
 //! must pass on a whole response as whole, and one that was broken off as broken off.
 
-use std::io::{Read, Write};
+mod support;
+
+use std::io::Write;
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::path::PathBuf;
-use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
-use mimosagap_soak::process::{GatewayPlace, GatewayProcess};
-use mimosagap_soak::standins::store::StoreStandin;
 use rstest::rstest;
-use serde_json::json;
 use socket2::SockRef;
-
-const TIMEOUT: Duration = Duration::from_secs(5);
+use support::read_head;
 
 /// How a target ends its response.
 #[derive(Debug, Clone, Copy)]
@@ -62,125 +58,19 @@
     }
 }
 
-/// Reads up to the end of a head; the requests of this test have no body.
-fn read_head(stream: &mut TcpStream) -> String {
-    stream
-        .set_read_timeout(Some(TIMEOUT))
-        .expect("the timeout is valid");
-    let mut bytes = Vec::new();
-    let mut byte = [0];
-    while !bytes.ends_with(b"\r\n\r\n") && stream.read(&mut byte).is_ok_and(|count| count > 0) {
-        bytes.push(byte[0]);
-    }
-    String::from_utf8_lossy(&bytes).into_owned()
-}
-
-/// Sends a request to the gateway and reads everything until it closes the connection.
-fn exchange(gateway: SocketAddr, path: &str) -> String {
-    let mut stream = TcpStream::connect(gateway).expect("the gateway listens");
-    stream
-        .set_read_timeout(Some(TIMEOUT))
-        .expect("the timeout is valid");
-    let request = format!(
-        "GET {path} HTTP/1.1\r\nhost: soak.example\r\nx-attempt-id: a1\r\nx-deadline-ms: 3000\r\n\
-         x-model: m\r\nx-token-usage: 10,40\r\nx-prefix-hash: 1:5,2:5\r\nconnection: close\r\n\r\n"
-    );
-    stream
-        .write_all(request.as_bytes())
-        .expect("the gateway reads");
-    let mut response = Vec::new();
-    // A broken stream may also end with a reset.
-    let _ = stream.read_to_end(&mut response);
-    String::from_utf8_lossy(&response).into_owned()
-}
-
-fn gateway_program() -> PathBuf {
-    let mut directory = std::env::current_exe().expect("a test has a path");
-    directory.pop();
-    directory.pop();
-    directory.join("mimosagapd")
-}
-
-/// Runs a gateway before a target, sends two requests and returns their responses and the number of
+/// Sends two requests to a gateway before a target, and returns their responses and the number of
 /// connections to the target.
-fn responses(path: &str, body: &'static str, end: End, base_port: u16) -> (Vec<String>, usize) {
+fn responses(
+    path: &'static str,
+    body: &'static str,
+    end: End,
+    base_port: u16,
+) -> (Vec<String>, usize) {
     let (target, connections) = start_target(body, end);
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()
-        .expect("a runtime starts");
-    let tasks = tokio::task::LocalSet::new();
-    let responses = tasks.block_on(&runtime, async {
-        let store = Rc::new(StoreStandin::default());
-        let listener = tokio::net::TcpListener::bind("127.0.0.1:0")
-            .await
-            .expect("a port is free");
-        let store_address = listener.local_addr().expect("the listener is bound");
-        store.serve(listener);
-        store.put("op/config", &config());
-        for service in ["plain", "model"] {
-            let entry = json!({
-                "service": service, "address": target.to_string(), "zone": "z1", "version": "v1",
-                "slots": 8, "cold_remaining_ms": 0,
-                "state": "ready", "sequence": 1, "born": 1,
-            });
-            store.put(&format!("servers/i-{service}"), &entry);
-        }
-        let directory = std::env::temp_dir().join(format!(
-            "mimosagap-close-{base_port}-{}",
-            std::process::id()
-        ));
-        std::fs::create_dir_all(&directory).expect("the folder can be made");
-        let place = GatewayPlace {
-            index: 0,
-            region_count: 1,
-        };
-        let gateway = GatewayProcess::start(
-            &gateway_program(),
-            &directory,
-            place,
-            base_port,
-            store_address,
-        )
-        .expect("the gateway starts");
-        tokio::time::sleep(Duration::from_secs(1)).await;
-        let mut responses = Vec::new();
-        for _ in 0..2 {
-            let (address, path) = (gateway.client_address, path.to_owned());
-            let response = tokio::task::spawn_blocking(move || exchange(address, &path)).await;
-            responses.push(response.expect("the exchange ends"));
-        }
-        drop(gateway);
-        std::fs::remove_dir_all(directory).expect("the log can be removed");
-        responses
-    });
+    let responses = support::responses(target, &[(path, "a1"); 2], base_port);
     (responses, connections.load(Ordering::Relaxed))
 }
 
-fn config() -> serde_json::Value {
-    let route = |prefix: &str, kind: &str, service: &str| {
-        json!({
-            "name": prefix, "hostname": "soak.example", "path_prefix": prefix, "route_kind": kind,
-            "timeout_ms": 3500, "target_latency_ms": 300, "priority": 1, "service": service,
-            "max_attempts": 1, "target_gap_ms": 200, "public": true,
-        })
-    };
-    json!({
-        "version": 1,
-        "routes": [
-            route("/safe/", "safe", "plain"),
-            route("/once/", "unsafe", "plain"),
-            route("/stream/", "streaming", "model"),
-        ],
-        "services": [
-            {"name": "plain"},
-            {"name": "model", "engine": {"slots": 8, "kv_capacity": 30000, "stride": 4}},
-        ],
-        "limits": {"max_header_bytes": 16384, "max_body_bytes": 65536, "idle_timeout_ms": 15000},
-        "tenants": [],
-    })
-}
-
 /// The body of a response, and whether the gateway says that it is complete. It is framed in chunks
 /// or by a length.
 fn decode_body(response: &str) -> (String, bool) {
@@ -210,7 +100,7 @@
 #[case::safe("/safe/x", 23_600)]
 #[case::unsafe_call("/once/x", 23_610)]
 fn a_call_whose_response_ends_with_its_connection_is_whole(
-    #[case] path: &str,
+    #[case] path: &'static str,
     #[case] base_port: u16,
 ) {
     let (responses, connections) = responses(path, "the whole answer", End::Close, base_port);
@@ -225,7 +115,7 @@
 #[case::safe("/safe/x", 23_620)]
 #[case::unsafe_call("/once/x", 23_630)]
 fn a_call_whose_response_is_reset_is_not_passed_on_as_whole(
-    #[case] path: &str,
+    #[case] path: &'static str,
     #[case] base_port: u16,
 ) {
     let (responses, _) = responses(path, "the beginning of an", End::Reset, base_port);
--- /dev/null
+++ b/crates/mimosagap-soak/tests/support/mod.rs
@@ -0,0 +1,134 @@
+//! One gateway before one target, which a test plays by itself.
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::path::PathBuf;
+use std::rc::Rc;
+use std::time::Duration;
+
+use mimosagap_soak::process::{GatewayPlace, GatewayProcess};
+use mimosagap_soak::standins::store::StoreStandin;
+use serde_json::json;
+
+const TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Reads up to the end of a head; the requests of this test have no body.
+pub fn read_head(stream: &mut TcpStream) -> String {
+    stream
+        .set_read_timeout(Some(TIMEOUT))
+        .expect("the timeout is valid");
+    let mut bytes = Vec::new();
+    let mut byte = [0];
+    while !bytes.ends_with(b"\r\n\r\n") && stream.read(&mut byte).is_ok_and(|count| count > 0) {
+        bytes.push(byte[0]);
+    }
+    String::from_utf8_lossy(&bytes).into_owned()
+}
+
+/// Sends a request to the gateway and reads everything until it closes the connection.
+fn exchange(gateway: SocketAddr, (path, id): (&str, &str)) -> String {
+    let mut stream = TcpStream::connect(gateway).expect("the gateway listens");
+    stream
+        .set_read_timeout(Some(TIMEOUT))
+        .expect("the timeout is valid");
+    let request = format!(
+        "GET {path} HTTP/1.1\r\nhost: soak.example\r\nx-attempt-id: {id}\r\nx-deadline-ms: 3000\r\n\
+         x-model: m\r\nx-token-usage: 10,40\r\nx-prefix-hash: 1:5,2:5\r\nconnection: close\r\n\r\n"
+    );
+    stream
+        .write_all(request.as_bytes())
+        .expect("the gateway reads");
+    let mut response = Vec::new();
+    // A broken stream may also end with a reset.
+    let _ = stream.read_to_end(&mut response);
+    String::from_utf8_lossy(&response).into_owned()
+}
+
+fn gateway_program() -> PathBuf {
+    let mut directory = std::env::current_exe().expect("a test has a path");
+    directory.pop();
+    directory.pop();
+    directory.join("mimosagapd")
+}
+
+/// Runs a gateway before a target, sends requests with these paths and attempt ids, one after the
+/// other, and returns their responses.
+pub fn responses(
+    target: SocketAddr,
+    requests: &[(&'static str, &'static str)],
+    base_port: u16,
+) -> Vec<String> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .expect("a runtime starts");
+    let tasks = tokio::task::LocalSet::new();
+    tasks.block_on(&runtime, async {
+        let store = Rc::new(StoreStandin::default());
+        let listener = tokio::net::TcpListener::bind("127.0.0.1:0")
+            .await
+            .expect("a port is free");
+        let store_address = listener.local_addr().expect("the listener is bound");
+        store.serve(listener);
+        store.put("op/config", &config());
+        for service in ["plain", "model"] {
+            let entry = json!({
+                "service": service, "address": target.to_string(), "zone": "z1", "version": "v1",
+                "slots": 8, "cold_remaining_ms": 0,
+                "state": "ready", "sequence": 1, "born": 1,
+            });
+            store.put(&format!("servers/i-{service}"), &entry);
+        }
+        let directory = std::env::temp_dir().join(format!(
+            "mimosagap-target-{base_port}-{}",
+            std::process::id()
+        ));
+        std::fs::create_dir_all(&directory).expect("the folder can be made");
+        let place = GatewayPlace {
+            index: 0,
+            region_count: 1,
+        };
+        let gateway = GatewayProcess::start(
+            &gateway_program(),
+            &directory,
+            place,
+            base_port,
+            store_address,
+        )
+        .expect("the gateway starts");
+        tokio::time::sleep(Duration::from_secs(1)).await;
+        let mut responses = Vec::new();
+        for request in requests.iter().copied() {
+            let address = gateway.client_address;
+            let response = tokio::task::spawn_blocking(move || exchange(address, request)).await;
+            responses.push(response.expect("the exchange ends"));
+        }
+        drop(gateway);
+        std::fs::remove_dir_all(directory).expect("the log can be removed");
+        responses
+    })
+}
+
+fn config() -> serde_json::Value {
+    let route = |prefix: &str, kind: &str, service: &str| {
+        json!({
+            "name": prefix, "hostname": "soak.example", "path_prefix": prefix, "route_kind": kind,
+            "timeout_ms": 3500, "target_latency_ms": 300, "priority": 1, "service": service,
+            "max_attempts": 1, "target_gap_ms": 200, "public": true,
+        })
+    };
+    json!({
+        "version": 1,
+        "routes": [
+            route("/safe/", "safe", "plain"),
+            route("/once/", "unsafe", "plain"),
+            route("/stream/", "streaming", "model"),
+        ],
+        "services": [
+            {"name": "plain"},
+            {"name": "model", "engine": {"slots": 8, "kv_capacity": 30000, "stride": 4}},
+        ],
+        "limits": {"max_header_bytes": 16384, "max_body_bytes": 65536, "idle_timeout_ms": 15000},
+        "tenants": [],
+    })
+}
