--- a/crates/mimosagap-soak/src/plan.rs
+++ b/crates/mimosagap-soak/src/plan.rs
@@ -57,6 +57,16 @@
         /// Time until the old one is stopped, even if it still has work.
         notice: Duration,
     },
+    /// Another writer leaves an odd entry among those of the targets, or in place of one for a
+    /// duration. The number selects the entry from [`ODD_ENTRIES`].
+    OddEntry {
+        /// Index of the odd entry.
+        entry: usize,
+        /// The target whose entry is overwritten; `None` for a key of its own.
+        target: Option<usize>,
+        /// Time until the target writes its entry again.
+        duration: Duration,
+    },
     /// Changes how a target behaves for a duration.
     Target(usize, TargetMode, Duration),
     /// Revokes an API key.
@@ -105,6 +115,7 @@
             | Self::DrainTarget(_)
             | Self::TakeTarget(..)
             | Self::UpgradeTarget { .. }
+            | Self::OddEntry { .. }
             | Self::SaysLeaving(_)
             | Self::Target(..)
             | Self::Link(..)
@@ -132,9 +143,35 @@
 /// Gateways in the fleet of a plan that does not state their number.
 pub const GATEWAY_COUNT: usize = 3;
 
+/// Clients of a drawn plan that resume their streams.
+const DRAWN_RESUMING_CLIENTS: usize = 3;
+
 /// Limits, in thousandths of a request per second, that a drawn fault lets a target name.
 const DRAWN_RATE_LIMITS: std::ops::Range<u32> = 1500..12_000;
 
+/// Odd entries: the id in the key and the value, in which `@` stands for a hundred thousand opening
+/// brackets.
+pub const ODD_ENTRIES: [(&str, &str); 6] = [
+    ("odd-nested", "@"),
+    (
+        "odd-field",
+        r#"{"service":"model","address":"127.0.0.1:9","zone":"z1","version":"v1","slots":8,"state":"ready","more":@"#,
+    ),
+    (
+        "odd-number",
+        r#"{"service":"model","address":"127.0.0.1:9","zone":"z1","version":"v1","slots":1e999,"state":"ready"}"#,
+    ),
+    (
+        "odd-port",
+        r#"{"service":"model","address":"127.0.0.1:70000","zone":"z1","version":"v1","slots":8,"state":"ready"}"#,
+    ),
+    (
+        "odd-version",
+        r#"{"service":"model","address":"127.0.0.1:9","zone":"z1","version":7,"slots":8,"state":"ready"}"#,
+    ),
+    ("odd id&#", "no entry"),
+];
+
 /// Parts of prompts that crash targets.
 pub const CRASHING_PARTS: [&str; 3] = ["dead0001", "dead0002", "dead0003"];
 
@@ -225,6 +262,7 @@
             length,
             steps,
             gateway_count,
+            resuming_clients: DRAWN_RESUMING_CLIENTS,
             ..Self::default()
         }
     }
@@ -341,7 +379,7 @@
     let duration = Duration::from_millis(rng.random_range(300..3000));
     let gateway = rng.random_range(0..gateway_count);
     let target = rng.random_range(0..TARGET_COUNT);
-    match rng.random_range(0..26) {
+    match rng.random_range(0..29) {
         0 | 1 => Fault::KillGateway(gateway),
         2 => Fault::StopGateway(gateway),
         3 => Fault::PauseGateway(gateway, duration),
@@ -374,6 +412,16 @@
             age: duration * 3,
             away: duration / 2,
         },
+        25 | 26 => Fault::UpgradeTarget {
+            target,
+            version: rng.random_range(1..4),
+            notice: duration,
+        },
+        27 => Fault::OddEntry {
+            entry: rng.random_range(0..ODD_ENTRIES.len()),
+            target: rng.random_range(0..3).eq(&0).then_some(target),
+            duration,
+        },
         23 => Fault::CrashingPart(rng.random_range(0..CRASHING_PARTS.len()), CRASH_SERIES_TIME),
         _ => Fault::TakeTarget(target, duration.min(MAX_DRAIN_NOTICE)),
     }
@@ -381,9 +429,10 @@
 
 /// Draws a fault of a link to a target, which may also send endless response heads.
 fn draw_target_link_mode(rng: &mut SmallRng) -> LinkMode {
-    match rng.random_range(0..7) {
+    match rng.random_range(0..9) {
         0 => LinkMode::FloodHead,
         1 => LinkMode::DripHead,
+        2 | 3 => LinkMode::RepeatRefusals,
         _ => draw_link_mode(rng),
     }
 }
--- a/crates/mimosagap-soak/src/run.rs
+++ b/crates/mimosagap-soak/src/run.rs
@@ -21,7 +21,9 @@
     run_client, run_crashing_client, run_repeating_client, run_resuming_client, send_request,
 };
 use crate::crash_check::CrashOutcome;
-use crate::plan::{CRASHING_PARTS, Fault, FaultPlan, FaultStep, FleetLink, PLAIN_TARGET_COUNT};
+use crate::plan::{
+    CRASHING_PARTS, Fault, FaultPlan, FaultStep, FleetLink, ODD_ENTRIES, PLAIN_TARGET_COUNT,
+};
 use crate::process::{GatewayPlace, GatewayProcess, zone_name};
 use crate::rate_check::RateUsage;
 use crate::standins::store::{StoreMode, StoreStandin};
@@ -146,12 +148,15 @@
     store_proxy: LinkProxy,
     /// When the process was suspended; `None` while it is not.
     suspended_at: Option<Instant>,
+    /// Whether the process was killed or asked to stop.
+    is_ending: bool,
 }
 
 impl ProxiedGateway {
     /// Kills the process. Returns when it last ran, which is before `now` if it is suspended.
     fn kill(&mut self, now: Instant) -> Instant {
         self.process.kill();
+        self.is_ending = true;
         self.suspended_at.take().unwrap_or(now)
     }
 }
@@ -164,6 +169,7 @@
     Target(usize),
     ResumeGateway(usize),
     RemoveTarget(Rc<TargetStandin>),
+    RegisterTarget(Rc<TargetStandin>),
 }
 
 /// Runs a plan and checks the guarantees. It must be called within a `LocalSet`.
@@ -306,6 +312,7 @@
                 client_proxy,
                 store_proxy,
                 suspended_at: None,
+                is_ending: false,
             });
         }
         Ok(fleet)
@@ -396,7 +403,10 @@
                 self.checker.clear_gateway_state(index);
                 self.kills.push((index, last_ran_at));
             }
-            Fault::StopGateway(index) => self.gateways[index].process.send_signal(Signal::TERM),
+            Fault::StopGateway(index) => {
+                self.gateways[index].is_ending = true;
+                self.gateways[index].process.send_signal(Signal::TERM);
+            }
             Fault::HangUp(index) => self.gateways[index].process.send_signal(Signal::HUP),
             Fault::PauseGateway(index, duration) => {
                 self.gateways[index].process.send_signal(Signal::STOP);
@@ -445,6 +455,11 @@
                 self.target_versions[target] = version;
                 self.drain_target(target, notice).await?;
             }
+            Fault::OddEntry {
+                entry,
+                target,
+                duration,
+            } => self.write_odd_entry(entry, target, now + duration),
             Fault::SaysLeaving(index) => {
                 self.targets[index].set_mode(TargetMode::SaysLeaving);
                 self.replace_target(index, ANNOUNCE_TIME).await?;
@@ -473,6 +488,19 @@
         Ok(())
     }
 
+    /// Writes an odd entry, in place of that of a target until `until` if there is one.
+    fn write_odd_entry(&mut self, entry: usize, target: Option<usize>, until: Instant) {
+        let (id, text) = ODD_ENTRIES[entry % ODD_ENTRIES.len()];
+        let value = text.replace('@', &"[".repeat(100_000)).into_bytes();
+        let Some(target) = target.map(|index| &self.targets[index]) else {
+            self.store.put_bytes(&format!("servers/{id}"), value);
+            return;
+        };
+        target.overwrite_registration(&self.store, value);
+        let revert = FaultRevert::RegisterTarget(Rc::clone(target));
+        self.pending_reverts.push((until, revert));
+    }
+
     /// Drains a target and replaces it.
     async fn drain_target(&mut self, index: usize, notice: Duration) -> std::io::Result<()> {
         self.targets[index].drain(&self.store, &self.target_context);
@@ -527,6 +555,7 @@
                     .link_proxy(link)
                     .set_mode(LinkMode::Pass, Duration::ZERO),
                 FaultRevert::RemoveTarget(target) => target.deregister(&self.store),
+                FaultRevert::RegisterTarget(target) => target.register_again(&self.store),
             }
         }
     }
@@ -535,6 +564,10 @@
     fn restart_exited(&mut self) -> std::io::Result<()> {
         for (index, gateway) in self.gateways.iter_mut().enumerate() {
             if gateway.process.has_exited() {
+                if !std::mem::take(&mut gateway.is_ending) {
+                    let text = format!("gateway {index} ended by itself");
+                    self.checker.record_violation(text);
+                }
                 gateway.process.spawn()?;
                 self.checker.clear_gateway_state(index);
                 if let Some(context) = &self.client_context {
--- a/crates/mimosagap-soak/src/standins/store.rs
+++ b/crates/mimosagap-soak/src/standins/store.rs
@@ -130,7 +130,11 @@
 
     /// Writes a key without a lease, whatever the mode.
     pub fn put(&self, key: &str, value: &Value) {
-        let value = value.to_string().into_bytes();
+        self.put_bytes(key, value.to_string().into_bytes());
+    }
+
+    /// Like [`Self::put`], with any bytes.
+    pub fn put_bytes(&self, key: &str, value: Vec<u8>) {
         let mut authored = self.authored.borrow_mut();
         authored.insert(key.to_owned(), value.clone());
         drop(authored);
--- a/crates/mimosagap-soak/src/standins/target.rs
+++ b/crates/mimosagap-soak/src/standins/target.rs
@@ -134,6 +134,8 @@
     /// The proxy in front of it, whose address it registers.
     pub proxy: LinkProxy,
     mode: Cell<TargetMode>,
+    /// The state in its registration.
+    state: Cell<&'static str>,
     execution_count: Cell<u64>,
     has_crashed: Cell<bool>,
     server_task: JoinHandle<()>,
@@ -170,6 +172,7 @@
                 place,
                 proxy,
                 mode: Cell::new(TargetMode::Well),
+                state: Cell::new("ready"),
                 execution_count: Cell::new(0),
                 has_crashed: Cell::new(false),
                 server_task,
@@ -188,8 +191,22 @@
         format!("servers/{}", self.instance_id)
     }
 
+    /// Writes the registration again after another writer replaced it.
+    pub fn register_again(&self, store: &StoreStandin) {
+        // An entry that was deleted, or is that of a draining target, stays as it is.
+        if store.has_key(&self.store_key()) && !self.server_task.is_finished() {
+            self.register(store, self.state.get());
+        }
+    }
+
+    /// Replaces the registration by the bytes of another writer.
+    pub fn overwrite_registration(&self, store: &StoreStandin, value: Vec<u8>) {
+        store.put_bytes(&self.store_key(), value);
+    }
+
     /// Writes the registration, with the state `ready` or `draining`.
-    fn register(&self, store: &StoreStandin, state: &str) {
+    fn register(&self, store: &StoreStandin, state: &'static str) {
+        self.state.set(state);
         let registration = json!({
             "service": self.place.service, "address": self.proxy.address().to_string(),
             "zone": self.place.zone, "version": self.place.version, "slots": 8, "state": state,
--- a/crates/mimosagap-soak/tests/soak.rs
+++ b/crates/mimosagap-soak/tests/soak.rs
@@ -4,7 +4,9 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
-use mimosagap_soak::plan::{Fault, FaultPlan, FaultStep, FleetLink, GATEWAY_COUNT, TARGET_COUNT};
+use mimosagap_soak::plan::{
+    Fault, FaultPlan, FaultStep, FleetLink, GATEWAY_COUNT, ODD_ENTRIES, TARGET_COUNT,
+};
 use mimosagap_soak::run::{RunOptions, RunOutcome, run_soak};
 use mimosagap_soak::standins::target::TargetMode;
 use mimosagap_standins::proxy::LinkMode;
@@ -304,6 +306,73 @@
     assert!(outcome.resumed.sent >= 12, "{outcome:?}");
 }
 
+/// Another writer leaves odd entries among those of the targets, and overwrites those of known ones.
+/// No gateway may end by itself, and all must go on to follow the store.
+#[test]
+fn odd_entries_end_gateways_or_keep_them_from_following_the_store() {
+    let secs = Duration::from_secs;
+    let odd_entry = |at, entry, target| FaultStep {
+        at,
+        fault: Fault::OddEntry {
+            entry,
+            target,
+            duration: secs(2),
+        },
+    };
+    let own = (0..).zip(0..ODD_ENTRIES.len());
+    let mut steps: Vec<FaultStep> = own
+        .map(|(number, entry)| odd_entry(secs(1) + secs(1) / 5 * number, entry, None))
+        .collect();
+    steps.push(FaultStep {
+        at: secs(3),
+        fault: Fault::KillAll,
+    });
+    steps.extend([
+        odd_entry(secs(4), 0, Some(0)),
+        odd_entry(secs(5), 3, Some(4)),
+    ]);
+    for at in [8, 10] {
+        steps.push(FaultStep {
+            at: secs(at),
+            fault: Fault::NewConfig,
+        });
+    }
+    steps.push(FaultStep {
+        at: secs(9),
+        fault: Fault::DrainTarget(1),
+    });
+    steps.sort_by_key(|step| step.at);
+    let plan = FaultPlan {
+        seed: 911,
+        length: secs(15),
+        steps,
+        ..FaultPlan::default()
+    };
+    run_clean(plan, 24_500);
+}
+
+/// Targets write a refusal ahead of their responses, on all connections that were used before. No
+/// caller may be told that a request did not run which did.
+#[test]
+fn repeated_refusals_are_believed() {
+    let repeats = |target| {
+        let link = FleetLink::Target(target);
+        Fault::Link(link, LinkMode::RepeatRefusals, Duration::from_secs(4))
+    };
+    let plan = FaultPlan {
+        seed: 912,
+        length: LENGTH,
+        steps: (0..TARGET_COUNT)
+            .map(|target| FaultStep {
+                at: Duration::from_secs(1),
+                fault: repeats(target),
+            })
+            .collect(),
+        ..FaultPlan::default()
+    };
+    run_clean(plan, 24_600);
+}
+
 /// Runs a plan, and asserts that no guarantee was violated and that more than 100 requests
 /// succeeded. The logs are kept after a failure.
 fn run_clean(plan: FaultPlan, base_port: u16) -> RunOutcome {
--- a/crates/mimosagap-standins/src/proxy.rs
+++ b/crates/mimosagap-standins/src/proxy.rs
@@ -47,6 +47,8 @@
     FloodHead,
     /// Like [`LinkMode::FloodHead`], but with one byte every 100 milliseconds.
     DripHead,
+    /// Forwards all data, and writes a refusal ahead of each response but the first of a connection.
+    RepeatRefusals,
 }
 
 impl LinkMode {
@@ -64,6 +66,10 @@
 /// Part of an endless header line.
 const FLOOD_CHUNK: [u8; 8 << 10] = [b'x'; 8 << 10];
 
+/// A refusal that belongs to no request.
+const REFUSAL: &[u8] =
+    b"HTTP/1.1 503 Service Unavailable\r\nx-not-executed: 1\r\ncontent-length: 0\r\n\r\n";
+
 /// Start of a response whose head never ends.
 const ENDLESS_HEAD_START: &[u8] = b"HTTP/1.1 200 OK\r\nx-more: ";
 
@@ -296,6 +302,7 @@
     }
     let silenced = Arc::new(AtomicBool::new(false));
     let request_seen = Arc::new(Notify::new());
+    let has_answered = Arc::new(AtomicBool::new(false));
     let (mut caller, mut target) = (caller, target);
     let failed = {
         let (caller_read, caller_write) = caller.split();
@@ -305,6 +312,7 @@
             opened_at_change,
             &silenced,
             &request_seen,
+            &has_answered,
             &state,
         );
         let backward = RelayDirection::new(
@@ -312,6 +320,7 @@
             opened_at_change,
             &silenced,
             &request_seen,
+            &has_answered,
             &state,
         );
         tokio::select! {
@@ -343,6 +352,8 @@
     silenced: Arc<AtomicBool>,
     /// Notified when the caller sends data in a mode that responds in place of the target.
     request_seen: Arc<Notify>,
+    /// Whether the connection has carried a response.
+    has_answered: Arc<AtomicBool>,
     state: watch::Receiver<LinkState>,
 }
 
@@ -352,6 +363,7 @@
         opened_at_change: u64,
         silenced: &Arc<AtomicBool>,
         request_seen: &Arc<Notify>,
+        has_answered: &Arc<AtomicBool>,
         state: &watch::Receiver<LinkState>,
     ) -> Self {
         Self {
@@ -359,6 +371,7 @@
             opened_at_change,
             silenced: Arc::clone(silenced),
             request_seen: Arc::clone(request_seen),
+            has_answered: Arc::clone(has_answered),
             state: state.clone(),
         }
     }
@@ -380,7 +393,12 @@
                 let chunk = tokio::select! {
                     chunk = self.read_chunk(&mut reader, &mut buffer) => chunk?,
                     () = request_seen.notified(), if direction == Direction::ToCaller => {
-                        return send_endless_head(state, &sender).await;
+                        if state.borrow().mode != LinkMode::RepeatRefusals {
+                            return send_endless_head(state, &sender).await;
+                        }
+                        // Fails only if the writer has ended; the reader then ends by itself.
+                        let _ = sender.send((Instant::now(), REFUSAL.to_vec())).await;
+                        continue;
                     }
                 };
                 let Some(count) = chunk else {
@@ -462,6 +480,18 @@
         if state.mode.endless_head_chunk().is_some() {
             return Ok(false);
         }
+        if !chunk.is_empty() {
+            match self.direction {
+                Direction::ToCaller => self.has_answered.store(true, Ordering::Relaxed),
+                Direction::ToTarget
+                    if state.mode == LinkMode::RepeatRefusals
+                        && self.has_answered.load(Ordering::Relaxed) =>
+                {
+                    self.request_seen.notify_one();
+                }
+                Direction::ToTarget => {}
+            }
+        }
         let delay = match state.mode {
             LinkMode::Delay => Duration::from_millis(state.delay_ms),
             _ => Duration::ZERO,
