--- a/crates/mimosagap-gateway/src/resumption.rs
+++ b/crates/mimosagap-gateway/src/resumption.rs
@@ -267,17 +267,20 @@
         .into_iter()
         .flatten()
     {
-        let is_noted = gateway.with_state(|state| {
+        let (is_noted, is_mixed) = gateway.with_state(|state| {
             let origins = &mut state.stream_origins;
             let noted = origins.note_sent(id, origin.clone(), expires_at, now);
+            let is_mixed = state.targets.versions().is_mixed(&origin.service);
             if noted.is_err() {
                 origins.replace(id, origin.clone());
-            } else if state.targets.versions().is_mixed(&origin.service) {
+            } else if is_mixed {
                 origins.schedule(id, now + record_delay(state.hosts.len()));
             }
-            noted.is_ok()
+            (noted.is_ok(), is_mixed)
         });
-        gateway.records_due.notify_one();
+        if is_mixed || !is_noted {
+            gateway.records_due.notify_one();
+        }
         if !is_noted && !is_stored_in_time(gateway, id).await {
             return false;
         }
