fix(gateway): an assumed version does not confirm itself

Found by reading, not seen in a play: with one version in memory a resumption is sent at once while the store is read. The send noted the resumed attempt at the assumed version, and the confirmation then found that note and took it for knowledge, so a second version in the store's answer was ignored and the stream could be joined. The resumed attempt is now noted before the send only if it is known already, and otherwise once the store has confirmed it. No test holds this yet; formatter and Clippy pass.

--- a/crates/mimosagap-gateway/src/resumption.rs
+++ b/crates/mimosagap-gateway/src/resumption.rs
@@ -166,6 +166,9 @@
         }
     };
     if is_read && is_confirmed {
+        if let Some(id) = resumed_stream_id(request) {
+            note_stream(gateway, request, id, assumed);
+        }
         Ok(())
     } else {
         Err(refuse(gateway, RefusalReason::VersionUnknown))
@@ -260,32 +263,44 @@
         service: request.service.clone(),
         version,
     };
+    // An assumed origin is no evidence for itself, so a stream that is only assumed is not noted
+    // before the store has confirmed it.
+    let resumed = resumed_stream_id(request).filter(|_| known_origin(gateway, request).is_some());
+    for id in [own_stream_id(request), resumed].into_iter().flatten() {
+        if !note_stream(gateway, request, id, &origin) && !is_stored_in_time(gateway, id).await {
+            return false;
+        }
+    }
+    true
+}
+
+/// Notes that a stream is sent to the version of `origin`, and records it if the service is mixed.
+/// Returns whether the request may be sent at once; otherwise the store is to hold the new origin
+/// first.
+fn note_stream(
+    gateway: &Gateway,
+    request: &RoutedRequest,
+    id: StreamId,
+    origin: &StreamOrigin,
+) -> bool {
     let now = gateway.now();
     let patience = request.head.timeout.unwrap_or(request.route.timeout);
     let expires_at = request.arrived_at + patience;
-    for id in [own_stream_id(request), resumed_stream_id(request)]
-        .into_iter()
-        .flatten()
-    {
-        let (is_noted, is_mixed) = gateway.with_state(|state| {
-            let origins = &mut state.stream_origins;
-            let noted = origins.note_sent(id, origin.clone(), expires_at, now);
-            let is_mixed = state.targets.versions().is_mixed(&origin.service);
-            if noted.is_err() {
-                origins.replace(id, origin.clone());
-            } else if is_mixed {
-                origins.schedule(id, now + record_delay(state.hosts.len()));
-            }
-            (noted.is_ok(), is_mixed)
-        });
-        if is_mixed || !is_noted {
-            gateway.records_due.notify_one();
-        }
-        if !is_noted && !is_stored_in_time(gateway, id).await {
-            return false;
+    let (is_noted, is_mixed) = gateway.with_state(|state| {
+        let origins = &mut state.stream_origins;
+        let noted = origins.note_sent(id, origin.clone(), expires_at, now);
+        let is_mixed = state.targets.versions().is_mixed(&origin.service);
+        if noted.is_err() {
+            origins.replace(id, origin.clone());
+        } else if is_mixed {
+            origins.schedule(id, now + record_delay(state.hosts.len()));
         }
+        (noted.is_ok(), is_mixed)
+    });
+    if is_mixed || !is_noted {
+        gateway.records_due.notify_one();
     }
-    true
+    is_noted
 }
 
 async fn is_stored_in_time(gateway: &SharedGateway, id: StreamId) -> bool {
