test(soak): an assumed version confirms itself

The harness of the tests with one target takes a change of the store; their assertions are unchanged.

--- a/crates/mimosagap-soak/src/standins/store.rs
+++ b/crates/mimosagap-soak/src/standins/store.rs
@@ -153,6 +153,16 @@
         self.items.borrow_mut().insert(key.to_owned(), item);
     }
 
+    /// Writes a key of which no watch hears, as a watch of the platform may miss changes for a while.
+    pub fn put_unwatched(&self, key: &str, value: &Value) {
+        let item = StoredItem {
+            value: value.to_string().into_bytes(),
+            revision: self.revision.get(),
+            lease: 0,
+        };
+        self.items.borrow_mut().insert(key.to_owned(), item);
+    }
+
     /// Whether a key has a value.
     pub fn has_key(&self, key: &str) -> bool {
         self.items.borrow().contains_key(key)
--- /dev/null
+++ b/crates/mimosagap-soak/tests/assumed_version.rs
@@ -0,0 +1,56 @@
+//! A caller resumes a stream of which no host knows, at a gateway that has heard of one version.
+
+mod support;
+
+use std::io::Write;
+use std::net::{SocketAddr, TcpListener};
+
+use rstest::rstest;
+use serde_json::json;
+use support::read_head;
+
+/// Answers each connection with the second and last event of a stream.
+fn start_target() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
+    let address = listener.local_addr().expect("the listener is bound");
+    std::thread::spawn(move || {
+        for stream in listener.incoming() {
+            let mut stream = stream.expect("connections are accepted");
+            let request = read_head(&mut stream);
+            let id = request
+                .lines()
+                .find_map(|line| line.strip_prefix("x-attempt-id: "))
+                .unwrap_or_default();
+            let body = "id: 2\ndata: b\n\n";
+            let answer = format!(
+                "HTTP/1.1 200 OK\r\nx-attempt-id: {id}\r\nx-server-signature: signed\r\n\
+                 content-length: {}\r\n\r\n{body}",
+                body.len()
+            );
+            // The gateway may have given the request up.
+            let _ = stream.write_all(answer.as_bytes());
+        }
+    });
+    address
+}
+
+/// Another host has admitted a second version, and the watch has not brought it yet. The gateway
+/// assumes the version that it knows, and must not take its own assumption for an answer of the
+/// store.
+#[rstest]
+#[case::one_version(&["v1"], "HTTP/1.1 200", 24_700)]
+#[case::another_version_is_admitted(&["v1", "v2"], "HTTP/1.1 502", 24_710)]
+fn an_assumed_version_confirms_itself(
+    #[case] admitted: &[&str],
+    #[case] expected: &str,
+    #[case] base_port: u16,
+) {
+    let requests = [("/resumable/x", "a1")];
+    let responses = support::responses(start_target(), &requests, base_port, |store| {
+        for version in admitted {
+            let key = format!("mimosagap/versions/{version}");
+            store.put_unwatched(&key, &json!(["model", version]));
+        }
+    });
+    assert!(responses[0].starts_with(expected), "{responses:?}");
+}
--- a/crates/mimosagap-soak/tests/support/mod.rs
+++ b/crates/mimosagap-soak/tests/support/mod.rs
@@ -31,9 +31,14 @@
     stream
         .set_read_timeout(Some(TIMEOUT))
         .expect("the timeout is valid");
+    let resumption = if path.starts_with("/resumable/") {
+        "last-event-id: 1\r\nresumes: a0\r\n"
+    } else {
+        ""
+    };
     let request = format!(
         "GET {path} HTTP/1.1\r\nhost: soak.example\r\nx-attempt-id: {id}\r\nx-deadline-ms: 3000\r\n\
-         x-model: m\r\nx-token-usage: 10,40\r\nx-prefix-hash: 1:5,2:5\r\nconnection: close\r\n\r\n"
+         x-model: m\r\nx-token-usage: 10,40\r\nx-prefix-hash: 1:5,2:5\r\n{resumption}connection: close\r\n\r\n"
     );
     stream
         .write_all(request.as_bytes())
@@ -51,12 +56,13 @@
     directory.join("mimosagapd")
 }
 
-/// Runs a gateway before a target, sends requests with these paths and attempt ids, one after the
-/// other, and returns their responses.
+/// Runs a gateway before a target, changes the store once it has started, sends requests with these
+/// paths and attempt ids, one after the other, and returns their responses.
 pub fn responses(
     target: SocketAddr,
     requests: &[(&'static str, &'static str)],
     base_port: u16,
+    change_store: impl FnOnce(&StoreStandin),
 ) -> Vec<String> {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
@@ -97,6 +103,7 @@
         )
         .expect("the gateway starts");
         tokio::time::sleep(Duration::from_secs(1)).await;
+        change_store(&store);
         let mut responses = Vec::new();
         for request in requests.iter().copied() {
             let address = gateway.client_address;
@@ -115,6 +122,7 @@
             "name": prefix, "hostname": "soak.example", "path_prefix": prefix, "route_kind": kind,
             "timeout_ms": 3500, "target_latency_ms": 300, "priority": 1, "service": service,
             "max_attempts": 1, "target_gap_ms": 200, "public": true,
+            "resumable": prefix == "/resumable/",
         })
     };
     json!({
@@ -123,6 +131,7 @@
             route("/safe/", "safe", "plain"),
             route("/once/", "unsafe", "plain"),
             route("/stream/", "streaming", "model"),
+            route("/resumable/", "streaming", "model"),
         ],
         "services": [
             {"name": "plain"},
