--- a/crates/mimosagap-gateway/src/calls.rs
+++ b/crates/mimosagap-gateway/src/calls.rs
@@ -197,7 +197,7 @@
         if progress.rate_limited_attempts == 0 {
             gateway.count_request(&request.service);
         }
-    } else if !gateway.try_spend_retry(&request.service) {
+    } else if !gateway.try_spend_retry(request) {
         return;
     }
     progress.tried.push(target);
--- a/crates/mimosagap-gateway/src/handover.rs
+++ b/crates/mimosagap-gateway/src/handover.rs
@@ -108,7 +108,7 @@
     let tried = [failed];
     let placement = find_engine(gateway, request, job.demand, Some(&version), &tried).await;
     let placement = placement.ok()?;
-    if !gateway.try_spend_retry(&request.service) {
+    if !gateway.try_spend_retry(request) {
         return None;
     }
     let reservation = LoadReservation::for_stream(
--- a/crates/mimosagap-gateway/src/log.rs
+++ b/crates/mimosagap-gateway/src/log.rs
@@ -300,6 +300,23 @@
         /// Milliseconds since the failed step of the attempt began.
         after_ms: u64,
     },
+    /// A request is to be sent again, which the retry budget allows or denies.
+    Retry {
+        /// Attempt id, set by the caller anew for each retry.
+        id: &'a str,
+        /// Service whose budget is used.
+        service: &'a str,
+        /// Whether the request is sent again.
+        allowed: bool,
+        /// Retries of this process in the window, without this one.
+        spent: usize,
+        /// Retries that the window allows.
+        allowance: f64,
+        /// Hosts that share the allowance, as far as this one knows.
+        hosts: usize,
+        /// Milliseconds since the process started.
+        up_ms: u64,
+    },
     /// The gateway itself rejected a request.
     Refused {
         /// Attempt id, set by the caller anew for each retry.
@@ -473,13 +490,14 @@
             Self::EntryUnreadable { .. } | Self::ConfigUnreadable { .. } => (8, "unreadable"),
             Self::Trouble { .. } => (9, "trouble"),
             Self::RatePermit { .. } => (10, "rate_permit"),
-            _ => (11, "state"),
+            Self::Retry { .. } => (11, "retry"),
+            _ => (12, "state"),
         }
     }
 }
 
 /// Number of kinds that [`LogEvent::kind`] distinguishes.
-const KIND_COUNT: usize = 12;
+const KIND_COUNT: usize = 13;
 
 #[derive(Serialize)]
 struct LogLine<'a> {
--- a/crates/mimosagap-gateway/src/state.rs
+++ b/crates/mimosagap-gateway/src/state.rs
@@ -28,13 +28,14 @@
 use tokio::sync::Notify;
 
 use crate::header_audit::HeaderAudit;
-use crate::log::EventLog;
+use crate::log::{EventLog, LogEvent};
 use crate::metrics::GatewayMetrics;
 use crate::mirror::StoreMirror;
 use crate::notice_queue::NoticeQueue;
 use crate::pool::ConnectionPool;
 use crate::rate_permits::PermitClient;
 use crate::remote_placement::PlacementClient;
+use crate::request::RoutedRequest;
 use crate::resumption::OriginReader;
 use crate::store::StoreClient;
 use crate::suspicion::SuspicionExchange;
@@ -128,6 +129,8 @@
     pub in_flight: Cell<u32>,
     state: RefCell<GatewayState>,
     clock: SystemClock,
+    /// When the process started, as time since boot.
+    started_at: Duration,
 }
 
 /// Shared handle to the gateway. Not `Send`: all tasks run on one thread.
@@ -193,6 +196,7 @@
                 buffer_budget,
                 stream_origins: StreamOrigins::default(),
             }),
+            started_at: clock.since_boot(),
             clock,
         }
     }
@@ -254,14 +258,27 @@
         });
     }
 
-    /// Takes one retry from the budget of a service. Returns whether the budget allows it.
-    pub fn try_spend_retry(&self, service: &DeploymentName) -> bool {
+    /// Takes one retry from the budget of the request's service. Returns whether the budget allows
+    /// it.
+    pub fn try_spend_retry(&self, request: &RoutedRequest) -> bool {
         let (now, bounds) = (self.now(), self.retry_bounds());
-        let is_allowed = self.with_state(|state| {
+        let service = &request.service;
+        let (is_allowed, event) = self.with_state(|state| {
             let host_count = state.hosts.len();
             let budget = state.retry_budgets.entry(service.clone()).or_default();
-            budget.try_spend(now, &bounds, host_count)
+            let is_allowed = budget.try_spend(now, &bounds, host_count);
+            let event = LogEvent::Retry {
+                id: &request.head.attempt_id,
+                service: service.as_str(),
+                allowed: is_allowed,
+                spent: budget.spent() - usize::from(is_allowed),
+                allowance: budget.allowance(&bounds, host_count),
+                hosts: host_count,
+                up_ms: millis(now.saturating_sub(self.started_at)),
+            };
+            (is_allowed, event)
         });
+        self.log.event(&event);
         self.metrics.count_retry(is_allowed);
         is_allowed
     }
--- a/crates/mimosagap-gateway/src/streams.rs
+++ b/crates/mimosagap-gateway/src/streams.rs
@@ -185,7 +185,7 @@
             if !std::mem::replace(&mut is_counted, true) {
                 gateway.count_request(&request.service);
             }
-        } else if sends >= MAX_SENDS || !gateway.try_spend_retry(&request.service) {
+        } else if sends >= MAX_SENDS || !gateway.try_spend_retry(request) {
             break RefusalReason::TargetsRejected;
         }
         sends += 1;
--- a/crates/mimosagap-gateway/tests/log.rs
+++ b/crates/mimosagap-gateway/tests/log.rs
@@ -255,6 +255,15 @@
             rank: 0,
             ahead: 0,
         },
+        LogEvent::Retry {
+            id: "a",
+            service: "s",
+            allowed: true,
+            spent: 0,
+            allowance: 1.0,
+            hosts: 1,
+            up_ms: 1,
+        },
         LogEvent::AttemptFailed {
             id: "a",
             target: "i-1",
--- a/crates/mimosagap-routing/src/retry_budget.rs
+++ b/crates/mimosagap-routing/src/retry_budget.rs
@@ -52,6 +52,12 @@
         self.retries.pop_back();
     }
 
+    /// Retries in the current window.
+    #[must_use]
+    pub fn spent(&self) -> usize {
+        self.retries.len()
+    }
+
     /// Requests per second in the current window.
     #[must_use]
     pub fn request_rate(&self, bounds: &RetryBounds) -> f64 {
