fix(routing): a process starts without credit for retries

Cause: each process counted its retries in its own memory, so each start renewed a whole share of the fleet's slack, and counted the requests of the last ten seconds once for the old process and once for the new one.

Now a host saves credit, up to 0.55 of its share of the slack, 0.3 of the share within a window and 0.9 of the ratio with each request, and a process starts with none. What a host sends in a window is bounded by what it held and what it gained, however often it is restarted, so the sum stays within the operators' bound.

--- a/crates/mimosagap-gateway/src/log.rs
+++ b/crates/mimosagap-gateway/src/log.rs
@@ -308,10 +308,10 @@
         service: &'a str,
         /// Whether the request is sent again.
         allowed: bool,
-        /// Retries of this process in the window, without this one.
-        spent: usize,
-        /// Retries that the window allows.
-        allowance: f64,
+        /// Retries that this process may still send.
+        credit: f64,
+        /// The most that it can save up.
+        capacity: f64,
         /// Hosts that share the allowance, as far as this one knows.
         hosts: usize,
         /// Milliseconds since the process started.
--- a/crates/mimosagap-gateway/src/state.rs
+++ b/crates/mimosagap-gateway/src/state.rs
@@ -14,7 +14,7 @@
 use mimosagap_routing::hosts::HostTable;
 use mimosagap_routing::output_length::LengthEstimator;
 use mimosagap_routing::quarantine::Quarantine;
-use mimosagap_routing::retry_budget::{RetryBounds, RetryBudget};
+use mimosagap_routing::retry_budget::{RetryBounds, RetryBudget, capacity};
 use mimosagap_routing::shutdown::ShutdownWindow;
 use mimosagap_routing::store_revision::EraTracker;
 use mimosagap_routing::stream_origins::StreamOrigins;
@@ -253,8 +253,9 @@
     pub fn count_request(&self, service: &DeploymentName) {
         let (now, bounds) = (self.now(), self.retry_bounds());
         self.with_state(|state| {
-            let budget = state.retry_budgets.entry(service.clone()).or_default();
-            budget.record_request(now, &bounds);
+            let host_count = state.hosts.len();
+            let budget = self.retry_budget(state, service);
+            budget.record_request(now, &bounds, host_count);
         });
     }
 
@@ -265,14 +266,14 @@
         let service = &request.service;
         let (is_allowed, event) = self.with_state(|state| {
             let host_count = state.hosts.len();
-            let budget = state.retry_budgets.entry(service.clone()).or_default();
+            let budget = self.retry_budget(state, service);
             let is_allowed = budget.try_spend(now, &bounds, host_count);
             let event = LogEvent::Retry {
                 id: &request.head.attempt_id,
                 service: service.as_str(),
                 allowed: is_allowed,
-                spent: budget.spent() - usize::from(is_allowed),
-                allowance: budget.allowance(&bounds, host_count),
+                credit: budget.credit(),
+                capacity: capacity(&bounds, host_count),
                 hosts: host_count,
                 up_ms: millis(now.saturating_sub(self.started_at)),
             };
@@ -283,6 +284,16 @@
         is_allowed
     }
 
+    /// The retry budget of a service, which begins with the process.
+    fn retry_budget<'a>(
+        &self,
+        state: &'a mut GatewayState,
+        service: &DeploymentName,
+    ) -> &'a mut RetryBudget {
+        let budget = state.retry_budgets.entry(service.clone());
+        budget.or_insert_with(|| RetryBudget::new(self.started_at))
+    }
+
     /// Whether the rate limit of a target keeps this host from using it for requests of a service.
     pub fn is_held_back(&self, service: &DeploymentName) -> bool {
         let now = self.now();
--- a/crates/mimosagap-gateway/tests/log.rs
+++ b/crates/mimosagap-gateway/tests/log.rs
@@ -201,7 +201,7 @@
     ]
 }
 
-/// One event of each kind that concerns the store's history or requests that crash targets.
+/// One event of each kind that concerns the store's history, requests that crash targets, or retries.
 fn belief_events() -> Vec<LogEvent<'static>> {
     let empty = String::new;
     vec![
@@ -224,6 +224,15 @@
             what: empty(),
             source: "answer",
         },
+        LogEvent::Retry {
+            id: "a",
+            service: "s",
+            allowed: true,
+            credit: 0.5,
+            capacity: 1.0,
+            hosts: 1,
+            up_ms: 1,
+        },
         LogEvent::QuarantineTrial {
             id: "a",
             what: empty(),
@@ -255,15 +264,6 @@
             rank: 0,
             ahead: 0,
         },
-        LogEvent::Retry {
-            id: "a",
-            service: "s",
-            allowed: true,
-            spent: 0,
-            allowance: 1.0,
-            hosts: 1,
-            up_ms: 1,
-        },
         LogEvent::AttemptFailed {
             id: "a",
             target: "i-1",
--- a/crates/mimosagap-routing/src/retry_budget.rs
+++ b/crates/mimosagap-routing/src/retry_budget.rs
@@ -1,15 +1,27 @@
 //! The budget for sending requests to a second target, shared by all hosts.
 //!
-//! When targets fail or reject requests, all hosts want to retry at the same time. Each host may
-//! spend an equal part of the fleet's allowance and a fraction of its own requests, so that the sum
-//! over all hosts stays within the bound for any number of hosts.
+//! When targets fail or reject requests, all hosts want to retry at the same time, and hosts that
+//! are restarted meanwhile have forgotten what they spent. Each host saves credit: a part of its
+//! share of the fleet's slack, over time, and a fraction of a retry with each request. A process
+//! starts without credit, so restarts add nothing to what a host may spend. In any window a host
+//! spends at most what it held at the beginning and what it gained since, which is its share of the
+//! operators' bound for any number of hosts and restarts.
 
 use std::collections::VecDeque;
 use std::time::Duration;
 
-/// Fraction of the allowance that is used. The windows of hosts begin at different times, and hosts
-/// may disagree for some seconds on how many share the allowance.
-const USED_FRACTION: f64 = 0.8;
+/// Fraction of the fleet's slack that hosts may hold as unspent credit.
+const HELD_FRACTION: f64 = 0.55;
+
+/// Fraction of the fleet's slack that hosts gain within a window. Together with [`HELD_FRACTION`] it
+/// stays below 1, because hosts may disagree for some seconds on how many share the slack.
+const GAINED_FRACTION: f64 = 0.3;
+
+/// Fraction of the operators' ratio that a request adds.
+const RATIO_FRACTION: f64 = 0.9;
+
+/// A host can hold the credit for one retry, however small its share is.
+const MIN_CAPACITY: f64 = 1.0;
 
 /// The operators' bound on retries.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -22,40 +34,52 @@
     pub slack: f64,
 }
 
-/// Requests and retries of this host for one service.
-#[derive(Debug, Clone, Default)]
+/// Credit of this host for retries at one service.
+#[derive(Debug, Clone)]
 pub struct RetryBudget {
     requests: VecDeque<Duration>,
-    retries: VecDeque<Duration>,
+    credit: f64,
+    updated_at: Duration,
 }
 
 impl RetryBudget {
+    /// Creates the budget of a process that started at `started_at`.
+    #[must_use]
+    pub fn new(started_at: Duration) -> Self {
+        Self {
+            requests: VecDeque::new(),
+            credit: 0.0,
+            updated_at: started_at,
+        }
+    }
+
     /// Records the first send of a request.
-    pub fn record_request(&mut self, now: Duration, bounds: &RetryBounds) {
-        self.drop_expired(now, bounds);
+    pub fn record_request(&mut self, now: Duration, bounds: &RetryBounds, host_count: usize) {
+        self.update(now, bounds, host_count);
         self.requests.push_back(now);
+        self.credit += RATIO_FRACTION * bounds.ratio;
+        self.credit = self.credit.min(capacity(bounds, host_count));
     }
 
-    /// Spends one retry if the budget allows it. Returns whether it does.
+    /// Spends one retry if the credit allows it. Returns whether it does.
     pub fn try_spend(&mut self, now: Duration, bounds: &RetryBounds, host_count: usize) -> bool {
-        self.drop_expired(now, bounds);
-        let allowance = self.allowance(bounds, host_count);
-        let is_allowed = to_f64(self.retries.len()) + 1.0 <= allowance;
+        self.update(now, bounds, host_count);
+        let is_allowed = self.credit >= 1.0;
         if is_allowed {
-            self.retries.push_back(now);
+            self.credit -= 1.0;
         }
         is_allowed
     }
 
     /// Returns a retry that was spent on a request which was not sent after all.
     pub fn refund(&mut self) {
-        self.retries.pop_back();
+        self.credit += 1.0;
     }
 
-    /// Retries in the current window.
+    /// Retries that this host may still spend, as of the last change.
     #[must_use]
-    pub fn spent(&self) -> usize {
-        self.retries.len()
+    pub fn credit(&self) -> f64 {
+        self.credit
     }
 
     /// Requests per second in the current window.
@@ -64,24 +88,30 @@
         to_f64(self.requests.len()) / bounds.window.as_secs_f64().max(1.0)
     }
 
-    /// Number of retries allowed in the current window.
-    #[must_use]
-    pub fn allowance(&self, bounds: &RetryBounds, host_count: usize) -> f64 {
-        let slack_share = bounds.slack / to_f64(host_count.max(1));
-        USED_FRACTION * (slack_share + bounds.ratio * to_f64(self.requests.len()))
-    }
-
-    fn drop_expired(&mut self, now: Duration, bounds: &RetryBounds) {
+    /// Adds what was gained since the last change.
+    fn update(&mut self, now: Duration, bounds: &RetryBounds, host_count: usize) {
+        let elapsed = now.saturating_sub(self.updated_at).as_secs_f64();
+        self.updated_at = self.updated_at.max(now);
+        let windows = elapsed / bounds.window.as_secs_f64().max(1.0);
+        self.credit += windows * GAINED_FRACTION * slack_share(bounds, host_count);
+        self.credit = self.credit.min(capacity(bounds, host_count));
         let window_start = now.saturating_sub(bounds.window);
         while self.requests.front().is_some_and(|at| *at < window_start) {
             self.requests.pop_front();
         }
-        while self.retries.front().is_some_and(|at| *at < window_start) {
-            self.retries.pop_front();
-        }
     }
 }
 
+/// The most credit that a host can hold.
+#[must_use]
+pub fn capacity(bounds: &RetryBounds, host_count: usize) -> f64 {
+    (HELD_FRACTION * slack_share(bounds, host_count)).max(MIN_CAPACITY)
+}
+
+fn slack_share(bounds: &RetryBounds, host_count: usize) -> f64 {
+    bounds.slack / to_f64(host_count.max(1))
+}
+
 #[expect(clippy::cast_precision_loss, reason = "counts of one window are small")]
 fn to_f64(count: usize) -> f64 {
     count as f64
--- a/crates/mimosagap-routing/tests/retry_fleet.rs
+++ b/crates/mimosagap-routing/tests/retry_fleet.rs
@@ -72,7 +72,7 @@
     let known_hosts = usize::try_from(host_count).expect("few hosts");
     let mut hosts: Vec<FleetHost> = (0..host_count)
         .map(|_| FleetHost {
-            budget: RetryBudget::default(),
+            budget: RetryBudget::new(Duration::ZERO),
             next_request: REQUEST_INTERVAL.mul_f64(rng.random()),
         })
         .collect();
@@ -92,14 +92,14 @@
             let is_killed = kills_all
                 || (fault == FleetFault::RandomKills && rng.random_bool(TICK.as_secs_f64() / 3.0));
             if is_killed {
-                host.budget = RetryBudget::default();
+                host.budget = RetryBudget::new(now);
             }
             if now < host.next_request {
                 continue;
             }
             host.next_request = now + REQUEST_INTERVAL;
             record.requests.push(now);
-            host.budget.record_request(now, &bounds);
+            host.budget.record_request(now, &bounds, known_hosts);
             for _ in 1..MAX_SENDS {
                 if host.budget.try_spend(now, &bounds, known_hosts) {
                     record.retries.push(now);
