--- a/crates/mimosagap-routing/tests/retry_fleet.rs
+++ b/crates/mimosagap-routing/tests/retry_fleet.rs
@@ -18,7 +18,7 @@
 const MAX_SENDS: u32 = 4;
 
 const TICK: Duration = Duration::from_millis(50);
-const LENGTH: Duration = Duration::from_secs(60);
+const LENGTH: Duration = Duration::from_mins(1);
 
 /// The operators' bound for a fleet of this size, as on the sites of the platform.
 fn bounds_of(host_count: u32) -> RetryBounds {
