--- a/crates/mimosagap-routing/tests/retry_fleet.rs
+++ b/crates/mimosagap-routing/tests/retry_fleet.rs
@@ -17,6 +17,12 @@
 /// Sends of one request, as the gateway limits them.
 const MAX_SENDS: u32 = 4;
 
+/// Time in which a host that starts hears of the others.
+const LISTING_TIME: Duration = Duration::from_millis(1500);
+
+/// From when [`FleetFault::HalfUnlisted`] keeps half of the hosts off the list.
+const UNLISTED_FROM: Duration = Duration::from_secs(25);
+
 const TICK: Duration = Duration::from_millis(50);
 const LENGTH: Duration = Duration::from_mins(1);
 
@@ -36,10 +42,37 @@
     RandomKills,
     /// All hosts are killed together every four seconds.
     KillsOfAll,
+    /// All hosts lose power together every fifteen seconds, for longer than their records last. A
+    /// host that starts lists itself, and the others a little later.
+    LapsedRecords,
+    /// The store rejects half of the hosts for most of the time. Their records lapse, and the other
+    /// half lists them no more.
+    HalfUnlisted,
+}
+
+impl FleetFault {
+    /// Time between two kills of all hosts.
+    fn kill_interval(self) -> Option<Duration> {
+        match self {
+            Self::RandomKills | Self::HalfUnlisted => None,
+            Self::KillsOfAll => Some(Duration::from_secs(4)),
+            Self::LapsedRecords => Some(Duration::from_secs(15)),
+        }
+    }
+
+    /// How many hosts a host lists.
+    fn listed_hosts(self, fleet: usize, host: usize, age: Duration, now: Duration) -> usize {
+        match self {
+            Self::LapsedRecords if age < LISTING_TIME => 1,
+            Self::HalfUnlisted if host < fleet / 2 && now > UNLISTED_FROM => fleet / 2,
+            _ => fleet,
+        }
+    }
 }
 
 struct FleetHost {
     budget: RetryBudget,
+    started_at: Duration,
     next_request: Duration,
 }
 
@@ -69,10 +102,11 @@
 fn simulate(host_count: u32, fault: FleetFault, seed: u64) -> FleetRecord {
     let bounds = bounds_of(host_count);
     let mut rng = SmallRng::seed_from_u64(seed);
-    let known_hosts = usize::try_from(host_count).expect("few hosts");
+    let fleet = usize::try_from(host_count).expect("few hosts");
     let mut hosts: Vec<FleetHost> = (0..host_count)
         .map(|_| FleetHost {
             budget: RetryBudget::new(Duration::ZERO),
+            started_at: Duration::ZERO,
             next_request: REQUEST_INTERVAL.mul_f64(rng.random()),
         })
         .collect();
@@ -81,24 +115,28 @@
         retries: Vec::new(),
     };
     let mut now = Duration::ZERO;
-    let mut next_kill = Duration::from_secs(4);
+    let kill_interval = fault.kill_interval();
+    let mut next_kill = kill_interval.unwrap_or(Duration::MAX);
     while now < LENGTH {
         now += TICK;
-        let kills_all = fault == FleetFault::KillsOfAll && now >= next_kill;
-        if kills_all {
-            next_kill += Duration::from_secs(4);
+        let kills_all = now >= next_kill;
+        if let Some(interval) = kill_interval.filter(|_| kills_all) {
+            next_kill += interval;
         }
-        for host in &mut hosts {
+        for (index, host) in hosts.iter_mut().enumerate() {
             let is_killed = kills_all
                 || (fault == FleetFault::RandomKills && rng.random_bool(TICK.as_secs_f64() / 3.0));
             if is_killed {
                 host.budget = RetryBudget::new(now);
+                host.started_at = now;
             }
             if now < host.next_request {
                 continue;
             }
             host.next_request = now + REQUEST_INTERVAL;
             record.requests.push(now);
+            let age = now.saturating_sub(host.started_at);
+            let known_hosts = fault.listed_hosts(fleet, index, age, now);
             host.budget.record_request(now, &bounds, known_hosts);
             for _ in 1..MAX_SENDS {
                 if host.budget.try_spend(now, &bounds, known_hosts) {
@@ -122,3 +160,17 @@
     let worst_use = record.worst_use(&bounds_of(host_count));
     assert!(worst_use <= 1.0, "{worst_use:.2} of the bound was used");
 }
+
+/// Hosts divide the slack by the number of hosts that they list. A list that is too short for some
+/// seconds, because hosts have just started or because the records of others lapsed while these go on
+/// to serve, let each of them spend more than its share.
+#[rstest]
+fn hosts_that_list_few_others_spend_their_shares(
+    #[values(6, 77, 300)] host_count: u32,
+    #[values(FleetFault::LapsedRecords, FleetFault::HalfUnlisted)] fault: FleetFault,
+    #[values(1, 2, 3)] seed: u64,
+) {
+    let record = simulate(host_count, fault, seed);
+    let worst_use = record.worst_use(&bounds_of(host_count));
+    assert!(worst_use <= 1.0, "{worst_use:.2} of the bound was used");
+}
