fix(routing): the slack of retries is divided by the most hosts listed lately

Hosts that start together after their records lapsed list themselves first, and hosts whose records lapse while they go on to serve are not counted by the others; each then saves up more than its share.

A process gains nothing from the slack in its first three seconds, and afterwards counts the most hosts that it listed within the last one to two minutes. Ruled out: a cure by the capacity of the credit alone (it is divided by the same number).

hosts_that_list_few_others_spend_their_shares failed with 77 and 300 hosts (2.23 to 3.24 of the bound) and passes with 6, 77 and 300.

--- a/crates/mimosagap-gateway/src/log.rs
+++ b/crates/mimosagap-gateway/src/log.rs
@@ -312,7 +312,7 @@
         credit: f64,
         /// The most that it can save up.
         capacity: f64,
-        /// Hosts that share the allowance, as far as this one knows.
+        /// Hosts that share the slack; 0 while this one may not have heard of all.
         hosts: usize,
         /// Milliseconds since the process started.
         up_ms: u64,
--- a/crates/mimosagap-gateway/src/state.rs
+++ b/crates/mimosagap-gateway/src/state.rs
@@ -14,7 +14,7 @@
 use mimosagap_routing::hosts::HostTable;
 use mimosagap_routing::output_length::LengthEstimator;
 use mimosagap_routing::quarantine::Quarantine;
-use mimosagap_routing::retry_budget::{RetryBounds, RetryBudget, capacity};
+use mimosagap_routing::retry_budget::{FleetSize, RetryBounds, RetryBudget, capacity};
 use mimosagap_routing::shutdown::ShutdownWindow;
 use mimosagap_routing::store_revision::EraTracker;
 use mimosagap_routing::stream_origins::StreamOrigins;
@@ -58,6 +58,8 @@
     pub token_time_estimators: HashMap<DeploymentName, TokenTimeEstimator>,
     /// Estimators of the output length, by route.
     pub length_estimators: HashMap<ClassName, LengthEstimator>,
+    /// How many hosts share the slack of the retry budgets.
+    pub fleet_size: FleetSize,
     /// Retry budgets, by service.
     pub retry_budgets: HashMap<DeploymentName, RetryBudget>,
     /// Generations that wait for an engine, by service.
@@ -87,6 +89,13 @@
     pub stream_origins: StreamOrigins,
 }
 
+impl GatewayState {
+    /// How many hosts share the slack of the retry budgets; `None` if it is not known yet.
+    pub fn sharing_hosts(&mut self, now: Duration) -> Option<usize> {
+        self.fleet_size.update(self.hosts.len(), now)
+    }
+}
+
 /// A gateway process: settings, log, metrics, notifications between tasks, and state.
 pub struct Gateway {
     /// Settings of the host, fixed while the process runs.
@@ -182,6 +191,7 @@
                 quarantine: Quarantine::new(clock.since_boot()),
                 token_time_estimators: HashMap::new(),
                 length_estimators: HashMap::new(),
+                fleet_size: FleetSize::new(clock.since_boot()),
                 retry_budgets: HashMap::new(),
                 wait_queues: HashMap::new(),
                 connection_pool: ConnectionPool::default(),
@@ -253,9 +263,9 @@
     pub fn count_request(&self, service: &DeploymentName) {
         let (now, bounds) = (self.now(), self.retry_bounds());
         self.with_state(|state| {
-            let host_count = state.hosts.len();
+            let sharing_hosts = state.sharing_hosts(now);
             let budget = self.retry_budget(state, service);
-            budget.record_request(now, &bounds, host_count);
+            budget.record_request(now, &bounds, sharing_hosts);
         });
     }
 
@@ -265,16 +275,16 @@
         let (now, bounds) = (self.now(), self.retry_bounds());
         let service = &request.service;
         let (is_allowed, event) = self.with_state(|state| {
-            let host_count = state.hosts.len();
+            let sharing_hosts = state.sharing_hosts(now);
             let budget = self.retry_budget(state, service);
-            let is_allowed = budget.try_spend(now, &bounds, host_count);
+            let is_allowed = budget.try_spend(now, &bounds, sharing_hosts);
             let event = LogEvent::Retry {
                 id: &request.head.attempt_id,
                 service: service.as_str(),
                 allowed: is_allowed,
                 credit: budget.credit(),
-                capacity: capacity(&bounds, host_count),
-                hosts: host_count,
+                capacity: capacity(&bounds, sharing_hosts),
+                hosts: sharing_hosts.unwrap_or(0),
                 up_ms: millis(now.saturating_sub(self.started_at)),
             };
             (is_allowed, event)
--- a/crates/mimosagap-gateway/src/store_sync.rs
+++ b/crates/mimosagap-gateway/src/store_sync.rs
@@ -428,6 +428,7 @@
     }
     let now = gateway.now();
     gateway.with_state(|state| {
+        state.sharing_hosts(now);
         state.hosts.purge_removed(now);
         state.targets.purge_removed(now, REMOVED_TARGET_RETENTION);
         let targets = &state.targets;
--- a/crates/mimosagap-routing/src/retry_budget.rs
+++ b/crates/mimosagap-routing/src/retry_budget.rs
@@ -5,7 +5,8 @@
 //! share of the fleet's slack, over time, and a fraction of a retry with each request. A process
 //! starts without credit, so restarts add nothing to what a host may spend. In any window a host
 //! spends at most what it held at the beginning and what it gained since, which is its share of the
-//! operators' bound for any number of hosts and restarts.
+//! operators' bound for any number of hosts and restarts. The slack is divided by the most hosts that
+//! were listed lately, because a list that is too short for a while would give each host too much.
 
 use std::collections::VecDeque;
 use std::time::Duration;
@@ -20,6 +21,13 @@
 /// Fraction of the operators' ratio that a request adds.
 const RATIO_FRACTION: f64 = 0.9;
 
+/// Time after the start of a process in which it may not have heard of all hosts yet.
+const LISTING_TIME: Duration = Duration::from_secs(3);
+
+/// Time for which a host that is no longer listed still counts. Its record may have lapsed because
+/// the store rejects it, while callers and targets still reach it.
+const UNLISTED_TIME: Duration = Duration::from_mins(1);
+
 /// A host can hold the credit for one retry, however small its share is.
 const MIN_CAPACITY: f64 = 1.0;
 
@@ -34,6 +42,40 @@
     pub slack: f64,
 }
 
+/// How many hosts share the slack, as far as one of them knows.
+#[derive(Debug, Clone)]
+pub struct FleetSize {
+    started_at: Duration,
+    /// The most hosts listed in the current and in the previous period of [`UNLISTED_TIME`].
+    peaks: [usize; 2],
+    period_began_at: Duration,
+}
+
+impl FleetSize {
+    /// Creates the view of a process that started at `started_at`.
+    #[must_use]
+    pub fn new(started_at: Duration) -> Self {
+        Self {
+            started_at,
+            peaks: [0; 2],
+            period_began_at: started_at,
+        }
+    }
+
+    /// Records how many hosts are listed now. Returns how many share the slack; `None` while this
+    /// host may not have heard of all others.
+    pub fn update(&mut self, listed_hosts: usize, now: Duration) -> Option<usize> {
+        if now.saturating_sub(self.period_began_at) >= UNLISTED_TIME {
+            self.peaks = [0, self.peaks[0]];
+            self.period_began_at = now;
+        }
+        self.peaks[0] = self.peaks[0].max(listed_hosts);
+        let is_settled = now.saturating_sub(self.started_at) >= LISTING_TIME;
+        let most_hosts = self.peaks[0].max(self.peaks[1]);
+        (is_settled && most_hosts > 0).then_some(most_hosts)
+    }
+}
+
 /// Credit of this host for retries at one service.
 #[derive(Debug, Clone)]
 pub struct RetryBudget {
@@ -54,16 +96,26 @@
     }
 
     /// Records the first send of a request.
-    pub fn record_request(&mut self, now: Duration, bounds: &RetryBounds, host_count: usize) {
-        self.update(now, bounds, host_count);
+    pub fn record_request(
+        &mut self,
+        now: Duration,
+        bounds: &RetryBounds,
+        sharing_hosts: Option<usize>,
+    ) {
+        self.update(now, bounds, sharing_hosts);
         self.requests.push_back(now);
         self.credit += RATIO_FRACTION * bounds.ratio;
-        self.credit = self.credit.min(capacity(bounds, host_count));
+        self.credit = self.credit.min(capacity(bounds, sharing_hosts));
     }
 
     /// Spends one retry if the credit allows it. Returns whether it does.
-    pub fn try_spend(&mut self, now: Duration, bounds: &RetryBounds, host_count: usize) -> bool {
-        self.update(now, bounds, host_count);
+    pub fn try_spend(
+        &mut self,
+        now: Duration,
+        bounds: &RetryBounds,
+        sharing_hosts: Option<usize>,
+    ) -> bool {
+        self.update(now, bounds, sharing_hosts);
         let is_allowed = self.credit >= 1.0;
         if is_allowed {
             self.credit -= 1.0;
@@ -89,12 +141,12 @@
     }
 
     /// Adds what was gained since the last change.
-    fn update(&mut self, now: Duration, bounds: &RetryBounds, host_count: usize) {
+    fn update(&mut self, now: Duration, bounds: &RetryBounds, sharing_hosts: Option<usize>) {
         let elapsed = now.saturating_sub(self.updated_at).as_secs_f64();
         self.updated_at = self.updated_at.max(now);
         let windows = elapsed / bounds.window.as_secs_f64().max(1.0);
-        self.credit += windows * GAINED_FRACTION * slack_share(bounds, host_count);
-        self.credit = self.credit.min(capacity(bounds, host_count));
+        self.credit += windows * GAINED_FRACTION * slack_share(bounds, sharing_hosts);
+        self.credit = self.credit.min(capacity(bounds, sharing_hosts));
         let window_start = now.saturating_sub(bounds.window);
         while self.requests.front().is_some_and(|at| *at < window_start) {
             self.requests.pop_front();
@@ -104,12 +156,12 @@
 
 /// The most credit that a host can hold.
 #[must_use]
-pub fn capacity(bounds: &RetryBounds, host_count: usize) -> f64 {
-    (HELD_FRACTION * slack_share(bounds, host_count)).max(MIN_CAPACITY)
+pub fn capacity(bounds: &RetryBounds, sharing_hosts: Option<usize>) -> f64 {
+    (HELD_FRACTION * slack_share(bounds, sharing_hosts)).max(MIN_CAPACITY)
 }
 
-fn slack_share(bounds: &RetryBounds, host_count: usize) -> f64 {
-    bounds.slack / to_f64(host_count.max(1))
+fn slack_share(bounds: &RetryBounds, sharing_hosts: Option<usize>) -> f64 {
+    sharing_hosts.map_or(0.0, |count| bounds.slack / to_f64(count.max(1)))
 }
 
 #[expect(clippy::cast_precision_loss, reason = "counts of one window are small")]
--- a/crates/mimosagap-routing/tests/retry_fleet.rs
+++ b/crates/mimosagap-routing/tests/retry_fleet.rs
@@ -6,7 +6,7 @@
 
 use std::time::Duration;
 
-use mimosagap_routing::retry_budget::{RetryBounds, RetryBudget};
+use mimosagap_routing::retry_budget::{FleetSize, RetryBounds, RetryBudget};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use rstest::rstest;
@@ -72,6 +72,7 @@
 
 struct FleetHost {
     budget: RetryBudget,
+    fleet_size: FleetSize,
     started_at: Duration,
     next_request: Duration,
 }
@@ -106,6 +107,7 @@
     let mut hosts: Vec<FleetHost> = (0..host_count)
         .map(|_| FleetHost {
             budget: RetryBudget::new(Duration::ZERO),
+            fleet_size: FleetSize::new(Duration::ZERO),
             started_at: Duration::ZERO,
             next_request: REQUEST_INTERVAL.mul_f64(rng.random()),
         })
@@ -128,6 +130,7 @@
                 || (fault == FleetFault::RandomKills && rng.random_bool(TICK.as_secs_f64() / 3.0));
             if is_killed {
                 host.budget = RetryBudget::new(now);
+                host.fleet_size = FleetSize::new(now);
                 host.started_at = now;
             }
             if now < host.next_request {
@@ -136,10 +139,11 @@
             host.next_request = now + REQUEST_INTERVAL;
             record.requests.push(now);
             let age = now.saturating_sub(host.started_at);
-            let known_hosts = fault.listed_hosts(fleet, index, age, now);
-            host.budget.record_request(now, &bounds, known_hosts);
+            let listed_hosts = fault.listed_hosts(fleet, index, age, now);
+            let sharing_hosts = host.fleet_size.update(listed_hosts, now);
+            host.budget.record_request(now, &bounds, sharing_hosts);
             for _ in 1..MAX_SENDS {
-                if host.budget.try_spend(now, &bounds, known_hosts) {
+                if host.budget.try_spend(now, &bounds, sharing_hosts) {
                     record.retries.push(now);
                 }
             }
