--- a/crates/mimosagap-routing/tests/retry_fleet.rs
+++ b/crates/mimosagap-routing/tests/retry_fleet.rs
@@ -17,6 +17,9 @@
 /// Sends of one request, as the gateway limits them.
 const MAX_SENDS: u32 = 4;
 
+/// Streams that each host moves in a tick with [`FleetFault::MovedStreams`], on average.
+const MOVES_PER_TICK: f64 = 0.02;
+
 /// Time in which a host that starts hears of the others.
 const LISTING_TIME: Duration = Duration::from_millis(1500);
 
@@ -45,6 +48,8 @@
     /// All hosts lose power together every fifteen seconds, for longer than their records last. A
     /// host that starts lists itself, and the others a little later.
     LapsedRecords,
+    /// Targets leave one after the other, and streams move to others at every host.
+    MovedStreams,
     /// The store rejects half of the hosts for most of the time. Their records lapse, and the other
     /// half lists them no more.
     HalfUnlisted,
@@ -54,7 +59,7 @@
     /// Time between two kills of all hosts.
     fn kill_interval(self) -> Option<Duration> {
         match self {
-            Self::RandomKills | Self::HalfUnlisted => None,
+            Self::RandomKills | Self::HalfUnlisted | Self::MovedStreams => None,
             Self::KillsOfAll => Some(Duration::from_secs(4)),
             Self::LapsedRecords => Some(Duration::from_secs(15)),
         }
@@ -126,6 +131,9 @@
             next_kill += interval;
         }
         for (index, host) in hosts.iter_mut().enumerate() {
+            if fault == FleetFault::MovedStreams && rng.random_bool(MOVES_PER_TICK) {
+                record.retries.push(now);
+            }
             let is_killed = kills_all
                 || (fault == FleetFault::RandomKills && rng.random_bool(TICK.as_secs_f64() / 3.0));
             if is_killed {
@@ -178,3 +186,15 @@
     let worst_use = record.worst_use(&bounds_of(host_count));
     assert!(worst_use <= 1.0, "{worst_use:.2} of the bound was used");
 }
+
+/// A stream whose target leaves goes on at another one, from a copy. The target that takes it gets one
+/// more request, which was missing in the count of the host.
+#[rstest]
+fn moved_streams_are_sent_beyond_the_budget(
+    #[values(6, 77, 300)] host_count: u32,
+    #[values(1, 2, 3)] seed: u64,
+) {
+    let record = simulate(host_count, FleetFault::MovedStreams, seed);
+    let worst_use = record.worst_use(&bounds_of(host_count));
+    assert!(worst_use <= 1.0, "{worst_use:.2} of the bound was used");
+}
