fix(gateway): moved streams spend retry credit

A move needs credit like any other send and may run one retry into debt, because the stream is lost otherwise; a move that is denied is tried again with the next event.

--- a/crates/mimosagap-gateway/src/calls.rs
+++ b/crates/mimosagap-gateway/src/calls.rs
@@ -13,6 +13,7 @@
 use http::response::Parts;
 use mimosagap_routing::placement::place_call;
 use mimosagap_routing::refusal::RefusalReason;
+use mimosagap_routing::retry_budget::RetryPurpose;
 use mimosagap_routing::targets::{TargetKey, TargetOutcome};
 
 use crate::body_reader::{ResponsePace, read_to_end};
@@ -197,7 +198,7 @@
         if progress.rate_limited_attempts == 0 {
             gateway.count_request(&request.service);
         }
-    } else if !gateway.try_spend_retry(request) {
+    } else if !gateway.try_spend_retry(request, RetryPurpose::Attempt) {
         return;
     }
     progress.tried.push(target);
--- a/crates/mimosagap-gateway/src/handover.rs
+++ b/crates/mimosagap-gateway/src/handover.rs
@@ -7,6 +7,7 @@
 
 use mimosagap_platform::request::Continuation;
 use mimosagap_routing::placement::GenerationDemand;
+use mimosagap_routing::retry_budget::RetryPurpose;
 use mimosagap_routing::targets::TargetKey;
 use mimosagap_types::prelude::*;
 use tokio::time::timeout;
@@ -108,7 +109,7 @@
     let tried = [failed];
     let placement = find_engine(gateway, request, job.demand, Some(&version), &tried).await;
     let placement = placement.ok()?;
-    if !gateway.try_spend_retry(request) {
+    if !gateway.try_spend_retry(request, RetryPurpose::Attempt) {
         return None;
     }
     let reservation = LoadReservation::for_stream(
--- a/crates/mimosagap-gateway/src/log.rs
+++ b/crates/mimosagap-gateway/src/log.rs
@@ -306,6 +306,8 @@
         id: &'a str,
         /// Service whose budget is used.
         service: &'a str,
+        /// Whether an attempt is repeated or a stream moved.
+        purpose: &'a str,
         /// Whether the request is sent again.
         allowed: bool,
         /// Retries that this process may still send.
--- a/crates/mimosagap-gateway/src/state.rs
+++ b/crates/mimosagap-gateway/src/state.rs
@@ -14,7 +14,9 @@
 use mimosagap_routing::hosts::HostTable;
 use mimosagap_routing::output_length::LengthEstimator;
 use mimosagap_routing::quarantine::Quarantine;
-use mimosagap_routing::retry_budget::{FleetSize, RetryBounds, RetryBudget, capacity};
+use mimosagap_routing::retry_budget::{
+    FleetSize, RetryBounds, RetryBudget, RetryPurpose, capacity,
+};
 use mimosagap_routing::shutdown::ShutdownWindow;
 use mimosagap_routing::store_revision::EraTracker;
 use mimosagap_routing::stream_origins::StreamOrigins;
@@ -271,16 +273,17 @@
 
     /// Takes one retry from the budget of the request's service. Returns whether the budget allows
     /// it.
-    pub fn try_spend_retry(&self, request: &RoutedRequest) -> bool {
+    pub fn try_spend_retry(&self, request: &RoutedRequest, purpose: RetryPurpose) -> bool {
         let (now, bounds) = (self.now(), self.retry_bounds());
         let service = &request.service;
         let (is_allowed, event) = self.with_state(|state| {
             let sharing_hosts = state.sharing_hosts(now);
             let budget = self.retry_budget(state, service);
-            let is_allowed = budget.try_spend(now, &bounds, sharing_hosts);
+            let is_allowed = budget.try_spend(purpose, now, &bounds, sharing_hosts);
             let event = LogEvent::Retry {
                 id: &request.head.attempt_id,
                 service: service.as_str(),
+                purpose: purpose.name(),
                 allowed: is_allowed,
                 credit: budget.credit(),
                 capacity: capacity(&bounds, sharing_hosts),
--- a/crates/mimosagap-gateway/src/stream_relay.rs
+++ b/crates/mimosagap-gateway/src/stream_relay.rs
@@ -6,6 +6,7 @@
 use mimosagap_routing::migration::{GenerationState, KvCopy, MigrationStep, next_step};
 use mimosagap_routing::placement::GenerationDemand;
 use mimosagap_routing::quarantine::PROOF_TIME;
+use mimosagap_routing::retry_budget::RetryPurpose;
 use mimosagap_routing::targets::{TargetKey, TargetOutcome};
 use mimosagap_types::prelude::*;
 use tokio::sync::{mpsc, oneshot};
@@ -486,8 +487,13 @@
         Some(Box::pin(restart_stream(job, version, failed)))
     }
 
-    /// Starts to resume from the standby copy.
+    /// Starts to resume from the standby copy, if the retry budget allows it now.
     fn hand_over_to_standby(&mut self) -> Option<HandoverTask> {
+        self.standby.as_ref()?;
+        let purpose = RetryPurpose::Move;
+        if !self.gateway.try_spend_retry(&self.request, purpose) {
+            return None;
+        }
         let StandbyCopy {
             reservation,
             kv_source,
--- a/crates/mimosagap-gateway/src/streams.rs
+++ b/crates/mimosagap-gateway/src/streams.rs
@@ -11,6 +11,7 @@
     GenerationDemand, Placement, PlacementOptions, cost_jitter, place_generation,
 };
 use mimosagap_routing::refusal::RefusalReason;
+use mimosagap_routing::retry_budget::RetryPurpose;
 use mimosagap_routing::targets::{Locality, PRIORITY_LEVELS, Target, TargetKey, TargetOutcome};
 use mimosagap_routing::wait_queue::{QueuedRequest, WaitQueue, max_queue_time};
 use mimosagap_types::prelude::*;
@@ -185,7 +186,7 @@
             if !std::mem::replace(&mut is_counted, true) {
                 gateway.count_request(&request.service);
             }
-        } else if sends >= MAX_SENDS || !gateway.try_spend_retry(request) {
+        } else if sends >= MAX_SENDS || !gateway.try_spend_retry(request, RetryPurpose::Attempt) {
             break RefusalReason::TargetsRejected;
         }
         sends += 1;
--- a/crates/mimosagap-gateway/tests/log.rs
+++ b/crates/mimosagap-gateway/tests/log.rs
@@ -227,6 +227,7 @@
         LogEvent::Retry {
             id: "a",
             service: "s",
+            purpose: "attempt",
             allowed: true,
             credit: 0.5,
             capacity: 1.0,
--- a/crates/mimosagap-routing/src/retry_budget.rs
+++ b/crates/mimosagap-routing/src/retry_budget.rs
@@ -28,6 +28,9 @@
 /// the store rejects it, while callers and targets still reach it.
 const UNLISTED_TIME: Duration = Duration::from_mins(1);
 
+/// Retries by which a host may exceed its credit to move streams, which are lost otherwise.
+const MOVE_DEBT: f64 = 1.0;
+
 /// A host can hold the credit for one retry, however small its share is.
 const MIN_CAPACITY: f64 = 1.0;
 
@@ -42,6 +45,34 @@
     pub slack: f64,
 }
 
+/// Why a request is sent to another target.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RetryPurpose {
+    /// An attempt failed or was rejected, or a call is hedged.
+    Attempt,
+    /// A stream goes on from its copy because its target leaves or failed.
+    Move,
+}
+
+impl RetryPurpose {
+    /// Stable name for logs.
+    #[must_use]
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Attempt => "attempt",
+            Self::Move => "move",
+        }
+    }
+
+    /// The credit that a host needs.
+    fn required_credit(self) -> f64 {
+        match self {
+            Self::Attempt => 1.0,
+            Self::Move => 1.0 - MOVE_DEBT,
+        }
+    }
+}
+
 /// How many hosts share the slack, as far as one of them knows.
 #[derive(Debug, Clone)]
 pub struct FleetSize {
@@ -111,12 +142,13 @@
     /// Spends one retry if the credit allows it. Returns whether it does.
     pub fn try_spend(
         &mut self,
+        purpose: RetryPurpose,
         now: Duration,
         bounds: &RetryBounds,
         sharing_hosts: Option<usize>,
     ) -> bool {
         self.update(now, bounds, sharing_hosts);
-        let is_allowed = self.credit >= 1.0;
+        let is_allowed = self.credit >= purpose.required_credit();
         if is_allowed {
             self.credit -= 1.0;
         }
--- a/crates/mimosagap-routing/tests/retry_fleet.rs
+++ b/crates/mimosagap-routing/tests/retry_fleet.rs
@@ -6,7 +6,7 @@
 
 use std::time::Duration;
 
-use mimosagap_routing::retry_budget::{FleetSize, RetryBounds, RetryBudget};
+use mimosagap_routing::retry_budget::{FleetSize, RetryBounds, RetryBudget, RetryPurpose};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use rstest::rstest;
@@ -132,7 +132,11 @@
         }
         for (index, host) in hosts.iter_mut().enumerate() {
             if fault == FleetFault::MovedStreams && rng.random_bool(MOVES_PER_TICK) {
-                record.retries.push(now);
+                let sharing_hosts = host.fleet_size.update(fleet, now);
+                let purpose = RetryPurpose::Move;
+                if host.budget.try_spend(purpose, now, &bounds, sharing_hosts) {
+                    record.retries.push(now);
+                }
             }
             let is_killed = kills_all
                 || (fault == FleetFault::RandomKills && rng.random_bool(TICK.as_secs_f64() / 3.0));
@@ -151,7 +155,10 @@
             let sharing_hosts = host.fleet_size.update(listed_hosts, now);
             host.budget.record_request(now, &bounds, sharing_hosts);
             for _ in 1..MAX_SENDS {
-                if host.budget.try_spend(now, &bounds, sharing_hosts) {
+                if host
+                    .budget
+                    .try_spend(RetryPurpose::Attempt, now, &bounds, sharing_hosts)
+                {
                     record.retries.push(now);
                 }
             }
