test(soak): hosts that are cut off from all targets

Some gateways reach the targets by links of their own, which a plan cuts, resets or silences while clients, the store and the other gateways still reach them. The check is the users': from four seconds after the cut, first attempts at these gateways are served at least two thirds as often as at the others, or at most 10 and one in 50 of all fail.

--- a/crates/mimosagap-soak/src/checker.rs
+++ b/crates/mimosagap-soak/src/checker.rs
@@ -6,6 +6,7 @@
 use std::time::{Duration, Instant};
 
 use crate::crash_check::{CrashChecker, CrashOutcome};
+use crate::isolation_check::{IsolationChecker, IsolationOutcome};
 use crate::rate_check::{RateChecker, RateUsage};
 use crate::standins::target::BACKOFF;
 use crate::version_check::{StreamAttempt, VersionChecker, VersionOutcome};
@@ -85,6 +86,7 @@
     version_checker: RefCell<VersionChecker>,
     /// Until when responses of a target may fail to reach the gateways.
     unreachable_until: RefCell<HashMap<String, Instant>>,
+    isolation_checker: RefCell<IsolationChecker>,
     /// When each retry arrived, and whether it was one of a stream.
     retries: RefCell<Vec<(Instant, bool)>>,
     /// When each version of the configuration was written, from version 1.
@@ -321,6 +323,36 @@
         self.version_checker.borrow().outcome()
     }
 
+    /// Sets how many gateways, from the first on, can be cut off from all targets.
+    pub fn set_isolated_gateways(&self, count: usize) {
+        self.isolation_checker.borrow_mut().gateway_count = count;
+    }
+
+    /// Records that gateways are cut off from all targets for a time.
+    pub fn record_isolation(&self, duration: Duration) {
+        let mut isolation_checker = self.isolation_checker.borrow_mut();
+        isolation_checker.record(Instant::now(), duration);
+    }
+
+    /// How requests fared while gateways were cut off from all targets.
+    pub fn isolation_outcome(&self) -> IsolationOutcome {
+        let checker = self.isolation_checker.borrow();
+        let mut outcome = IsolationOutcome::default();
+        for request in self.requests.borrow().values() {
+            if let Some(gateway) = request.gateway
+                && checker.counts(request.sent_at)
+            {
+                let is_served = request.response.is_some_and(|(status, _)| status == 200);
+                if gateway < checker.gateway_count {
+                    outcome.isolated.add(is_served);
+                } else {
+                    outcome.connected.add(is_served);
+                }
+            }
+        }
+        outcome
+    }
+
     /// How far the rate limits that have ended were used.
     pub fn rate_usages(&self) -> Vec<RateUsage> {
         self.rate_checker.borrow().usages().to_vec()
--- a/crates/mimosagap-soak/src/lib.rs
+++ b/crates/mimosagap-soak/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod client;
 pub mod crash_check;
 mod http;
+pub mod isolation_check;
 pub mod plan;
 pub mod process;
 pub mod rate_check;
--- a/crates/mimosagap-soak/src/main.rs
+++ b/crates/mimosagap-soak/src/main.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use mimosagap_soak::crash_check::CrashOutcome;
+use mimosagap_soak::isolation_check::{IsolationOutcome, ServedCount};
 use mimosagap_soak::plan::{FaultPlan, GATEWAY_COUNT};
 use mimosagap_soak::run::{RunOptions, RunOutcome, run_soak};
 use mimosagap_soak::version_check::{AttemptCount, VersionOutcome};
@@ -170,6 +171,7 @@
                 rate_usages,
                 crash_outcomes,
                 version_outcome,
+                isolation_outcome,
                 ..
             } = outcome;
             println!("seed {seed}: passed, {served} of {sent} requests served");
@@ -181,6 +183,7 @@
             }
             print_crash_outcomes(crash_outcomes);
             print_version_outcome(version_outcome);
+            print_isolation_outcome(isolation_outcome);
         }
         Ok(outcome) => {
             println!("seed {seed}: FAILED");
@@ -212,6 +215,17 @@
     );
 }
 
+fn print_isolation_outcome(outcome: &IsolationOutcome) {
+    let show = |count: ServedCount| format!("{} of {}", count.served, count.sent);
+    if outcome.isolated.sent > 0 {
+        println!(
+            "  gateways cut off from all targets served {}, the others {}",
+            show(outcome.isolated),
+            show(outcome.connected)
+        );
+    }
+}
+
 fn print_crash_outcomes(outcomes: &[CrashOutcome]) {
     for outcome in outcomes {
         let ((during, sent_during), (outside, sent_outside)) =
--- a/crates/mimosagap-soak/src/plan.rs
+++ b/crates/mimosagap-soak/src/plan.rs
@@ -79,6 +79,9 @@
     /// A client sends one request, the content of which crashes each target that answers it, again
     /// and again for a duration.
     CrashingRequest(Duration),
+    /// Cuts the first gateways off from all targets for a duration, as the mode says. Clients, the
+    /// store and the other gateways still reach them.
+    IsolateGateways(LinkMode, Duration),
     /// Injects a fault into a link for a duration.
     Link(FleetLink, LinkMode, Duration),
 }
@@ -118,6 +121,7 @@
             | Self::OddEntry { .. }
             | Self::SaysLeaving(_)
             | Self::Target(..)
+            | Self::IsolateGateways(..)
             | Self::Link(..)
             | Self::Revoke
             | Self::NewConfig
@@ -223,6 +227,10 @@
     /// Clients that resume streams which break, for as long as faults are injected.
     #[serde(default)]
     pub resuming_clients: usize,
+    /// Gateways, from the first on, that [`Fault::IsolateGateways`] cuts off. With any, each gateway
+    /// is in a region of its own.
+    #[serde(default)]
+    pub isolated_gateways: usize,
 }
 
 impl Default for FaultPlan {
@@ -234,6 +242,7 @@
             gateway_count: GATEWAY_COUNT,
             engine_count: default_engine_count(),
             resuming_clients: 0,
+            isolated_gateways: 0,
         }
     }
 }
@@ -348,6 +357,7 @@
             gateway_count,
             engine_count: VERSION_ENGINES,
             resuming_clients: RESUMING_CLIENTS,
+            ..Self::default()
         }
     }
 
--- a/crates/mimosagap-soak/src/run.rs
+++ b/crates/mimosagap-soak/src/run.rs
@@ -22,6 +22,7 @@
     run_client, run_crashing_client, run_repeating_client, run_resuming_client, send_request,
 };
 use crate::crash_check::CrashOutcome;
+use crate::isolation_check::IsolationOutcome;
 use crate::plan::{
     CRASHING_PARTS, Fault, FaultPlan, FaultStep, FleetLink, ODD_ENTRIES, PLAIN_TARGET_COUNT,
 };
@@ -116,6 +117,8 @@
     pub crash_outcomes: Vec<CrashOutcome>,
     /// How streams fared beside engines of other software versions.
     pub version_outcome: VersionOutcome,
+    /// How requests fared at gateways that were cut off from all targets, and at the others.
+    pub isolation_outcome: IsolationOutcome,
     /// Violated guarantees, in the order in which they were found.
     pub violations: Vec<String>,
 }
@@ -167,6 +170,8 @@
     /// The store comes back from a copy of this age.
     RestoreStore(Duration),
     Link(FleetLink),
+    /// The isolated gateways reach the targets again.
+    ReconnectGateways,
     Target(usize),
     ResumeGateway(usize),
     RemoveTarget(Rc<TargetStandin>),
@@ -230,6 +235,10 @@
     {
         fleet.checker.record_violation(violation);
     }
+    let isolation_outcome = fleet.checker.isolation_outcome();
+    if let Some(violation) = isolation_outcome.violation() {
+        fleet.checker.record_violation(violation);
+    }
     let version_outcome = fleet.checker.version_outcome();
     for violation in version_outcome.violations() {
         fleet.checker.record_violation(violation);
@@ -246,6 +255,7 @@
         rate_usages: fleet.checker.rate_usages(),
         crash_outcomes,
         version_outcome,
+        isolation_outcome,
         violations: fleet.checker.violations(),
     })
 }
@@ -259,8 +269,12 @@
     due.into_iter().map(|(_, entry)| entry).collect()
 }
 
-fn region_count(gateway_count: usize) -> usize {
-    if gateway_count > MAX_GATEWAYS_OF_ONE_REGION {
+fn region_count(plan: &FaultPlan) -> usize {
+    let gateway_count = plan.gateway_count;
+    if plan.isolated_gateways > 0 {
+        // The hosts of a region read the store through one of them, and so learn its detours.
+        gateway_count
+    } else if gateway_count > MAX_GATEWAYS_OF_ONE_REGION {
         REGION_COUNT
     } else {
         1
@@ -274,6 +288,17 @@
         let store = Rc::new(StoreStandin::default());
         store.serve(listener);
         let target_context: Rc<TargetContext> = Rc::default();
+        let isolated_gateways = options.plan.isolated_gateways;
+        let mut detoured_store_address = store_address;
+        if isolated_gateways > 0 {
+            target_context.detours.enable();
+            let listener = TcpListener::bind("127.0.0.1:0").await?;
+            detoured_store_address = listener.local_addr()?;
+            store.serve_detoured(listener, &target_context);
+        }
+        target_context
+            .checker
+            .set_isolated_gateways(isolated_gateways);
         let mut fleet = Self {
             checker: Rc::clone(&target_context.checker),
             target_context,
@@ -284,7 +309,7 @@
             targets: Vec::new(),
             target_versions: Vec::new(),
             last_target_number: 0,
-            region_count: region_count(options.plan.gateway_count),
+            region_count: region_count(&options.plan),
             pending_reverts: Vec::new(),
             pending_restarts: Vec::new(),
         };
@@ -296,7 +321,12 @@
         fleet.write_config(&API_KEYS);
         for index in 0..options.plan.gateway_count {
             let port = options.base_port;
-            let store_proxy = LinkProxy::start(store_address).await?;
+            let store_proxy = LinkProxy::start(if index < isolated_gateways {
+                detoured_store_address
+            } else {
+                store_address
+            })
+            .await?;
             let process = GatewayProcess::start(
                 &options.program,
                 &options.directory,
@@ -422,6 +452,7 @@
                     self.checker.clear_gateway_state(index);
                 }
             }
+            Fault::IsolateGateways(mode, duration) => self.isolate_gateways(mode, now, duration),
             Fault::Link(link, mode, duration) => {
                 if let FleetLink::Target(index) = link {
                     let instance_id = &self.targets[index].instance_id;
@@ -489,6 +520,14 @@
         Ok(())
     }
 
+    /// Cuts the gateways that reach the targets by detours off from all of them.
+    fn isolate_gateways(&mut self, mode: LinkMode, now: Instant, duration: Duration) {
+        self.target_context.detours.set_mode(Some(mode));
+        self.checker.record_isolation(duration);
+        self.pending_reverts
+            .push((now + duration, FaultRevert::ReconnectGateways));
+    }
+
     /// Writes an odd entry, in place of that of a target until `until` if there is one.
     fn write_odd_entry(&mut self, entry: usize, target: Option<usize>, until: Instant) {
         let (id, text) = ODD_ENTRIES[entry % ODD_ENTRIES.len()];
@@ -552,6 +591,7 @@
                     self.gateways[index].suspended_at = None;
                     self.checker.clear_gateway_state(index);
                 }
+                FaultRevert::ReconnectGateways => self.target_context.detours.set_mode(None),
                 FaultRevert::Link(link) => self
                     .link_proxy(link)
                     .set_mode(LinkMode::Pass, Duration::ZERO),
--- a/crates/mimosagap-soak/src/standins/store.rs
+++ b/crates/mimosagap-soak/src/standins/store.rs
@@ -19,6 +19,7 @@
 
 use crate::http::{FullBody, read_body, serve};
 use crate::run::take_due;
+use crate::standins::target::TargetContext;
 
 /// How the store treats requests.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -113,7 +114,23 @@
         let store = Rc::clone(self);
         serve(listener, move |request| {
             let store = Rc::clone(&store);
-            async move { store.handle_request(request).await }
+            async move { store.handle_request(request, |_| {}).await }
+        })
+    }
+
+    /// Serves gateways that reach the targets by detours.
+    pub fn serve_detoured(
+        self: &Rc<Self>,
+        listener: TcpListener,
+        context: &Rc<TargetContext>,
+    ) -> JoinHandle<()> {
+        let (store, context) = (Rc::clone(self), Rc::clone(context));
+        serve(listener, move |request| {
+            let (store, context) = (Rc::clone(&store), Rc::clone(&context));
+            async move {
+                let rewrite = |response: &mut Value| context.detours.rewrite(response);
+                store.handle_request(request, rewrite).await
+            }
         })
     }
 
@@ -297,8 +314,12 @@
         });
     }
 
-    /// Handles a request according to the mode.
-    async fn handle_request(&self, request: Request<Incoming>) -> Response<FullBody> {
+    /// Handles a request according to the mode, and changes the response for its reader.
+    async fn handle_request(
+        &self,
+        request: Request<Incoming>,
+        rewrite: impl Fn(&mut Value),
+    ) -> Response<FullBody> {
         match self.mode.get() {
             StoreMode::Well | StoreMode::LosesAnswers => {}
             StoreMode::Busy => return json_response(StatusCode::SERVICE_UNAVAILABLE, &Value::Null),
@@ -317,7 +338,8 @@
             .collect();
         let is_write = head.method != hyper::Method::GET;
         let era = self.era.get();
-        let (status, value) = self.dispatch(head.uri.path(), &query, &body).await;
+        let (status, mut value) = self.dispatch(head.uri.path(), &query, &body).await;
+        rewrite(&mut value);
         if is_write && self.mode.get() == StoreMode::LosesAnswers {
             std::future::pending::<()>().await;
         }
--- a/crates/mimosagap-soak/src/standins/target.rs
+++ b/crates/mimosagap-soak/src/standins/target.rs
@@ -22,6 +22,7 @@
 use crate::checker::InvariantChecker;
 use crate::http::{read_body, serve};
 use crate::plan::CRASHING_REQUEST_PART;
+use crate::standins::detours::TargetDetours;
 use crate::standins::generations::GenerationTable;
 use crate::standins::store::StoreStandin;
 
@@ -89,6 +90,8 @@
     pub generations: GenerationTable,
     /// Parts of prompts that crash each target which begins to write an answer to them.
     pub crashing_parts: RefCell<Vec<&'static str>>,
+    /// Links of some gateways to the targets.
+    pub detours: TargetDetours,
     /// Engines that serve and do not drain, with the version of their software.
     serving_engines: RefCell<HashMap<String, String>>,
 }
@@ -156,6 +159,7 @@
     ) -> std::io::Result<Rc<Self>> {
         let listener = TcpListener::bind("127.0.0.1:0").await?;
         let proxy = LinkProxy::start(listener.local_addr()?).await?;
+        context.detours.add(proxy.address()).await?;
         let target = Rc::new_cyclic(|weak: &std::rc::Weak<Self>| {
             let (weak, context) = (weak.clone(), Rc::clone(context));
             let server_task = serve(listener, move |request| {
--- a/crates/mimosagap-soak/tests/soak.rs
+++ b/crates/mimosagap-soak/tests/soak.rs
@@ -373,6 +373,35 @@
     run_clean(plan, 24_600);
 }
 
+/// Two of three gateways, and then five of six, are cut off from all targets for ten seconds, while
+/// clients, the store and the other gateways reach them. Connections are reset and new ones refused,
+/// or all are silent. First attempts at these gateways were refused, although another gateway served
+/// the same requests.
+#[rstest]
+#[case::refused(915, LinkMode::Cut, 3, 2, 24_700)]
+#[case::silent(916, LinkMode::Freeze, 6, 5, 24_800)]
+fn gateways_cut_off_from_all_targets_refuse_their_clients(
+    #[case] seed: u64,
+    #[case] mode: LinkMode,
+    #[case] gateway_count: usize,
+    #[case] isolated_gateways: usize,
+    #[case] base_port: u16,
+) {
+    let plan = FaultPlan {
+        seed,
+        length: Duration::from_secs(12),
+        steps: vec![FaultStep {
+            at: Duration::from_secs(1),
+            fault: Fault::IsolateGateways(mode, Duration::from_secs(10)),
+        }],
+        gateway_count,
+        isolated_gateways,
+        ..FaultPlan::default()
+    };
+    let outcome = run_clean(plan, base_port).isolation_outcome;
+    assert!(outcome.isolated.sent > 20, "{outcome:?}");
+}
+
 /// Runs a plan, and asserts that no guarantee was violated and that more than 100 requests
 /// succeeded. The logs are kept after a failure.
 fn run_clean(plan: FaultPlan, base_port: u16) -> RunOutcome {
