fix(gateway): a host that reaches no target hands its requests to another host

Failures of three targets of a service, without a sign of life of any in between, mean that the host is cut off; it then hands requests, as the caller sent them, to another host over the listener for hosts, and so does any host for a request that reached no target. The other host treats them like its own, hands them to no third one, and names the reason of a refusal in a header, so that the first one asks up to three more or refuses the request itself. Hosts that served lately are preferred, those that declined are left out for two seconds. Only addresses of listed hosts may hand requests over. A host that is cut off connects to one target every 300 ms; the first that accepts ends the belief, as does any response.

--- a/crates/mimosagap-gateway/src/calls.rs
+++ b/crates/mimosagap-gateway/src/calls.rs
@@ -24,6 +24,8 @@
 };
 use crate::load_reservation::{LoadReservation, record_outcome};
 use crate::log::LogEvent;
+use crate::reach;
+use crate::relay::relay_request;
 use crate::request::RoutedRequest;
 use crate::response::{ResponseBody, forwarded_head, full_body, refusal_response};
 use crate::state::{SharedGateway, millis};
@@ -99,6 +101,9 @@
         let reason = RefusalReason::ShuttingDown;
         return refusal_response(gateway, request.into(), reason);
     }
+    if reach::is_isolated(gateway, &request.service) {
+        return relay_or_refuse(gateway, request).await;
+    }
     let mut progress = CallProgress {
         tried: Vec::new(),
         sends: 0,
@@ -115,7 +120,7 @@
     let is_idempotent = request.route.kind.is_idempotent();
     loop {
         if running.is_empty() {
-            return final_response(gateway, request, progress);
+            return final_response(gateway, request, progress).await;
         }
         let hedge_delay = request
             .route
@@ -316,7 +321,18 @@
     })
 }
 
-fn final_response(
+/// Hands a call that reached no target to another host, or refuses it.
+async fn relay_or_refuse(
+    gateway: &SharedGateway,
+    request: &RoutedRequest,
+) -> Response<ResponseBody> {
+    match relay_request(gateway, request).await {
+        Ok(response) => response,
+        Err(reason) => refusal_response(gateway, request.into(), reason),
+    }
+}
+
+async fn final_response(
     gateway: &SharedGateway,
     request: &RoutedRequest,
     progress: CallProgress,
@@ -331,7 +347,7 @@
     } else if progress.was_rejected {
         RefusalReason::TargetsRejected
     } else {
-        RefusalReason::NoTarget
+        return relay_or_refuse(gateway, request).await;
     };
     refusal_response(gateway, request.into(), reason)
 }
--- a/crates/mimosagap-gateway/src/ingress.rs
+++ b/crates/mimosagap-gateway/src/ingress.rs
@@ -52,25 +52,57 @@
     gateway: &'a SharedGateway,
     id: &'a str,
     arrived_at: Duration,
+    origin: RequestOrigin,
     has_response: bool,
 }
 
 impl Drop for DisconnectLogger<'_> {
     fn drop(&mut self) {
         if !self.has_response {
-            let waited = self.gateway.now().saturating_sub(self.arrived_at);
-            self.gateway.log.event(&LogEvent::CallerLeft {
-                id: self.id,
-                after_ms: millis(waited),
+            let after_ms = millis(self.gateway.now().saturating_sub(self.arrived_at));
+            self.gateway.log.event(&match self.origin {
+                RequestOrigin::Caller => LogEvent::CallerLeft {
+                    id: self.id,
+                    after_ms,
+                },
+                RequestOrigin::Host => LogEvent::RelayRefused {
+                    id: self.id,
+                    reason: "caller_left",
+                    after_ms,
+                },
             });
         }
     }
 }
 
-/// Handles one request. A refusal is a response too, so this never fails.
+/// Who sent a request to this host.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum RequestOrigin {
+    Caller,
+    /// Another host, in place of which this one sends the request to a target.
+    Host,
+}
+
+/// Handles one request of a caller. A refusal is a response too, so this never fails.
 pub async fn handle_request(
     gateway: SharedGateway,
     request: Request<Incoming>,
+) -> Result<Response<ResponseBody>, Infallible> {
+    handle_from(gateway, request, RequestOrigin::Caller).await
+}
+
+/// Handles one request of another host, which logs the refusal if there is one.
+pub async fn handle_relayed_request(
+    gateway: SharedGateway,
+    request: Request<Incoming>,
+) -> Result<Response<ResponseBody>, Infallible> {
+    handle_from(gateway, request, RequestOrigin::Host).await
+}
+
+async fn handle_from(
+    gateway: SharedGateway,
+    request: Request<Incoming>,
+    origin: RequestOrigin,
 ) -> Result<Response<ResponseBody>, Infallible> {
     let in_flight = InFlightGuard::new(&gateway);
     let arrived_at = gateway.now();
@@ -81,9 +113,16 @@
         gateway: &gateway,
         id: &id,
         arrived_at,
+        origin,
         has_response: false,
     };
-    let mut response = match resolve_request(&gateway, parts, head, body, arrived_at).await {
+    let resolved = resolve_request(&gateway, parts, head, body, arrived_at).await;
+    let is_relayed = origin == RequestOrigin::Host;
+    let resolved = resolved.map(|request| RoutedRequest {
+        is_relayed,
+        ..request
+    });
+    let mut response = match resolved {
         Ok(request) if request.route.kind.is_stream() => {
             streams::handle_stream(&gateway, request, in_flight).await
         }
@@ -94,6 +133,7 @@
                 traits: traits.as_ref(),
                 arrived_at,
                 service: None,
+                is_relayed,
             };
             refusal_response(&gateway, request, reason)
         }
@@ -167,6 +207,7 @@
         arrived_at,
         deadline: arrived_at + timeout,
         traits,
+        is_relayed: false,
         is_trial,
     })
 }
--- a/crates/mimosagap-gateway/src/listeners.rs
+++ b/crates/mimosagap-gateway/src/listeners.rs
@@ -2,7 +2,7 @@
 
 use std::convert::Infallible;
 use std::future::ready;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -20,6 +20,7 @@
 use crate::connection::set_socket_options;
 use crate::ingress;
 use crate::log::LogEvent;
+use crate::relay;
 use crate::response::{ResponseBody, local_response};
 use crate::state::SharedGateway;
 
@@ -68,9 +69,9 @@
 pub async fn accept_connections(gateway: SharedGateway, listener: TcpListener, kind: ListenerKind) {
     loop {
         match listener.accept().await {
-            Ok((stream, _)) => {
+            Ok((stream, peer)) => {
                 let gateway = Rc::clone(&gateway);
-                tokio::task::spawn_local(serve_connection(gateway, stream, kind));
+                tokio::task::spawn_local(serve_connection(gateway, stream, peer.ip(), kind));
             }
             Err(error) => {
                 gateway.log.event(&LogEvent::Trouble {
@@ -83,7 +84,12 @@
     }
 }
 
-async fn serve_connection(gateway: SharedGateway, stream: TcpStream, kind: ListenerKind) {
+async fn serve_connection(
+    gateway: SharedGateway,
+    stream: TcpStream,
+    peer: IpAddr,
+    kind: ListenerKind,
+) {
     if set_socket_options(&stream).is_err() {
         // The peer has closed the connection already.
         return;
@@ -112,7 +118,7 @@
         }
         ListenerKind::Peers => {
             let service =
-                service_fn(move |request| handle_peer_request(Rc::clone(&gateway), request));
+                service_fn(move |request| handle_peer_request(Rc::clone(&gateway), peer, request));
             builder
                 .serve_connection(TokioIo::new(stream), service)
                 .await
@@ -156,8 +162,20 @@
 
 async fn handle_peer_request(
     gateway: SharedGateway,
+    peer: IpAddr,
     request: Request<Incoming>,
 ) -> Result<Response<ResponseBody>, Infallible> {
+    if request.headers().contains_key(relay::RELAYED_HEADER) {
+        return if is_listed_host(&gateway, peer) {
+            relay::serve_relayed(gateway, request).await
+        } else {
+            Ok(local_response(
+                StatusCode::FORBIDDEN,
+                "text/plain",
+                Vec::new(),
+            ))
+        };
+    }
     let uri = request.uri();
     Ok(if uri.path() == change_feed::CONFIG_PATH {
         change_feed::handle_config_request(&gateway)
@@ -168,6 +186,14 @@
     })
 }
 
+/// Whether an address is that of a host that the store lists.
+fn is_listed_host(gateway: &SharedGateway, address: IpAddr) -> bool {
+    gateway.with_state(|state| {
+        let mut hosts = state.hosts.live();
+        hosts.any(|(_, record)| record.peer_address.ip() == address)
+    })
+}
+
 /// Whether the host accepts requests: it is not stopping, and its configuration is confirmed
 /// recently enough for requests with API keys.
 fn is_ready(gateway: &SharedGateway) -> bool {
--- a/crates/mimosagap-gateway/src/load_reservation.rs
+++ b/crates/mimosagap-gateway/src/load_reservation.rs
@@ -6,6 +6,7 @@
 use mimosagap_routing::placement::GenerationDemand;
 use mimosagap_routing::targets::{TargetKey, TargetOutcome};
 
+use crate::reach;
 use crate::state::{Gateway, SharedGateway};
 
 /// Load of one request on its target, counted until dropped.
@@ -117,6 +118,7 @@
 pub fn record_outcome(gateway: &Gateway, target: TargetKey, outcome: TargetOutcome) {
     let now = gateway.now();
     gateway.with_state(|state| state.targets.record_outcome(target, outcome, now));
+    reach::record_outcome(gateway, target, outcome);
 }
 
 impl Drop for LoadReservation {
--- a/crates/mimosagap-gateway/src/log.rs
+++ b/crates/mimosagap-gateway/src/log.rs
@@ -300,6 +300,39 @@
         /// Milliseconds since the failed step of the attempt began.
         after_ms: u64,
     },
+    /// This host lost or regained its links to all targets of a service.
+    TargetsReachable {
+        /// Service of the targets.
+        service: &'a str,
+        /// Whether a target was reached.
+        reachable: bool,
+        /// Milliseconds for which none was reached.
+        after_ms: u64,
+    },
+    /// A request was handed to another host, because this one reaches no target.
+    Relayed {
+        /// Attempt id, set by the caller anew for each retry.
+        id: &'a str,
+        /// Name of the other host.
+        host: &'a str,
+        /// Service of the request.
+        service: &'a str,
+        /// `served`, or why the other host did not send the request.
+        outcome: &'a str,
+        /// HTTP status of the response; 0 if another host can be asked.
+        status: u16,
+        /// Milliseconds that the other host took.
+        after_ms: u64,
+    },
+    /// This host refused a request that another one relays, which tells its caller.
+    RelayRefused {
+        /// Attempt id, set by the caller anew for each retry.
+        id: &'a str,
+        /// Name of the reason.
+        reason: &'a str,
+        /// Milliseconds since the request arrived here.
+        after_ms: u64,
+    },
     /// A request is to be sent again, which the retry budget allows or denies.
     Retry {
         /// Attempt id, set by the caller anew for each retry.
@@ -493,13 +526,14 @@
             Self::Trouble { .. } => (9, "trouble"),
             Self::RatePermit { .. } => (10, "rate_permit"),
             Self::Retry { .. } => (11, "retry"),
-            _ => (12, "state"),
+            Self::Relayed { .. } | Self::RelayRefused { .. } => (12, "relayed"),
+            _ => (13, "state"),
         }
     }
 }
 
 /// Number of kinds that [`LogEvent::kind`] distinguishes.
-const KIND_COUNT: usize = 13;
+const KIND_COUNT: usize = 14;
 
 #[derive(Serialize)]
 struct LogLine<'a> {
--- a/crates/mimosagap-gateway/src/metrics.rs
+++ b/crates/mimosagap-gateway/src/metrics.rs
@@ -10,6 +10,8 @@
     Registry, TextEncoder,
 };
 
+const RELAYS_HELP: &str = "Requests handed to other hosts because this one reaches no target";
+
 /// Upper bounds of the latency buckets, in seconds.
 const LATENCY_BUCKETS: [f64; 10] = [0.02, 0.05, 0.1, 0.2, 0.3, 0.6, 1.2, 1.8, 5.0, 20.0];
 
@@ -174,6 +176,8 @@
     retries: IntCounterVec,
     config_age: IntGauge,
     resident_memory: IntGauge,
+    /// Requests handed to other hosts, by result.
+    pub relays: IntCounterVec,
     /// Responses of the gateway itself, by reason.
     pub refusals: IntCounterVec,
     /// Attempts without a response, by cause.
@@ -269,6 +273,7 @@
             "Sends after the first one that the budget allowed or denied",
             &["result"],
         )?;
+        let relays = register_counters("mimosagap_relays_total", RELAYS_HELP, &["result"])?;
         let config_age = register_gauge(
             "mimosagap_config_age_milliseconds",
             "Time since the configuration was proved to be the newest",
@@ -287,6 +292,7 @@
             wait_times,
             longest_gaps,
             retries,
+            relays,
             config_age,
             resident_memory,
             refusals,
--- /dev/null
+++ b/crates/mimosagap-gateway/src/relay.rs
@@ -0,0 +1,211 @@
+//! Requests that another host sends to targets in place of this one.
+//!
+//! A host that reaches no target hands its requests, as the caller sent them, to a host that does,
+//! over the listener for hosts. That host treats them like those of its own callers, but hands them
+//! to no third one. A refusal names its reason in a header, so that this host can ask another host
+//! or refuse the request itself.
+
+use std::convert::Infallible;
+use std::time::Duration;
+
+use http::header::HeaderValue;
+use http::{HeaderName, Request, Response};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use mimosagap_platform::request::relayed_headers;
+use mimosagap_routing::refusal::RefusalReason;
+use tokio::sync::mpsc;
+use tokio::time::timeout;
+
+use crate::connection::{HttpConnection, SendError};
+use crate::ingress;
+use crate::log::LogEvent;
+use crate::request::RoutedRequest;
+use crate::response::{ResponseBody, forwarded_head};
+use crate::state::{SharedGateway, millis};
+use crate::stream_body::{StreamPart, stream_body};
+
+/// Marks a request that another host relays.
+pub const RELAYED_HEADER: HeaderName = HeaderName::from_static("mimosagap-relayed");
+
+/// Names the reason of a refusal in the response to a relayed request.
+const REFUSAL_HEADER: HeaderName = HeaderName::from_static("mimosagap-refusal");
+
+/// Hosts that are asked for one request.
+const MAX_RELAYS: usize = 4;
+
+/// Time past the end of a request for which the response of the other host, which ends its own wait
+/// then, is still awaited.
+const RELAY_MARGIN: Duration = Duration::from_millis(100);
+
+/// How a relayed request ended without a response of a target.
+enum RelayFailure {
+    /// The host has not sent the request to a target and never will.
+    Declined(RefusalReason),
+    /// The host could not be reached, so nothing was sent.
+    Unreachable,
+    /// The request may have run.
+    Lost,
+    /// The host refused the request for a reason that holds at every host.
+    Refused(RefusalReason),
+}
+
+/// Serves a request that another host relays.
+pub async fn serve_relayed(
+    gateway: SharedGateway,
+    mut request: Request<Incoming>,
+) -> Result<Response<ResponseBody>, Infallible> {
+    request.headers_mut().remove(RELAYED_HEADER);
+    let Ok(mut response) = ingress::handle_relayed_request(gateway, request).await;
+    if let Some(reason) = response.extensions().get::<RefusalReason>() {
+        let name = HeaderValue::from_static(reason.name());
+        response.headers_mut().insert(REFUSAL_HEADER, name);
+    }
+    Ok(response)
+}
+
+/// Hands a request to other hosts until one has sent it to a target. Returns why the request is to
+/// be refused if none has; `NoTarget` if there is no host to ask.
+pub async fn relay_request(
+    gateway: &SharedGateway,
+    request: &RoutedRequest,
+) -> Result<Response<ResponseBody>, RefusalReason> {
+    let mut tried: Vec<String> = Vec::new();
+    let mut reason = RefusalReason::NoTarget;
+    while tried.len() < MAX_RELAYS && !request.is_relayed {
+        let now = gateway.now();
+        let settings = &gateway.settings;
+        let chosen = gateway.with_state(|state| {
+            let (name, record) = state.relay_selector.choose(
+                &state.hosts,
+                &settings.host,
+                &settings.region,
+                &tried,
+                now,
+                &mut state.rng,
+            )?;
+            Some((name.to_owned(), record.peer_address))
+        });
+        let Some((name, address)) = chosen else {
+            break;
+        };
+        tried.push(name.clone());
+        let wait = request.response_time_left(now) + RELAY_MARGIN;
+        let exchange = timeout(wait, exchange_with(gateway, request, address));
+        let result = exchange
+            .await
+            .unwrap_or(Err(RelayFailure::Refused(RefusalReason::DeadlineAfterSend)));
+        log_result(gateway, request, &name, &result, now);
+        let now = gateway.now();
+        let is_served = result.is_ok() || matches!(result, Err(RelayFailure::Refused(_)));
+        gateway.with_state(|state| {
+            if is_served {
+                state.relay_selector.record_served(&name, now);
+            } else {
+                state.relay_selector.record_declined(&name, now);
+            }
+        });
+        match result {
+            Ok(response) => return Ok(response),
+            Err(RelayFailure::Refused(reason)) => return Err(reason),
+            Err(RelayFailure::Lost) => return Err(RefusalReason::TargetAborted),
+            Err(RelayFailure::Declined(declined)) => reason = declined,
+            Err(RelayFailure::Unreachable) => {}
+        }
+    }
+    Err(reason)
+}
+
+async fn exchange_with(
+    gateway: &SharedGateway,
+    request: &RoutedRequest,
+    address: std::net::SocketAddr,
+) -> Result<Response<ResponseBody>, RelayFailure> {
+    let opened = HttpConnection::open(address).await;
+    let mut connection = opened.map_err(|_| RelayFailure::Unreachable)?;
+    let mut message = Request::new(Full::new(request.body.clone()));
+    *message.method_mut() = request.method.clone();
+    *message.uri_mut() = request.path.parse().unwrap_or_default();
+    *message.headers_mut() = relayed_headers(&request.headers, request.time_left(gateway.now()));
+    message
+        .headers_mut()
+        .insert(RELAYED_HEADER, HeaderValue::from_static("1"));
+    let (head, body) = match connection.send(message).await {
+        Ok(response) => response.into_parts(),
+        Err(SendError::NotSent) => return Err(RelayFailure::Unreachable),
+        Err(SendError::ConnectionFailed(_) | SendError::LimitExceeded) => {
+            return Err(RelayFailure::Lost);
+        }
+    };
+    let refusal = head.headers.get(REFUSAL_HEADER);
+    if let Some(name) = refusal.and_then(|value| value.to_str().ok()) {
+        return Err(match RefusalReason::parse(name) {
+            Some(reason) if reason.holds_for_one_host() => RelayFailure::Declined(reason),
+            Some(reason) => RelayFailure::Refused(reason),
+            None => RelayFailure::Lost,
+        });
+    }
+    let (part_sender, response_body) = stream_body();
+    tokio::task::spawn_local(pass_body(body, connection, part_sender));
+    let response = forwarded_head(head.status, &head.headers);
+    Ok(response.map(|()| response_body.boxed_unsync()))
+}
+
+fn log_result(
+    gateway: &SharedGateway,
+    request: &RoutedRequest,
+    host: &str,
+    result: &Result<Response<ResponseBody>, RelayFailure>,
+    began_at: Duration,
+) {
+    let (outcome, status) = match result {
+        Ok(response) => ("served", response.status().as_u16()),
+        Err(RelayFailure::Declined(reason)) => (reason.name(), 0),
+        Err(RelayFailure::Refused(reason)) => (reason.name(), reason.status()),
+        Err(RelayFailure::Unreachable) => ("unreachable", 0),
+        Err(RelayFailure::Lost) => ("broken", 0),
+    };
+    gateway
+        .metrics
+        .relays
+        .with_label_values(&[if result.is_ok() { "served" } else { "failed" }])
+        .inc();
+    gateway.log.event(&LogEvent::Relayed {
+        id: &request.head.attempt_id,
+        host,
+        service: request.service.as_str(),
+        outcome,
+        status,
+        after_ms: millis(gateway.now().saturating_sub(began_at)),
+    });
+}
+
+/// Passes a body on until it ends or the caller leaves. Then the connection is dropped, which tells
+/// the other host.
+async fn pass_body(
+    mut body: Incoming,
+    connection: HttpConnection,
+    part_sender: mpsc::Sender<StreamPart>,
+) {
+    loop {
+        let frame = tokio::select! {
+            biased;
+            () = part_sender.closed() => break,
+            frame = body.frame() => frame,
+        };
+        let part = match frame {
+            Some(Ok(frame)) => match frame.into_data() {
+                Ok(bytes) => StreamPart::Event(bytes),
+                // Trailers, which no target sends.
+                Err(_) => continue,
+            },
+            Some(Err(_)) => break,
+            None => StreamPart::End,
+        };
+        let is_end = matches!(part, StreamPart::End);
+        if part_sender.send(part).await.is_err() || is_end {
+            break;
+        }
+    }
+    drop(connection);
+}
--- a/crates/mimosagap-gateway/src/request.rs
+++ b/crates/mimosagap-gateway/src/request.rs
@@ -37,6 +37,8 @@
     pub deadline: Duration,
     /// What the request is recognized by across the caller's retries, and in other requests.
     pub traits: RequestTraits,
+    /// Whether another host relays the request, so that this one must not.
+    pub is_relayed: bool,
     /// Whether the request runs to find out if the verdict against it still holds.
     pub is_trial: bool,
 }
--- a/crates/mimosagap-gateway/src/response.rs
+++ b/crates/mimosagap-gateway/src/response.rs
@@ -75,6 +75,8 @@
     pub arrived_at: Duration,
     /// Service of the request; `None` before its route is found.
     pub service: Option<&'a DeploymentName>,
+    /// Whether another host relays the request. It logs the refusal that its caller receives.
+    pub is_relayed: bool,
 }
 
 impl<'a> From<&'a RoutedRequest> for RefusedRequest<'a> {
@@ -84,6 +86,7 @@
             traits: Some(&request.traits),
             arrived_at: request.arrived_at,
             service: Some(&request.service),
+            is_relayed: request.is_relayed,
         }
     }
 }
@@ -98,27 +101,24 @@
     if let (RefusalReason::RateLimited, Some(service)) = (reason, request.service) {
         rate_permits::log_held_targets(gateway, id, service);
     }
-    let (config_version, config_age_ms) = gateway.config_version_and_age();
     gateway
         .metrics
         .refusals
         .with_label_values(&[reason.name()])
         .inc();
-    gateway.log.event(&LogEvent::Refused {
-        id,
-        request: request
-            .traits
-            .map_or_else(String::new, |traits| traits.fingerprint.to_string()),
-        suspect: suspect_text(gateway, request, reason),
-        reason: reason.name(),
-        status: reason.status(),
-        after_ms: millis(gateway.now().saturating_sub(request.arrived_at)),
-        config_version,
-        config_age_ms,
-    });
+    if request.is_relayed {
+        gateway.log.event(&LogEvent::RelayRefused {
+            id,
+            reason: reason.name(),
+            after_ms: millis(gateway.now().saturating_sub(request.arrived_at)),
+        });
+    } else {
+        log_refusal(gateway, request, reason);
+    }
     let body = format!("{{\"error\":\"{}\"}}", reason.name());
     let status = StatusCode::from_u16(reason.status()).unwrap_or(StatusCode::BAD_GATEWAY);
     let mut response = local_response(status, "application/json", body.into_bytes());
+    response.extensions_mut().insert(reason);
     let headers = response.headers_mut();
     if let Ok(id) = HeaderValue::from_str(id) {
         headers.insert(names::ATTEMPT_ID, id);
@@ -137,6 +137,22 @@
     response
 }
 
+fn log_refusal(gateway: &Gateway, request: RefusedRequest<'_>, reason: RefusalReason) {
+    let (config_version, config_age_ms) = gateway.config_version_and_age();
+    gateway.log.event(&LogEvent::Refused {
+        id: request.id,
+        request: request
+            .traits
+            .map_or_else(String::new, |traits| traits.fingerprint.to_string()),
+        suspect: suspect_text(gateway, request, reason),
+        reason: reason.name(),
+        status: reason.status(),
+        after_ms: millis(gateway.now().saturating_sub(request.arrived_at)),
+        config_version,
+        config_age_ms,
+    });
+}
+
 /// What a quarantined request is refused for; empty for other refusals.
 fn suspect_text(gateway: &Gateway, request: RefusedRequest<'_>, reason: RefusalReason) -> String {
     if !reason.is_quarantine() {
--- a/crates/mimosagap-gateway/src/state.rs
+++ b/crates/mimosagap-gateway/src/state.rs
@@ -14,12 +14,14 @@
 use mimosagap_routing::hosts::HostTable;
 use mimosagap_routing::output_length::LengthEstimator;
 use mimosagap_routing::quarantine::Quarantine;
+use mimosagap_routing::relay_selection::RelaySelector;
 use mimosagap_routing::retry_budget::{
     FleetSize, RetryBounds, RetryBudget, RetryPurpose, capacity,
 };
 use mimosagap_routing::shutdown::ShutdownWindow;
 use mimosagap_routing::store_revision::EraTracker;
 use mimosagap_routing::stream_origins::StreamOrigins;
+use mimosagap_routing::target_reach::TargetReach;
 use mimosagap_routing::targets::{TargetKey, TargetTable};
 use mimosagap_routing::token_time::TokenTimeEstimator;
 use mimosagap_routing::version_registry::VersionRegistry;
@@ -64,6 +66,10 @@
     pub fleet_size: FleetSize,
     /// Retry budgets, by service.
     pub retry_budgets: HashMap<DeploymentName, RetryBudget>,
+    /// Whether this host reaches the targets, by service.
+    pub target_reach: HashMap<DeploymentName, TargetReach>,
+    /// Which hosts served requests that this one could not send to a target.
+    pub relay_selector: RelaySelector,
     /// Generations that wait for an engine, by service.
     pub wait_queues: HashMap<DeploymentName, WaitQueue>,
     /// Idle connections to targets.
@@ -110,6 +116,8 @@
     pub metrics: GatewayMetrics,
     /// Notified when a target starts to leave.
     pub target_leaving: Notify,
+    /// Notified when this host is cut off from the targets of a service.
+    pub reach_lost: Notify,
     /// Notified when a target may have capacity for a waiting request.
     pub capacity_freed: Notify,
     /// Notified when changes of the store were applied, and when the store becomes unreachable.
@@ -172,6 +180,7 @@
             log,
             metrics,
             target_leaving: Notify::new(),
+            reach_lost: Notify::new(),
             capacity_freed: Notify::new(),
             store_changed: Notify::new(),
             peer_update_due: Notify::new(),
@@ -195,6 +204,8 @@
                 length_estimators: HashMap::new(),
                 fleet_size: FleetSize::new(clock.since_boot()),
                 retry_budgets: HashMap::new(),
+                target_reach: HashMap::new(),
+                relay_selector: RelaySelector::default(),
                 wait_queues: HashMap::new(),
                 connection_pool: ConnectionPool::default(),
                 rng: SmallRng::from_os_rng(),
--- a/crates/mimosagap-gateway/src/stream_body.rs
+++ b/crates/mimosagap-gateway/src/stream_body.rs
@@ -24,7 +24,7 @@
 
 /// Part of a stream on its way to the caller.
 pub enum StreamPart {
-    /// Bytes of one event.
+    /// Bytes of one event, or of any piece of a relayed body.
     Event(Bytes),
     /// The stream is complete, so the body ends without an error.
     End,
--- a/crates/mimosagap-gateway/src/stream_relay.rs
+++ b/crates/mimosagap-gateway/src/stream_relay.rs
@@ -19,6 +19,7 @@
 };
 use crate::load_reservation::LoadReservation;
 use crate::log::{LogEvent, STREAM_COMPLETE};
+use crate::reach;
 use crate::request::RoutedRequest;
 use crate::resumption;
 use crate::sse::StreamEvent;
@@ -375,6 +376,7 @@
             self.reservation
                 .resize(self.current_demand().mean_kv_tokens());
         }
+        reach::record_contact(&self.gateway, &self.request.service);
         let now = self.gateway.now();
         if self.generated_tokens > self.tokens_per_event {
             self.longest_gap = self.longest_gap.max(now.saturating_sub(self.last_event_at));
--- a/crates/mimosagap-gateway/src/streams.rs
+++ b/crates/mimosagap-gateway/src/streams.rs
@@ -29,6 +29,8 @@
 use crate::load_reservation::LoadReservation;
 use crate::log::LogEvent;
 use crate::peers::SMALL_FLEET_HOSTS;
+use crate::reach;
+use crate::relay::relay_request;
 use crate::remote_placement::{self, PlacementOutcome};
 use crate::request::RoutedRequest;
 use crate::response::{ResponseBody, forwarded_head, refusal_response};
@@ -81,6 +83,11 @@
         request.service = origin.service.clone();
     }
     let request = Rc::new(request);
+    if reach::is_isolated(gateway, &request.service)
+        && let Some(response) = relay_stream(gateway, &request).await
+    {
+        return response;
+    }
     let demand = estimate_demand(gateway, &request);
     let mut has_sent = false;
     // A verdict against the request ends its wait, and the attempt of an engine that has not begun
@@ -97,6 +104,11 @@
             reason
         })
     });
+    if let StartOutcome::Refused(RefusalReason::NoTarget | RefusalReason::VersionGone) = outcome
+        && let Some(response) = relay_stream(gateway, &request).await
+    {
+        return response;
+    }
     match outcome {
         StartOutcome::Refused(reason) => refusal_response(gateway, request.as_ref().into(), reason),
         StartOutcome::Responded(target, response) => {
@@ -115,6 +127,19 @@
     }
 }
 
+/// Hands a generation that reached no engine to another host. Returns `None` if the request is
+/// relayed already or no host can be asked.
+async fn relay_stream(
+    gateway: &SharedGateway,
+    request: &Rc<RoutedRequest>,
+) -> Option<Response<ResponseBody>> {
+    match relay_request(gateway, request).await {
+        Ok(response) => Some(response),
+        Err(reason) if reason.holds_for_one_host() => None,
+        Err(reason) => Some(refusal_response(gateway, request.as_ref().into(), reason)),
+    }
+}
+
 /// A stream whose first event has arrived.
 pub struct StartedStream {
     /// Source of the events after the first.
@@ -166,6 +191,7 @@
     let mut sends = 0;
     let mut executions = 0;
     let mut was_aborted = false;
+    let mut was_rejected = false;
     let mut is_counted = false;
     let expected_time =
         gateway.token_time(&request.service) * demand.expected_tokens + prefill_time(demand);
@@ -235,9 +261,8 @@
                 // The target is held back until the next ask, and may be used then.
                 continue;
             }
-            Ok(Err(
-                ExchangeError::Rejected | ExchangeError::InBackoff | ExchangeError::Unreachable,
-            )) => {}
+            Ok(Err(ExchangeError::Rejected | ExchangeError::InBackoff)) => was_rejected = true,
+            Ok(Err(ExchangeError::Unreachable)) => {}
             Err(_) => break RefusalReason::DeadlineAfterSend,
         }
         tried.push(target);
@@ -246,6 +271,7 @@
     StartOutcome::Refused(match reason {
         RefusalReason::DeadlineAfterSend => RefusalReason::DeadlineAfterSend,
         _ if may_have_run => RefusalReason::TargetAborted,
+        RefusalReason::TargetsRejected if !was_rejected => RefusalReason::NoTarget,
         other => other,
     })
 }
@@ -289,6 +315,7 @@
     match source.next().await {
         SourceItem::Event(first_event) => {
             let latency = reservation.finish_prefill();
+            reach::record_contact(gateway, &request.service);
             gateway.log.event(&LogEvent::FirstEvent {
                 id: &request.head.attempt_id,
                 target: &gateway.instance(target),
--- a/crates/mimosagap-gateway/tests/log.rs
+++ b/crates/mimosagap-gateway/tests/log.rs
@@ -201,7 +201,8 @@
     ]
 }
 
-/// One event of each kind that concerns the store's history, requests that crash targets, or retries.
+/// One event of each kind that concerns the store's history, requests that crash targets,
+/// retries, or requests handed to other hosts.
 fn belief_events() -> Vec<LogEvent<'static>> {
     let empty = String::new;
     vec![
@@ -234,6 +235,24 @@
             hosts: 1,
             up_ms: 1,
         },
+        LogEvent::TargetsReachable {
+            service: "s",
+            reachable: false,
+            after_ms: 0,
+        },
+        LogEvent::Relayed {
+            id: "a",
+            host: "h",
+            service: "s",
+            outcome: "served",
+            status: 200,
+            after_ms: 1,
+        },
+        LogEvent::RelayRefused {
+            id: "a",
+            reason: "no_target",
+            after_ms: 1,
+        },
         LogEvent::QuarantineTrial {
             id: "a",
             what: empty(),
--- a/crates/mimosagap-routing/src/refusal.rs
+++ b/crates/mimosagap-routing/src/refusal.rs
@@ -129,6 +129,15 @@
         }
     }
 
+    /// Whether another host may serve the request, which this one has not sent and never will.
+    #[must_use]
+    pub fn holds_for_one_host(self) -> bool {
+        matches!(
+            self,
+            Self::NoConfig | Self::StaleConfig | Self::NoTarget | Self::ShuttingDown
+        )
+    }
+
     /// The reason if the request was sent before.
     #[must_use]
     pub fn after_send(self) -> Self {
--- a/crates/mimosagap-routing/src/targets.rs
+++ b/crates/mimosagap-routing/src/targets.rs
@@ -424,6 +424,15 @@
         self.targets.get_mut(key).map(|target| &mut target.backoff)
     }
 
+    /// Ends the pauses of the targets of a service, because this host reaches them again.
+    pub fn end_pauses(&mut self, service: &DeploymentName, now: Duration) {
+        for key in self.by_service.get(service).into_iter().flatten() {
+            let target = &mut self.targets[*key];
+            target.paused_until = target.paused_until.min(now);
+            target.next_pause = FIRST_PAUSE;
+        }
+    }
+
     /// Records what a target said of its rate limit, to this host or another one.
     pub fn record_rate(
         &mut self,
