--- a/crates/mimosagap-soak/src/standins/target.rs
+++ b/crates/mimosagap-soak/src/standins/target.rs
@@ -70,6 +70,11 @@
     FloodsBody,
     /// Executes requests and sends endless bodies, one byte each 100 ms.
     DripsBody,
+    /// Serves new streams, and answers with an empty stream to those that go on from a copy.
+    EmptiesMovedStreams,
+    /// Serves new streams, and answers with the text of an error in place of the events to those
+    /// that go on from a copy.
+    SpoilsMovedStreams,
 }
 
 /// For how long a target in [`TargetMode::Pauses`] asks for no requests.
@@ -332,6 +337,16 @@
             if !context.generations.take_copy(handle, id, &address) {
                 return rejection(id);
             }
+            match self.mode.get() {
+                TargetMode::EmptiesMovedStreams => {
+                    return build_response(StatusCode::OK, id, Bytes::new());
+                }
+                TargetMode::SpoilsMovedStreams => {
+                    let text = Bytes::from_static(b"error: the copy is damaged\n\n");
+                    return build_response(StatusCode::OK, id, text);
+                }
+                _ => {}
+            }
             checker.record_migration(id, &self.instance_id);
             return self.stream(context, id, &head.headers);
         }
--- a/crates/mimosagap-soak/tests/soak.rs
+++ b/crates/mimosagap-soak/tests/soak.rs
@@ -402,6 +402,42 @@
     assert!(outcome.isolated.sent > 20, "{outcome:?}");
 }
 
+/// Engines leave, and those that take their streams from a copy answer 200 with no event, or with the
+/// text of an error. Clients must not see such a stream as complete, nor find the text in it.
+#[rstest]
+#[case::empty(917, TargetMode::EmptiesMovedStreams, 24_900)]
+#[case::error_text(918, TargetMode::SpoilsMovedStreams, 25_000)]
+fn an_answer_without_events_is_taken_for_the_rest_of_a_stream(
+    #[case] seed: u64,
+    #[case] mode: TargetMode,
+    #[case] base_port: u16,
+) {
+    let notice = Duration::from_secs(1);
+    let engines = TARGET_COUNT / 2..TARGET_COUNT;
+    let leaving = (1..7).zip(engines.clone().cycle());
+    let mut steps: Vec<FaultStep> = leaving
+        .map(|(number, target)| FaultStep {
+            at: notice * number,
+            fault: Fault::TakeTarget(target, notice),
+        })
+        .collect();
+    // The engines that take the places of others behave alike.
+    steps.extend((0..70).flat_map(|number| {
+        engines.clone().map(move |target| FaultStep {
+            at: Duration::from_millis(100) * number,
+            fault: Fault::Target(target, mode, LENGTH * 2),
+        })
+    }));
+    steps.sort_by_key(|step| step.at);
+    let plan = FaultPlan {
+        seed,
+        length: LENGTH,
+        steps,
+        ..FaultPlan::default()
+    };
+    run_clean(plan, base_port);
+}
+
 /// Runs a plan, and asserts that no guarantee was violated and that more than 100 requests
 /// succeeded. The logs are kept after a failure.
 fn run_clean(plan: FaultPlan, base_port: u16) -> RunOutcome {
