fix(gateway): an answer without events is not the rest of a stream

Cause: a stream that went on at another engine took whatever this engine's answer began with, an empty body for the end and any text with a blank line for an event. The first item must be an event with a number now; everything else counts as a failed attempt, so the stream stays at its engine or ends without its end. Ruled out: errors with another status than 2xx, which were refused before.

The cost: a stream whose engine fails between its last event and its end is reported as incomplete. an_answer_without_events_is_taken_for_the_rest_of_a_stream failed twice of twice and passes.

--- a/crates/mimosagap-gateway/src/handover.rs
+++ b/crates/mimosagap-gateway/src/handover.rs
@@ -35,7 +35,7 @@
 pub struct ResumedStream {
     /// Source of the events after the first item.
     pub source: EventSource,
-    /// First item, which is an event or the end of the stream.
+    /// First item, which is an event with an id.
     pub first_item: SourceItem,
     /// Load of the generation on the engine.
     pub reservation: LoadReservation,
@@ -81,9 +81,15 @@
             .filter(|exchange| exchange.head.status.is_success())?;
         let mut source = EventSource::new(exchange);
         match source.next().await {
+            // Without a numbered event it is not known that the answer belongs to the stream.
+            SourceItem::Event(event) if event.id.is_some() => {
+                Some((source, SourceItem::Event(event)))
+            }
             // The previous engine may still run the generation.
-            SourceItem::Aborted | SourceItem::LimitExceeded => None,
-            first_item => Some((source, first_item)),
+            SourceItem::Event(_)
+            | SourceItem::End
+            | SourceItem::Aborted
+            | SourceItem::LimitExceeded => None,
         }
     };
     let resume_timeout = job
