--- a/crates/mimosagap-gateway/src/lib.rs
+++ b/crates/mimosagap-gateway/src/lib.rs
@@ -9,7 +9,7 @@
 mod body_reader;
 mod calls;
 mod change_feed;
-mod connection;
+pub mod connection;
 mod crash_probe;
 pub mod delta;
 mod event_source;
