--- a/crates/mimosagap-gateway/src/connection.rs
+++ b/crates/mimosagap-gateway/src/connection.rs
@@ -82,6 +82,9 @@
 
 impl HttpConnection {
     /// Opens a connection and starts the task that drives it.
+    ///
+    /// # Errors
+    /// If the peer does not accept it within [`CONNECT_TIMEOUT`].
     pub async fn open(address: SocketAddr) -> std::io::Result<Self> {
         let connect = timeout(CONNECT_TIMEOUT, TcpStream::connect(address));
         let stream = connect
@@ -108,6 +111,10 @@
     }
 
     /// Sends a request and waits for the response head.
+    ///
+    /// # Errors
+    /// If no whole head is received. Only [`SendError::NotSent`] means that the peer has none of the
+    /// request.
     pub async fn send(
         &mut self,
         request: Request<Full<Bytes>>,
@@ -138,6 +145,9 @@
     }
 
     /// Sends a request and reads the whole response, with a body of up to `max_bytes`.
+    ///
+    /// # Errors
+    /// If no whole response is received, or its body is longer.
     pub async fn call(
         &mut self,
         request: Request<Full<Bytes>>,
@@ -156,6 +166,7 @@
     }
 
     /// Whether the connection can carry another request.
+    #[must_use]
     pub fn is_open(&self) -> bool {
         !self.sender.is_closed() && !self.driver_task.is_finished()
     }
@@ -168,6 +179,9 @@
 }
 
 /// Disables Nagle's algorithm and sets the timeouts that detect an unresponsive peer.
+///
+/// # Errors
+/// If the connection is closed already.
 pub fn set_socket_options(stream: &TcpStream) -> std::io::Result<()> {
     stream.set_nodelay(true)?;
     let socket = SockRef::from(stream);
--- a/crates/mimosagap-gateway/src/reach.rs
+++ b/crates/mimosagap-gateway/src/reach.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use mimosagap_routing::target_reach::ReachChange;
+use mimosagap_routing::target_reach::{ReachChange, TargetReach};
 use mimosagap_routing::targets::{TargetKey, TargetOutcome};
 use mimosagap_types::prelude::*;
 use rand::Rng;
@@ -59,7 +59,7 @@
 pub fn is_isolated(gateway: &Gateway, service: &DeploymentName) -> bool {
     gateway.with_state(|state| {
         let reach = state.target_reach.get(service);
-        reach.is_some_and(mimosagap_routing::target_reach::TargetReach::is_isolated)
+        reach.is_some_and(TargetReach::is_isolated)
     })
 }
 
--- a/crates/mimosagap-soak/src/run.rs
+++ b/crates/mimosagap-soak/src/run.rs
@@ -117,6 +117,8 @@
     pub crash_outcomes: Vec<CrashOutcome>,
     /// How streams fared beside engines of other software versions.
     pub version_outcome: VersionOutcome,
+    /// Targets that gateways took for crashed, counted once for each request.
+    pub reported_crashes: usize,
     /// How requests fared at gateways that were cut off from all targets, and at the others.
     pub isolation_outcome: IsolationOutcome,
     /// Violated guarantees, in the order in which they were found.
@@ -165,6 +167,14 @@
     }
 }
 
+/// What the logs of a run count.
+struct LogCounts {
+    /// Streams that were migrated while their first target was executing them.
+    live_migrations: usize,
+    /// Targets that gateways took for crashed, once for each request.
+    reported_crashes: usize,
+}
+
 enum FaultRevert {
     Store,
     /// The store comes back from a copy of this age.
@@ -246,7 +256,10 @@
     tokio::time::sleep(IDLE_TIME).await;
     fleet.check_resources();
     fleet.stop_gateways().await;
-    let live_migrations = fleet.check_logs()?;
+    let LogCounts {
+        live_migrations,
+        reported_crashes,
+    } = fleet.check_logs()?;
     let (sent, served) = fleet.checker.request_counts();
     Ok(RunOutcome {
         sent,
@@ -255,6 +268,7 @@
         rate_usages: fleet.checker.rate_usages(),
         crash_outcomes,
         version_outcome,
+        reported_crashes,
         isolation_outcome,
         violations: fleet.checker.violations(),
     })
@@ -748,9 +762,8 @@
 
     /// Checks that the logs name exactly one cause for each failed request. A missing cause is
     /// accepted if the gateway was killed before it wrote the line, or if the logs report as many
-    /// lines as left out. Returns how many streams were migrated while their first target was
-    /// executing them.
-    fn check_logs(&self) -> std::io::Result<usize> {
+    /// lines as left out. Returns what the logs count.
+    fn check_logs(&self) -> std::io::Result<LogCounts> {
         let mut logs = LogSet::default();
         for (index, gateway) in self.gateways.iter().enumerate() {
             let log_reader = BufReader::new(File::open(gateway.process.log_path())?);
@@ -805,6 +818,11 @@
             );
             self.checker.record_violation(text);
         }
-        Ok(live_migrations)
+        let crashes = logs.records().iter();
+        let reported_crashes = crashes.filter(|record| record.event == "target_crashed");
+        Ok(LogCounts {
+            live_migrations,
+            reported_crashes: reported_crashes.count(),
+        })
     }
 }
--- a/crates/mimosagap-soak/tests/soak.rs
+++ b/crates/mimosagap-soak/tests/soak.rs
@@ -402,6 +402,24 @@
     assert!(outcome.isolated.sent > 20, "{outcome:?}");
 }
 
+/// Two of three gateways are cut off from all targets, which refuse their connections. No target
+/// crashes, but the gateways took each for crashed under the requests that it ran, and told the others.
+#[test]
+fn gateways_cut_off_from_all_targets_blame_requests() {
+    let plan = FaultPlan {
+        seed: 919,
+        length: Duration::from_secs(5),
+        steps: vec![FaultStep {
+            at: Duration::from_secs(1),
+            fault: Fault::IsolateGateways(LinkMode::Cut, Duration::from_secs(3)),
+        }],
+        isolated_gateways: 2,
+        ..FaultPlan::default()
+    };
+    let outcome = run_clean(plan, 25_100);
+    assert_eq!(outcome.reported_crashes, 0);
+}
+
 /// Engines leave, and those that take their streams from a copy answer 200 with no event, or with the
 /// text of an error. Clients must not see such a stream as complete, nor find the text in it.
 #[rstest]
