fix(gateway): a host that is cut off reports no crashes of targets

Cause: a refused connection was proof enough that the target had ended. Now another target must accept a connection from this host first; if two others do not, nothing is reported. Ruled out: waiting for responses of other targets, which says nothing on a host with few requests. gateways_cut_off_from_all_targets_blame_requests failed (5 reports) and passes.

--- a/crates/mimosagap-gateway/src/crash_probe.rs
+++ b/crates/mimosagap-gateway/src/crash_probe.rs
@@ -23,6 +23,9 @@
 /// Time for which a connection of a probe must last to show that the target runs.
 const PROBE_HOLD: Duration = Duration::from_millis(50);
 
+/// Other targets that are tried before a failure counts as that of the host's own links.
+const CONTROL_PROBES: usize = 2;
+
 /// How far a target was with a request when its connection failed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct AnswerProgress {
@@ -81,6 +84,25 @@
     }
 }
 
+/// Whether a target other than `failed` accepts a connection, or this host knows no other.
+async fn reaches_other_target(gateway: &SharedGateway, failed: TargetKey) -> bool {
+    let now = gateway.now();
+    let others: Vec<SocketAddr> = gateway.with_state(|state| {
+        let others = state.targets.iter();
+        others
+            .filter(|(key, target)| *key != failed && target.is_available(now))
+            .map(|(_, target)| target.entry.address)
+            .collect()
+    });
+    let is_only_target = others.is_empty();
+    for address in others.into_iter().take(CONTROL_PROBES) {
+        if connect(address).await.is_ok() {
+            return true;
+        }
+    }
+    is_only_target
+}
+
 /// Probes a target after its connection failed while it may have been executing `request`. If the
 /// target has crashed, the request is suspected, unless its answer proved it sound.
 pub fn probe_after_failure(
@@ -107,6 +129,11 @@
             ProbeResult::Refused => true,
             ProbeResult::Silent => false,
         };
+        // A host that is cut off from all targets finds each of them crashed.
+        if !reaches_other_target(&gateway, key).await {
+            record_outcome(&gateway, key, TargetOutcome::Unreachable);
+            return;
+        }
         record_outcome(&gateway, key, TargetOutcome::Unreachable);
         gateway.log.event(&LogEvent::TargetCrashed {
             target: &entry.instance,
