fix(gateway): a host that stops waits for the responses that it passes on

A response that another host relays was counted as in flight only until its head. A host that stops could exit within the body, and its caller saw a broken response; found by reading the change. A generation is not handed over by a host that stops. No test of its own.

--- a/crates/mimosagap-gateway/src/ingress.rs
+++ b/crates/mimosagap-gateway/src/ingress.rs
@@ -31,7 +31,8 @@
 pub struct InFlightGuard(SharedGateway);
 
 impl InFlightGuard {
-    fn new(gateway: &SharedGateway) -> Self {
+    /// Counts one request more.
+    pub fn new(gateway: &SharedGateway) -> Self {
         gateway.in_flight.set(gateway.in_flight.get() + 1);
         gateway.metrics.in_flight.inc();
         Self(Rc::clone(gateway))
--- a/crates/mimosagap-gateway/src/relay.rs
+++ b/crates/mimosagap-gateway/src/relay.rs
@@ -18,7 +18,7 @@
 use tokio::time::timeout;
 
 use crate::connection::{HttpConnection, SendError};
-use crate::ingress;
+use crate::ingress::{self, InFlightGuard};
 use crate::log::LogEvent;
 use crate::request::RoutedRequest;
 use crate::response::{ResponseBody, forwarded_head};
@@ -116,6 +116,7 @@
     Err(reason)
 }
 
+/// Sends a request to another host and begins to pass its response on.
 async fn exchange_with(
     gateway: &SharedGateway,
     request: &RoutedRequest,
@@ -146,7 +147,12 @@
         });
     }
     let (part_sender, response_body) = stream_body();
-    tokio::task::spawn_local(pass_body(body, connection, part_sender));
+    // A host that stops waits for the bodies that it passes on.
+    let in_flight = InFlightGuard::new(gateway);
+    tokio::task::spawn_local(async move {
+        pass_body(body, connection, part_sender).await;
+        drop(in_flight);
+    });
     let response = forwarded_head(head.status, &head.headers);
     Ok(response.map(|()| response_body.boxed_unsync()))
 }
--- a/crates/mimosagap-gateway/src/streams.rs
+++ b/crates/mimosagap-gateway/src/streams.rs
@@ -127,12 +127,15 @@
     }
 }
 
-/// Hands a generation that reached no engine to another host. Returns `None` if the request is
-/// relayed already or no host can be asked.
+/// Hands a generation that reached no engine to another host. Returns `None` if no other host serves
+/// it, and if this one stops, which could end before the generation.
 async fn relay_stream(
     gateway: &SharedGateway,
     request: &Rc<RoutedRequest>,
 ) -> Option<Response<ResponseBody>> {
+    if gateway.is_stopping() {
+        return None;
+    }
     match relay_request(gateway, request).await {
         Ok(response) => Some(response),
         Err(reason) if reason.holds_for_one_host() => None,
