fix(gateway): hosts that do not know each other decline relayed requests

An unlisted host is declined as one without a configuration, which sends the request on; and a response counts only if it is marked as one to a relayed request.

--- a/crates/mimosagap-gateway/src/listeners.rs
+++ b/crates/mimosagap-gateway/src/listeners.rs
@@ -169,11 +169,7 @@
         return if is_listed_host(&gateway, peer) {
             relay::serve_relayed(gateway, request).await
         } else {
-            Ok(local_response(
-                StatusCode::FORBIDDEN,
-                "text/plain",
-                Vec::new(),
-            ))
+            Ok(relay::decline_unlisted())
         };
     }
     let uri = request.uri();
--- a/crates/mimosagap-gateway/src/reach.rs
+++ b/crates/mimosagap-gateway/src/reach.rs
@@ -24,9 +24,9 @@
         let target_count = state.targets.of_service(&service).count();
         let reach = state.target_reach.entry(service.clone()).or_default();
         let change = match outcome {
-            TargetOutcome::Unreachable | TargetOutcome::Failed => {
-                reach.record_failure(key, target_count, now)
-            }
+            TargetOutcome::Unreachable => reach.record_failure(key, target_count, now),
+            // A response that broke off says nothing of the link: the target may have closed it.
+            TargetOutcome::Failed => None,
             TargetOutcome::Completed
             | TargetOutcome::Succeeded
             | TargetOutcome::ReturnedError
--- a/crates/mimosagap-gateway/src/relay.rs
+++ b/crates/mimosagap-gateway/src/relay.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use http::header::HeaderValue;
-use http::{HeaderName, Request, Response};
+use http::{HeaderName, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use mimosagap_platform::request::relayed_headers;
@@ -21,7 +21,7 @@
 use crate::ingress::{self, InFlightGuard};
 use crate::log::LogEvent;
 use crate::request::RoutedRequest;
-use crate::response::{ResponseBody, forwarded_head};
+use crate::response::{ResponseBody, forwarded_head, local_response};
 use crate::state::{SharedGateway, millis};
 use crate::stream_body::{StreamPart, stream_body};
 
@@ -57,13 +57,30 @@
 ) -> Result<Response<ResponseBody>, Infallible> {
     request.headers_mut().remove(RELAYED_HEADER);
     let Ok(mut response) = ingress::handle_relayed_request(gateway, request).await;
-    if let Some(reason) = response.extensions().get::<RefusalReason>() {
-        let name = HeaderValue::from_static(reason.name());
-        response.headers_mut().insert(REFUSAL_HEADER, name);
-    }
+    mark_response(&mut response);
     Ok(response)
 }
 
+/// Declines a request of a host that this one does not list, as after a start of either.
+pub fn decline_unlisted() -> Response<ResponseBody> {
+    let reason = RefusalReason::NoConfig;
+    let mut response = local_response(StatusCode::SERVICE_UNAVAILABLE, "text/plain", Vec::new());
+    response.extensions_mut().insert(reason);
+    mark_response(&mut response);
+    response
+}
+
+/// Marks a response to a relayed request, and names the reason if it is a refusal.
+fn mark_response(response: &mut Response<ResponseBody>) {
+    let reason = response.extensions().get::<RefusalReason>().copied();
+    let headers = response.headers_mut();
+    headers.insert(RELAYED_HEADER, HeaderValue::from_static("1"));
+    headers.remove(REFUSAL_HEADER);
+    if let Some(reason) = reason {
+        headers.insert(REFUSAL_HEADER, HeaderValue::from_static(reason.name()));
+    }
+}
+
 /// Hands a request to other hosts until one has sent it to a target. Returns why the request is to
 /// be refused if none has; `NoTarget` if there is no host to ask.
 pub async fn relay_request(
@@ -131,13 +148,17 @@
     message
         .headers_mut()
         .insert(RELAYED_HEADER, HeaderValue::from_static("1"));
-    let (head, body) = match connection.send(message).await {
+    let (mut head, body) = match connection.send(message).await {
         Ok(response) => response.into_parts(),
         Err(SendError::NotSent) => return Err(RelayFailure::Unreachable),
         Err(SendError::ConnectionFailed(_) | SendError::LimitExceeded) => {
             return Err(RelayFailure::Lost);
         }
     };
+    if head.headers.remove(RELAYED_HEADER).is_none() {
+        // A host of an earlier version does not know relayed requests.
+        return Err(RelayFailure::Unreachable);
+    }
     let refusal = head.headers.get(REFUSAL_HEADER);
     if let Some(name) = refusal.and_then(|value| value.to_str().ok()) {
         return Err(match RefusalReason::parse(name) {
