--- a/review/stand/src/engine.rs
+++ b/review/stand/src/engine.rs
@@ -4,7 +4,7 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use crate::http::{self, Head};
 use crate::record::Record;
@@ -47,6 +47,8 @@
     slots: u32,
     born: u128,
     pub is_leaving: Arc<AtomicBool>,
+    /// The engine sends nothing before this moment.
+    silent_until: Arc<Mutex<Option<Instant>>>,
 }
 
 impl Engine {
@@ -73,6 +75,7 @@
             slots,
             born,
             is_leaving: Arc::default(),
+            silent_until: Arc::default(),
         };
         let (server, record, runs) = (engine.clone(), record.clone(), runs.clone());
         http::serve(listener, move |head, body, stream| {
@@ -81,6 +84,11 @@
         engine
     }
 
+    /// The engine falls silent for a time and goes on then.
+    pub fn fall_silent(&self, time: Duration) {
+        *self.silent_until.lock().unwrap() = Some(Instant::now() + time);
+    }
+
     /// Writes the engine's entry to the store.
     pub fn register(&self, store: &Store, zone: &str) {
         let state = if self.is_leaving.load(Ordering::SeqCst) {
@@ -168,6 +176,10 @@
         headers.push(("X-Server-Signature", &signature));
         let is_sent = if events == 0 {
             std::thread::sleep(Duration::from_millis(number("work_ms=", 30)));
+            let silent_until = *self.silent_until.lock().unwrap();
+            if let Some(at) = silent_until {
+                std::thread::sleep(at.saturating_duration_since(Instant::now()));
+            }
             let answer = format!("{{\"done\":\"{attempt}\"}}");
             http::respond(stream, "200 OK", &headers, answer.as_bytes()).is_ok()
         } else {
