--- a/review/stand/src/gateway.rs
+++ b/review/stand/src/gateway.rs
@@ -207,12 +207,12 @@
         }
     }
 
-    /// Sends a signal to the process that this program started.
+    /// Sends a signal to the process that this program started, by its id.
     pub fn signal(&self, signal: &str) {
         if let Some(pid) = self.pid() {
-            let _ = Command::new("kill")
-                .args([signal, &pid.to_string()])
-                .status();
+            // The shell's own command, because `kill` need not be installed as a program.
+            let command = format!("kill {signal} {pid}");
+            let _ = Command::new("sh").args(["-c", &command]).status();
         }
     }
 
