--- a/review/run-case.sh
+++ b/review/run-case.sh
@@ -7,7 +7,7 @@
 for file in target/release/mimosagapd "$program"; do
   [ -x "$file" ] || { echo "$file is missing: run the build line of deploy/system.toml and review/build.sh"; exit 2; }
 done
-timeout 115 "$program" "$1"
+"$program" "$1"
 code=$?
 [ "$code" -le 1 ] || code=2
 exit "$code"
--- a/review/stand/src/gateway.rs
+++ b/review/stand/src/gateway.rs
@@ -5,10 +5,39 @@
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
+use std::sync::Mutex;
 use std::time::{Duration, Instant};
 
 use crate::http;
 
+/// Longest time of a case; its processes are ended then.
+const MAX_TIME: Duration = Duration::from_secs(112);
+
+/// Ids of the processes that this program started.
+static PROCESSES: Mutex<Vec<u32>> = Mutex::new(Vec::new());
+
+/// Notes a process that this program started, so that it ends with the case.
+pub fn note_process(id: u32) {
+    PROCESSES.lock().unwrap().push(id);
+}
+
+/// Ends the case, and the processes that it started, if it takes too long.
+fn watch_time() {
+    std::thread::spawn(|| {
+        std::thread::sleep(MAX_TIME);
+        let ids: Vec<String> = PROCESSES
+            .lock()
+            .unwrap()
+            .iter()
+            .map(u32::to_string)
+            .collect();
+        let command = format!("kill -KILL {}", ids.join(" "));
+        let _ = Command::new("sh").args(["-c", &command]).status();
+        println!("exit 2: the case took too long");
+        std::process::exit(2);
+    });
+}
+
 /// The command of the deploy file.
 const PROGRAM: &str = "target/release/mimosagapd";
 const ARGUMENTS: [&str; 3] = ["gateway", "--metrics-port", "9464"];
@@ -44,6 +73,7 @@
 impl Fleet {
     /// Writes the settings of `count` hosts, with the figures of the pages' example.
     pub fn new(count: u8, store: SocketAddr, memory_mb: u32) -> Self {
+        watch_time();
         let folder = std::env::temp_dir().join(format!("mimosagap-review-{}", std::process::id()));
         fs::create_dir_all(&folder).expect("a temporary folder");
         let mut gateways = Vec::new();
@@ -187,7 +217,10 @@
             .stderr(log)
             .spawn();
         match child {
-            Ok(child) => self.child = Some(child),
+            Ok(child) => {
+                note_process(child.id());
+                self.child = Some(child);
+            }
             Err(error) => {
                 eprintln!("{PROGRAM} cannot be started: {error}; build it first");
                 std::process::exit(2);
@@ -204,6 +237,7 @@
         if let Some(mut child) = self.child.take() {
             let _ = child.kill();
             let _ = child.wait();
+            PROCESSES.lock().unwrap().retain(|id| *id != child.id());
         }
     }
 
--- a/review/stand/src/operator.rs
+++ b/review/stand/src/operator.rs
@@ -16,3 +16,9 @@
 "tenants":[{tenants}]}}"#
     )
 }
+
+/// The same without tenants, with the added route `/avisos/`, which is safe.
+pub fn config_with_notices(version: u64) -> String {
+    let route = r#"{"name":"avisos","hostname":"ficu95.example","path_prefix":"/avisos/","route_kind":"safe","timeout_ms":1500,"target_latency_ms":300,"priority":2,"service":"agenda","max_attempts":2,"public":false},"#;
+    config(version, "").replacen("\"routes\":[", &format!("\"routes\":[{route}"), 1)
+}
