Add review case 2: two engines work on a stream that was handed over

Cause: a handover ends the first engine's run by closing its connection alone, and not all engines drop a request then. Case: review/2/run.sh lets an engine that keeps such runs announce that it leaves.

--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -1,3 +1,3 @@
 #!/usr/bin/env bash
 # TROUBLE=0 runs the case without the disruption.
-exec "$(dirname "$0")/../run-case.sh" review/2 taken_while_stopping
+exec "$(dirname "$0")/../run-case.sh" review/2 handed_over
--- a/review/stand/src/engine.rs
+++ b/review/stand/src/engine.rs
@@ -7,6 +7,7 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use crate::http::{self, Head};
+use crate::json::{self, Json};
 use crate::record::Record;
 use crate::store::Store;
 
@@ -24,7 +25,11 @@
 
 /// All runs of all engines.
 #[derive(Clone, Default)]
-pub struct Runs(Arc<Mutex<Vec<Run>>>);
+pub struct Runs(Arc<Mutex<Vec<Run>>>, Copies);
+
+/// Copies of runs at other engines: the address of the source and the handle, and the engine that holds
+/// the copy. A copy is used once.
+type Copies = Arc<Mutex<Vec<(String, SocketAddr)>>>;
 
 impl Runs {
     pub fn all(&self) -> Vec<Run> {
@@ -49,6 +54,8 @@
     pub is_leaving: Arc<AtomicBool>,
     /// The engine sends nothing before this moment.
     silent_until: Arc<Mutex<Option<Instant>>>,
+    /// Whether the engine goes on with a run whose connection was closed. Most engines drop it.
+    keeps_runs: Arc<AtomicBool>,
 }
 
 impl Engine {
@@ -76,6 +83,7 @@
             born,
             is_leaving: Arc::default(),
             silent_until: Arc::default(),
+            keeps_runs: Arc::default(),
         };
         let (server, record, runs) = (engine.clone(), record.clone(), runs.clone());
         http::serve(listener, move |head, body, stream| {
@@ -84,6 +92,44 @@
         engine
     }
 
+    /// The engine goes on with runs whose connection was closed.
+    pub fn keep_runs(&self) {
+        self.keeps_runs.store(true, Ordering::SeqCst);
+    }
+
+    /// Copies a run to another engine, as `POST /kv-move` without `last` asks.
+    fn copy_run(&self, body: &[u8], stream: &mut TcpStream, record: &Record, runs: &Runs) -> bool {
+        let document = json::parse(body).unwrap_or(Json::Null);
+        let attempt = document.get("id").text();
+        let is_running = runs
+            .of(attempt)
+            .iter()
+            .any(|run| run.engine == self.id && run.ended == f64::MAX);
+        let destination = document.get("target").text().parse();
+        let (true, Ok(destination)) = (is_running, destination) else {
+            return http::respond(stream, "404 Not Found", &[], b"{}").is_ok();
+        };
+        std::thread::sleep(Duration::from_millis(60));
+        let handle = {
+            let mut copies = runs.1.lock().unwrap();
+            let handle = format!("h{}", copies.len() + 1);
+            copies.push((format!("{}/{handle}", self.address), destination));
+            handle
+        };
+        record.line(&format!(
+            "{} copies {attempt} to {destination}: handle {handle}",
+            self.id
+        ));
+        let answer = format!("{{\"handle\":\"{handle}\",\"created\":1}}");
+        http::respond(
+            stream,
+            "200 OK",
+            &[("Content-Type", "application/json")],
+            answer.as_bytes(),
+        )
+        .is_ok()
+    }
+
     /// The engine falls silent for a time and goes on then.
     pub fn fall_silent(&self, time: Duration) {
         *self.silent_until.lock().unwrap() = Some(Instant::now() + time);
@@ -127,6 +173,12 @@
             )
             .is_ok();
         }
+        if head.path() == "/kv-move" {
+            return self.copy_run(body, stream, record, runs);
+        }
+        if head.path().starts_with("/kv-handle/") {
+            return http::respond(stream, "200 OK", &[], b"{}").is_ok();
+        }
         if head.path().starts_with("/kv-") || head.path().starts_with("/hold-") {
             return http::respond(stream, "404 Not Found", &[], b"{}").is_ok();
         }
@@ -142,6 +194,18 @@
             headers.push(("X-Instance-Id", &self.id));
             return http::respond(stream, "421 Misdirected Request", &headers, b"").is_ok();
         }
+        if let Some(source) = head.get("kv-from") {
+            let mut copies = runs.1.lock().unwrap();
+            let copy = copies
+                .iter()
+                .position(|(name, holder)| name == source && *holder == self.address);
+            let Some(copy) = copy else {
+                headers.push(("X-Not-Executed", "1"));
+                return http::respond(stream, "503 Service Unavailable", &headers, b"").is_ok();
+            };
+            // Used once. The entry stays, so that later handles differ.
+            copies[copy].0.clear();
+        }
         let text = String::from_utf8_lossy(&body[..body.len().min(200)]).into_owned();
         let number = |name: &str, default: u64| -> u64 {
             text.split_whitespace()
@@ -220,17 +284,26 @@
         }
         head.push_str("X-Weight-Versions: 1\r\nTransfer-Encoding: chunked\r\n\r\n");
         stream.write_all(head.as_bytes())?;
+        let mut result = Ok(());
         for id in first..=last {
             let event = format!(
                 "id: {id}\ndata: version={} engine={} of={last}\n\n",
                 self.version, self.id
             );
             let chunk = format!("{:x}\r\n{event}\r\n", event.len());
-            stream.write_all(chunk.as_bytes())?;
-            if id < last {
-                self.pause(stream, gap)?;
+            if result.is_ok() {
+                result = stream.write_all(chunk.as_bytes());
+            }
+            if id < last && result.is_ok() {
+                result = self.pause(stream, gap);
+            } else if id < last {
+                std::thread::sleep(gap);
+            }
+            if result.is_err() && !self.keeps_runs.load(Ordering::SeqCst) {
+                return result;
             }
         }
+        result?;
         stream.write_all(b"0\r\n\r\n")
     }
 
