--- a/review/stand/src/bin/bodies_fill_memory.rs
+++ b/review/stand/src/bin/bodies_fill_memory.rs
@@ -20,7 +20,7 @@
 /// The burst multiplies the traffic by 1.7.
 const BURST: f64 = 1.7;
 /// Clients that place bookings on kept connections meanwhile, one after the other.
-const BOOKING_CLIENTS: usize = 12;
+const BOOKING_CLIENTS: usize = 16;
 /// Length of a body; the operator's limit is 4,194,304 bytes.
 const BODY_BYTES: usize = 4_000_000;
 
@@ -106,7 +106,9 @@
                         bookings.lock().unwrap().push(attempt);
                     }
                 }
-                std::thread::sleep(Duration::from_millis(20));
+                // Clients don't keep step with each other.
+                let pause = 5 + (number * 7 + sent * 13) % 31;
+                std::thread::sleep(Duration::from_millis(pause as u64));
             }
         }));
     }
