--- a/review/stand/src/bin/popular_request_blocked.rs
+++ b/review/stand/src/bin/popular_request_blocked.rs
@@ -20,7 +20,9 @@
 /// Crashes, and the time from one to the next.
 const CRASHES: usize = 4;
 const CRASH_INTERVAL: Duration = Duration::from_secs(7);
-/// Time after a crash until the store drops the entry, and until an instance is back.
+/// Time after a crash until the store drops the entry (three heartbeats of 1.2 s), and until an
+/// instance is back.
+const DROPPED_AFTER: Duration = Duration::from_millis(3600);
 const BACK_AFTER: Duration = Duration::from_millis(4500);
 /// `contact_ms`, after which the state is steady again, and how long it is looked at.
 const CONTACT: Duration = Duration::from_millis(4000);
@@ -167,8 +169,9 @@
             let mut service = services.remove(0);
             service.crash();
             record.line(&format!("DISRUPTION: {} crashes", service.key));
-            std::thread::sleep(BACK_AFTER);
+            std::thread::sleep(DROPPED_AFTER);
             store.remove(&service.key);
+            std::thread::sleep(BACK_AFTER - DROPPED_AFTER);
             start(&mut services);
             std::thread::sleep(CRASH_INTERVAL - BACK_AFTER);
         } else {
--- a/review/stand/src/bin/versions_after_drill.rs
+++ b/review/stand/src/bin/versions_after_drill.rs
@@ -14,6 +14,10 @@
 
 const STREAMS: usize = 16;
 const EVENTS: u64 = 60;
+/// Clients retry a few times.
+const MOST_RETRIES: usize = 4;
+/// Shortest time from a failed try to the next.
+const RETRY_PAUSE_S: f64 = 0.7;
 /// Streams that may hold events of two versions; more break the rule.
 const MOST_JOINED: usize = 2;
 
@@ -151,13 +155,13 @@
     let mut tries = 0;
     while Instant::now() < deadline {
         let known = streams.lock().unwrap()[number].clone();
-        if known.is_complete || tries > 12 {
+        if known.is_complete || tries > MOST_RETRIES {
             return;
         }
         let address = addresses[(number + tries) % addresses.len()];
         tries += 1;
         let Some(mut connection) = Connection::open(address) else {
-            std::thread::sleep(Duration::from_millis(100));
+            std::thread::sleep(Duration::from_secs_f64(RETRY_PAUSE_S));
             continue;
         };
         let attempt = format!("{number:04x}{tries:04x}9c41d07b");
@@ -213,7 +217,7 @@
             .head
             .get("retry-after")
             .and_then(|text| text.parse().ok())
-            .unwrap_or(0.1);
-        std::thread::sleep(Duration::from_secs_f64(wait));
+            .unwrap_or(0.0);
+        std::thread::sleep(Duration::from_secs_f64(RETRY_PAUSE_S.max(wait)));
     }
 }
