fix(gateway): take no version for the only one after the store came back from a copy

Cause: a host without memory takes the only version in the store for that of every stream. The copy lacked the second one, the engines of which were not listed yet. Ruled out: wrong records (the streams were bound as `sole`) and an ignored version (it was not admitted).

Hosts that know all versions now record the era for which the store lists them. A host that starts in another era records every stream and refuses those without a record, until the era is recorded or the engines have had five seconds to register again. A version that a full read lacks is stored again without engines.

--- a/crates/mimosagap-gateway/src/log.rs
+++ b/crates/mimosagap-gateway/src/log.rs
@@ -213,6 +213,15 @@
         /// Version of the software of its engines.
         version: &'a str,
     },
+    /// This host learned whether the store lists all versions at which streams can have begun.
+    VersionHistory {
+        /// Whether this host knows all of them.
+        is_complete: bool,
+        /// The era for which the store lists all of them; absent in a new store.
+        recorded_era: Option<u64>,
+        /// The era of the store.
+        era: u64,
+    },
     /// A request that resumes a stream is bound to the version that began it.
     StreamResumed {
         /// Attempt id, set by the caller anew for each retry.
--- a/crates/mimosagap-gateway/src/response.rs
+++ b/crates/mimosagap-gateway/src/response.rs
@@ -124,8 +124,11 @@
         headers.insert(names::ATTEMPT_ID, id);
     }
     let now = gateway.now();
-    let available_in = request.service.and_then(|service| {
-        gateway.with_state(|state| state.targets.time_until_available(service, now))
+    let available_in = gateway.with_state(|state| match reason {
+        RefusalReason::VersionUnknown => state.version_history.complete_in(now),
+        _ => request
+            .service
+            .and_then(|service| state.targets.time_until_available(service, now)),
     });
     if let Some(delay) = reason.retry_after(available_in) {
         let delay = spread_retry(gateway, request.service, reason, delay);
--- a/crates/mimosagap-gateway/src/resumption.rs
+++ b/crates/mimosagap-gateway/src/resumption.rs
@@ -21,7 +21,9 @@
 use crate::store::{StoreClient, StoreError};
 use crate::store_sync::read_range;
 use crate::stream_records::{STREAMS_PREFIX, apply_record};
-use crate::version_admission::{VERSIONS_PREFIX, apply_version};
+use crate::version_admission::{
+    ALL_VERSIONS_PREFIX, VERSIONS_ERA_KEY, apply_recorded_era, apply_version,
+};
 
 /// Longest wait for what the store holds of versions and streams.
 const LOOKUP_TIMEOUT: Duration = Duration::from_millis(700);
@@ -53,12 +55,20 @@
             return Ok(());
         }
         let started_at = gateway.now();
-        let (versions, _) = read_range(gateway, &client, VERSIONS_PREFIX).await?;
-        for change in &versions {
-            apply_version(gateway, &change.key, change.value.as_deref());
+        let (items, _) = read_range(gateway, &client, ALL_VERSIONS_PREFIX).await?;
+        let mut recorded_era = None;
+        for change in &items {
+            if change.key == VERSIONS_ERA_KEY {
+                recorded_era = change.value.as_deref();
+            } else {
+                apply_version(gateway, &change.key, change.value.as_deref());
+            }
         }
-        let is_any_mixed =
-            gateway.with_state(|state| state.targets.versions().mixed_services().next().is_some());
+        apply_recorded_era(gateway, recorded_era);
+        let is_any_mixed = gateway.with_state(|state| {
+            !state.version_history.is_complete()
+                || state.targets.versions().mixed_services().next().is_some()
+        });
         if is_any_mixed {
             let (records, _) = read_range(gateway, &client, STREAMS_PREFIX).await?;
             for record in records.iter().filter_map(|change| change.value.as_deref()) {
@@ -206,6 +216,9 @@
 /// The origin of all streams of a route whose services each have one version only.
 fn sole_origin(gateway: &Gateway, request: &RoutedRequest) -> Option<StreamOrigin> {
     gateway.with_state(|state| {
+        if !state.version_history.is_complete() {
+            return None;
+        }
         let versions = state.targets.versions();
         let services = &request.route.weighted_services;
         let mut services = services.iter().map(|weighted| &weighted.service);
@@ -289,7 +302,8 @@
     let (is_noted, is_mixed) = gateway.with_state(|state| {
         let origins = &mut state.stream_origins;
         let noted = origins.note_sent(id, origin.clone(), expires_at, now);
-        let is_mixed = state.targets.versions().is_mixed(&origin.service);
+        let is_mixed = !state.version_history.is_complete()
+            || state.targets.versions().is_mixed(&origin.service);
         if noted.is_err() {
             origins.replace(id, origin.clone());
         } else if is_mixed {
--- a/crates/mimosagap-gateway/src/state.rs
+++ b/crates/mimosagap-gateway/src/state.rs
@@ -24,6 +24,7 @@
 use mimosagap_routing::target_reach::TargetReach;
 use mimosagap_routing::targets::{TargetKey, TargetTable};
 use mimosagap_routing::token_time::TokenTimeEstimator;
+use mimosagap_routing::version_history::VersionHistory;
 use mimosagap_routing::version_registry::VersionRegistry;
 use mimosagap_routing::wait_queue::WaitQueue;
 use mimosagap_types::prelude::*;
@@ -95,6 +96,8 @@
     pub buffer_budget: BufferBudget,
     /// At which version each stream began.
     pub stream_origins: StreamOrigins,
+    /// Whether this host knows all versions at which streams can have begun.
+    pub version_history: VersionHistory,
 }
 
 impl GatewayState {
@@ -218,6 +221,7 @@
                 last_ticket: 0,
                 buffer_budget,
                 stream_origins: StreamOrigins::default(),
+                version_history: VersionHistory::default(),
             }),
             started_at: clock.since_boot(),
             clock,
--- a/crates/mimosagap-gateway/src/store_sync.rs
+++ b/crates/mimosagap-gateway/src/store_sync.rs
@@ -26,7 +26,7 @@
 use crate::stream_records::{self, STREAMS_PREFIX};
 use crate::suspicion::{self, SUSPICIONS_PREFIX};
 use crate::target_notices;
-use crate::version_admission::{self, VERSIONS_PREFIX};
+use crate::version_admission::{self, VERSIONS_ERA_KEY, VERSIONS_PREFIX};
 
 /// Prefix of all keys: one watch covers configuration, targets, hosts and suspicions.
 const ALL_KEYS_PREFIX: &str = "";
@@ -415,6 +415,8 @@
             apply_host(gateway, name, change.value.as_deref(), revision);
         } else if change.key.starts_with(VERSIONS_PREFIX) {
             version_admission::apply_version(gateway, &change.key, change.value.as_deref());
+        } else if change.key == VERSIONS_ERA_KEY {
+            version_admission::apply_recorded_era(gateway, change.value.as_deref());
         } else if change.key.starts_with(STREAMS_PREFIX) {
             // A record that was removed or whose lease ended is needed no longer.
             if let Some(value) = &change.value {
--- a/crates/mimosagap-gateway/tests/log.rs
+++ b/crates/mimosagap-gateway/tests/log.rs
@@ -329,6 +329,11 @@
             service: "s",
             version: "v1",
         },
+        LogEvent::VersionHistory {
+            is_complete: false,
+            recorded_era: Some(1),
+            era: 2,
+        },
         LogEvent::StreamResumed {
             id: "b",
             resumes: "a",
--- a/crates/mimosagap-routing/src/lib.rs
+++ b/crates/mimosagap-routing/src/lib.rs
@@ -32,5 +32,6 @@
 pub mod target_reach;
 pub mod targets;
 pub mod token_time;
+pub mod version_history;
 pub mod version_registry;
 pub mod wait_queue;
--- a/crates/mimosagap-routing/src/refusal.rs
+++ b/crates/mimosagap-routing/src/refusal.rs
@@ -155,7 +155,8 @@
     }
 
     /// Time after which the caller should retry, before jitter; `None` if the refusal states none.
-    /// `backoff_remaining` is the time until the first backoff or hold ends, if all targets have one.
+    /// `backoff_remaining` is the time until the first backoff or hold ends, if all targets have one,
+    /// or until this host knows all versions.
     #[must_use]
     pub fn retry_after(self, backoff_remaining: Option<Duration>) -> Option<Duration> {
         let backoff_remaining = backoff_remaining.unwrap_or(Duration::ZERO);
@@ -167,7 +168,7 @@
                 Some(backoff_remaining.max(Duration::from_millis(400)))
             }
             // By then the host that began the stream has recorded it.
-            Self::VersionUnknown => Some(Duration::from_millis(600)),
+            Self::VersionUnknown => Some(backoff_remaining.max(Duration::from_millis(600))),
             // An engine that crashed may start again with the same version.
             Self::VersionGone => Some(backoff_remaining.max(Duration::from_secs(2))),
             Self::Overload => Some(backoff_remaining.max(Duration::from_millis(1500))),
--- a/crates/mimosagap-routing/src/version_registry.rs
+++ b/crates/mimosagap-routing/src/version_registry.rs
@@ -36,6 +36,8 @@
 struct AdmittedVersion {
     /// Since when the store does not hold it; `None` if it does, as far as this host knows.
     missing_since: Option<Duration>,
+    /// Whether a full read of the store lacked it: it may have come back from a copy.
+    is_lost: bool,
     /// When an engine of it was last listed.
     listed_at: Duration,
 }
@@ -76,24 +78,38 @@
         let is_new = !versions.contains_key(&version);
         let admitted = versions.entry(version).or_insert(AdmittedVersion {
             missing_since: None,
+            is_lost: false,
             listed_at: now,
         });
         admitted.missing_since = None;
+        admitted.is_lost = false;
         is_new
     }
 
-    /// Records that the store no longer holds a version. Its host retired it, or the store came back
-    /// from a copy without it; then it is to be stored again if an engine is listed.
-    pub fn note_missing(&mut self, (service, version): &ServiceVersion, now: Duration) {
-        if let Some(admitted) = self
-            .admitted
-            .get_mut(service)
-            .and_then(|versions| versions.get_mut(version))
-        {
+    /// Records that a host removed a version from the store. It is stored again if an engine is
+    /// listed.
+    pub fn note_missing(&mut self, version: &ServiceVersion, now: Duration) {
+        if let Some(admitted) = self.admitted_mut(version) {
             admitted.missing_since.get_or_insert(now);
         }
     }
 
+    /// Records that a full read of the store lacked a version. It is stored again, because streams
+    /// of it may be resumed although its engines have left.
+    pub fn note_lost(&mut self, version: &ServiceVersion, now: Duration) {
+        if let Some(admitted) = self.admitted_mut(version) {
+            admitted.missing_since.get_or_insert(now);
+            admitted.is_lost = true;
+        }
+    }
+
+    fn admitted_mut(
+        &mut self,
+        (service, version): &ServiceVersion,
+    ) -> Option<&mut AdmittedVersion> {
+        self.admitted.get_mut(service)?.get_mut(version)
+    }
+
     /// The versions that the store should hold.
     pub fn stored(&self) -> impl Iterator<Item = ServiceVersion> {
         self.admitted.iter().flat_map(|(service, versions)| {
@@ -127,10 +143,14 @@
         admitted + pending.count() > 1
     }
 
+    /// Services of which a version is admitted.
+    pub fn services(&self) -> impl Iterator<Item = &DeploymentName> {
+        self.admitted.keys()
+    }
+
     /// Services of which several versions are admitted or listed.
     pub fn mixed_services(&self) -> impl Iterator<Item = &DeploymentName> {
-        let services = self.admitted.keys();
-        services.filter(|service| self.is_mixed(service))
+        self.services().filter(|service| self.is_mixed(service))
     }
 
     /// Whether a listed version waits to be admitted.
@@ -164,11 +184,7 @@
     }
 
     fn note_listed(&mut self, version: &ServiceVersion, now: Duration) {
-        let admitted = self
-            .admitted
-            .get_mut(&version.0)
-            .and_then(|versions| versions.get_mut(&version.1));
-        match admitted {
+        match self.admitted_mut(version) {
             Some(admitted) => admitted.listed_at = now,
             None => {
                 self.pending.entry(version.clone()).or_insert(now);
@@ -203,7 +219,7 @@
             for (version, admitted) in versions {
                 let version = (service.clone(), version.clone());
                 if let Some(missing_since) = admitted.missing_since
-                    && available.contains_key(&version)
+                    && (admitted.is_lost || available.contains_key(&version))
                 {
                     steps.push(RegistryStep::Store(version, missing_since));
                 }
--- a/crates/mimosagap-routing/tests/version_registry.rs
+++ b/crates/mimosagap-routing/tests/version_registry.rs
@@ -168,6 +168,22 @@
     assert_eq!(targets.update_versions(lost_at), []);
 }
 
+/// The store came back from a copy without a version whose engines have left. Callers still return
+/// with its streams, which a host that starts must not take for those of the version that is left.
+#[test]
+fn a_lost_version_without_engines_is_not_stored_again() {
+    let (mut targets, _) = engines_with(&["v1"]);
+    for name in ["v1", "v2"] {
+        targets.versions_mut().admit(version(name), STARTED_AT);
+    }
+    let lost_at = STARTED_AT + Duration::from_secs(9);
+    targets.versions_mut().note_lost(&version("v2"), lost_at);
+    assert_eq!(
+        targets.update_versions(lost_at),
+        [RegistryStep::Store(version("v2"), lost_at)]
+    );
+}
+
 /// Versions have no order: a service goes back to the version before.
 #[test]
 fn a_version_that_returns_is_the_same_one() {
--- a/crates/mimosagap-soak/tests/assumed_version.rs
+++ b/crates/mimosagap-soak/tests/assumed_version.rs
@@ -5,6 +5,7 @@
 use std::io::Write;
 use std::net::{SocketAddr, TcpListener};
 
+use mimosagap_soak::standins::store::StoreStandin;
 use rstest::rstest;
 use serde_json::json;
 use support::read_head;
@@ -46,11 +47,33 @@
     #[case] base_port: u16,
 ) {
     let requests = [("/resumable/x", "a1")];
-    let responses = support::responses(start_target(), &requests, base_port, |store| {
+    let change_store = |store: &StoreStandin| {
         for version in admitted {
             let key = format!("mimosagap/versions/{version}");
             store.put_unwatched(&key, &json!(["model", version]));
         }
-    });
+    };
+    let target = start_target();
+    let responses = support::responses(target, &requests, base_port, |_| {}, change_store);
+    assert!(responses[0].starts_with(expected), "{responses:?}");
+}
+
+/// The store has come back from a copy since its list of versions was complete, and the gateway
+/// starts afterwards. It took the only version of the copy for that of every stream.
+#[rstest]
+#[case::same_era(1, "HTTP/1.1 200", 24_720)]
+#[case::after_a_drill(0, "HTTP/1.1 503", 24_730)]
+fn the_only_version_of_a_copy_is_taken_for_the_only_one(
+    #[case] recorded_era: u64,
+    #[case] expected: &str,
+    #[case] base_port: u16,
+) {
+    let requests = [("/resumable/x", "a1")];
+    let prepare_store = |store: &StoreStandin| {
+        store.put("mimosagap/versions/v1", &json!(["model", "v1"]));
+        store.put("mimosagap/versions-era", &json!(recorded_era));
+    };
+    let target = start_target();
+    let responses = support::responses(target, &requests, base_port, prepare_store, |_| {});
     assert!(responses[0].starts_with(expected), "{responses:?}");
 }
--- a/crates/mimosagap-soak/tests/close_delimited.rs
+++ b/crates/mimosagap-soak/tests/close_delimited.rs
@@ -67,7 +67,7 @@
     base_port: u16,
 ) -> (Vec<String>, usize) {
     let (target, connections) = start_target(body, end);
-    let responses = support::responses(target, &[(path, "a1"); 2], base_port, |_| {});
+    let responses = support::responses(target, &[(path, "a1"); 2], base_port, |_| {}, |_| {});
     (responses, connections.load(Ordering::Relaxed))
 }
 
--- a/crates/mimosagap-soak/tests/soak.rs
+++ b/crates/mimosagap-soak/tests/soak.rs
@@ -306,6 +306,46 @@
     assert!(outcome.resumed.sent >= 12, "{outcome:?}");
 }
 
+/// The store comes back from a copy that lacks the newest version, and all gateways are killed
+/// meanwhile. Nobody knows at which version the streams of the seconds before began, so that all of
+/// them are refused when they are resumed.
+#[test]
+fn streams_that_began_after_the_copy_are_refused_when_they_are_resumed() {
+    let secs = Duration::from_secs_f64;
+    let step = |at, fault| FaultStep {
+        at: secs(at),
+        fault,
+    };
+    let upgrade = |target| Fault::UpgradeTarget {
+        target,
+        version: 2,
+        notice: secs(1.0),
+    };
+    let plan = FaultPlan {
+        seed: 920,
+        length: secs(20.0),
+        steps: vec![
+            step(5.0, upgrade(3)),
+            step(5.2, upgrade(4)),
+            step(5.4, upgrade(5)),
+            step(
+                9.0,
+                Fault::RestoreStore {
+                    age: secs(4.5),
+                    away: secs(0.5),
+                },
+            ),
+            step(9.2, Fault::KillAll),
+        ],
+        gateway_count: 6,
+        engine_count: 6,
+        resuming_clients: 32,
+        ..FaultPlan::default()
+    };
+    let outcome = run_clean(plan, 25_200).version_outcome;
+    assert!(outcome.all_resumed.sent >= 12, "{outcome:?}");
+}
+
 /// Another writer leaves odd entries among those of the targets, and overwrites those of known ones.
 /// No gateway may end by itself, and all must go on to follow the store.
 #[test]
--- a/crates/mimosagap-soak/tests/support/mod.rs
+++ b/crates/mimosagap-soak/tests/support/mod.rs
@@ -56,12 +56,13 @@
     directory.join("mimosagapd")
 }
 
-/// Runs a gateway before a target, changes the store once it has started, sends requests with these
-/// paths and attempt ids, one after the other, and returns their responses.
+/// Prepares the store, runs a gateway before a target, changes the store once it has started, sends
+/// requests with these paths and attempt ids, one after the other, and returns their responses.
 pub fn responses(
     target: SocketAddr,
     requests: &[(&'static str, &'static str)],
     base_port: u16,
+    prepare_store: impl FnOnce(&StoreStandin),
     change_store: impl FnOnce(&StoreStandin),
 ) -> Vec<String> {
     let runtime = tokio::runtime::Builder::new_current_thread()
@@ -85,6 +86,7 @@
             });
             store.put(&format!("servers/i-{service}"), &entry);
         }
+        prepare_store(&store);
         let directory = std::env::temp_dir().join(format!(
             "mimosagap-target-{base_port}-{}",
             std::process::id()
