fix(gateway): ask an engine to stop before its stream goes on elsewhere

Cause: the first engine was let go by closing its connection; some engines do not take that for an end. Ruled out: a late close (0.25 s at most) and an order that was refused (none was given).

The engine is asked to stop first, by the copy call that ends the run. The stream that it closes is the proof, and the next engine goes on then. Without proof the stream stays. What a late stop leaves behind is gone on from. Broken connections get the same order beside the recovery.

--- a/crates/mimosagap-gateway/src/event_source.rs
+++ b/crates/mimosagap-gateway/src/event_source.rs
@@ -1,5 +1,6 @@
 //! Reads the events of a stream from the response of a target.
 
+use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use http::response::Parts;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
@@ -50,6 +51,12 @@
         }
     }
 
+    /// Whether the body ends with its connection, so that a broken one looks complete.
+    pub fn is_close_delimited(&self) -> bool {
+        let headers = &self.head.headers;
+        !headers.contains_key(CONTENT_LENGTH) && !headers.contains_key(TRANSFER_ENCODING)
+    }
+
     /// Returns the next item. Cancellation safe: dropping the future loses no bytes.
     pub async fn next(&mut self) -> SourceItem {
         loop {
--- a/crates/mimosagap-gateway/src/handover.rs
+++ b/crates/mimosagap-gateway/src/handover.rs
@@ -16,6 +16,7 @@
 use crate::exchange::{SendOptions, send_request};
 use crate::load_reservation::LoadReservation;
 use crate::request::RoutedRequest;
+use crate::standby::{StopOrder, stop_source};
 use crate::state::SharedGateway;
 use crate::streams::find_engine;
 
@@ -27,9 +28,14 @@
 /// Limit on the wait of a resumed generation for the rate limit of its next engine.
 const MAX_RESUME_WAIT: Duration = Duration::from_millis(500);
 
-/// How long two engines may work on one generation. The platform allows 400 ms in all, of which the
-/// transmission of the request and of the close takes up to 60 ms.
-pub const MAX_OVERLAP: Duration = Duration::from_millis(250);
+/// Time in which an engine that was asked to stop has to do so before the next engine is asked to go
+/// on. An engine that reads a long prompt for another request stops late.
+pub const STOP_TIMEOUT: Duration = Duration::from_millis(200);
+
+/// Time from the request to the next engine in which the first one has to have stopped. After that
+/// the connection to the next engine is closed, and the generation stays. The platform allows that
+/// two engines work on one generation for 400 ms, of which the close takes up to 60 ms.
+pub const MAX_OVERLAP: Duration = Duration::from_millis(300);
 
 /// A generation that was resumed at another engine.
 pub struct ResumedStream {
@@ -105,6 +111,12 @@
     })
 }
 
+/// Resumes a generation at the engine that has the copy which its first engine made when it stopped.
+pub async fn resume_stopped(job: HandoverJob, order: StopOrder) -> Option<ResumedStream> {
+    let copy = order.into_copy(&job.gateway, &job.demand).await?;
+    resume_stream(job, copy.reservation, Some(copy.kv_source)).await
+}
+
 /// Restarts a generation at another engine of the same version, which reads the prompt again.
 pub async fn restart_stream(
     job: HandoverJob,
@@ -118,6 +130,9 @@
     if !gateway.try_spend_retry(request, RetryPurpose::Attempt) {
         return None;
     }
+    // An engine that lost the connection may still run the generation.
+    let id = &request.head.attempt_id;
+    stop_source(gateway, id, failed, placement.target).release(gateway);
     let reservation = LoadReservation::for_stream(
         gateway,
         placement.target,
--- a/crates/mimosagap-gateway/src/log.rs
+++ b/crates/mimosagap-gateway/src/log.rs
@@ -462,7 +462,7 @@
         last_event: u64,
         /// Milliseconds since the last event.
         silent_ms: u64,
-        /// Whether the first engine still runs it.
+        /// Whether the first engine runs it or was asked to stop it; it did not fail.
         is_running: bool,
     },
     /// A stream continued at another engine, and the first new event arrived.
--- a/crates/mimosagap-gateway/src/standby.rs
+++ b/crates/mimosagap-gateway/src/standby.rs
@@ -12,11 +12,13 @@
 use http_body_util::Full;
 use mimosagap_platform::engine::{
     EngineCall, KvCopyResponse, copy_kv_cache, decode_kv_copy, names_request, release_kv_copy,
+    stop_generation,
 };
 use mimosagap_routing::migration;
 use mimosagap_routing::placement::GenerationDemand;
 use mimosagap_routing::rate_keeper::PermitClass;
 use mimosagap_routing::targets::{TargetEntry, TargetKey};
+use tokio::sync::oneshot;
 use tokio::time::timeout;
 
 use crate::exchange::{acquire_connection, release_connection};
@@ -42,6 +44,11 @@
 /// Delay before a copy is requested again while another call for the generation is in progress.
 const BUSY_RETRY_DELAY: Duration = Duration::from_millis(60);
 
+/// How long and how often an engine is asked to stop a generation while another call for it is in
+/// progress.
+const STOP_RETRY_TIME: Duration = Duration::from_millis(120);
+const STOP_RETRY_DELAY: Duration = Duration::from_millis(20);
+
 /// A copy of a running generation's KV cache on another engine.
 pub struct StandbyCopy {
     /// Engine that holds the copy.
@@ -96,7 +103,13 @@
             });
         };
         log_step("copy");
-        match request_copy(&gateway, &job, source.address, destination.address).await {
+        let call = copy_kv_cache(&job.id, destination.address);
+        let options = PermitOptions {
+            id: &job.id,
+            class: PermitClass::Continuation,
+            max_wait: MAX_COPY_WAIT,
+        };
+        match request_copy(&gateway, job.source, source.address, call, options).await {
             Some(KvCopyResponse::Copied { handle }) => {
                 log_step("copied");
                 return Some(StandbyCopy {
@@ -108,7 +121,7 @@
                     source: job.source,
                 });
             }
-            Some(KvCopyResponse::NoCapacity) => {
+            Some(KvCopyResponse::NoCapacity { .. }) => {
                 log_step("no_room");
                 excluded.push(target);
             }
@@ -131,20 +144,118 @@
             let targets = &state.targets;
             let if_available = |key| targets.get(key).filter(|target| target.is_available(now));
             // The source releases both sides of the copy, but it may be gone by now.
-            let key = if_available(copy.source).map_or(copy.target, |_| copy.source);
-            Some((key, targets.get(key)?.entry.address))
+            if_available(copy.source).map_or(copy.target, |_| copy.source)
         });
-        if let Some((key, address)) = responsible {
-            let options = PermitOptions {
-                id: "",
-                class: PermitClass::Spare,
-                max_wait: Duration::ZERO,
-            };
-            let call = release_kv_copy(&copy.handle);
-            let call = call_engine(&gateway, key, address, call, options);
-            let _ = timeout(COPY_TIMEOUT, call).await;
+        release_handle(&gateway, responsible, &copy.handle).await;
+    });
+}
+
+async fn release_handle(gateway: &SharedGateway, key: TargetKey, handle: &str) {
+    let Some(address) = engine_address(gateway, key) else {
+        return;
+    };
+    let options = PermitOptions {
+        id: "",
+        class: PermitClass::Spare,
+        max_wait: Duration::ZERO,
+    };
+    let call = call_engine(gateway, key, address, release_kv_copy(handle), options);
+    let _ = timeout(COPY_TIMEOUT, call).await;
+}
+
+fn engine_address(gateway: &SharedGateway, key: TargetKey) -> Option<SocketAddr> {
+    gateway.with_state(|state| Some(state.targets.get(key)?.entry.address))
+}
+
+/// An order to an engine to stop a generation that goes on at another one.
+pub struct StopOrder {
+    source: TargetKey,
+    next: TargetKey,
+    /// Handle of what the engine kept; `None` if it ran no such generation or did not respond.
+    handle: oneshot::Receiver<Option<String>>,
+}
+
+/// Asks the engine `source` to stop a generation that goes on at the engine `next`. Closing the
+/// connection is not enough, because some engines go on with what they run. That the generation has
+/// stopped shows in its stream, which the engine closes.
+pub fn stop_source(
+    gateway: &SharedGateway,
+    id: &str,
+    source: TargetKey,
+    next: TargetKey,
+) -> StopOrder {
+    let (sender, handle) = oneshot::channel();
+    let (gateway, id) = (Rc::clone(gateway), id.to_owned());
+    tokio::task::spawn_local(async move {
+        let handle = order_stop(&gateway, &id, source, next).await;
+        // Nobody waits for the handle once the stream has ended.
+        if let Err(Some(handle)) = sender.send(handle) {
+            release_handle(&gateway, source, &handle).await;
         }
     });
+    StopOrder {
+        source,
+        next,
+        handle,
+    }
+}
+
+async fn order_stop(
+    gateway: &SharedGateway,
+    id: &str,
+    source: TargetKey,
+    next: TargetKey,
+) -> Option<String> {
+    let address = engine_address(gateway, source)?;
+    let destination = engine_address(gateway, next)?;
+    let until = gateway.now() + STOP_RETRY_TIME;
+    loop {
+        let options = PermitOptions {
+            id,
+            class: PermitClass::Continuation,
+            max_wait: Duration::ZERO,
+        };
+        let order = stop_generation(id, destination);
+        match request_copy(gateway, source, address, order, options).await {
+            Some(KvCopyResponse::Copied { handle }) => return Some(handle),
+            Some(KvCopyResponse::NoCapacity { handle }) => return handle,
+            Some(KvCopyResponse::Busy) if gateway.now() < until => {
+                tokio::time::sleep(STOP_RETRY_DELAY).await;
+            }
+            Some(KvCopyResponse::Busy | KvCopyResponse::UnknownGeneration) | None => return None,
+        }
+    }
+}
+
+impl StopOrder {
+    /// Waits for the copy that the engine made of the stopped generation, to go on from it at the
+    /// next engine with `demand`.
+    pub async fn into_copy(
+        self,
+        gateway: &SharedGateway,
+        demand: &GenerationDemand,
+    ) -> Option<StandbyCopy> {
+        let handle = self.handle.await.ok()??;
+        let address = engine_address(gateway, self.source)?;
+        Some(StandbyCopy {
+            target: self.next,
+            reservation: LoadReservation::for_stream(gateway, self.next, demand, 0),
+            kv_source: format!("{address}/{handle}"),
+            completed_at: gateway.now(),
+            handle,
+            source: self.source,
+        })
+    }
+
+    /// Releases the copy, once there is one.
+    pub fn release(self, gateway: &SharedGateway) {
+        let gateway = Rc::clone(gateway);
+        tokio::task::spawn_local(async move {
+            if let Ok(Some(handle)) = self.handle.await {
+                release_handle(&gateway, self.source, &handle).await;
+            }
+        });
+    }
 }
 
 fn choose_destination(
@@ -180,17 +291,12 @@
 
 async fn request_copy(
     gateway: &SharedGateway,
-    job: &CopyJob,
-    source: SocketAddr,
-    destination: SocketAddr,
+    source: TargetKey,
+    address: SocketAddr,
+    call: EngineCall,
+    options: PermitOptions<'_>,
 ) -> Option<KvCopyResponse> {
-    let call = copy_kv_cache(&job.id, destination);
-    let options = PermitOptions {
-        id: &job.id,
-        class: PermitClass::Continuation,
-        max_wait: MAX_COPY_WAIT,
-    };
-    let response = call_engine(gateway, job.source, source, call, options);
+    let response = call_engine(gateway, source, address, call, options);
     let response = timeout(COPY_TIMEOUT, response);
     match response.await {
         Ok(Ok((status, body))) => match decode_kv_copy(status, &body) {
@@ -212,7 +318,7 @@
 }
 
 fn log_failure(gateway: &SharedGateway, cause: String) {
-    let what = "a generation cannot be copied to another engine";
+    let what = "an engine was not asked to copy or stop a generation";
     gateway.log.event(&LogEvent::Trouble { what, cause });
 }
 
--- a/crates/mimosagap-gateway/src/stream_relay.rs
+++ b/crates/mimosagap-gateway/src/stream_relay.rs
@@ -15,7 +15,8 @@
 use crate::event_source::{EventSource, SourceItem};
 use crate::exchange::{preconnect, release_connection, sleep_unless_zero};
 use crate::handover::{
-    HandoverJob, HandoverTask, MAX_OVERLAP, ResumedStream, restart_stream, resume_stream,
+    HandoverJob, HandoverTask, MAX_OVERLAP, ResumedStream, STOP_TIMEOUT, restart_stream,
+    resume_stopped, resume_stream,
 };
 use crate::load_reservation::LoadReservation;
 use crate::log::{LogEvent, STREAM_COMPLETE};
@@ -23,7 +24,9 @@
 use crate::request::RoutedRequest;
 use crate::resumption;
 use crate::sse::StreamEvent;
-use crate::standby::{CopyJob, StandbyCopy, create_standby, release_standby};
+use crate::standby::{
+    CopyJob, StandbyCopy, StopOrder, create_standby, release_standby, stop_source,
+};
 use crate::state::{SharedGateway, millis};
 use crate::stream_body::{StreamBody, StreamPart, stream_body};
 use crate::streams::StartedStream;
@@ -41,6 +44,16 @@
 /// Copy in progress. Yields `None` if no engine took it.
 type CopyReceiver = oneshot::Receiver<Option<StandbyCopy>>;
 
+/// The engine of a stream that was asked to stop, so that another one can go on.
+struct SourceStop {
+    ordered_at: Duration,
+    /// When the next step is due if the engine has not stopped: the next engine is asked to go on,
+    /// and after that the stream stays.
+    due_at: Duration,
+    /// The stream of the next engine, once that has begun.
+    resumed: Option<ResumedStream>,
+}
+
 /// Relays one stream until it ends.
 pub struct StreamRelay {
     gateway: SharedGateway,
@@ -63,9 +76,15 @@
     copy_task: Option<CopyReceiver>,
     next_copy_at: Duration,
     handover: Option<HandoverTask>,
-    /// When the connection to the leaving engine is closed, even if the next engine has sent
-    /// nothing yet.
-    overlap_ends_at: Duration,
+    /// The engine that the handover goes to.
+    next_target: Option<TargetKey>,
+    source_stop: Option<SourceStop>,
+    /// The order to stop, until what it left behind is used or released.
+    stop_order: Option<StopOrder>,
+    /// Whether the engine was asked to stop. It may do so late, or not at all.
+    was_asked_to_stop: bool,
+    /// Whether the engine did not stop when it was asked to, so that the stream stays there.
+    is_staying: bool,
     /// Version of the engine that began the stream, which is the only one that may continue it;
     /// `None` if unknown.
     version: Option<SoftwareVersion>,
@@ -137,7 +156,11 @@
             copy_task: None,
             next_copy_at: Duration::ZERO,
             handover: None,
-            overlap_ends_at: Duration::ZERO,
+            next_target: None,
+            source_stop: None,
+            stop_order: None,
+            was_asked_to_stop: false,
+            is_staying: false,
             version: stream.version,
             is_resuming: false,
             is_preconnected: false,
@@ -171,6 +194,9 @@
         if let Some(copy) = self.standby.take() {
             release_standby(&self.gateway, copy);
         }
+        if let Some(order) = self.stop_order.take() {
+            order.release(&self.gateway);
+        }
         self.record_token_time();
         let route = self.request.route.name.as_str();
         self.gateway
@@ -203,14 +229,27 @@
         loop {
             let target_leaving = gateway.target_leaving.notified();
             self.migrate_if_leaving();
+            if self.source.is_none()
+                && let Some(first_item) = self.take_resumed()
+            {
+                if let SourceItem::Event(event) = first_item
+                    && let Err(end) = self.forward_event(event).await
+                {
+                    return end;
+                }
+                continue;
+            }
             if self.source.is_none() && self.handover.is_none() {
                 self.handover = self.recover();
                 if self.handover.is_none() {
                     return RelayEnd::Aborted;
                 }
             }
-            let overlap_left = self.overlap_ends_at.saturating_sub(gateway.now());
-            let is_overlap = self.source.is_some() && self.handover.is_some();
+            let now = gateway.now();
+            let stop_due_in = self
+                .source_stop
+                .as_ref()
+                .map(|stop| stop.due_at.saturating_sub(now));
             let Self {
                 source,
                 handover,
@@ -227,8 +266,17 @@
                 {
                     self.handover = None;
                     match resumed {
-                        Some(resumed) => self.switch_to(resumed),
-                        None => continue,
+                        Some(resumed) => match &mut self.source_stop {
+                            Some(stop) if self.source.is_some() => {
+                                stop.resumed = Some(resumed);
+                                continue;
+                            }
+                            _ => self.switch_to(resumed),
+                        },
+                        None => {
+                            self.source_stop = None;
+                            continue;
+                        }
                     }
                 }
                 copy = async { copy_task.as_mut().expect("guarded by is_some").await },
@@ -243,8 +291,10 @@
                     }
                     continue;
                 }
-                () = tokio::time::sleep(overlap_left), if is_overlap => {
-                    self.source = None;
+                () = tokio::time::sleep(stop_due_in.unwrap_or_default()),
+                    if stop_due_in.is_some() && source.is_some() =>
+                {
+                    self.advance_stop();
                     continue;
                 }
                 () = target_leaving => continue,
@@ -256,8 +306,15 @@
                         return end;
                     }
                 }
-                SourceItem::End => return RelayEnd::Complete,
-                SourceItem::Aborted => {
+                SourceItem::End if !self.may_be_cut() => return RelayEnd::Complete,
+                SourceItem::End | SourceItem::Aborted if self.was_asked_to_stop => {
+                    self.log_move("stopped");
+                    self.source = None;
+                    if self.handover.is_none() {
+                        self.handover = self.hand_over_to_standby();
+                    }
+                }
+                SourceItem::End | SourceItem::Aborted => {
                     self.record_failure(TargetOutcome::Failed);
                     crash_probe::probe_after_failure(
                         &gateway,
@@ -277,7 +334,7 @@
     /// Copies the generation or hands it over if its engine leaves before the expected end.
     fn migrate_if_leaving(&mut self) {
         let now = self.gateway.now();
-        if self.source.is_none() {
+        if self.source.is_none() || self.is_staying {
             return;
         }
         let standby_target = self.standby.as_ref().map(|copy| copy.target);
@@ -301,10 +358,7 @@
                     preconnect(&self.gateway, target);
                 }
             }
-            MigrationStep::HandOver(_) => {
-                self.overlap_ends_at = now + MAX_OVERLAP;
-                self.handover = self.hand_over_to_standby();
-            }
+            MigrationStep::HandOver(target) => self.stop_source(target),
         }
     }
 
@@ -320,7 +374,7 @@
             time_per_token: self.gateway.token_time(&self.request.service),
             kv_copy,
             is_copying: self.copy_task.is_some(),
-            is_handed_over: self.handover.is_some(),
+            is_handed_over: self.handover.is_some() || self.source_stop.is_some(),
         }
     }
 
@@ -395,16 +449,95 @@
         let part_sender = self.part_sender.clone();
         let send = part_sender.send(part);
         tokio::pin!(send);
-        if self.source.is_some() && self.handover.is_some() {
-            let time_left = self.overlap_ends_at.saturating_sub(self.gateway.now());
+        if self.source.is_some()
+            && self.handover.is_some()
+            && let Some(stop) = &self.source_stop
+        {
+            let time_left = stop.due_at.saturating_sub(self.gateway.now());
             if let Ok(sent) = tokio::time::timeout(time_left, &mut send).await {
                 return sent.map_err(|_| RelayEnd::CallerLeft);
             }
-            self.source = None;
+            self.stay_at_source();
         }
         send.await.map_err(|_| RelayEnd::CallerLeft)
     }
 
+    /// Asks the engine to stop, because another one is to go on.
+    fn stop_source(&mut self, next: TargetKey) {
+        // The budget has to allow the handover before the engine stops.
+        if !self
+            .gateway
+            .try_spend_retry(&self.request, RetryPurpose::Move)
+        {
+            return;
+        }
+        let now = self.gateway.now();
+        let id = &self.request.head.attempt_id;
+        let order = stop_source(&self.gateway, id, self.reservation.target, next);
+        self.next_target = Some(next);
+        self.stop_order = Some(order);
+        self.was_asked_to_stop = true;
+        self.source_stop = Some(SourceStop {
+            ordered_at: now,
+            due_at: now + STOP_TIMEOUT,
+            resumed: None,
+        });
+        self.log_move("stop");
+    }
+
+    /// Goes on with the handover from an engine that has not stopped in time.
+    fn advance_stop(&mut self) {
+        // Without a copy left, the handover was tried already.
+        self.handover = self.hand_over_to_standby();
+        if self.handover.is_none() {
+            self.stay_at_source();
+        } else if let Some(stop) = &mut self.source_stop {
+            stop.due_at = self.gateway.now() + MAX_OVERLAP;
+        }
+    }
+
+    /// Gives a handover up, because the engine has not stopped. Closing the connection to the next
+    /// engine ends the generation there.
+    fn stay_at_source(&mut self) {
+        self.log_move("stays");
+        self.handover = None;
+        self.source_stop = None;
+        self.is_staying = true;
+    }
+
+    /// Whether the end of the body may be that of a generation that was stopped.
+    fn may_be_cut(&self) -> bool {
+        self.was_asked_to_stop
+            && self
+                .source
+                .as_ref()
+                .is_some_and(EventSource::is_close_delimited)
+    }
+
+    /// Goes on with the stream of the next engine, if that has begun, and returns its first item.
+    fn take_resumed(&mut self) -> Option<SourceItem> {
+        let resumed = self.source_stop.take()?.resumed?;
+        Some(self.switch_to(resumed))
+    }
+
+    fn log_move(&self, step: &str) {
+        let steps = &self.gateway.metrics.migration_steps;
+        steps.with_label_values(&[step]).inc();
+        let next = self.next_target.map(|key| self.gateway.instance(key));
+        let now = self.gateway.now();
+        let ordered_at = self
+            .source_stop
+            .as_ref()
+            .map_or(now, |stop| stop.ordered_at);
+        self.gateway.log.event(&LogEvent::Move {
+            id: &self.request.head.attempt_id,
+            from: &self.gateway.instance(self.reservation.target),
+            to: next.as_deref().unwrap_or(""),
+            step,
+            after_ms: millis(now.saturating_sub(ordered_at)),
+        });
+    }
+
     /// What the generation needs by the current estimate of its length.
     fn current_demand(&self) -> GenerationDemand {
         GenerationDemand {
@@ -472,6 +605,14 @@
         if let Some(task) = self.hand_over_to_standby() {
             return Some(task);
         }
+        if let Some(order) = self.stop_order.take()
+            && self.was_asked_to_stop
+            && self
+                .gateway
+                .try_spend_retry(&self.request, RetryPurpose::Move)
+        {
+            return Some(Box::pin(resume_stopped(self.next_handover_job(), order)));
+        }
         let version = self.version.clone()?;
         let route = &self.request.route;
         if !route.kind.is_idempotent()
@@ -489,11 +630,13 @@
         Some(Box::pin(restart_stream(job, version, failed)))
     }
 
-    /// Starts to resume from the standby copy, if the retry budget allows it now.
+    /// Starts to resume from the standby copy. The retry budget was asked before the engine was asked
+    /// to stop; without that it is asked now.
     fn hand_over_to_standby(&mut self) -> Option<HandoverTask> {
         self.standby.as_ref()?;
+        let is_paid = self.source_stop.is_some();
         let purpose = RetryPurpose::Move;
-        if !self.gateway.try_spend_retry(&self.request, purpose) {
+        if !is_paid && !self.gateway.try_spend_retry(&self.request, purpose) {
             return None;
         }
         let StandbyCopy {
@@ -507,8 +650,19 @@
             to: &self.gateway.instance(reservation.target),
             last_event: self.last_event_id.unwrap_or(0),
             silent_ms: self.gap_ms(),
-            is_running: self.source.is_some(),
+            is_running: self.source.is_some() || self.was_asked_to_stop,
         });
+        self.next_target = Some(reservation.target);
+        if self.source.is_none() {
+            // An engine that lost the connection may still run the generation.
+            let id = &self.request.head.attempt_id;
+            stop_source(
+                &self.gateway,
+                id,
+                self.reservation.target,
+                reservation.target,
+            );
+        }
         Some(Box::pin(resume_stream(
             self.next_handover_job(),
             reservation,
@@ -527,9 +681,14 @@
         }
     }
 
-    /// Continues with the resumed stream. The previous engine's connection is closed, which ends
-    /// the generation there.
+    /// Continues with the resumed stream, after the previous engine stopped or failed.
     fn switch_to(&mut self, resumed: ResumedStream) -> SourceItem {
+        self.was_asked_to_stop = false;
+        self.is_staying = false;
+        self.source_stop = None;
+        if let Some(order) = self.stop_order.take() {
+            order.release(&self.gateway);
+        }
         self.source = Some(resumed.source);
         self.reservation = resumed.reservation;
         self.resume_count += 1;
--- a/crates/mimosagap-soak/src/checker.rs
+++ b/crates/mimosagap-soak/src/checker.rs
@@ -481,11 +481,32 @@
     }
 
     /// Records that a target produces an event of a stream, and checks that it is still the one to
-    /// do so.
+    /// do so and that its client has not left.
     pub fn record_stream_event(&self, id: &str, target: &str) {
+        self.record_kept_event(id, target);
+        let now = Instant::now();
+        let requests = self.requests.borrow();
+        let disconnected_at = requests.get(id).and_then(|request| request.disconnected_at);
+        drop(requests);
+        if disconnected_at
+            .is_some_and(|at| now > at + CANCEL_LIMIT && self.were_hosts_connected(at))
+        {
+            self.record_violation(format!(
+                "{target} produces events of stream {id} more than {CANCEL_LIMIT:?} after its \
+                 client disconnected"
+            ));
+            // Each stream is reported once.
+            if let Some(request) = self.requests.borrow_mut().get_mut(id) {
+                request.disconnected_at = None;
+            }
+        }
+    }
+
+    /// Records that a target that goes on with closed streams produces an event of one, and checks
+    /// that it is still the one to do so.
+    pub fn record_kept_event(&self, id: &str, target: &str) {
         let now = Instant::now();
         let request = self.requests.borrow().get(id).cloned();
-        let disconnected_at = request.as_ref().and_then(|request| request.disconnected_at);
         // A stream that may be resumed is sent again while its first target may still run.
         let executor = request
             .filter(|request| request.kind == RequestKind::Stream)
@@ -499,18 +520,6 @@
                 "{target} produces events of stream {id}, which migrated to {executor}"
             ));
         }
-        if disconnected_at
-            .is_some_and(|at| now > at + CANCEL_LIMIT && self.were_hosts_connected(at))
-        {
-            self.record_violation(format!(
-                "{target} produces events of stream {id} more than {CANCEL_LIMIT:?} after its \
-                 client disconnected"
-            ));
-            // Each stream is reported once.
-            if let Some(request) = self.requests.borrow_mut().get_mut(id) {
-                request.disconnected_at = None;
-            }
-        }
     }
 
     /// Records that the next version of the configuration is written; the first is version 1.
--- a/crates/mimosagap-soak/src/standins/generations.rs
+++ b/crates/mimosagap-soak/src/standins/generations.rs
@@ -17,6 +17,8 @@
 pub struct GenerationTable {
     /// Request ids, with the instance id of the engine.
     running: RefCell<HashSet<(String, String)>>,
+    /// Generations that were asked to stop.
+    stopped: RefCell<HashSet<(String, String)>>,
     /// Copies by their handle.
     copies: RefCell<HashMap<String, KvCopy>>,
     next_copy_number: Cell<u64>,
@@ -32,7 +34,9 @@
     /// Records that an engine no longer executes a generation.
     pub fn end(&self, request_id: &str, instance_id: &str) {
         let mut running = self.running.borrow_mut();
-        running.remove(&(request_id.to_owned(), instance_id.to_owned()));
+        let key = (request_id.to_owned(), instance_id.to_owned());
+        running.remove(&key);
+        self.stopped.borrow_mut().remove(&key);
     }
 
     /// Whether an engine executes a generation.
@@ -41,6 +45,18 @@
         running.contains(&(request_id.to_owned(), instance_id.to_owned()))
     }
 
+    /// Records that an engine was asked to stop a generation, which it runs.
+    pub fn stop(&self, request_id: &str, instance_id: &str) {
+        let mut stopped = self.stopped.borrow_mut();
+        stopped.insert((request_id.to_owned(), instance_id.to_owned()));
+    }
+
+    /// Whether an engine was asked to stop a generation.
+    pub fn is_stopped(&self, request_id: &str, instance_id: &str) -> bool {
+        let stopped = self.stopped.borrow();
+        stopped.contains(&(request_id.to_owned(), instance_id.to_owned()))
+    }
+
     /// Adds a complete copy that the engine at an address holds, and returns its handle.
     pub fn add_copy(&self, request_id: &str, engine_address: &str) -> String {
         let copy_number = self.next_copy_number.get();
--- a/crates/mimosagap-soak/src/standins/target.rs
+++ b/crates/mimosagap-soak/src/standins/target.rs
@@ -3,20 +3,21 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
-use std::convert::Infallible;
+use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use futures_util::{StreamExt, stream};
-use http_body_util::{Full, StreamBody};
+use http_body_util::{BodyExt, Full, StreamBody};
 use hyper::body::{Body, Frame, Incoming};
 use hyper::{HeaderMap, Method, Request, Response, StatusCode};
 use mimosagap_standins::proxy::{LinkMode, LinkProxy};
 use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
 use tokio::net::TcpListener;
+use tokio::sync::mpsc;
 use tokio::task::JoinHandle;
 
 use crate::checker::InvariantChecker;
@@ -70,6 +71,8 @@
     FloodsBody,
     /// Executes requests and sends endless bodies, one byte each 100 ms.
     DripsBody,
+    /// Goes on with streams whose connection was closed, until it is asked to stop them.
+    KeepsRuns,
     /// Serves new streams, and answers with an empty stream to those that go on from a copy.
     EmptiesMovedStreams,
     /// Serves new streams, and answers with the text of an error in place of the events to those
@@ -149,7 +152,7 @@
     server_task: JoinHandle<()>,
 }
 
-type TargetBody = Pin<Box<dyn Body<Data = Bytes, Error = Infallible>>>;
+type TargetBody = Pin<Box<dyn Body<Data = Bytes, Error = io::Error>>>;
 
 impl TargetStandin {
     /// Starts a target and registers it as ready.
@@ -410,7 +413,7 @@
                 std::future::pending::<Option<_>>().await
             }
         };
-        let first = Ok::<_, Infallible>(Frame::data(Bytes::from_static(beginning)));
+        let first = Ok::<_, io::Error>(Frame::data(Bytes::from_static(beginning)));
         let frames = stream::once(async { first })
             .chain(stream::once(crash).filter_map(|item| async { item }));
         let body: TargetBody = Box::pin(StreamBody::new(Box::pin(frames)));
@@ -441,7 +444,7 @@
     }
 
     /// Copies the KV cache of a running generation to another engine, while the generation
-    /// continues.
+    /// continues, or after it stopped if that is asked for.
     async fn copy_generation(&self, context: &TargetContext, body: &Bytes) -> Response<TargetBody> {
         let request: Value = serde_json::from_slice(body).unwrap_or_default();
         let text = |name: &str| request[name].as_str().unwrap_or_default().to_owned();
@@ -449,14 +452,16 @@
         context
             .checker
             .record_engine_call(&request_id, &self.instance_id);
+        let generations = &context.generations;
+        let is_last = request["last"].as_bool().unwrap_or(false);
+        if is_last && generations.is_running(&request_id, &self.instance_id) {
+            generations.stop(&request_id, &self.instance_id);
+        }
         tokio::time::sleep(KV_COPY_TIME).await;
-        if !context
-            .generations
-            .is_running(&request_id, &self.instance_id)
-        {
+        if !is_last && !generations.is_running(&request_id, &self.instance_id) {
             return build_response(StatusCode::NOT_FOUND, "", Bytes::new());
         }
-        let handle = context.generations.add_copy(&request_id, &engine_address);
+        let handle = generations.add_copy(&request_id, &engine_address);
         let response = json!({"handle": handle, "created": 1}).to_string();
         build_response(StatusCode::OK, "", Bytes::from(response))
     }
@@ -472,22 +477,34 @@
         let last_event_id: u64 = number("last-event-id").unwrap_or(0);
         let event_count = number("x-length-hint").unwrap_or(0) / TOKENS_PER_EVENT;
         let guard = GenerationGuard::new(context, id, self);
+        let is_kept = guard.is_kept;
         let first_event_id = last_event_id + 1;
         let events = stream::unfold((guard, first_event_id), move |(guard, number)| async move {
             if number > event_count {
                 return None;
             }
             tokio::time::sleep(EVENT_INTERVAL).await;
-            guard
-                .context
-                .checker
-                .record_stream_event(&guard.request_id, &guard.instance_id);
-            let (id, version) = (&guard.request_id, &guard.version);
-            let event = format!("id: {number}\ndata: {id} {version}\n\n");
-            let frame = Ok::<_, Infallible>(Frame::data(Bytes::from(event)));
-            Some((frame, (guard, number + 1)))
+            let frame = guard.next_event(number);
+            // A stream that was stopped ends with an error, and so without its end.
+            let next_number = if frame.is_ok() { number + 1 } else { u64::MAX };
+            Some((frame, (guard, next_number)))
         });
-        let body: TargetBody = Box::pin(StreamBody::new(events));
+        let body: TargetBody = if is_kept {
+            let (frame_sender, frame_receiver) = mpsc::unbounded_channel();
+            tokio::task::spawn_local(async move {
+                let mut events = std::pin::pin!(events);
+                while let Some(frame) = events.next().await {
+                    // The connection may be closed.
+                    let _ = frame_sender.send(frame);
+                }
+            });
+            let frames = stream::unfold(frame_receiver, |mut receiver| async move {
+                Some((receiver.recv().await?, receiver))
+            });
+            Box::pin(StreamBody::new(frames))
+        } else {
+            Box::pin(StreamBody::new(events))
+        };
         build_response(StatusCode::OK, id, Bytes::new()).map(|_| body)
     }
 }
@@ -498,6 +515,8 @@
     request_id: String,
     instance_id: String,
     version: String,
+    /// Whether the generation goes on when its connection is closed.
+    is_kept: bool,
 }
 
 impl GenerationGuard {
@@ -508,7 +527,26 @@
             request_id: request_id.to_owned(),
             instance_id: target.instance_id.clone(),
             version: target.place.version.clone(),
+            is_kept: target.mode.get() == TargetMode::KeepsRuns,
+        }
+    }
+}
+
+impl GenerationGuard {
+    /// Generates an event, or an error if the engine was asked to stop the generation.
+    fn next_event(&self, number: u64) -> io::Result<Frame<Bytes>> {
+        let (id, instance_id) = (&self.request_id, &self.instance_id);
+        if self.context.generations.is_stopped(id, instance_id) {
+            return Err(io::ErrorKind::ConnectionAborted.into());
+        }
+        let checker = &self.context.checker;
+        if self.is_kept {
+            checker.record_kept_event(id, instance_id);
+        } else {
+            checker.record_stream_event(id, instance_id);
         }
+        let event = format!("id: {number}\ndata: {id} {}\n\n", self.version);
+        Ok(Frame::data(Bytes::from(event)))
     }
 }
 
@@ -524,7 +562,7 @@
 fn endless_response(id: &str, (chunk, interval): BodyPacing) -> Response<TargetBody> {
     let frames = stream::unfold((), move |()| async move {
         tokio::time::sleep(interval).await;
-        let frame = Ok::<_, Infallible>(Frame::data(Bytes::from_static(chunk)));
+        let frame = Ok::<_, io::Error>(Frame::data(Bytes::from_static(chunk)));
         Some((frame, ()))
     });
     let body: TargetBody = Box::pin(StreamBody::new(frames));
@@ -545,7 +583,8 @@
 
 /// A response with the headers that prove that this target responds to the request `id`.
 fn build_response(status: StatusCode, id: &str, body: Bytes) -> Response<TargetBody> {
-    let mut response = Response::<TargetBody>::new(Box::pin(Full::new(body)));
+    let body = Full::new(body).map_err(|never| match never {});
+    let mut response = Response::<TargetBody>::new(Box::pin(body));
     *response.status_mut() = status;
     for (name, value) in [("x-attempt-id", id), ("x-server-signature", "signed")] {
         if let Ok(value) = hyper::header::HeaderValue::from_str(value) {
--- a/crates/mimosagap-soak/tests/soak.rs
+++ b/crates/mimosagap-soak/tests/soak.rs
@@ -77,6 +77,37 @@
     assert!(outcome.live_migrations > 0, "no stream was migrated");
 }
 
+/// Engines that leave go on with streams whose connection was closed. A stream went on at another
+/// engine while the first one worked on it to its end.
+#[test]
+fn an_engine_goes_on_with_a_stream_that_was_handed_over() {
+    let notice = Duration::from_secs(1);
+    let engines = TARGET_COUNT / 2..TARGET_COUNT;
+    let mut steps: Vec<FaultStep> = (1..7)
+        .zip(engines.clone().cycle())
+        .map(|(number, target)| FaultStep {
+            at: notice * number,
+            fault: Fault::TakeTarget(target, notice),
+        })
+        .collect();
+    // The engines that take the places of others behave alike.
+    steps.extend((0..70).flat_map(|number| {
+        engines.clone().map(move |target| FaultStep {
+            at: Duration::from_millis(100) * number,
+            fault: Fault::Target(target, TargetMode::KeepsRuns, LENGTH * 2),
+        })
+    }));
+    steps.sort_by_key(|step| step.at);
+    let plan = FaultPlan {
+        seed: 921,
+        length: LENGTH,
+        steps,
+        ..FaultPlan::default()
+    };
+    let outcome = run_clean(plan, 25_300);
+    assert!(outcome.live_migrations > 0, "no stream was migrated");
+}
+
 /// Steps that inject a fault into one target of the fleet after the other.
 fn each_target_in_turn(fault: impl Fn(usize) -> Fault) -> Vec<FaultStep> {
     let interval = LENGTH / u32::try_from(TARGET_COUNT).expect("few targets");
