--- a/crates/mimosagap-gateway/src/stream_relay.rs
+++ b/crates/mimosagap-gateway/src/stream_relay.rs
@@ -54,6 +54,16 @@
     resumed: Option<ResumedStream>,
 }
 
+/// Whether the engine of a stream was asked to stop.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum StopRequest {
+    NotAsked,
+    /// It was asked, and may stop late.
+    Asked,
+    /// It did not stop in time, so that the stream stays there.
+    Ignored,
+}
+
 /// Relays one stream until it ends.
 pub struct StreamRelay {
     gateway: SharedGateway,
@@ -81,10 +91,7 @@
     source_stop: Option<SourceStop>,
     /// The order to stop, until what it left behind is used or released.
     stop_order: Option<StopOrder>,
-    /// Whether the engine was asked to stop. It may do so late, or not at all.
-    was_asked_to_stop: bool,
-    /// Whether the engine did not stop when it was asked to, so that the stream stays there.
-    is_staying: bool,
+    stop_request: StopRequest,
     /// Version of the engine that began the stream, which is the only one that may continue it;
     /// `None` if unknown.
     version: Option<SoftwareVersion>,
@@ -159,8 +166,7 @@
             next_target: None,
             source_stop: None,
             stop_order: None,
-            was_asked_to_stop: false,
-            is_staying: false,
+            stop_request: StopRequest::NotAsked,
             version: stream.version,
             is_resuming: false,
             is_preconnected: false,
@@ -232,9 +238,7 @@
             if self.source.is_none()
                 && let Some(first_item) = self.take_resumed()
             {
-                if let SourceItem::Event(event) = first_item
-                    && let Err(end) = self.forward_event(event).await
-                {
+                if let Err(end) = self.handle_item(first_item).await {
                     return end;
                 }
                 continue;
@@ -265,18 +269,16 @@
                     if handover.is_some() =>
                 {
                     self.handover = None;
-                    match resumed {
-                        Some(resumed) => match &mut self.source_stop {
-                            Some(stop) if self.source.is_some() => {
-                                stop.resumed = Some(resumed);
-                                continue;
-                            }
-                            _ => self.switch_to(resumed),
-                        },
-                        None => {
-                            self.source_stop = None;
+                    let Some(resumed) = resumed else {
+                        self.source_stop = None;
+                        continue;
+                    };
+                    match &mut self.source_stop {
+                        Some(stop) if self.source.is_some() => {
+                            stop.resumed = Some(resumed);
                             continue;
                         }
+                        _ => self.switch_to(resumed),
                     }
                 }
                 copy = async { copy_task.as_mut().expect("guarded by is_some").await },
@@ -300,41 +302,45 @@
                 () = target_leaving => continue,
                 () = &mut deadline => return RelayEnd::Deadline,
             };
-            match item {
-                SourceItem::Event(event) => {
-                    if let Err(end) = self.forward_event(event).await {
-                        return end;
-                    }
-                }
-                SourceItem::End if !self.may_be_cut() => return RelayEnd::Complete,
-                SourceItem::End | SourceItem::Aborted if self.was_asked_to_stop => {
-                    self.log_move("stopped");
-                    self.source = None;
-                    if self.handover.is_none() {
-                        self.handover = self.hand_over_to_standby();
-                    }
-                }
-                SourceItem::End | SourceItem::Aborted => {
-                    self.record_failure(TargetOutcome::Failed);
-                    crash_probe::probe_after_failure(
-                        &gateway,
-                        self.reservation.target,
-                        &self.request,
-                        AnswerProgress {
-                            events: self.generated_tokens / self.tokens_per_event.max(1),
-                            is_proved: self.is_proved,
-                        },
-                    );
+            if let Err(end) = self.handle_item(item).await {
+                return end;
+            }
+        }
+    }
+
+    /// Forwards an event, or prepares to go on at another engine. An error is the end of the relay.
+    async fn handle_item(&mut self, item: SourceItem) -> Result<(), RelayEnd> {
+        match item {
+            SourceItem::Event(event) => return self.forward_event(event).await,
+            SourceItem::End if !self.may_be_cut() => return Err(RelayEnd::Complete),
+            SourceItem::End | SourceItem::Aborted if self.was_asked_to_stop() => {
+                self.log_move("stopped");
+                self.source = None;
+                if self.handover.is_none() {
+                    self.handover = self.hand_over_to_standby();
                 }
-                SourceItem::LimitExceeded => self.record_failure(TargetOutcome::LimitExceeded),
             }
+            SourceItem::End | SourceItem::Aborted => {
+                self.record_failure(TargetOutcome::Failed);
+                crash_probe::probe_after_failure(
+                    &self.gateway,
+                    self.reservation.target,
+                    &self.request,
+                    AnswerProgress {
+                        events: self.generated_tokens / self.tokens_per_event.max(1),
+                        is_proved: self.is_proved,
+                    },
+                );
+            }
+            SourceItem::LimitExceeded => self.record_failure(TargetOutcome::LimitExceeded),
         }
+        Ok(())
     }
 
     /// Copies the generation or hands it over if its engine leaves before the expected end.
     fn migrate_if_leaving(&mut self) {
         let now = self.gateway.now();
-        if self.source.is_none() || self.is_staying {
+        if self.source.is_none() || self.stop_request == StopRequest::Ignored {
             return;
         }
         let standby_target = self.standby.as_ref().map(|copy| copy.target);
@@ -476,7 +482,7 @@
         let order = stop_source(&self.gateway, id, self.reservation.target, next);
         self.next_target = Some(next);
         self.stop_order = Some(order);
-        self.was_asked_to_stop = true;
+        self.stop_request = StopRequest::Asked;
         self.source_stop = Some(SourceStop {
             ordered_at: now,
             due_at: now + STOP_TIMEOUT,
@@ -502,12 +508,17 @@
         self.log_move("stays");
         self.handover = None;
         self.source_stop = None;
-        self.is_staying = true;
+        self.stop_request = StopRequest::Ignored;
+    }
+
+    /// Whether the engine was asked to stop. It may do so late, or not at all.
+    fn was_asked_to_stop(&self) -> bool {
+        self.stop_request != StopRequest::NotAsked
     }
 
     /// Whether the end of the body may be that of a generation that was stopped.
     fn may_be_cut(&self) -> bool {
-        self.was_asked_to_stop
+        self.was_asked_to_stop()
             && self
                 .source
                 .as_ref()
@@ -606,7 +617,7 @@
             return Some(task);
         }
         if let Some(order) = self.stop_order.take()
-            && self.was_asked_to_stop
+            && self.was_asked_to_stop()
             && self
                 .gateway
                 .try_spend_retry(&self.request, RetryPurpose::Move)
@@ -650,7 +661,7 @@
             to: &self.gateway.instance(reservation.target),
             last_event: self.last_event_id.unwrap_or(0),
             silent_ms: self.gap_ms(),
-            is_running: self.source.is_some() || self.was_asked_to_stop,
+            is_running: self.source.is_some() || self.was_asked_to_stop(),
         });
         self.next_target = Some(reservation.target);
         if self.source.is_none() {
@@ -683,8 +694,7 @@
 
     /// Continues with the resumed stream, after the previous engine stopped or failed.
     fn switch_to(&mut self, resumed: ResumedStream) -> SourceItem {
-        self.was_asked_to_stop = false;
-        self.is_staying = false;
+        self.stop_request = StopRequest::NotAsked;
         self.source_stop = None;
         if let Some(order) = self.stop_order.take() {
             order.release(&self.gateway);
