fix(gateway): let answers prove whole requests sound, and verdicts end

Cause: a request in flight at three crashes is blocked, however often it is answered; answers were reported only for requests with prompt parts, so neither they nor the trial cleared it, and refusals renewed the verdict. Ruled out: false crashes, a verdict on a part (postmortem).

--- a/crates/mimosagap-gateway/src/calls.rs
+++ b/crates/mimosagap-gateway/src/calls.rs
@@ -310,7 +310,7 @@
         TargetOutcome::Succeeded
     };
     reservation.record_outcome(outcome);
-    if !request.traits.shared_parts.is_empty() && outcome == TargetOutcome::Succeeded {
+    if outcome == TargetOutcome::Succeeded {
         suspicion::report_sound(gateway, &request.traits);
     }
     release_connection(gateway, target, &exchange.head, exchange.connection);
--- a/crates/mimosagap-gateway/src/suspicion.rs
+++ b/crates/mimosagap-gateway/src/suspicion.rs
@@ -293,11 +293,11 @@
     }
 }
 
-/// Tells the other hosts which parts of a suspected request this host knows to be sound.
+/// Tells the other hosts which traits of a suspected request this host knows to be sound.
 fn answer_with_proofs(gateway: &SharedGateway, request: &RequestTraits, crashed_at: Duration) {
     let proved: Vec<RequestTrait> = gateway.with_state(|state| {
-        let parts = state.quarantine.proved_parts(request, crashed_at);
-        parts.map(RequestTrait::Part).collect()
+        let proved = state.quarantine.proved_traits(request, crashed_at);
+        proved.collect()
     });
     announce_proofs(gateway, proved, crashed_at);
 }
--- a/crates/mimosagap-routing/src/quarantine.rs
+++ b/crates/mimosagap-routing/src/quarantine.rs
@@ -7,21 +7,24 @@
 //! Hosts tell each other which requests a target had not proved sound when it crashed, so all of
 //! them judge the same evidence:
 //!
-//! * A request is blocked after [`MAX_CRASHES`] crashes.
+//! * A request is blocked after [`MAX_CRASHES`] crashes, unless it was answered meanwhile. Many
+//!   callers may repeat one that is sound, so that it is in flight at most crashes.
 //! * Parts are blocked after crashes at [`MAX_CRASHES`] different moments. Targets that end within
 //!   [`SAME_MOMENT`], such as those of a rack, count as one.
 //! * Requests whose answer had begun are suspects only if none had not, and a crash under a request
 //!   that is blocked speaks against no other part.
-//! * A part under which an answer was begun and went on is sound. Crashes in the
-//!   [`SOUNDNESS_MEMORY`] after that do not speak against it, nor do those before.
+//! * A request that was answered, and a part under which an answer was begun and went on, are sound.
+//!   Crashes in the [`SOUNDNESS_MEMORY`] after that do not speak against them, nor do those before.
 //! * If several parts of a request have so many crashes, they are blocked together: only a request
 //!   with all of them is refused. A sound request with some of them runs and clears these.
 //!
-//! A verdict lasts for [`VERDICT_RETENTION`] after the last crash or refusal. Meanwhile one host of
-//! the fleet lets a request through from time to time, which ends a verdict that is wrong.
+//! A verdict lasts for [`VERDICT_RETENTION`] after the last crash. Meanwhile one host of the fleet
+//! lets a request through from time to time, which ends a verdict that is wrong and renews one that
+//! is right.
 
 use std::collections::{HashMap, VecDeque};
 use std::fmt;
+use std::hash::Hash;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
@@ -52,21 +55,21 @@
 /// [`SOUNDNESS_MEMORY`] ago, because it has seen few proofs.
 pub const MAX_CRASHES_AFTER_START: usize = 4;
 
-/// Time after the last crash or refusal for which a verdict is kept.
+/// Time after the last crash for which a verdict is kept; longer than the time between two trials.
 pub const VERDICT_RETENTION: Duration = Duration::from_mins(10);
 
 /// Time after the last crash of a verdict until a request may run on trial; each trial doubles it.
 pub const TRIAL_DELAY: Duration = Duration::from_mins(1);
 
 /// Longest time between two trials.
-const MAX_TRIAL_DELAY: Duration = Duration::from_mins(30);
+const MAX_TRIAL_DELAY: Duration = Duration::from_mins(8);
 
 /// Limits that bound the memory, whatever callers send. The oldest entries are dropped.
 const MAX_KEPT_CRASHES: usize = 128;
 const MAX_REQUESTS_PER_CRASH: usize = 16;
 const MAX_PARTS_PER_REQUEST: usize = 16;
 const MAX_VERDICTS: usize = 64;
-const MAX_SOUND_PARTS: usize = 4096;
+const MAX_SOUND_TRAITS: usize = 4096;
 
 /// Identifies a request by its content, so that its repetitions are recognized.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
@@ -206,7 +209,6 @@
     /// Crashes, or moments with crashes, that led to it.
     pub crashes: usize,
     last_crash_at: Duration,
-    last_seen_at: Duration,
     /// Trials that this host made.
     trials: u32,
     last_trial_at: Option<Duration>,
@@ -260,13 +262,46 @@
     }
 }
 
+/// When an answer last proved each of the traits of one kind sound. The oldest half is dropped at
+/// [`MAX_SOUND_TRAITS`].
+#[derive(Debug, Clone)]
+struct ProofMemory<K>(HashMap<K, Duration>);
+
+impl<K> Default for ProofMemory<K> {
+    fn default() -> Self {
+        Self(HashMap::new())
+    }
+}
+
+impl<K: Eq + Hash> ProofMemory<K> {
+    fn note(&mut self, key: K, at: Duration) {
+        let proved_at = self.0.entry(key).or_insert(at);
+        *proved_at = (*proved_at).max(at);
+        if self.0.len() > MAX_SOUND_TRAITS {
+            self.0
+                .retain(|_, proved_at| at.saturating_sub(*proved_at) < SOUNDNESS_MEMORY);
+        }
+        if self.0.len() > MAX_SOUND_TRAITS {
+            let mut times: Vec<Duration> = self.0.values().copied().collect();
+            let middle = times.len() / 2;
+            let (_, median, _) = times.select_nth_unstable(middle);
+            let median = *median;
+            self.0.retain(|_, proved_at| *proved_at > median);
+        }
+    }
+
+    fn proved_at(&self, key: &K) -> Option<Duration> {
+        self.0.get(key).copied()
+    }
+}
+
 /// The crashes that the fleet saw, the traits that were proved sound, and the verdicts.
 #[derive(Debug, Clone, Default)]
 pub struct Quarantine {
     /// Oldest first.
     crashes: VecDeque<CrashRecord>,
-    /// When an answer last proved each part sound.
-    sound_parts: HashMap<PromptPart, Duration>,
+    sound_parts: ProofMemory<PromptPart>,
+    sound_requests: ProofMemory<RequestFingerprint>,
     verdicts: Vec<Verdict>,
     started_at: Duration,
 }
@@ -314,7 +349,6 @@
         for verdict in &mut self.verdicts {
             if verdict.blocked.matches(&report.request) {
                 verdict.last_crash_at = verdict.last_crash_at.max(at);
-                verdict.last_seen_at = verdict.last_seen_at.max(at);
             }
         }
         if self.blocking_verdict(&report.request).is_some() {
@@ -325,7 +359,6 @@
             blocked,
             crashes,
             last_crash_at: at,
-            last_seen_at: at,
             trials: 0,
             last_trial_at: None,
         };
@@ -343,11 +376,18 @@
         now: Duration,
     ) -> bool {
         self.expire(now);
+        let is_suspect = |suspect| self.is_suspect(suspect, last_crash_at);
         let blocked = match blocked {
-            BlockedTrait::Request(_) => blocked.clone(),
+            BlockedTrait::Request(fingerprint) => {
+                if !is_suspect(RequestTrait::Request(*fingerprint)) {
+                    return false;
+                }
+                blocked.clone()
+            }
             BlockedTrait::Parts(parts) => {
-                let is_suspect = |part: &&PromptPart| self.is_suspect(**part, last_crash_at);
-                BlockedTrait::Parts(parts.iter().filter(is_suspect).copied().collect())
+                let suspects = parts.iter().copied();
+                let suspects = suspects.filter(|part| is_suspect(RequestTrait::Part(*part)));
+                BlockedTrait::Parts(suspects.collect())
             }
         };
         if blocked == BlockedTrait::Parts(Vec::new()) {
@@ -365,7 +405,6 @@
             blocked,
             crashes,
             last_crash_at,
-            last_seen_at: now,
             trials: 0,
             last_trial_at: None,
         });
@@ -389,9 +428,9 @@
 
     /// Records that a trait was proved sound at `at`, by this host or another one.
     pub fn apply_sound(&mut self, proved: RequestTrait, at: Duration) {
-        let part = match proved {
-            RequestTrait::Part(part) => part,
+        match proved {
             RequestTrait::Request(fingerprint) => {
+                self.sound_requests.note(fingerprint, at);
                 for record in &mut self.crashes {
                     for requests in [&mut record.requests, &mut record.begun_requests] {
                         requests.retain(|request| request.fingerprint != fingerprint);
@@ -399,25 +438,18 @@
                 }
                 self.verdicts
                     .retain(|verdict| verdict.blocked != BlockedTrait::Request(fingerprint));
-                return;
             }
-        };
-        let proved_at = self.sound_parts.entry(part).or_insert(at);
-        *proved_at = (*proved_at).max(at);
-        if self.sound_parts.len() > MAX_SOUND_PARTS {
-            self.sound_parts
-                .retain(|_, proved_at| at.saturating_sub(*proved_at) < SOUNDNESS_MEMORY);
-        }
-        if self.sound_parts.len() > MAX_SOUND_PARTS {
-            self.drop_oldest_sound_parts();
-        }
-        for verdict in &mut self.verdicts {
-            if let BlockedTrait::Parts(blocked) = &mut verdict.blocked {
-                blocked.retain(|other| *other != part);
+            RequestTrait::Part(part) => {
+                self.sound_parts.note(part, at);
+                for verdict in &mut self.verdicts {
+                    if let BlockedTrait::Parts(blocked) = &mut verdict.blocked {
+                        blocked.retain(|other| *other != part);
+                    }
+                }
+                self.verdicts
+                    .retain(|verdict| verdict.blocked != BlockedTrait::Parts(Vec::new()));
             }
         }
-        self.verdicts
-            .retain(|verdict| verdict.blocked != BlockedTrait::Parts(Vec::new()));
     }
 
     /// Decides whether a request may run. Trials are left to one host of the fleet;
@@ -428,17 +460,12 @@
         is_trial_host: impl FnOnce() -> bool,
         now: Duration,
     ) -> Admission {
-        let is_expired = |verdict: &Verdict| {
-            now.saturating_sub(verdict.last_seen_at.max(verdict.last_crash_at)) >= VERDICT_RETENTION
-        };
-        let verdict = self
-            .verdicts
-            .iter_mut()
-            .find(|verdict| verdict.blocked.matches(traits) && !is_expired(verdict));
+        let verdict = self.verdicts.iter_mut().find(|verdict| {
+            verdict.blocked.matches(traits) && verdict.age(now) < VERDICT_RETENTION
+        });
         let Some(verdict) = verdict else {
             return Admission::Admitted;
         };
-        verdict.last_seen_at = now;
         if verdict.trial_is_due(now) && is_trial_host() {
             verdict.trials += 1;
             verdict.last_trial_at = Some(now);
@@ -461,15 +488,16 @@
         &self.verdicts
     }
 
-    /// The parts of a request that an answer proved sound not long before a crash at `crashed_at`,
+    /// The traits of a request that an answer proved sound not long before a crash at `crashed_at`,
     /// or after it.
-    pub fn proved_parts(
+    pub fn proved_traits(
         &self,
         request: &RequestTraits,
         crashed_at: Duration,
-    ) -> impl Iterator<Item = PromptPart> {
-        let parts = request.shared_parts.iter().copied();
-        parts.filter(move |part| !self.is_suspect(*part, crashed_at))
+    ) -> impl Iterator<Item = RequestTrait> {
+        let parts = request.shared_parts.iter().copied().map(RequestTrait::Part);
+        let traits = parts.chain([RequestTrait::Request(request.fingerprint)]);
+        traits.filter(move |proved| !self.is_suspect(*proved, crashed_at))
     }
 
     /// Number of crashes that are kept.
@@ -480,9 +508,11 @@
 
     /// What the crashes so far say about a request that took part in the last one.
     fn judge(&self, request: &RequestTraits, at: Duration) -> Option<(BlockedTrait, usize)> {
+        let whole = RequestTrait::Request(request.fingerprint);
         let has_fingerprint = |record: &&CrashRecord| {
             let mut requests = record.requests.iter().chain(&record.begun_requests);
             requests.any(|other| other.fingerprint == request.fingerprint)
+                && self.is_suspect(whole, record.at)
         };
         let repeats = self.crashes.iter().filter(has_fingerprint).count();
         if repeats >= MAX_CRASHES {
@@ -551,13 +581,17 @@
     }
 
     fn is_suspect_in(&self, part: PromptPart, request: &RequestTraits, at: Duration) -> bool {
-        request.shared_parts.binary_search(&part).is_ok() && self.is_suspect(part, at)
+        request.shared_parts.binary_search(&part).is_ok()
+            && self.is_suspect(RequestTrait::Part(part), at)
     }
 
-    /// Whether a crash at `crashed_at` speaks against a part.
-    fn is_suspect(&self, part: PromptPart, crashed_at: Duration) -> bool {
-        let proved_at = self.sound_parts.get(&part);
-        proved_at.is_none_or(|proved_at| *proved_at + SOUNDNESS_MEMORY <= crashed_at)
+    /// Whether a crash at `crashed_at` speaks against a trait.
+    fn is_suspect(&self, suspect: RequestTrait, crashed_at: Duration) -> bool {
+        let proved_at = match suspect {
+            RequestTrait::Request(fingerprint) => self.sound_requests.proved_at(&fingerprint),
+            RequestTrait::Part(part) => self.sound_parts.proved_at(&part),
+        };
+        proved_at.is_none_or(|proved_at| proved_at + SOUNDNESS_MEMORY <= crashed_at)
     }
 
     /// Whether a crash or a verdict speaks against a trait.
@@ -589,20 +623,10 @@
         self.verdicts.push(verdict);
     }
 
-    fn drop_oldest_sound_parts(&mut self) {
-        let mut times: Vec<Duration> = self.sound_parts.values().copied().collect();
-        let middle = times.len() / 2;
-        let (_, median, _) = times.select_nth_unstable(middle);
-        let median = *median;
-        self.sound_parts.retain(|_, proved_at| *proved_at > median);
-    }
-
     fn expire(&mut self, now: Duration) {
         self.crashes
             .retain(|record| now.saturating_sub(record.at) < CRASH_RETENTION);
-        self.verdicts.retain(|verdict| {
-            let seen_at = verdict.last_seen_at.max(verdict.last_crash_at);
-            now.saturating_sub(seen_at) < VERDICT_RETENTION
-        });
+        self.verdicts
+            .retain(|verdict| verdict.age(now) < VERDICT_RETENTION);
     }
 }
