test(soak): stop gateways in turn under load, with silent targets

The users' real processes lost requests around SIGTERM (LOST: streams, status 200, closed). The soak had no check of requests that a target executed and that got no whole response.

requests_are_cut_at_the_exit_of_a_stopped_gateway makes 24 stops of six gateways in 17 s with targets that are silent for 1.1 s.

--- a/crates/mimosagap-soak/src/checker.rs
+++ b/crates/mimosagap-soak/src/checker.rs
@@ -75,6 +75,7 @@
 #[derive(Debug, Default)]
 pub struct InvariantChecker {
     requests: RefCell<HashMap<String, RequestRecord>>,
+    cut_requests: RefCell<Vec<String>>,
     revoked_keys: RefCell<HashMap<String, Instant>>,
     draining_targets: RefCell<HashMap<String, Instant>>,
     /// When each gateway first received a drain notice in a response of a target.
@@ -466,6 +467,22 @@
         }
     }
 
+    /// Records that the connection of a request ended without a complete response.
+    pub fn record_cut(&self, id: &str) {
+        let requests = self.requests.borrow();
+        if requests
+            .get(id)
+            .is_some_and(|request| request.executions > 0)
+        {
+            self.cut_requests.borrow_mut().push(id.to_owned());
+        }
+    }
+
+    /// Requests that a target executed and that got no complete response, whatever the cause.
+    pub fn cut_requests(&self) -> Vec<String> {
+        self.cut_requests.borrow().clone()
+    }
+
     /// Records that a client disconnected in the middle of a stream.
     pub fn record_disconnect(&self, id: &str) {
         if let Some(request) = self.requests.borrow_mut().get_mut(id) {
--- a/crates/mimosagap-soak/src/client.rs
+++ b/crates/mimosagap-soak/src/client.rs
@@ -256,7 +256,13 @@
             status == 200
         }
         // The connection is not kept, which closes it.
-        Ok(None) | Err(_) => false,
+        Ok(None) => {
+            if !disconnects {
+                context.checker.record_cut(&id);
+            }
+            false
+        }
+        Err(_) => false,
     }
 }
 
--- a/crates/mimosagap-soak/src/run.rs
+++ b/crates/mimosagap-soak/src/run.rs
@@ -121,6 +121,8 @@
     pub reported_crashes: usize,
     /// How requests fared at gateways that were cut off from all targets, and at the others.
     pub isolation_outcome: IsolationOutcome,
+    /// Requests that a target executed and that got no complete response, whatever the cause.
+    pub cut_requests: Vec<String>,
     /// Violated guarantees, in the order in which they were found.
     pub violations: Vec<String>,
 }
@@ -270,6 +272,7 @@
         version_outcome,
         reported_crashes,
         isolation_outcome,
+        cut_requests: fleet.checker.cut_requests(),
         violations: fleet.checker.violations(),
     })
 }
--- a/crates/mimosagap-soak/tests/soak.rs
+++ b/crates/mimosagap-soak/tests/soak.rs
@@ -77,6 +77,37 @@
     assert!(outcome.live_migrations > 0, "no stream was migrated");
 }
 
+/// Gateways are stopped one after the other under load, while targets fall silent for a second.
+/// Requests that came while a gateway stopped were cut at its exit.
+#[test]
+fn requests_are_cut_at_the_exit_of_a_stopped_gateway() {
+    let interval = Duration::from_millis(700);
+    let silence = Duration::from_millis(1100);
+    let mut steps = Vec::new();
+    for number in 0..24 {
+        let gateway = usize::try_from(number).expect("a small number") % 6;
+        steps.push(FaultStep {
+            at: interval * number,
+            fault: Fault::StopGateway(gateway),
+        });
+        if number % 4 == 3 {
+            steps.extend((0..TARGET_COUNT).map(|target| FaultStep {
+                at: interval * number + interval / 2,
+                fault: Fault::Link(FleetLink::Target(target), LinkMode::Freeze, silence),
+            }));
+        }
+    }
+    let plan = FaultPlan {
+        seed: 922,
+        length: interval * 24,
+        steps,
+        gateway_count: 6,
+        ..FaultPlan::default()
+    };
+    let outcome = run_clean(plan, 25_400);
+    assert_eq!(outcome.cut_requests, [""; 0]);
+}
+
 /// Engines that leave go on with streams whose connection was closed. A stream went on at another
 /// engine while the first one worked on it to its end.
 #[test]
