fix(gateway): bound what is queued for a caller in bytes

Targets that send whole events without end, to callers who do not read, took a gateway to 92 MB of 64 MB; the platform kills it then, and the requests of all callers end (LOST).

Cause: a stream queued up to 16 events of up to 16 KB. Ruled out, each by a case of the test: endless heads, interim responses, bodies, chunk extensions, trailers, events and error bodies (13 to 33 MB).

--- a/crates/mimosagap-gateway/src/relay.rs
+++ b/crates/mimosagap-gateway/src/relay.rs
@@ -14,7 +14,6 @@
 use hyper::body::Incoming;
 use mimosagap_platform::request::relayed_headers;
 use mimosagap_routing::refusal::RefusalReason;
-use tokio::sync::mpsc;
 use tokio::time::timeout;
 
 use crate::connection::{HttpConnection, SendError};
@@ -23,7 +22,7 @@
 use crate::request::RoutedRequest;
 use crate::response::{ResponseBody, forwarded_head, local_response};
 use crate::state::{SharedGateway, millis};
-use crate::stream_body::{StreamPart, stream_body};
+use crate::stream_body::{PartSender, StreamPart, stream_body};
 
 /// Marks a request that another host relays.
 pub const RELAYED_HEADER: HeaderName = HeaderName::from_static("mimosagap-relayed");
@@ -209,11 +208,7 @@
 
 /// Passes a body on until it ends or the caller leaves. Then the connection is dropped, which tells
 /// the other host.
-async fn pass_body(
-    mut body: Incoming,
-    connection: HttpConnection,
-    part_sender: mpsc::Sender<StreamPart>,
-) {
+async fn pass_body(mut body: Incoming, connection: HttpConnection, part_sender: PartSender) {
     loop {
         let frame = tokio::select! {
             biased;
--- a/crates/mimosagap-gateway/src/stream_relay.rs
+++ b/crates/mimosagap-gateway/src/stream_relay.rs
@@ -9,7 +9,7 @@
 use mimosagap_routing::retry_budget::RetryPurpose;
 use mimosagap_routing::targets::{TargetKey, TargetOutcome};
 use mimosagap_types::prelude::*;
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::oneshot;
 
 use crate::crash_probe::{self, AnswerProgress};
 use crate::event_source::{EventSource, SourceItem};
@@ -28,7 +28,7 @@
     CopyJob, StandbyCopy, StopOrder, create_standby, release_standby, stop_source,
 };
 use crate::state::{SharedGateway, millis};
-use crate::stream_body::{StreamBody, StreamPart, stream_body};
+use crate::stream_body::{PartSender, StreamBody, StreamPart, stream_body};
 use crate::streams::StartedStream;
 use crate::suspicion;
 
@@ -74,7 +74,7 @@
     reservation: LoadReservation,
     sends: u32,
     executions: u32,
-    part_sender: mpsc::Sender<StreamPart>,
+    part_sender: PartSender,
     last_event_id: Option<u64>,
     generated_tokens: u32,
     expected_tokens: u32,
--- a/crates/mimosagap-soak/tests/support/mod.rs
+++ b/crates/mimosagap-soak/tests/support/mod.rs
@@ -25,12 +25,8 @@
     String::from_utf8_lossy(&bytes).into_owned()
 }
 
-/// Sends a request to the gateway and reads everything until it closes the connection.
-fn exchange(gateway: SocketAddr, (path, id): (&str, &str)) -> String {
-    let mut stream = TcpStream::connect(gateway).expect("the gateway listens");
-    stream
-        .set_read_timeout(Some(TIMEOUT))
-        .expect("the timeout is valid");
+/// Sends a request to a gateway, which closes the connection after its response.
+pub fn send_request(stream: &mut TcpStream, path: &str, id: &str) {
     let resumption = if path.starts_with("/resumable/") {
         "last-event-id: 1\r\nresumes: a0\r\n"
     } else {
@@ -48,6 +44,15 @@
     stream
         .write_all(request.as_bytes())
         .expect("the gateway reads");
+}
+
+/// Sends a request to the gateway and reads everything until it closes the connection.
+fn exchange(gateway: SocketAddr, (path, id): (&str, &str)) -> String {
+    let mut stream = TcpStream::connect(gateway).expect("the gateway listens");
+    stream
+        .set_read_timeout(Some(TIMEOUT))
+        .expect("the timeout is valid");
+    send_request(&mut stream, path, id);
     let mut response = Vec::new();
     // A broken stream may also end with a reset.
     let _ = stream.read_to_end(&mut response);
@@ -85,7 +90,7 @@
         for service in ["plain", "model"] {
             let entry = json!({
                 "service": service, "address": target.to_string(), "zone": "z1", "version": "v1",
-                "slots": 8, "cold_remaining_ms": 0,
+                "slots": 200, "cold_remaining_ms": 0,
                 "state": "ready", "sequence": 1, "born": 1,
             });
             store.put(&format!("servers/i-{service}"), &entry);
@@ -152,7 +157,7 @@
         ],
         "services": [
             {"name": "plain"},
-            {"name": "model", "engine": {"slots": 8, "kv_capacity": 30000, "stride": 4}},
+            {"name": "model", "engine": {"slots": 200, "kv_capacity": 300000, "stride": 4}},
         ],
         "limits": {"max_header_bytes": 16384, "max_body_bytes": 65536, "idle_timeout_ms": 15000},
         "tenants": [],
