--- a/crates/mimosagap-soak/src/main.rs
+++ b/crates/mimosagap-soak/src/main.rs
@@ -31,6 +31,7 @@
   --plan FILE     run a stored plan; a failed run writes its plan.json into its folder
   --shrink        after a failure, remove steps and print the smallest plan that still fails
   --program FILE  the gateway's program (default target/release/mimosagapd)
+  --earlier FILE  the program of another build, which all gateways run until their first restart
   --folder DIR    where settings and logs of each seed are written (default target/soak)
   --port N        first port of the gateways (default 21000)
 
@@ -45,6 +46,7 @@
     plans: Vec<FaultPlan>,
     shrink: bool,
     program: PathBuf,
+    earlier_program: Option<PathBuf>,
     directory: PathBuf,
     base_port: u16,
 }
@@ -79,6 +81,7 @@
     let has_versions = arguments.contains("--versions");
     let shrink = arguments.contains("--shrink");
     let program: Option<PathBuf> = arguments.opt_value_from_str("--program")?;
+    let earlier_program: Option<PathBuf> = arguments.opt_value_from_str("--earlier")?;
     let directory: Option<PathBuf> = arguments.opt_value_from_str("--folder")?;
     let base_port = arguments.opt_value_from_str("--port")?.unwrap_or(21_000);
     let rest = arguments.finish();
@@ -109,6 +112,7 @@
         plans,
         shrink,
         program: program.unwrap_or_else(|| PathBuf::from("target/release/mimosagapd")),
+        earlier_program,
         directory: directory.unwrap_or_else(|| PathBuf::from("target/soak")),
         base_port,
     })
@@ -147,6 +151,7 @@
     let options = RunOptions {
         plan: plan.clone(),
         program: options.program.clone(),
+        earlier_program: options.earlier_program.clone(),
         directory: options.directory.join(name),
         base_port: options.base_port,
     };
--- a/crates/mimosagap-soak/src/process.rs
+++ b/crates/mimosagap-soak/src/process.rs
@@ -114,6 +114,11 @@
         Ok(())
     }
 
+    /// Sets the program that the next [`Self::spawn`] starts, as an upgrade does.
+    pub fn set_program(&mut self, program: &Path) {
+        program.clone_into(&mut self.program);
+    }
+
     /// Sends a signal to the process, if it is running.
     pub fn send_signal(&self, signal: Signal) {
         let id = self
--- a/crates/mimosagap-soak/src/run.rs
+++ b/crates/mimosagap-soak/src/run.rs
@@ -96,6 +96,9 @@
     pub plan: FaultPlan,
     /// The executable of the gateway.
     pub program: PathBuf,
+    /// The executable of another build, which all gateways run at first. Each is upgraded at its
+    /// first restart, so that both builds run side by side.
+    pub earlier_program: Option<PathBuf>,
     /// Where settings and logs are written.
     pub directory: PathBuf,
     /// First port of the first gateway; each gateway after it has the next ten ports.
@@ -143,6 +146,8 @@
     /// The number in the name of the last target that was started.
     last_target_number: u64,
     region_count: usize,
+    /// The executable that restarted gateways run.
+    program: PathBuf,
     /// Faults that have to be reverted, and when.
     pending_reverts: Vec<(Instant, FaultRevert)>,
     /// Targets that crashed under a request and are to be replaced, and when.
@@ -327,6 +332,7 @@
             target_versions: Vec::new(),
             last_target_number: 0,
             region_count: region_count(&options.plan),
+            program: options.program.clone(),
             pending_reverts: Vec::new(),
             pending_restarts: Vec::new(),
         };
@@ -345,7 +351,7 @@
             })
             .await?;
             let process = GatewayProcess::start(
-                &options.program,
+                options.earlier_program.as_ref().unwrap_or(&options.program),
                 &options.directory,
                 GatewayPlace {
                     index,
@@ -626,6 +632,7 @@
                     let text = format!("gateway {index} ended by itself");
                     self.checker.record_violation(text);
                 }
+                gateway.process.set_program(&self.program);
                 gateway.process.spawn()?;
                 self.checker.clear_gateway_state(index);
                 if let Some(context) = &self.client_context {
--- a/crates/mimosagap-soak/tests/soak.rs
+++ b/crates/mimosagap-soak/tests/soak.rs
@@ -567,6 +567,7 @@
     let options = RunOptions {
         plan,
         program: gateway_program(),
+        earlier_program: None,
         directory: directory.clone(),
         base_port,
     };
--- a/crates/mimosagap-soak/tests/support/mod.rs
+++ b/crates/mimosagap-soak/tests/support/mod.rs
@@ -157,7 +157,7 @@
         ],
         "services": [
             {"name": "plain"},
-            {"name": "model", "engine": {"slots": 200, "kv_capacity": 300000, "stride": 4}},
+            {"name": "model", "engine": {"slots": 200, "kv_capacity": 300_000, "stride": 4}},
         ],
         "limits": {"max_header_bytes": 16384, "max_body_bytes": 65536, "idle_timeout_ms": 15000},
         "tenants": [],
