--- a/crates/mimosagap-soak/tests/assumed_version.rs
+++ b/crates/mimosagap-soak/tests/assumed_version.rs
@@ -3,38 +3,30 @@
 #[path = "support/responses.rs"]
 mod responses;
 mod support;
+#[path = "support/targets.rs"]
+mod targets;
 
 use std::io::Write;
-use std::net::{SocketAddr, TcpListener};
+use std::net::TcpStream;
 
 use mimosagap_soak::standins::store::StoreStandin;
 use rstest::rstest;
 use serde_json::json;
 use support::read_head;
+use targets::{attempt_id, start_target};
 
-/// Answers each connection with the second and last event of a stream.
-fn start_target() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
-    let address = listener.local_addr().expect("the listener is bound");
-    std::thread::spawn(move || {
-        for stream in listener.incoming() {
-            let mut stream = stream.expect("connections are accepted");
-            let request = read_head(&mut stream);
-            let id = request
-                .lines()
-                .find_map(|line| line.strip_prefix("x-attempt-id: "))
-                .unwrap_or_default();
-            let body = "id: 2\ndata: b\n\n";
-            let answer = format!(
-                "HTTP/1.1 200 OK\r\nx-attempt-id: {id}\r\nx-server-signature: signed\r\n\
-                 content-length: {}\r\n\r\n{body}",
-                body.len()
-            );
-            // The gateway may have given the request up.
-            let _ = stream.write_all(answer.as_bytes());
-        }
-    });
-    address
+/// Answers with the second and last event of a stream.
+fn answer(stream: &mut TcpStream) {
+    let request = read_head(stream);
+    let id = attempt_id(&request);
+    let body = "id: 2\ndata: b\n\n";
+    let answer = format!(
+        "HTTP/1.1 200 OK\r\nx-attempt-id: {id}\r\nx-server-signature: signed\r\n\
+         content-length: {}\r\n\r\n{body}",
+        body.len()
+    );
+    // The gateway may have given the request up.
+    let _ = stream.write_all(answer.as_bytes());
 }
 
 /// Another host has admitted a second version, and the watch has not brought it yet. The gateway
@@ -55,7 +47,7 @@
             store.put_unwatched(&key, &json!(["model", version]));
         }
     };
-    let target = start_target();
+    let target = start_target(answer);
     let responses = responses::responses(target, &requests, base_port, |_| {}, change_store);
     assert!(responses[0].starts_with(expected), "{responses:?}");
 }
@@ -75,7 +67,7 @@
         store.put("mimosagap/versions/v1", &json!(["model", "v1"]));
         store.put("mimosagap/versions-era", &json!(recorded_era));
     };
-    let target = start_target();
+    let target = start_target(answer);
     let responses = responses::responses(target, &requests, base_port, prepare_store, |_| {});
     assert!(responses[0].starts_with(expected), "{responses:?}");
 }
--- a/crates/mimosagap-soak/tests/endless_bytes.rs
+++ b/crates/mimosagap-soak/tests/endless_bytes.rs
@@ -1,14 +1,17 @@
 //! Targets that send bytes without end, to callers who read and to callers who do not.
 
 mod support;
+#[path = "support/targets.rs"]
+mod targets;
 
 use std::io::Write;
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpStream};
 use std::time::Duration;
 
 use rstest::rstest;
 use serde_json::json;
 use support::{Scene, read_head};
+use targets::{attempt_id, start_target};
 
 /// Limit on the peak resident memory of the gateway, the `memory_mb` of its settings.
 const MAX_MEMORY_BYTES: u64 = 64 << 20;
@@ -69,27 +72,16 @@
     }
 }
 
-fn start_target(flood: Flood) -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
-    let address = listener.local_addr().expect("the listener is bound");
-    std::thread::spawn(move || {
-        for stream in listener.incoming() {
-            let mut stream = stream.expect("connections are accepted");
-            std::thread::spawn(move || {
-                // The gateway closes the connection.
-                let _ = answer(&mut stream, flood);
-            });
-        }
-    });
-    address
+fn start_flooding_target(flood: Flood) -> SocketAddr {
+    start_target(move |stream| {
+        // The gateway closes the connection.
+        let _ = answer(stream, flood);
+    })
 }
 
 fn answer(stream: &mut TcpStream, flood: Flood) -> std::io::Result<()> {
     let request = read_head(stream);
-    let id = request
-        .lines()
-        .find_map(|line| line.strip_prefix("x-attempt-id: "))
-        .unwrap_or_default();
+    let id = attempt_id(&request);
     if flood == Flood::None {
         return write!(
             stream,
@@ -122,8 +114,8 @@
     #[case] base_port: u16,
 ) {
     support::run(async {
-        let sound_address = start_target(Flood::None);
-        let scene = Scene::start(start_target(flood), base_port, |store| {
+        let sound_address = start_flooding_target(Flood::None);
+        let scene = Scene::start(start_flooding_target(flood), base_port, |store| {
             let entry = json!({
                 "service": "plain", "address": sound_address.to_string(), "zone": "z1",
                 "version": "v1", "slots": 200, "cold_remaining_ms": 0, "state": "ready",
--- a/crates/mimosagap-soak/tests/stopping.rs
+++ b/crates/mimosagap-soak/tests/stopping.rs
@@ -1,14 +1,17 @@
 //! Requests that a gateway gets after SIGTERM, from callers who still use its connections.
 
 mod support;
+#[path = "support/targets.rs"]
+mod targets;
 
 use std::io::Write;
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::TcpStream;
 use std::time::Duration;
 
 use rstest::rstest;
 use rustix::process::Signal;
 use support::{Scene, read_head};
+use targets::{attempt_id, start_target};
 
 /// Time for which the target is silent before it answers a call.
 const SILENCE: Duration = Duration::from_millis(1300);
@@ -18,27 +21,9 @@
 const EVENT_INTERVAL: Duration = Duration::from_millis(200);
 
 /// Answers streams event by event, and calls after a silence.
-fn start_target() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
-    let address = listener.local_addr().expect("the listener is bound");
-    std::thread::spawn(move || {
-        for stream in listener.incoming() {
-            let mut stream = stream.expect("connections are accepted");
-            std::thread::spawn(move || {
-                // The gateway may close the connection before the answer ends.
-                let _ = answer(&mut stream);
-            });
-        }
-    });
-    address
-}
-
 fn answer(stream: &mut TcpStream) -> std::io::Result<()> {
     let request = read_head(stream);
-    let id = request
-        .lines()
-        .find_map(|line| line.strip_prefix("x-attempt-id: "))
-        .unwrap_or_default();
+    let id = attempt_id(&request);
     let head = format!(
         "HTTP/1.1 200 OK\r\nx-attempt-id: {id}\r\nx-server-signature: signed\r\nconnection: close\r\n"
     );
@@ -54,6 +39,11 @@
     Ok(())
 }
 
+fn serve(stream: &mut TcpStream) {
+    // The gateway may close the connection before the answer ends.
+    let _ = answer(stream);
+}
+
 /// The gateway exits 3.2 s after SIGTERM. A request that arrives before is answered to the end, or
 /// refused as not run; the mean time of such requests would fit, and the answer was cut by the exit.
 #[rstest]
@@ -68,7 +58,7 @@
     #[case] base_port: u16,
 ) {
     let response = support::run(async {
-        let scene = Scene::start(start_target(), base_port, |_| {}).await;
+        let scene = Scene::start(start_target(serve), base_port, |_| {}).await;
         scene.gateway.send_signal(Signal::TERM);
         tokio::time::sleep(Duration::from_millis(sent_after_ms)).await;
         scene.exchange(path, "a1").await
