feat(gateway): hosts lend each other retry credit for moved generations

Cause: when engines leave together, the hosts that hold their generations run out of retry credit although the fleet uses about a fifth of its bound. Ruled out: the copies were complete in time, and the engines had room. Change: a host without credit asks others of its region, one after the other, for the credit of one retry. Loans move credit and add none. Where: the contract health is in force.

--- a/crates/mimosagap-gateway/src/lib.rs
+++ b/crates/mimosagap-gateway/src/lib.rs
@@ -11,6 +11,7 @@
 mod change_feed;
 pub mod connection;
 mod crash_probe;
+mod credit_loans;
 pub mod delta;
 mod event_source;
 mod exchange;
--- a/crates/mimosagap-gateway/src/log.rs
+++ b/crates/mimosagap-gateway/src/log.rs
@@ -361,6 +361,15 @@
         /// Milliseconds since the process started.
         up_ms: u64,
     },
+    /// Another host was asked for the credit of one retry.
+    RetryLoan {
+        /// Service whose budget is used.
+        service: &'a str,
+        /// Name of the host that was asked.
+        lender: &'a str,
+        /// Whether it gave the credit; `false` also if it did not respond.
+        granted: bool,
+    },
     /// The gateway itself rejected a request.
     Refused {
         /// Attempt id, set by the caller anew for each retry.
@@ -534,7 +543,7 @@
             Self::EntryUnreadable { .. } | Self::ConfigUnreadable { .. } => (8, "unreadable"),
             Self::Trouble { .. } => (9, "trouble"),
             Self::RatePermit { .. } => (10, "rate_permit"),
-            Self::Retry { .. } => (11, "retry"),
+            Self::Retry { .. } | Self::RetryLoan { .. } => (11, "retry"),
             Self::Relayed { .. } | Self::RelayRefused { .. } => (12, "relayed"),
             _ => (13, "state"),
         }
--- a/crates/mimosagap-gateway/src/metrics.rs
+++ b/crates/mimosagap-gateway/src/metrics.rs
@@ -163,6 +163,33 @@
     }
 }
 
+/// The retry budget of this host.
+#[derive(Clone)]
+pub struct RetryMetrics {
+    decisions: IntCounterVec,
+    /// Requests to other hosts for the credit of one retry, by result.
+    pub loans: IntCounterVec,
+}
+
+impl RetryMetrics {
+    fn new(registry: &Registry) -> Result<Self, prometheus::Error> {
+        Ok(Self {
+            decisions: register_counters(
+                registry,
+                "mimosagap_repeats_total",
+                "Sends after the first one that the budget allowed or denied",
+                &["result"],
+            )?,
+            loans: register_counters(
+                registry,
+                "mimosagap_retry_loans_total",
+                "Requests to other hosts for the credit of one retry",
+                &["result"],
+            )?,
+        })
+    }
+}
+
 /// All metrics of the gateway. [`LabelLimit`] bounds the number of series.
 #[derive(Clone)]
 pub struct GatewayMetrics {
@@ -173,7 +200,8 @@
     latencies: HistogramVec,
     wait_times: HistogramVec,
     longest_gaps: HistogramVec,
-    retries: IntCounterVec,
+    /// Retries and loans of credit for them.
+    pub retries: RetryMetrics,
     config_age: IntGauge,
     resident_memory: IntGauge,
     /// Requests handed to other hosts, by result.
@@ -268,11 +296,7 @@
             &GAP_BUCKETS,
             &["route"],
         )?;
-        let retries = register_counters(
-            "mimosagap_repeats_total",
-            "Sends after the first one that the budget allowed or denied",
-            &["result"],
-        )?;
+        let retries = RetryMetrics::new(&registry)?;
         let relays = register_counters("mimosagap_relays_total", RELAYS_HELP, &["result"])?;
         let config_age = register_gauge(
             "mimosagap_config_age_milliseconds",
@@ -337,7 +361,7 @@
     /// Counts a send after the first one of a request, allowed or denied by the retry budget.
     pub fn count_retry(&self, is_allowed: bool) {
         let result = if is_allowed { "allowed" } else { "denied" };
-        self.retries.with_label_values(&[result]).inc();
+        self.retries.decisions.with_label_values(&[result]).inc();
     }
 
     /// Updates the gauges that are only read on a scrape: age of the configuration and memory.
--- a/crates/mimosagap-gateway/src/peers.rs
+++ b/crates/mimosagap-gateway/src/peers.rs
@@ -14,6 +14,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
 
+use crate::credit_loans::{self, LoanRequest, LoanResponse};
 use crate::log::LogEvent;
 use crate::rate_permits::{self, PermitRequest, PermitResponse};
 use crate::remote_placement::{self, PlacementRequest, PlacementResponse};
@@ -64,6 +65,10 @@
     /// What a host knows of requests that crash targets. New variants come last, so that hosts of an
     /// earlier version still decode the others.
     SuspicionNotices(Vec<AgedNotice>),
+    /// A host asks another one for the credit of one retry.
+    LoanRequest(LoanRequest),
+    /// Response of the host that was asked.
+    LoanResponse(LoanResponse),
 }
 
 impl PeerMessage {
@@ -126,6 +131,14 @@
             Some(PeerMessage::PermitResponse(response)) => {
                 gateway.permit_client.complete(&response);
             }
+            Some(PeerMessage::LoanRequest(request)) => {
+                let response = credit_loans::handle_request(&gateway, &request);
+                if let Some(bytes) = PeerMessage::LoanResponse(response).encode() {
+                    // Credit whose transfer is lost is lost to both hosts.
+                    let _ = socket.send_to(&bytes, sender).await;
+                }
+            }
+            Some(PeerMessage::LoanResponse(response)) => gateway.loan_client.complete(response),
             None => {}
         }
     }
--- a/crates/mimosagap-gateway/src/state.rs
+++ b/crates/mimosagap-gateway/src/state.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use mimosagap_platform::settings::HostSettings;
+use mimosagap_platform::settings::{HEALTH_CONTRACT, HostSettings};
 use mimosagap_routing::buffer_budget::BufferBudget;
 use mimosagap_routing::config::FleetConfig;
 use mimosagap_routing::config_state::{ConfigState, StalenessBounds};
@@ -32,6 +32,7 @@
 use rand::rngs::SmallRng;
 use tokio::sync::Notify;
 
+use crate::credit_loans::LoanClient;
 use crate::header_audit::HeaderAudit;
 use crate::log::{EventLog, LogEvent};
 use crate::metrics::GatewayMetrics;
@@ -145,6 +146,8 @@
     pub placer_rpc: PlacementClient,
     /// Headers of targets that were reported as unread.
     pub header_audit: HeaderAudit,
+    /// Client for loans of retry credit.
+    pub loan_client: LoanClient,
     /// Client for permits of targets that name a rate limit, and what this host granted.
     pub permit_client: PermitClient,
     /// Number of requests in flight.
@@ -196,6 +199,7 @@
             target_notices: NoticeQueue::default(),
             placer_rpc: PlacementClient::default(),
             header_audit: HeaderAudit::default(),
+            loan_client: LoanClient::new(clock.since_boot()),
             permit_client: PermitClient::new(clock.since_boot()),
             in_flight: Cell::new(0),
             state: RefCell::new(GatewayState {
@@ -312,6 +316,27 @@
         is_allowed
     }
 
+    /// Whether targets of this deployment may fail in ways that their health does not show. Hosts
+    /// then lend each other retry credit and remember who refused copies.
+    pub fn has_unreliable_targets(&self) -> bool {
+        self.settings.has_contract(HEALTH_CONTRACT)
+    }
+
+    /// Gives another host the credit for one retry at a service. Returns whether there is enough.
+    pub fn try_lend_retry(&self, service: &DeploymentName) -> bool {
+        let (now, bounds) = (self.now(), self.retry_bounds());
+        self.with_state(|state| {
+            let sharing_hosts = state.sharing_hosts(now);
+            let budget = self.retry_budget(state, service);
+            budget.try_lend(now, &bounds, sharing_hosts)
+        })
+    }
+
+    /// Adds the credit for one retry at a service that another host lent.
+    pub fn add_retry_loan(&self, service: &DeploymentName) {
+        self.with_state(|state| self.retry_budget(state, service).add_loan());
+    }
+
     /// The retry budget of a service, which begins with the process.
     fn retry_budget<'a>(
         &self,
--- a/crates/mimosagap-gateway/src/stream_relay.rs
+++ b/crates/mimosagap-gateway/src/stream_relay.rs
@@ -12,6 +12,7 @@
 use tokio::sync::oneshot;
 
 use crate::crash_probe::{self, AnswerProgress};
+use crate::credit_loans;
 use crate::event_source::{EventSource, SourceItem};
 use crate::exchange::{preconnect, release_connection, sleep_unless_zero};
 use crate::handover::{
@@ -41,6 +42,10 @@
 /// Delay before another copy is attempted after one failed or found no engine.
 const COPY_RETRY_DELAY: Duration = Duration::from_millis(150);
 
+/// Delay before the retry budget is asked again after it denied a move. Loans of other hosts take a
+/// few milliseconds, and a stream has an event about every 30 ms.
+const MOVE_RETRY_DELAY: Duration = Duration::from_millis(40);
+
 /// Copy in progress. Yields `None` if no engine took it.
 type CopyReceiver = oneshot::Receiver<Option<StandbyCopy>>;
 
@@ -85,6 +90,8 @@
     standby: Option<StandbyCopy>,
     copy_task: Option<CopyReceiver>,
     next_copy_at: Duration,
+    /// When the retry budget may be asked again for a move.
+    next_move_at: Duration,
     handover: Option<HandoverTask>,
     /// The engine that the handover goes to.
     next_target: Option<TargetKey>,
@@ -162,6 +169,7 @@
             standby: None,
             copy_task: None,
             next_copy_at: Duration::ZERO,
+            next_move_at: Duration::ZERO,
             handover: None,
             next_target: None,
             source_stop: None,
@@ -364,6 +372,7 @@
                     preconnect(&self.gateway, target);
                 }
             }
+            MigrationStep::HandOver(_) if now < self.next_move_at => {}
             MigrationStep::HandOver(target) => self.stop_source(target),
         }
     }
@@ -475,6 +484,10 @@
             .gateway
             .try_spend_retry(&self.request, RetryPurpose::Move)
         {
+            if self.gateway.has_unreliable_targets() {
+                self.next_move_at = self.gateway.now() + MOVE_RETRY_DELAY;
+                credit_loans::start_borrowing(&self.gateway, &self.request.service);
+            }
             return;
         }
         let now = self.gateway.now();
@@ -647,7 +660,8 @@
         self.standby.as_ref()?;
         let is_paid = self.source_stop.is_some();
         let purpose = RetryPurpose::Move;
-        if !is_paid && !self.gateway.try_spend_retry(&self.request, purpose) {
+        let is_paid = is_paid || self.gateway.try_spend_retry(&self.request, purpose);
+        if !is_paid && !self.gateway.has_unreliable_targets() {
             return None;
         }
         let StandbyCopy {
@@ -674,11 +688,13 @@
                 reservation.target,
             );
         }
-        Some(Box::pin(resume_stream(
-            self.next_handover_job(),
-            reservation,
-            Some(kv_source),
-        )))
+        let job = self.next_handover_job();
+        Some(Box::pin(async move {
+            if !is_paid && !borrow_for_move(&job).await {
+                return None;
+            }
+            resume_stream(job, reservation, Some(kv_source)).await
+        }))
     }
 
     fn next_handover_job(&mut self) -> HandoverJob {
@@ -709,6 +725,13 @@
     }
 }
 
+/// Borrows the credit for a move and spends it. Returns whether the budget allows the move.
+async fn borrow_for_move(job: &HandoverJob) -> bool {
+    let (gateway, request) = (&job.gateway, &job.request);
+    credit_loans::borrow(gateway, &request.service).await
+        && gateway.try_spend_retry(request, RetryPurpose::Move)
+}
+
 #[expect(
     clippy::cast_possible_truncation,
     clippy::cast_sign_loss,
--- a/crates/mimosagap-gateway/tests/log.rs
+++ b/crates/mimosagap-gateway/tests/log.rs
@@ -235,6 +235,11 @@
             hosts: 1,
             up_ms: 1,
         },
+        LogEvent::RetryLoan {
+            service: "s",
+            lender: "h",
+            granted: true,
+        },
         LogEvent::TargetsReachable {
             service: "s",
             reachable: false,
--- a/crates/mimosagap-routing/src/lib.rs
+++ b/crates/mimosagap-routing/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod change_source;
 pub mod config;
 pub mod config_state;
+pub mod credit_lending;
 pub mod discovery;
 pub mod drain_time;
 pub mod hashing;
--- a/crates/mimosagap-routing/src/retry_budget.rs
+++ b/crates/mimosagap-routing/src/retry_budget.rs
@@ -34,6 +34,9 @@
 /// A host can hold the credit for one retry, however small its share is.
 const MIN_CAPACITY: f64 = 1.0;
 
+/// Credit that one host gives another at a time: that of one retry.
+const LOAN: f64 = 1.0;
+
 /// The operators' bound on retries.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct RetryBounds {
@@ -160,6 +163,28 @@
         self.credit += 1.0;
     }
 
+    /// Gives the credit for one retry to another host if this one holds as much. Returns whether it
+    /// does.
+    pub fn try_lend(
+        &mut self,
+        now: Duration,
+        bounds: &RetryBounds,
+        sharing_hosts: Option<usize>,
+    ) -> bool {
+        self.update(now, bounds, sharing_hosts);
+        let can_lend = self.credit >= LOAN;
+        if can_lend {
+            self.credit -= LOAN;
+        }
+        can_lend
+    }
+
+    /// Adds the credit for one retry that another host gave. It is lost if this host holds as much
+    /// as it can.
+    pub fn add_loan(&mut self) {
+        self.credit += LOAN;
+    }
+
     /// Retries that this host may still spend, as of the last change.
     #[must_use]
     pub fn credit(&self) -> f64 {
