--- a/crates/mimosagap-gateway/src/standby.rs
+++ b/crates/mimosagap-gateway/src/standby.rs
@@ -124,10 +124,6 @@
             Some(KvCopyResponse::NoCapacity { .. }) => {
                 log_step("no_room");
                 excluded.push(target);
-                if gateway.has_unreliable_targets() {
-                    let now = gateway.now();
-                    gateway.with_state(|state| state.targets.record_copy_refused(target, now));
-                }
             }
             Some(KvCopyResponse::Busy) => tokio::time::sleep(BUSY_RETRY_DELAY).await,
             Some(KvCopyResponse::UnknownGeneration) | None => {
@@ -275,9 +271,7 @@
         let tokens = job.demand.mean_kv_tokens();
         let is_usable = |key: &TargetKey| {
             let target = targets.get(*key);
-            !excluded.contains(key)
-                && target
-                    .is_some_and(|target| target.is_available(now) && !target.refuses_copies(now))
+            !excluded.contains(key) && target.is_some_and(|target| target.is_available(now))
         };
         let key = match job.preferred.filter(is_usable) {
             Some(preferred) => preferred,
--- a/crates/mimosagap-gateway/src/state.rs
+++ b/crates/mimosagap-gateway/src/state.rs
@@ -317,7 +317,7 @@
     }
 
     /// Whether targets of this deployment may fail in ways that their health does not show. Hosts
-    /// then lend each other retry credit and remember who refused copies.
+    /// then lend each other retry credit.
     pub fn has_unreliable_targets(&self) -> bool {
         self.settings.has_contract(HEALTH_CONTRACT)
     }
--- a/crates/mimosagap-routing/src/migration.rs
+++ b/crates/mimosagap-routing/src/migration.rs
@@ -174,7 +174,6 @@
     targets
         .of_service(service)
         .filter(|(key, target)| target.is_available(now) && !excluded_targets.contains(key))
-        .filter(|(_, target)| !target.refuses_copies(now))
         .filter(|(_, target)| target.entry.instance != source.entry.instance)
         .filter(|(_, target)| target.has_version(version))
         .filter_map(|(key, target)| cost(target).map(|cost| (cost, key)))
--- a/crates/mimosagap-routing/src/targets.rs
+++ b/crates/mimosagap-routing/src/targets.rs
@@ -50,10 +50,6 @@
 /// Longest pause after a target was unreachable or its response exceeded the limits.
 const MAX_PAUSE: Duration = Duration::from_secs(3);
 
-/// Time for which an engine is offered no copy after it had no room for one. Copies that were
-/// offered to the same engines again, 150 ms later, were refused until their generations were lost.
-const COPY_REFUSAL_TIME: Duration = Duration::from_millis(600);
-
 /// Time after which the load reported by another host no longer counts.
 const PEER_LOAD_TTL: Duration = Duration::from_millis(2500);
 
@@ -176,7 +172,6 @@
     outcome_at: Duration,
     paused_until: Duration,
     next_pause: Duration,
-    copy_refused_until: Duration,
     /// Backoff periods that it requested.
     pub backoff: TargetBackoff,
     /// The rate limit that it names for all hosts together.
@@ -200,7 +195,6 @@
             failure_rate: 0.0,
             outcome_at: Duration::ZERO,
             paused_until: Duration::ZERO,
-            copy_refused_until: Duration::ZERO,
             next_pause: FIRST_PAUSE,
             backoff: TargetBackoff::default(),
             rate: TargetRate::default(),
@@ -240,12 +234,6 @@
             && self.rate.hold_time(now).is_zero()
     }
 
-    /// Whether it lately had no room for a copy of a generation.
-    #[must_use]
-    pub fn refuses_copies(&self, now: Duration) -> bool {
-        now < self.copy_refused_until
-    }
-
     /// Whether its entry has vanished.
     #[must_use]
     pub fn is_removed(&self, now: Duration) -> bool {
@@ -431,13 +419,6 @@
         is_new
     }
 
-    /// Records that a target had no room for a copy of a generation.
-    pub fn record_copy_refused(&mut self, key: TargetKey, now: Duration) {
-        if let Some(target) = self.targets.get_mut(key) {
-            target.copy_refused_until = now + COPY_REFUSAL_TIME;
-        }
-    }
-
     /// The backoff periods of a target; `None` if the target is unknown.
     pub fn backoff_mut(&mut self, key: TargetKey) -> Option<&mut TargetBackoff> {
         self.targets.get_mut(key).map(|target| &mut target.backoff)
