--- a/crates/mimosagap-gateway/src/calls.rs
+++ b/crates/mimosagap-gateway/src/calls.rs
@@ -13,6 +13,7 @@
 use http::response::Parts;
 use mimosagap_routing::placement::place_call;
 use mimosagap_routing::refusal::RefusalReason;
+use mimosagap_routing::residency::PermittedTarget;
 use mimosagap_routing::retry_budget::RetryPurpose;
 use mimosagap_routing::targets::{TargetKey, TargetOutcome};
 
@@ -27,6 +28,7 @@
 use crate::reach;
 use crate::relay::relay_request;
 use crate::request::RoutedRequest;
+use crate::residency;
 use crate::response::{ResponseBody, forwarded_head, full_body, refusal_response};
 use crate::state::{SharedGateway, millis};
 use crate::suspicion;
@@ -138,7 +140,7 @@
                         record_unresponsive(gateway, &running, TargetOutcome::ReturnedError);
                         return forward_response(gateway, request, target, response);
                     }
-                    Err(ExchangeError::Unreachable) => {
+                    Err(ExchangeError::Unreachable | ExchangeError::OutsideRegions) => {
                         progress.executions -= 1;
                         true
                     }
@@ -193,11 +195,15 @@
     if progress.sends >= MAX_SENDS || progress.executions >= request.route.max_attempts {
         return;
     }
-    let chosen = gateway
-        .with_state(|state| place_call(&state.targets, &request.service, &progress.tried, now));
-    let Some(target) = chosen else {
+    let policy = residency::policy(gateway, request);
+    let chosen = gateway.with_state(|state| {
+        let (targets, service) = (&state.targets, &request.service);
+        place_call(targets, service, &progress.tried, &policy, now)
+    });
+    let Some(permitted) = chosen else {
         return;
     };
+    let target = permitted.key();
     if progress.sends == 0 {
         if progress.rate_limited_attempts == 0 {
             gateway.count_request(&request.service);
@@ -213,7 +219,7 @@
     running.push(RunningAttempt {
         target,
         future: Box::pin(async move {
-            let result = run_attempt(gateway, request, target, attempt, max_permit_wait).await;
+            let result = run_attempt(gateway, request, permitted, attempt, max_permit_wait).await;
             AttemptResult {
                 target,
                 attempt,
@@ -235,11 +241,13 @@
     let max_wait = objective
         .mul_f64(PERMIT_WAIT_FRACTION)
         .saturating_sub(waited);
+    let policy = residency::policy(gateway, request);
     let has_alternative = gateway.with_state(|state| {
         let mut others = state.targets.of_service(&request.service);
         others.any(|(key, target)| {
             !tried.contains(&key)
                 && target.is_available(now)
+                && policy.allows(&state.targets, target)
                 && target.rate.per_second(now).is_none()
         })
     });
@@ -281,18 +289,19 @@
 async fn run_attempt(
     gateway: &SharedGateway,
     request: &RoutedRequest,
-    target: TargetKey,
+    permitted: PermittedTarget,
     attempt: u32,
     max_permit_wait: Duration,
 ) -> Result<BufferedResponse, ExchangeError> {
     let started_at = gateway.now();
+    let target = permitted.key();
     let reservation = LoadReservation::for_call(gateway, target);
     let options = SendOptions {
         attempt,
         max_permit_wait,
         ..SendOptions::default()
     };
-    let exchange = send_request(gateway, request, target, options).await?;
+    let exchange = send_request(gateway, request, permitted, options).await?;
     let body = match read_to_end(gateway, exchange.body, ResponsePace::DeadlineOnly).await {
         Ok(body) => body,
         Err(cause) => {
@@ -341,7 +350,7 @@
     }
     let reason = if progress.was_aborted {
         RefusalReason::TargetAborted
-    } else if progress.rate_limited_attempts > 0 || gateway.is_held_back(&request.service) {
+    } else if progress.rate_limited_attempts > 0 || gateway.is_held_back(request) {
         RefusalReason::RateLimited
     } else if progress.was_rejected {
         RefusalReason::TargetsRejected
--- a/crates/mimosagap-gateway/src/exchange.rs
+++ b/crates/mimosagap-gateway/src/exchange.rs
@@ -15,6 +15,7 @@
 use mimosagap_platform::request::{Continuation, ForwardParams, target_headers};
 use mimosagap_routing::prompt::describe_parts;
 use mimosagap_routing::rate_keeper::PermitClass;
+use mimosagap_routing::residency::PermittedTarget;
 use mimosagap_routing::targets::{TargetEntry, TargetKey, TargetOutcome};
 
 use crate::body_reader::BodyError;
@@ -24,6 +25,7 @@
 use crate::log::LogEvent;
 use crate::rate_permits::{PermitOptions, acquire_permit};
 use crate::request::RoutedRequest;
+use crate::residency;
 use crate::state::{Gateway, SharedGateway, millis};
 use crate::target_notices;
 
@@ -51,6 +53,9 @@
     InBackoff,
     /// Nothing was sent because of the rate limit that the target names.
     RateLimited,
+    /// Nothing was sent because the configuration has changed, and the target is now in a region that
+    /// is not allowed.
+    OutsideRegions,
     /// The connection failed or delivered something other than a response to this request, which
     /// may have been executed.
     Aborted,
@@ -66,6 +71,7 @@
             Self::Rejected => "not_run",
             Self::InBackoff => "held_back",
             Self::RateLimited => "rate_limited",
+            Self::OutsideRegions => "outside_regions",
             Self::Aborted => "broken",
             Self::LimitExceeded => "endless",
         }
@@ -96,12 +102,13 @@
 pub async fn send_request(
     gateway: &SharedGateway,
     request: &RoutedRequest,
-    key: TargetKey,
+    target: PermittedTarget,
     options: SendOptions<'_>,
 ) -> Result<Exchange, ExchangeError> {
     let started_at = gateway.now();
-    let result = try_send(gateway, request, key, options).await;
+    let result = try_send(gateway, request, target, options).await;
     if let Err(error) = &result {
+        let key = target.key();
         record_failed_attempt(gateway, request, key, options.attempt, *error, started_at);
     }
     result
@@ -134,7 +141,9 @@
         ExchangeError::Rejected => Some(TargetOutcome::Rejected),
         ExchangeError::Aborted => Some(TargetOutcome::Failed),
         ExchangeError::LimitExceeded => Some(TargetOutcome::LimitExceeded),
-        ExchangeError::InBackoff | ExchangeError::RateLimited => None,
+        ExchangeError::InBackoff | ExchangeError::RateLimited | ExchangeError::OutsideRegions => {
+            None
+        }
     };
     if let Some(outcome) = outcome {
         record_outcome(gateway, key, outcome);
@@ -144,9 +153,10 @@
 async fn try_send(
     gateway: &SharedGateway,
     request: &RoutedRequest,
-    key: TargetKey,
+    target: PermittedTarget,
     options: SendOptions<'_>,
 ) -> Result<Exchange, ExchangeError> {
+    let key = target.key();
     let entry =
         gateway.with_state(|state| state.targets.get(key).map(|target| target.entry.clone()));
     let entry = entry.ok_or(ExchangeError::Unreachable)?;
@@ -175,6 +185,10 @@
     acquire_permit(gateway, key, permit_options)
         .await
         .map_err(|_| ExchangeError::RateLimited)?;
+    // The configuration may have changed since the target was chosen.
+    if !residency::confirm_target(gateway, request, target) {
+        return Err(ExchangeError::OutsideRegions);
+    }
     let asked_at = gateway.now();
     log_attempt(gateway, request, key, &entry, options);
     let must_be_fresh = !request.route.kind.is_idempotent();
--- a/crates/mimosagap-gateway/src/handover.rs
+++ b/crates/mimosagap-gateway/src/handover.rs
@@ -16,6 +16,7 @@
 use crate::exchange::{SendOptions, send_request};
 use crate::load_reservation::LoadReservation;
 use crate::request::RoutedRequest;
+use crate::residency;
 use crate::standby::{StopOrder, stop_source};
 use crate::state::SharedGateway;
 use crate::streams::find_engine;
@@ -71,6 +72,7 @@
     copy_name: Option<String>,
 ) -> Option<ResumedStream> {
     let gateway = &job.gateway;
+    let target = residency::permit_target(gateway, &job.request, reservation.target)?;
     let continuation = Continuation {
         last_event_id: job.last_event_id,
         kv_source: copy_name,
@@ -81,7 +83,7 @@
         max_permit_wait: MAX_RESUME_WAIT,
     };
     let resume = async {
-        let exchange = send_request(gateway, &job.request, reservation.target, options).await;
+        let exchange = send_request(gateway, &job.request, target, options).await;
         let exchange = exchange
             .ok()
             .filter(|exchange| exchange.head.status.is_success())?;
@@ -135,7 +137,7 @@
     stop_source(gateway, id, failed, placement.target).release(gateway);
     let reservation = LoadReservation::for_stream(
         gateway,
-        placement.target,
+        placement.target.key(),
         &job.demand,
         job.demand.prompt_tokens,
     );
--- a/crates/mimosagap-gateway/src/ingress.rs
+++ b/crates/mimosagap-gateway/src/ingress.rs
@@ -3,6 +3,7 @@
 //! Finds the route, checks the API key, reads the body and picks a service, then hands the request
 //! to `calls` or `streams`.
 
+use std::cell::OnceCell;
 use std::convert::Infallible;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -18,6 +19,7 @@
 use mimosagap_routing::config::{FleetConfig, Route, Team};
 use mimosagap_routing::quarantine::{Admission, RequestFingerprint, RequestTraits};
 use mimosagap_routing::refusal::RefusalReason;
+use mimosagap_routing::residency::AllowedRegions;
 use mimosagap_types::prelude::*;
 use rand::Rng;
 
@@ -89,21 +91,25 @@
     gateway: SharedGateway,
     request: Request<Incoming>,
 ) -> Result<Response<ResponseBody>, Infallible> {
-    handle_from(gateway, request, RequestOrigin::Caller).await
+    let regions = AllowedRegions::Any;
+    handle_from(gateway, request, RequestOrigin::Caller, regions).await
 }
 
-/// Handles one request of another host, which logs the refusal if there is one.
+/// Handles one request of another host, which restricts it to `regions` and logs the refusal if there
+/// is one.
 pub async fn handle_relayed_request(
     gateway: SharedGateway,
     request: Request<Incoming>,
+    regions: AllowedRegions,
 ) -> Result<Response<ResponseBody>, Infallible> {
-    handle_from(gateway, request, RequestOrigin::Host).await
+    handle_from(gateway, request, RequestOrigin::Host, regions).await
 }
 
 async fn handle_from(
     gateway: SharedGateway,
     request: Request<Incoming>,
     origin: RequestOrigin,
+    relayed_regions: AllowedRegions,
 ) -> Result<Response<ResponseBody>, Infallible> {
     let in_flight = InFlightGuard::new(&gateway);
     let arrived_at = gateway.now();
@@ -121,6 +127,7 @@
     let is_relayed = origin == RequestOrigin::Host;
     let resolved = resolved.map(|request| RoutedRequest {
         is_relayed,
+        relayed_regions,
         ..request
     });
     let mut response = match resolved {
@@ -134,6 +141,7 @@
                 traits: traits.as_ref(),
                 arrived_at,
                 service: None,
+                routed: None,
                 is_relayed,
             };
             refusal_response(&gateway, request, reason)
@@ -210,6 +218,8 @@
         traits,
         is_relayed: false,
         is_trial,
+        relayed_regions: AllowedRegions::Any,
+        began_with: OnceCell::new(),
     })
 }
 
--- a/crates/mimosagap-gateway/src/lib.rs
+++ b/crates/mimosagap-gateway/src/lib.rs
@@ -34,6 +34,7 @@
 mod relay;
 mod remote_placement;
 mod request;
+mod residency;
 mod response;
 mod resumption;
 mod run;
--- a/crates/mimosagap-gateway/src/listeners.rs
+++ b/crates/mimosagap-gateway/src/listeners.rs
@@ -14,6 +14,7 @@
 use mimosagap_platform::addresses::{AddressQuery, encode_addresses};
 use mimosagap_platform::names;
 use mimosagap_routing::discovery::host_addresses;
+use mimosagap_routing::residency::AllowedRegions;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 
 use crate::change_feed;
@@ -205,8 +206,14 @@
     let own_host = gateway.settings.host.as_str();
     let excluded_host = (!is_ready(gateway)).then_some(own_host);
     let (zone, region) = (query.zone.as_ref(), query.region.as_ref());
-    let mut addresses =
-        gateway.with_state(|state| host_addresses(&state.hosts, zone, region, excluded_host));
+    let preferred_regions = match (&query.name, gateway.config()) {
+        (Some(name), Some(config)) => config.preferred_regions(name),
+        _ => AllowedRegions::Any,
+    };
+    let mut addresses = gateway.with_state(|state| {
+        let hosts = &state.hosts;
+        host_addresses(hosts, zone, region, excluded_host, &preferred_regions)
+    });
     if addresses.is_empty() && excluded_host.is_none() {
         addresses.push(gateway.settings.caller_address);
     }
--- a/crates/mimosagap-gateway/src/log.rs
+++ b/crates/mimosagap-gateway/src/log.rs
@@ -333,6 +333,32 @@
         /// Milliseconds that the other host took.
         after_ms: u64,
     },
+    /// A decision for a request that is restricted to regions.
+    Residency {
+        /// Attempt id, set by the caller anew for each retry.
+        id: &'a str,
+        /// Service of the request.
+        service: &'a str,
+        /// The allowed regions, with commas between them; empty if none is.
+        regions: String,
+        /// What was decided.
+        result: &'a str,
+        /// Instance name of the target or name of the host; empty if there is none.
+        target: &'a str,
+        /// Region of the target; empty if there is none.
+        region: &'a str,
+        /// Version of the configuration in force.
+        config_version: u64,
+    },
+    /// A list of regions in the configuration names a region that the settings do not.
+    RegionUnknown {
+        /// Version of the configuration.
+        version: u64,
+        /// The name, which allows nothing.
+        region: &'a str,
+        /// The route or team whose list it is in.
+        list: &'a str,
+    },
     /// This host refused a request that another one relays, which tells its caller.
     RelayRefused {
         /// Attempt id, set by the caller anew for each retry.
@@ -536,13 +562,14 @@
             Self::RatePermit { .. } => (10, "rate_permit"),
             Self::Retry { .. } => (11, "retry"),
             Self::Relayed { .. } | Self::RelayRefused { .. } => (12, "relayed"),
+            Self::Residency { .. } => (14, "residency"),
             _ => (13, "state"),
         }
     }
 }
 
 /// Number of kinds that [`LogEvent::kind`] distinguishes.
-const KIND_COUNT: usize = 14;
+const KIND_COUNT: usize = 15;
 
 #[derive(Serialize)]
 struct LogLine<'a> {
--- a/crates/mimosagap-gateway/src/metrics.rs
+++ b/crates/mimosagap-gateway/src/metrics.rs
@@ -12,6 +12,9 @@
 
 const RELAYS_HELP: &str = "Requests handed to other hosts because this one reaches no target";
 
+const RESIDENCY_NAME: &str = "mimosagap_residency_decisions_total";
+const RESIDENCY_HELP: &str = "Decisions for requests that are restricted to regions";
+
 /// Upper bounds of the latency buckets, in seconds.
 const LATENCY_BUCKETS: [f64; 10] = [0.02, 0.05, 0.1, 0.2, 0.3, 0.6, 1.2, 1.8, 5.0, 20.0];
 
@@ -72,6 +75,16 @@
     Ok(counters)
 }
 
+fn register_gauge(
+    registry: &Registry,
+    name: &str,
+    help: &str,
+) -> Result<IntGauge, prometheus::Error> {
+    let gauge = IntGauge::new(name, help)?;
+    registry.register(Box::new(gauge.clone()))?;
+    Ok(gauge)
+}
+
 /// Metrics of what targets say in headers: their rate limits, and what was not read.
 #[derive(Clone)]
 pub struct SignalMetrics {
@@ -178,6 +191,8 @@
     resident_memory: IntGauge,
     /// Requests handed to other hosts, by result.
     pub relays: IntCounterVec,
+    /// Decisions for requests that are restricted to regions, by result.
+    pub residency_decisions: IntCounterVec,
     /// Responses of the gateway itself, by reason.
     pub refusals: IntCounterVec,
     /// Attempts without a response, by cause.
@@ -212,11 +227,7 @@
         let register_counters = |name: &str, help: &str, labels: &[&str]| {
             register_counters(&registry, name, help, labels)
         };
-        let register_gauge = |name: &str, help: &str| {
-            let gauge = IntGauge::new(name, help)?;
-            registry.register(Box::new(gauge.clone()))?;
-            Ok::<_, prometheus::Error>(gauge)
-        };
+        let register_gauge = |name: &str, help: &str| register_gauge(&registry, name, help);
         let responses =
             register_counters("mimosagap_answers_total", "Answers", &["route", "status"])?;
         let refusals = register_counters("mimosagap_refusals_total", "Own answers", &["reason"])?;
@@ -274,6 +285,7 @@
             &["result"],
         )?;
         let relays = register_counters("mimosagap_relays_total", RELAYS_HELP, &["result"])?;
+        let residency_decisions = register_counters(RESIDENCY_NAME, RESIDENCY_HELP, &["result"])?;
         let config_age = register_gauge(
             "mimosagap_config_age_milliseconds",
             "Time since the configuration was proved to be the newest",
@@ -293,6 +305,7 @@
             longest_gaps,
             retries,
             relays,
+            residency_decisions,
             config_age,
             resident_memory,
             refusals,
--- a/crates/mimosagap-gateway/src/peers.rs
+++ b/crates/mimosagap-gateway/src/peers.rs
@@ -17,6 +17,7 @@
 use crate::log::LogEvent;
 use crate::rate_permits::{self, PermitRequest, PermitResponse};
 use crate::remote_placement::{self, PlacementRequest, PlacementResponse};
+use crate::residency::{self, ContentionNotice};
 use crate::state::SharedGateway;
 use crate::suspicion::{self, AgedNotice, TimedNotice};
 use crate::target_notices::{self, TargetNotice};
@@ -64,6 +65,8 @@
     /// What a host knows of requests that crash targets. New variants come last, so that hosts of an
     /// earlier version still decode the others.
     SuspicionNotices(Vec<AgedNotice>),
+    /// Restricted requests of a host lack capacity in a region.
+    ContentionNotice(ContentionNotice),
 }
 
 impl PeerMessage {
@@ -116,6 +119,9 @@
                     suspicion::apply_notice(&gateway, notice);
                 }
             }
+            Some(PeerMessage::ContentionNotice(notice)) => {
+                residency::apply_notice(&gateway, &notice);
+            }
             Some(PeerMessage::PermitRequest(request)) => {
                 let response = rate_permits::handle_request(&gateway, &request);
                 if let Some(bytes) = PeerMessage::PermitResponse(response).encode() {
--- a/crates/mimosagap-gateway/src/registration.rs
+++ b/crates/mimosagap-gateway/src/registration.rs
@@ -5,6 +5,7 @@
 
 use mimosagap_platform::store::{StoreCall, StoreStatusError};
 use mimosagap_routing::hosts::{HostCapacity, HostRecord};
+use mimosagap_routing::residency::RESIDENCY_FEATURE;
 
 use crate::lease::{HeldLease, grant_lease, renew_lease};
 use crate::log::LogEvent;
@@ -36,6 +37,7 @@
             cpu_millicores: settings.cpu_millicores,
             link_mbps: settings.link_mbps,
         },
+        features: vec![RESIDENCY_FEATURE.to_owned()],
     };
     let value = serde_json::to_vec(&record).unwrap_or_default();
     let key = format!("{HOSTS_PREFIX}{}", settings.host);
--- a/crates/mimosagap-gateway/src/relay.rs
+++ b/crates/mimosagap-gateway/src/relay.rs
@@ -14,12 +14,15 @@
 use hyper::body::Incoming;
 use mimosagap_platform::request::relayed_headers;
 use mimosagap_routing::refusal::RefusalReason;
+use mimosagap_routing::residency::{AllowedRegions, PermittedHost, ResidencyPolicy};
+use mimosagap_types::prelude::*;
 use tokio::time::timeout;
 
 use crate::connection::{HttpConnection, SendError};
 use crate::ingress::{self, InFlightGuard};
 use crate::log::LogEvent;
 use crate::request::RoutedRequest;
+use crate::residency;
 use crate::response::{ResponseBody, forwarded_head, local_response};
 use crate::state::{SharedGateway, millis};
 use crate::stream_body::{PartSender, StreamPart, stream_body};
@@ -30,6 +33,10 @@
 /// Names the reason of a refusal in the response to a relayed request.
 const REFUSAL_HEADER: HeaderName = HeaderName::from_static("mimosagap-refusal");
 
+/// Names the regions to which a relayed request is restricted, as a JSON list. The other host may
+/// have an older configuration.
+const REGIONS_HEADER: HeaderName = HeaderName::from_static("mimosagap-regions");
+
 /// Hosts that are asked for one request.
 const MAX_RELAYS: usize = 4;
 
@@ -55,11 +62,32 @@
     mut request: Request<Incoming>,
 ) -> Result<Response<ResponseBody>, Infallible> {
     request.headers_mut().remove(RELAYED_HEADER);
-    let Ok(mut response) = ingress::handle_relayed_request(gateway, request).await;
+    let regions = request.headers_mut().remove(REGIONS_HEADER);
+    let regions = regions.map_or(AllowedRegions::Any, |value| parse_regions(&value));
+    let Ok(mut response) = ingress::handle_relayed_request(gateway, request, regions).await;
     mark_response(&mut response);
     Ok(response)
 }
 
+/// Parses the regions of a relayed request. A list that cannot be read allows none.
+fn parse_regions(value: &HeaderValue) -> AllowedRegions {
+    let names: Vec<RegionName> = serde_json::from_slice(value.as_bytes()).unwrap_or_default();
+    AllowedRegions::only(names)
+}
+
+/// The value of the header with the regions of a restricted request; `None` for one without
+/// restrictions.
+fn regions_header(policy: &ResidencyPolicy) -> Option<HeaderValue> {
+    if !policy.is_restricted() {
+        return None;
+    }
+    let names: Vec<&RegionName> = policy.named().names().collect();
+    let text = serde_json::to_vec(&names).unwrap_or_default();
+    // A list that no header can hold is sent empty, which allows nothing.
+    let value = HeaderValue::from_bytes(&text);
+    Some(value.unwrap_or_else(|_| HeaderValue::from_static("[]")))
+}
+
 /// Declines a request of a host that this one does not list, as after a start of either.
 pub fn decline_unlisted() -> Response<ResponseBody> {
     let reason = RefusalReason::NoConfig;
@@ -91,23 +119,25 @@
     while tried.len() < MAX_RELAYS && !request.is_relayed {
         let now = gateway.now();
         let settings = &gateway.settings;
+        let policy = residency::policy(gateway, request);
         let chosen = gateway.with_state(|state| {
-            let (name, record) = state.relay_selector.choose(
+            state.relay_selector.choose(
                 &state.hosts,
-                &settings.host,
-                &settings.region,
+                (&settings.host, &settings.region),
                 &tried,
+                &policy,
                 now,
                 &mut state.rng,
-            )?;
-            Some((name.to_owned(), record.peer_address))
+            )
         });
-        let Some((name, address)) = chosen else {
+        let Some(host) = chosen else {
             break;
         };
+        let name = host.name().to_owned();
+        residency::log_relay(gateway, request, &policy, &host);
         tried.push(name.clone());
         let wait = request.response_time_left(now) + RELAY_MARGIN;
-        let exchange = timeout(wait, exchange_with(gateway, request, address));
+        let exchange = timeout(wait, exchange_with(gateway, request, &host, &policy));
         let result = exchange
             .await
             .unwrap_or(Err(RelayFailure::Refused(RefusalReason::DeadlineAfterSend)));
@@ -136,9 +166,10 @@
 async fn exchange_with(
     gateway: &SharedGateway,
     request: &RoutedRequest,
-    address: std::net::SocketAddr,
+    host: &PermittedHost,
+    policy: &ResidencyPolicy,
 ) -> Result<Response<ResponseBody>, RelayFailure> {
-    let opened = HttpConnection::open(address).await;
+    let opened = HttpConnection::open(host.address()).await;
     let mut connection = opened.map_err(|_| RelayFailure::Unreachable)?;
     let mut message = Request::new(Full::new(request.body.clone()));
     *message.method_mut() = request.method.clone();
@@ -147,6 +178,10 @@
     message
         .headers_mut()
         .insert(RELAYED_HEADER, HeaderValue::from_static("1"));
+    message.headers_mut().remove(REGIONS_HEADER);
+    if let Some(regions) = regions_header(policy) {
+        message.headers_mut().insert(REGIONS_HEADER, regions);
+    }
     let (mut head, body) = match connection.send(message).await {
         Ok(response) => response.into_parts(),
         Err(SendError::NotSent) => return Err(RelayFailure::Unreachable),
--- a/crates/mimosagap-gateway/src/remote_placement.rs
+++ b/crates/mimosagap-gateway/src/remote_placement.rs
@@ -14,6 +14,7 @@
     GenerationDemand, Placement, PlacementOptions, may_place_on, place_generation,
 };
 use mimosagap_routing::placer_selection::PlacerSelector;
+use mimosagap_routing::residency::UNRESTRICTED;
 use mimosagap_routing::targets::{Locality, Target, TargetKey, TargetLoad};
 use mimosagap_types::prelude::*;
 use serde::{Deserialize, Serialize};
@@ -29,6 +30,10 @@
 /// trip within a region takes a millisecond, and a small host needs some more for its work.
 const RESPONSE_TIMEOUT: Duration = Duration::from_millis(20);
 
+/// Time for a response of the placer of another region: a round trip of 60 ms, and as much as
+/// [`RESPONSE_TIMEOUT`] for its work, with a margin for a delayed datagram.
+const OTHER_REGION_TIMEOUT: Duration = Duration::from_millis(120);
+
 /// Asks a placer for an engine.
 #[derive(Debug)]
 #[derive(Serialize, Deserialize)]
@@ -109,7 +114,7 @@
 
 /// Result of a placement request.
 pub enum PlacementOutcome {
-    /// The placer chose this engine.
+    /// The placer chose this engine, which the request may use.
     Placed(Placement),
     /// No engine of the region has free capacity.
     NoCapacity,
@@ -117,18 +122,23 @@
     NoDecision,
 }
 
-/// Asks the placer of this host's region for an engine; chooses locally if this host is the placer.
+/// Asks the placer of a region for an engine; chooses locally if this host is the placer. A placer
+/// gets the needs of a request, not its body, and is asked only if its region is allowed.
 pub async fn request_placement(
     gateway: &SharedGateway,
+    region: &RegionName,
     options: &PlacementOptions<'_>,
     excluded: &[TargetKey],
 ) -> PlacementOutcome {
     let settings = &gateway.settings;
+    if !options.residency.allowed().contains(Some(region)) {
+        return PlacementOutcome::NoDecision;
+    }
     let now = gateway.now();
     let client = &gateway.placer_rpc;
     let placer = gateway.with_state(|state| {
         let selector = client.selector.borrow();
-        let (name, record) = selector.select(&state.hosts, &settings.region, now)?;
+        let (name, record) = selector.select(&state.hosts, region, now)?;
         Some((name.to_owned(), record.peer_address))
     });
     let Some((name, address)) = placer else {
@@ -150,7 +160,12 @@
         version: options.version.cloned(),
     };
     let response = send_request(client, address, request, &mut pending);
-    match timeout(RESPONSE_TIMEOUT, response).await {
+    let response_timeout = if *region == settings.region {
+        RESPONSE_TIMEOUT
+    } else {
+        OTHER_REGION_TIMEOUT
+    };
+    match timeout(response_timeout, response).await {
         Ok(Some(PlacementDecision::Granted {
             instance,
             time_to_first_token,
@@ -160,7 +175,8 @@
             let usable_engine = gateway.with_state(|state| {
                 let key = state.targets.find_instance(&instance)?;
                 let target = state.targets.get(key)?;
-                may_place_on(&state.targets, options, target, now).then_some(key)
+                let permitted = options.residency.permit_target(&state.targets, key)?;
+                may_place_on(&state.targets, options, target, now).then_some(permitted)
             });
             // An engine may be unavailable, leave without the placer's knowledge, or not be known to
             // this host yet.
@@ -179,7 +195,7 @@
                 .borrow_mut()
                 .record_failure(&name, gateway.now());
             gateway.log.event(&LogEvent::Trouble {
-                what: "the placer of the region does not respond",
+                what: "the placer of a region does not respond",
                 cause: format!("no response from {name}; this host chooses the engine itself"),
             });
             PlacementOutcome::NoDecision
@@ -233,6 +249,8 @@
             restart_time: request.restart_time,
             cost_jitter: Duration::ZERO,
             remote_partition_host: None,
+            // The region is that of this host, and the host that asks has checked that it is allowed.
+            residency: &UNRESTRICTED,
         };
         let PlacementOutcome::Placed(placement) = choose_in_region(state, &options, &excluded, now)
         else {
@@ -244,8 +262,9 @@
             demand.priority_level,
         );
         let targets = &mut state.targets;
-        targets.reserve(placement.target, request.host_hash, load, now);
-        match targets.get(placement.target) {
+        let key = placement.target.key();
+        targets.reserve(key, request.host_hash, load, now);
+        match targets.get(key) {
             Some(target) => PlacementDecision::Granted {
                 instance: target.entry.instance.clone(),
                 time_to_first_token: placement.time_to_first_token,
--- a/crates/mimosagap-gateway/src/request.rs
+++ b/crates/mimosagap-gateway/src/request.rs
@@ -1,5 +1,6 @@
 //! A request that passed admission and can be sent to a target.
 
+use std::cell::OnceCell;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -8,6 +9,7 @@
 use mimosagap_platform::request::RequestHead;
 use mimosagap_routing::config::{Route, Team};
 use mimosagap_routing::quarantine::RequestTraits;
+use mimosagap_routing::residency::AllowedRegions;
 use mimosagap_types::prelude::*;
 
 /// Time past a request's deadline during which a response that is on its way is still awaited.
@@ -41,6 +43,10 @@
     pub is_relayed: bool,
     /// Whether the request runs to find out if the verdict against it still holds.
     pub is_trial: bool,
+    /// Regions to which the host that relays the request restricts it.
+    pub relayed_regions: AllowedRegions,
+    /// The restriction with which the stream began; unset before its first event.
+    pub began_with: OnceCell<AllowedRegions>,
 }
 
 impl RoutedRequest {
--- a/crates/mimosagap-gateway/src/response.rs
+++ b/crates/mimosagap-gateway/src/response.rs
@@ -11,12 +11,14 @@
 use mimosagap_platform::request::end_to_end_headers;
 use mimosagap_routing::quarantine::RequestTraits;
 use mimosagap_routing::refusal::RefusalReason;
+use mimosagap_routing::residency::ResidencyPolicy;
 use mimosagap_types::prelude::*;
 use rand::Rng;
 
 use crate::log::LogEvent;
 use crate::rate_permits;
 use crate::request::RoutedRequest;
+use crate::residency;
 use crate::state::{Gateway, millis};
 
 /// Error of a stream body that ended early. The connection to the caller is closed without the end
@@ -65,7 +67,7 @@
 const MAX_RETRY_OVERLOAD: f64 = 8.0;
 
 /// Facts about a refused request that its log line and response need.
-#[derive(Debug, Clone, Copy)]
+#[derive(Clone, Copy)]
 pub struct RefusedRequest<'a> {
     /// Attempt id as the caller sent it.
     pub id: &'a str,
@@ -75,6 +77,8 @@
     pub arrived_at: Duration,
     /// Service of the request; `None` before its route is found.
     pub service: Option<&'a DeploymentName>,
+    /// The request with its route; `None` before its route is found.
+    pub routed: Option<&'a RoutedRequest>,
     /// Whether another host relays the request. It logs the refusal that its caller receives.
     pub is_relayed: bool,
 }
@@ -86,6 +90,7 @@
             traits: Some(&request.traits),
             arrived_at: request.arrived_at,
             service: Some(&request.service),
+            routed: Some(request),
             is_relayed: request.is_relayed,
         }
     }
@@ -115,6 +120,11 @@
     } else {
         log_refusal(gateway, request, reason);
     }
+    let policy = request
+        .routed
+        .map_or_else(ResidencyPolicy::default, |routed| {
+            residency::note_refusal(gateway, routed, reason)
+        });
     let body = format!("{{\"error\":\"{}\"}}", reason.name());
     let status = StatusCode::from_u16(reason.status()).unwrap_or(StatusCode::BAD_GATEWAY);
     let mut response = local_response(status, "application/json", body.into_bytes());
@@ -128,7 +138,7 @@
         RefusalReason::VersionUnknown => state.version_history.complete_in(now),
         _ => request
             .service
-            .and_then(|service| state.targets.time_until_available(service, now)),
+            .and_then(|service| state.targets.time_until_permitted(service, &policy, now)),
     });
     if let Some(delay) = reason.retry_after(available_in) {
         let delay = spread_retry(gateway, request.service, reason, delay);
--- a/crates/mimosagap-gateway/src/standby.rs
+++ b/crates/mimosagap-gateway/src/standby.rs
@@ -17,6 +17,7 @@
 use mimosagap_routing::migration;
 use mimosagap_routing::placement::GenerationDemand;
 use mimosagap_routing::rate_keeper::PermitClass;
+use mimosagap_routing::residency::PermittedTarget;
 use mimosagap_routing::targets::{TargetEntry, TargetKey};
 use tokio::sync::oneshot;
 use tokio::time::timeout;
@@ -26,6 +27,7 @@
 use crate::log::LogEvent;
 use crate::rate_permits::{PermitOptions, acquire_permit};
 use crate::request::RoutedRequest;
+use crate::residency;
 use crate::state::{SharedGateway, millis};
 use crate::target_notices;
 
@@ -85,8 +87,9 @@
     let started_at = gateway.now();
     let mut excluded = vec![job.source];
     while excluded.len() <= MAX_DESTINATIONS {
-        let (source, target, destination) =
+        let (source, permitted, destination) =
             choose_destination(&gateway, &request, &job, &excluded)?;
+        let target = permitted.key();
         let reservation = LoadReservation::for_stream(&gateway, target, &job.demand, 0);
         let log_step = |step: &str| {
             gateway
@@ -103,13 +106,18 @@
             });
         };
         log_step("copy");
-        let call = copy_kv_cache(&job.id, destination.address);
+        let order = CopyOrder {
+            source: job.source,
+            id: &job.id,
+            destination: permitted,
+            stops_source: false,
+        };
         let options = PermitOptions {
             id: &job.id,
             class: PermitClass::Continuation,
             max_wait: MAX_COPY_WAIT,
         };
-        match request_copy(&gateway, job.source, source.address, call, options).await {
+        match request_copy(&gateway, order, options).await {
             Some(KvCopyResponse::Copied { handle }) => {
                 log_step("copied");
                 return Some(StandbyCopy {
@@ -170,7 +178,7 @@
 /// An order to an engine to stop a generation that goes on at another one.
 pub struct StopOrder {
     source: TargetKey,
-    next: TargetKey,
+    next: PermittedTarget,
     /// Handle of what the engine kept; `None` if it ran no such generation or did not respond.
     handle: oneshot::Receiver<Option<String>>,
 }
@@ -182,7 +190,7 @@
     gateway: &SharedGateway,
     id: &str,
     source: TargetKey,
-    next: TargetKey,
+    next: PermittedTarget,
 ) -> StopOrder {
     let (sender, handle) = oneshot::channel();
     let (gateway, id) = (Rc::clone(gateway), id.to_owned());
@@ -204,10 +212,8 @@
     gateway: &SharedGateway,
     id: &str,
     source: TargetKey,
-    next: TargetKey,
+    next: PermittedTarget,
 ) -> Option<String> {
-    let address = engine_address(gateway, source)?;
-    let destination = engine_address(gateway, next)?;
     let until = gateway.now() + STOP_RETRY_TIME;
     loop {
         let options = PermitOptions {
@@ -215,8 +221,13 @@
             class: PermitClass::Continuation,
             max_wait: Duration::ZERO,
         };
-        let order = stop_generation(id, destination);
-        match request_copy(gateway, source, address, order, options).await {
+        let order = CopyOrder {
+            source,
+            id,
+            destination: next,
+            stops_source: true,
+        };
+        match request_copy(gateway, order, options).await {
             Some(KvCopyResponse::Copied { handle }) => return Some(handle),
             Some(KvCopyResponse::NoCapacity { handle }) => return handle,
             Some(KvCopyResponse::Busy) if gateway.now() < until => {
@@ -238,8 +249,8 @@
         let handle = self.handle.await.ok()??;
         let address = engine_address(gateway, self.source)?;
         Some(StandbyCopy {
-            target: self.next,
-            reservation: LoadReservation::for_stream(gateway, self.next, demand, 0),
+            target: self.next.key(),
+            reservation: LoadReservation::for_stream(gateway, self.next.key(), demand, 0),
             kv_source: format!("{address}/{handle}"),
             completed_at: gateway.now(),
             handle,
@@ -263,8 +274,9 @@
     request: &RoutedRequest,
     job: &CopyJob,
     excluded: &[TargetKey],
-) -> Option<(TargetEntry, TargetKey, TargetEntry)> {
+) -> Option<(TargetEntry, PermittedTarget, TargetEntry)> {
     let now = gateway.now();
+    let policy = residency::policy(gateway, request);
     gateway.with_state(|state| {
         let targets = &state.targets;
         let source = targets.get(job.source)?;
@@ -273,7 +285,8 @@
             let target = targets.get(*key);
             !excluded.contains(key) && target.is_some_and(|target| target.is_available(now))
         };
-        let key = match job.preferred.filter(is_usable) {
+        let preferred = job.preferred.filter(is_usable);
+        let permitted = match preferred.and_then(|key| policy.permit_target(targets, key)) {
             Some(preferred) => preferred,
             None => migration::choose_destination(
                 targets,
@@ -281,21 +294,41 @@
                 source,
                 tokens,
                 excluded,
+                &policy,
                 now,
             )?,
         };
-        let destination = targets.get(key)?;
-        Some((source.entry.clone(), key, destination.entry.clone()))
+        let destination = targets.get(permitted.key())?;
+        let (source, destination) = (source.entry.clone(), destination.entry.clone());
+        Some((source, permitted, destination))
     })
 }
 
+/// An order to an engine to copy what it holds of a generation to another one.
+#[derive(Debug, Clone, Copy)]
+struct CopyOrder<'a> {
+    source: TargetKey,
+    /// Attempt id of the generation.
+    id: &'a str,
+    /// Engine that gets the copy.
+    destination: PermittedTarget,
+    /// Whether the engine is to stop the generation.
+    stops_source: bool,
+}
+
 async fn request_copy(
     gateway: &SharedGateway,
-    source: TargetKey,
-    address: SocketAddr,
-    call: EngineCall,
+    order: CopyOrder<'_>,
     options: PermitOptions<'_>,
 ) -> Option<KvCopyResponse> {
+    let CopyOrder { source, id, .. } = order;
+    let address = engine_address(gateway, source)?;
+    let destination = engine_address(gateway, order.destination.key())?;
+    let call = if order.stops_source {
+        stop_generation(id, destination)
+    } else {
+        copy_kv_cache(id, destination)
+    };
     let response = call_engine(gateway, source, address, call, options);
     let response = timeout(COPY_TIMEOUT, response);
     match response.await {
--- a/crates/mimosagap-gateway/src/state.rs
+++ b/crates/mimosagap-gateway/src/state.rs
@@ -15,6 +15,7 @@
 use mimosagap_routing::output_length::LengthEstimator;
 use mimosagap_routing::quarantine::Quarantine;
 use mimosagap_routing::relay_selection::RelaySelector;
+use mimosagap_routing::residency::AllowedRegions;
 use mimosagap_routing::retry_budget::{
     FleetSize, RetryBounds, RetryBudget, RetryPurpose, capacity,
 };
@@ -41,6 +42,7 @@
 use crate::rate_permits::PermitClient;
 use crate::remote_placement::PlacementClient;
 use crate::request::RoutedRequest;
+use crate::residency;
 use crate::resumption::OriginReader;
 use crate::store::StoreClient;
 use crate::suspicion::SuspicionExchange;
@@ -71,8 +73,9 @@
     pub target_reach: HashMap<DeploymentName, TargetReach>,
     /// Which hosts served requests that this one could not send to a target.
     pub relay_selector: RelaySelector,
-    /// Generations that wait for an engine, by service.
-    pub wait_queues: HashMap<DeploymentName, WaitQueue>,
+    /// Generations that wait for an engine, by service and allowed regions: one that waits for a few
+    /// regions must not hold up others, for which engines elsewhere have capacity.
+    pub wait_queues: HashMap<(DeploymentName, AllowedRegions), WaitQueue>,
     /// Idle connections to targets.
     pub connection_pool: ConnectionPool,
     /// Random number generator for weighted choices and jitter.
@@ -322,10 +325,11 @@
         budget.or_insert_with(|| RetryBudget::new(self.started_at))
     }
 
-    /// Whether the rate limit of a target keeps this host from using it for requests of a service.
-    pub fn is_held_back(&self, service: &DeploymentName) -> bool {
+    /// Whether the rate limit of a target keeps this host from using it for a request.
+    pub fn is_held_back(&self, request: &RoutedRequest) -> bool {
         let now = self.now();
-        self.with_state(|state| state.targets.is_held_back(service, now))
+        let policy = residency::policy(self, request);
+        self.with_state(|state| state.targets.is_held_back(&request.service, &policy, now))
     }
 
     /// Returns a retry to the budget of a service, because the request was not sent.
--- a/crates/mimosagap-gateway/src/store_sync.rs
+++ b/crates/mimosagap-gateway/src/store_sync.rs
@@ -17,6 +17,7 @@
 use crate::change_feed::{FeedClient, FeedError, FeedResponse};
 use crate::log::LogEvent;
 use crate::mirror::KEPT_VALUE_REVISION;
+use crate::residency;
 use crate::state::{Gateway, STORE_UNREACHABLE, SharedGateway};
 use crate::store::{StoreClient, StoreError};
 use crate::store_era::{
@@ -494,6 +495,11 @@
                     version,
                     revision: revision.number,
                 });
+                if version_in_force != Some(version)
+                    && let Some(config) = gateway.config()
+                {
+                    residency::log_unknown_regions(gateway, &config);
+                }
             }
             ConfigOutcome::InForce
         }
--- a/crates/mimosagap-gateway/src/stream_relay.rs
+++ b/crates/mimosagap-gateway/src/stream_relay.rs
@@ -22,6 +22,7 @@
 use crate::log::{LogEvent, STREAM_COMPLETE};
 use crate::reach;
 use crate::request::RoutedRequest;
+use crate::residency;
 use crate::resumption;
 use crate::sse::StreamEvent;
 use crate::standby::{
@@ -351,6 +352,7 @@
         if standby_target.is_some_and(is_leaving) {
             self.standby = None;
         }
+        self.release_denied_standby();
         let generation = self.generation_state();
         let step = self
             .gateway
@@ -368,6 +370,20 @@
         }
     }
 
+    /// Releases the copy if its engine is in a region that is not allowed any longer.
+    fn release_denied_standby(&mut self) {
+        let Some(target) = self.standby.as_ref().map(|copy| copy.target) else {
+            return;
+        };
+        if residency::permit_target(&self.gateway, &self.request, target).is_none() {
+            let policy = residency::policy(&self.gateway, &self.request);
+            residency::log_target(&self.gateway, &self.request, &policy, "denied", target);
+            if let Some(copy) = self.standby.take() {
+                release_standby(&self.gateway, copy);
+            }
+        }
+    }
+
     fn generation_state(&self) -> GenerationState {
         let kv_copy = self.standby.as_ref().map(|copy| KvCopy {
             target: copy.target,
@@ -470,6 +486,9 @@
 
     /// Asks the engine to stop, because another one is to go on.
     fn stop_source(&mut self, next: TargetKey) {
+        let Some(permitted) = residency::permit_target(&self.gateway, &self.request, next) else {
+            return;
+        };
         // The budget has to allow the handover before the engine stops.
         if !self
             .gateway
@@ -479,7 +498,7 @@
         }
         let now = self.gateway.now();
         let id = &self.request.head.attempt_id;
-        let order = stop_source(&self.gateway, id, self.reservation.target, next);
+        let order = stop_source(&self.gateway, id, self.reservation.target, permitted);
         self.next_target = Some(next);
         self.stop_order = Some(order);
         self.stop_request = StopRequest::Asked;
@@ -644,7 +663,9 @@
     /// Starts to resume from the standby copy. The retry budget was asked before the engine was asked
     /// to stop; without that it is asked now.
     fn hand_over_to_standby(&mut self) -> Option<HandoverTask> {
-        self.standby.as_ref()?;
+        self.release_denied_standby();
+        let target = self.standby.as_ref()?.target;
+        let permitted = residency::permit_target(&self.gateway, &self.request, target)?;
         let is_paid = self.source_stop.is_some();
         let purpose = RetryPurpose::Move;
         if !is_paid && !self.gateway.try_spend_retry(&self.request, purpose) {
@@ -667,12 +688,7 @@
         if self.source.is_none() {
             // An engine that lost the connection may still run the generation.
             let id = &self.request.head.attempt_id;
-            stop_source(
-                &self.gateway,
-                id,
-                self.reservation.target,
-                reservation.target,
-            );
+            stop_source(&self.gateway, id, self.reservation.target, permitted);
         }
         Some(Box::pin(resume_stream(
             self.next_handover_job(),
--- a/crates/mimosagap-gateway/src/streams.rs
+++ b/crates/mimosagap-gateway/src/streams.rs
@@ -11,6 +11,7 @@
     GenerationDemand, Placement, PlacementOptions, cost_jitter, place_generation,
 };
 use mimosagap_routing::refusal::RefusalReason;
+use mimosagap_routing::residency::{AllowedRegions, ResidencyPolicy};
 use mimosagap_routing::retry_budget::RetryPurpose;
 use mimosagap_routing::targets::{Locality, PRIORITY_LEVELS, Target, TargetKey, TargetOutcome};
 use mimosagap_routing::wait_queue::{QueuedRequest, WaitQueue, max_queue_time};
@@ -33,6 +34,7 @@
 use crate::relay::relay_request;
 use crate::remote_placement::{self, PlacementOutcome};
 use crate::request::RoutedRequest;
+use crate::residency;
 use crate::response::{ResponseBody, forwarded_head, refusal_response};
 use crate::resumption::{self, StreamStart};
 use crate::sse::StreamEvent;
@@ -201,7 +203,7 @@
             Ok(placement) => placement,
             Err(reason) => break reason,
         };
-        let target = placement.target;
+        let target = placement.target.key();
         if !resumption::note_send(gateway, request, target).await {
             tried.push(target);
             continue;
@@ -218,14 +220,7 @@
         let reservation =
             LoadReservation::for_stream(gateway, target, &demand, demand.prompt_tokens);
         let timeout = request.response_time_left(gateway.now());
-        let attempt = await_first_event(
-            gateway,
-            request,
-            demand,
-            reservation,
-            placement.time_to_first_token,
-            sends,
-        );
+        let attempt = await_first_event(gateway, request, demand, reservation, &placement, sends);
         match tokio::time::timeout(timeout, attempt).await {
             Ok(Ok(FirstOutput::Event(mut stream))) => {
                 stream.sends = sends;
@@ -260,7 +255,7 @@
                 continue;
             }
             Ok(Err(ExchangeError::Rejected | ExchangeError::InBackoff)) => was_rejected = true,
-            Ok(Err(ExchangeError::Unreachable)) => {}
+            Ok(Err(ExchangeError::Unreachable | ExchangeError::OutsideRegions)) => {}
             Err(_) => break RefusalReason::DeadlineAfterSend,
         }
         tried.push(target);
@@ -290,17 +285,18 @@
     request: &Rc<RoutedRequest>,
     demand: GenerationDemand,
     mut reservation: LoadReservation,
-    expected_latency: Duration,
+    placement: &Placement,
     attempt: u32,
 ) -> Result<FirstOutput, ExchangeError> {
     let started_at = gateway.now();
     let target = reservation.target;
+    let initial_regions = residency::initial_regions(gateway, request);
     let options = SendOptions {
         attempt,
         max_permit_wait: permit_wait(gateway, request),
         ..SendOptions::default()
     };
-    let exchange = send_request(gateway, request, target, options).await?;
+    let exchange = send_request(gateway, request, placement.target, options).await?;
     if !exchange.head.status.is_success() {
         return read_error_response(gateway, request, &reservation, exchange, attempt).await;
     }
@@ -309,11 +305,13 @@
         SourceItem::Event(first_event) => {
             let latency = reservation.finish_prefill();
             reach::record_contact(gateway, &request.service);
+            // A stream begins once.
+            let _ = request.began_with.set(initial_regions);
             gateway.log.event(&LogEvent::FirstEvent {
                 id: &request.head.attempt_id,
                 target: &gateway.instance(target),
                 after_ms: millis(latency),
-                expected_ms: millis(expected_latency),
+                expected_ms: millis(placement.time_to_first_token),
                 prompt: demand.prompt_tokens,
                 ahead: reservation.prefill_ahead,
             });
@@ -379,6 +377,7 @@
 struct QueueGuard<'a> {
     gateway: &'a SharedGateway,
     request: &'a RoutedRequest,
+    queue_key: (DeploymentName, AllowedRegions),
     ticket: u64,
     queued_at: Duration,
 }
@@ -389,16 +388,45 @@
         let route = self.request.route.name.as_str();
         self.gateway.metrics.observe_wait(route, waited);
         self.gateway.with_state(|state| {
-            if let Some(queue) = state.wait_queues.get_mut(&self.request.service) {
+            if let Some(queue) = state.wait_queues.get_mut(&self.queue_key) {
                 queue.remove(self.ticket);
+                // Lists of regions come and go with configurations.
+                if queue.is_empty() {
+                    state.wait_queues.remove(&self.queue_key);
+                }
             }
         });
         self.gateway.capacity_freed.notify_waiters();
     }
 }
 
+/// Confirms the choice of an engine of another region with the placer of that region, for a
+/// restricted request in a large fleet. Such a request may need any engine of the few regions that
+/// are allowed, and this host knows their loads late. `choose` chooses by known loads among the
+/// regions that are not given. `None` means that no region has capacity.
+async fn place_in_other_region(
+    gateway: &SharedGateway,
+    options: &PlacementOptions<'_>,
+    tried: &[TargetKey],
+    choose: impl Fn(&[RegionName]) -> Option<Placement>,
+) -> Option<Placement> {
+    let mut full_regions = Vec::new();
+    loop {
+        let remote = choose(&full_regions)?;
+        let key = remote.target.key();
+        let region = gateway.with_state(|state| state.targets.region_of(key).cloned())?;
+        let outcome = remote_placement::request_placement(gateway, &region, options, tried).await;
+        match outcome {
+            PlacementOutcome::Placed(placement) => return Some(placement),
+            PlacementOutcome::NoDecision => return Some(remote),
+            PlacementOutcome::NoCapacity => full_regions.push(region),
+        }
+    }
+}
+
 /// Chooses an engine. This host compares its region with the others by the loads that it knows; the
-/// choice within the region is the placer's.
+/// choice within the region is the placer's. A restricted request may use all engines of the allowed
+/// regions, not only this host's partition of them.
 async fn choose_engine(
     gateway: &SharedGateway,
     request: &RoutedRequest,
@@ -411,6 +439,8 @@
     let waited = gateway.now().saturating_sub(request.arrived_at);
     let max_queue_time = max_queue_time(request.route.latency_objective).saturating_sub(waited);
     let token_time = gateway.token_time(&request.service);
+    let policy = residency::policy(gateway, request);
+    let uses_partition = is_large_fleet && !policy.is_restricted();
     let regional_options = PlacementOptions {
         service: &request.service,
         demand,
@@ -421,15 +451,23 @@
             .then(|| token_time * demand.expected_tokens),
         cost_jitter: Duration::ZERO,
         remote_partition_host: None,
+        residency: &policy,
     };
-    let place_by_known_loads = |is_remote: bool, cost_jitter: Duration| {
+    let place_outside = |is_remote: bool, cost_jitter: Duration, regions: &[RegionName]| {
         let options = PlacementOptions {
             cost_jitter,
-            remote_partition_host: is_large_fleet.then_some(gateway.host_hash),
+            remote_partition_host: uses_partition.then_some(gateway.host_hash),
             ..regional_options
         };
+        let zone_regions = &gateway.settings.zone_regions;
+        let is_in_given_region = |target: &Target| {
+            let region = zone_regions.get(&target.entry.zone);
+            region.is_some_and(|region| regions.contains(region))
+        };
         let may_use = |key: TargetKey, target: &Target| {
-            (target.locality == Locality::OtherRegion) == is_remote && !tried.contains(&key)
+            (target.locality == Locality::OtherRegion) == is_remote
+                && !tried.contains(&key)
+                && !is_in_given_region(target)
         };
         let now = gateway.now();
         gateway.with_state(|state| {
@@ -437,20 +475,69 @@
             place_generation(targets, &options, may_use, now, rng)
         })
     };
-    let remote = place_by_known_loads(true, cost_jitter);
-    let Some(regional) = place_by_known_loads(false, Duration::ZERO) else {
-        return remote;
+    let remote = place_outside(true, cost_jitter, &[]);
+    let regional = place_outside(false, Duration::ZERO, &[]);
+    let is_remote_better = match (&remote, &regional) {
+        (Some(remote), Some(regional)) => remote.cost < regional.cost,
+        (_, regional) => regional.is_none(),
     };
-    if remote.is_some_and(|remote| remote.cost < regional.cost) {
-        return remote;
+    if !is_remote_better {
+        let region = &gateway.settings.region;
+        let placement =
+            remote_placement::request_placement(gateway, region, &regional_options, tried);
+        match placement.await {
+            PlacementOutcome::Placed(placement) => return Some(placement),
+            PlacementOutcome::NoCapacity => {}
+            PlacementOutcome::NoDecision => return place_outside(false, cost_jitter, &[]),
+        }
     }
-    match remote_placement::request_placement(gateway, &regional_options, tried).await {
-        PlacementOutcome::Placed(placement) => Some(placement),
-        PlacementOutcome::NoCapacity => remote,
-        PlacementOutcome::NoDecision => place_by_known_loads(false, cost_jitter),
+    if is_large_fleet && policy.is_restricted() {
+        let choose = |regions: &[RegionName]| place_outside(true, cost_jitter, regions);
+        place_in_other_region(gateway, &regional_options, tried, choose).await
+    } else {
+        remote
     }
 }
 
+/// This host's share of the requests that all hosts run at the targets which a restricted request may
+/// use; 0 for one without restrictions. A host of another region runs few requests there itself, but
+/// capacity that any host frees may serve it.
+fn fleet_share(
+    state: &GatewayState,
+    service: &DeploymentName,
+    policy: &ResidencyPolicy,
+    now: Duration,
+) -> u32 {
+    if !policy.is_restricted() {
+        return 0;
+    }
+    let host_count = u32::try_from(state.hosts.len().max(1)).unwrap_or(u32::MAX);
+    let targets = state.targets.of_service(service);
+    let running: u32 = targets
+        .filter(|(_, target)| policy.allows(&state.targets, target))
+        .map(|(_, target)| target.load(now).requests)
+        .sum();
+    running / host_count
+}
+
+/// Whether the regions that a restricted request may use have no target left while it waits.
+fn has_lost_targets(
+    gateway: &SharedGateway,
+    request: &RoutedRequest,
+    permit_wait: Duration,
+) -> bool {
+    let policy = residency::policy(gateway, request);
+    let now = gateway.now();
+    policy.is_restricted()
+        && gateway.with_state(|state| {
+            let mut targets = state.targets.of_service(&request.service);
+            !targets.any(|(_, target)| {
+                policy.allows(&state.targets, target)
+                    && target.is_available_within(permit_wait, now)
+            })
+        })
+}
+
 /// Finds an engine with free capacity, waiting for one if it can be expected in time. A stream that
 /// an engine has begun goes on only at an engine of the same `version`.
 pub async fn find_engine(
@@ -464,12 +551,11 @@
     let permit_wait = permit_wait(gateway, request);
     let max_jitter = gateway
         .with_state(|state| cost_jitter(state.hosts.count_in_region(&gateway.settings.region)));
+    let policy = residency::policy(gateway, request);
+    let queue_key = (request.service.clone(), policy.allowed().clone());
     let must_queue = gateway.with_state(|state| {
-        let queue = state
-            .wait_queues
-            .entry(request.service.clone())
-            .or_default();
-        queue.must_queue(demand.priority_level)
+        let queue = state.wait_queues.get(&queue_key);
+        queue.is_some_and(|queue| queue.must_queue(demand.priority_level))
     });
     if !must_queue
         && let Some(placement) =
@@ -477,16 +563,20 @@
     {
         return Ok(placement);
     }
+    residency::note_contention(gateway, request, &policy);
     let (ticket, expires_at) = gateway.with_state(|state| {
         let mut has_available = false;
         let running_requests: u32 = state
             .targets
             .of_service(&request.service)
+            .filter(|(_, target)| policy.allows(&state.targets, target))
             .filter(|(_, target)| version.is_none_or(|version| target.has_version(version)))
             .inspect(|(_, target)| has_available |= target.is_available_within(permit_wait, now))
             .map(|(_, target)| target.local_load.requests)
             .sum();
-        if !has_available && state.targets.is_held_back(&request.service, now) {
+        let running_requests =
+            running_requests.max(fleet_share(state, &request.service, &policy, now));
+        if !has_available && state.targets.is_held_back(&request.service, &policy, now) {
             return Err(RefusalReason::RateLimited);
         }
         if !has_available {
@@ -495,10 +585,7 @@
                 None => RefusalReason::NoTarget,
             });
         }
-        let queue: &mut WaitQueue = state
-            .wait_queues
-            .entry(request.service.clone())
-            .or_default();
+        let queue: &mut WaitQueue = state.wait_queues.entry(queue_key.clone()).or_default();
         if !queue.can_admit(demand.priority_level, running_requests) {
             return Err(RefusalReason::Overload);
         }
@@ -522,6 +609,7 @@
     let _guard = QueueGuard {
         gateway,
         request,
+        queue_key: queue_key.clone(),
         ticket,
         queued_at: now,
     };
@@ -531,7 +619,7 @@
         let is_front = gateway.with_state(|state| {
             state
                 .wait_queues
-                .get(&request.service)
+                .get(&queue_key)
                 .is_some_and(|queue| queue.is_front(ticket))
         });
         if is_front
@@ -543,6 +631,9 @@
         if now >= expires_at {
             return Err(RefusalReason::Overload);
         }
+        if has_lost_targets(gateway, request, permit_wait) {
+            return Err(RefusalReason::NoTarget);
+        }
         if gateway.may_exit_before(request) {
             return Err(RefusalReason::ShuttingDown);
         }
--- a/crates/mimosagap-gateway/tests/log.rs
+++ b/crates/mimosagap-gateway/tests/log.rs
@@ -257,6 +257,20 @@
             id: "a",
             what: empty(),
         },
+        LogEvent::Residency {
+            id: "a",
+            service: "s",
+            regions: empty(),
+            result: "sent",
+            target: "i-1",
+            region: "r1",
+            config_version: 1,
+        },
+        LogEvent::RegionUnknown {
+            version: 1,
+            region: "r9",
+            list: "route a",
+        },
     ]
 }
 
--- a/crates/mimosagap-routing/src/config.rs
+++ b/crates/mimosagap-routing/src/config.rs
@@ -6,6 +6,8 @@
 
 use mimosagap_types::prelude::*;
 
+use crate::residency::{AllowedRegions, preferred_regions};
+
 /// Whether a route responds with a stream, and whether its requests may run more than once.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RouteKind {
@@ -67,6 +69,8 @@
     pub is_public: bool,
     /// The services of the route; at least one.
     pub weighted_services: Vec<WeightedService>,
+    /// Regions in which the requests may be served.
+    pub allowed_regions: AllowedRegions,
 }
 
 /// Properties of the model engines of a service.
@@ -111,6 +115,8 @@
     pub name: TeamName,
     /// Priority of its requests, overriding that of the route; 0 is the most urgent.
     pub priority: Option<u8>,
+    /// Regions in which its requests may be served.
+    pub allowed_regions: AllowedRegions,
 }
 
 /// One version of the whole configuration.
@@ -171,15 +177,35 @@
     /// with the longest matching path prefix.
     #[must_use]
     pub fn route(&self, hostname: &str, path: &str) -> Option<&Arc<Route>> {
+        self.routes_of(hostname)
+            .find(|route| path.starts_with(&route.path_prefix))
+    }
+
+    fn routes_of(&self, hostname: &str) -> impl Iterator<Item = &Arc<Route>> + Clone {
         let bare_hostname = hostname
             .split(':')
             .next()
             .unwrap_or(hostname)
             .to_ascii_lowercase();
-        self.routes_by_hostname
-            .get(&bare_hostname)?
-            .iter()
-            .find(|route| path.starts_with(&route.path_prefix))
+        let routes = self.routes_by_hostname.get(&bare_hostname);
+        routes.into_iter().flatten()
+    }
+
+    /// Regions whose hosts are preferred for callers of `hostname`, which may include a port.
+    #[must_use]
+    pub fn preferred_regions(&self, hostname: &str) -> AllowedRegions {
+        let routes = self.routes_of(hostname);
+        preferred_regions(routes.map(|route| &route.allowed_regions))
+    }
+
+    /// The lists of regions of all routes and teams, each with what it belongs to.
+    pub fn region_lists(&self) -> impl Iterator<Item = (String, &AllowedRegions)> {
+        let routes = self.routes_by_hostname.values().flatten();
+        let of_routes =
+            routes.map(|route| (format!("route {}", route.name), &route.allowed_regions));
+        let teams = self.teams_by_key.values();
+        let of_teams = teams.map(|team| (format!("team {}", team.name), &team.allowed_regions));
+        of_routes.chain(of_teams)
     }
 
     /// The team to which a key belongs.
--- a/crates/mimosagap-routing/src/hosts.rs
+++ b/crates/mimosagap-routing/src/hosts.rs
@@ -29,6 +29,17 @@
     pub region: RegionName,
     /// Resources of the host, by which readers and placers are chosen.
     pub capacity: HostCapacity,
+    /// Names of the features of the host's build that others rely on. Earlier builds list none.
+    #[serde(default)]
+    pub features: Vec<String>,
+}
+
+impl HostRecord {
+    /// Whether the host's build has a feature.
+    #[must_use]
+    pub fn has_feature(&self, name: &str) -> bool {
+        self.features.iter().any(|feature| feature == name)
+    }
 }
 
 /// Resources of a host. The greatest capacity, compared field by field, takes the shared duties.
--- a/crates/mimosagap-routing/src/migration.rs
+++ b/crates/mimosagap-routing/src/migration.rs
@@ -13,6 +13,7 @@
 
 use mimosagap_types::prelude::*;
 
+use crate::residency::{PermittedTarget, ResidencyPolicy};
 use crate::targets::{Locality, Target, TargetKey, TargetTable};
 
 /// A generation that is expected to end within this time stays on its draining engine.
@@ -135,7 +136,8 @@
 }
 
 /// Chooses the engine that receives a generation of `kv_tokens` tokens from `source`. `None` means
-/// that no engine of the same version outside `excluded_targets` has free capacity.
+/// that no engine of the same version outside `excluded_targets` that `policy` permits has free
+/// capacity.
 #[must_use]
 pub fn choose_destination(
     targets: &TargetTable,
@@ -143,8 +145,9 @@
     source: &Target,
     kv_tokens: u32,
     excluded_targets: &[TargetKey],
+    policy: &ResidencyPolicy,
     now: Duration,
-) -> Option<TargetKey> {
+) -> Option<PermittedTarget> {
     let engine_spec = targets.engine_spec(service)?;
     let version = &source.entry.version;
     let may_leave_region = source
@@ -174,9 +177,10 @@
     targets
         .of_service(service)
         .filter(|(key, target)| target.is_available(now) && !excluded_targets.contains(key))
+        .filter(|(_, target)| policy.allows(targets, target))
         .filter(|(_, target)| target.entry.instance != source.entry.instance)
         .filter(|(_, target)| target.has_version(version))
         .filter_map(|(key, target)| cost(target).map(|cost| (cost, key)))
         .min_by(|(first, _), (second, _)| first.total_cmp(second))
-        .map(|(_, key)| key)
+        .and_then(|(_, key)| policy.permit_target(targets, key))
 }
--- a/crates/mimosagap-routing/src/placement.rs
+++ b/crates/mimosagap-routing/src/placement.rs
@@ -17,6 +17,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::hashing::stable_hash;
+use crate::residency::{PermittedTarget, ResidencyPolicy};
 use crate::targets::{Locality, Target, TargetKey, TargetTable};
 
 /// Fraction of an engine's KV capacity that the expected sizes of its generations may fill. It
@@ -37,6 +38,11 @@
 /// empty, and learn what others send there only from the next report, after a trip of 30 ms.
 const NEW_REMOTE_ENGINE_DELAY: Duration = Duration::from_millis(700);
 
+/// Cost of an engine for an unrestricted generation in a region in which restricted requests lack
+/// capacity. It exceeds [`OTHER_REGION_COST`] and [`FULL_KV_COST`] together, so that even a nearly
+/// full engine of another region is preferred to one that has just got capacity there.
+const CONTENDED_REGION_COST: Duration = Duration::from_millis(800);
+
 /// A host uses one in this many of the engines of other regions, so that few hosts see the same
 /// engine idle between two reports.
 const REMOTE_PARTITIONS: u64 = 4;
@@ -150,13 +156,15 @@
     /// Hash of the host that chooses, if it uses only its partition of the engines of other regions
     /// because it learns of their loads late; `None` if it may use all.
     pub remote_partition_host: Option<u64>,
+    /// Where the request may be served.
+    pub residency: &'a ResidencyPolicy,
 }
 
 /// The engine chosen for a generation.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Placement {
-    /// Key of the chosen engine.
-    pub target: TargetKey,
+    /// The chosen engine.
+    pub target: PermittedTarget,
     /// Expected time to the first token.
     pub time_to_first_token: Duration,
     /// Cost that was compared; the engine with the lowest cost is chosen.
@@ -173,6 +181,27 @@
     f64::from(target.load(now).kv_tokens + extra_tokens) / f64::from(capacity_tokens.max(1))
 }
 
+/// Cost of taking capacity that restricted requests lack, for an unrestricted generation.
+fn contention_cost(
+    targets: &TargetTable,
+    options: &PlacementOptions<'_>,
+    target: &Target,
+    now: Duration,
+) -> Duration {
+    let is_contended = !options.residency.is_restricted()
+        && targets
+            .zone_region(&target.entry.zone)
+            .is_some_and(|region| {
+                let contention = targets.contention();
+                contention.is_contended(options.service, region, now)
+            });
+    if is_contended {
+        CONTENDED_REGION_COST
+    } else {
+        Duration::ZERO
+    }
+}
+
 /// Whether a host may use an engine: any in its region, and those of its partition of the other
 /// regions that were not listed just now.
 fn may_use_remote(host_hash: u64, target: &Target, now: Duration) -> bool {
@@ -219,6 +248,7 @@
     now: Duration,
 ) -> bool {
     may_run(targets, options, target)
+        && options.residency.allows(targets, target)
         && (target.is_available(now) || ends_before_shutdown(targets, options, target, now))
 }
 
@@ -248,6 +278,7 @@
                 .is_none_or(|host_hash| may_use_remote(host_hash, target, now))
         })
         .filter_map(|(key, target)| {
+            let permitted = options.residency.permit_target(targets, key)?;
             let load = target.load(now);
             let kv_fill = expected_kv_fill(
                 target,
@@ -266,9 +297,10 @@
                     + FULL_KV_COST.mul_f64(kv_fill.min(1.0))
                     + FAILURE_COST.mul_f64(target.failure_rate(now))
                     + peer_backoff_cost(target, now)
+                    + contention_cost(targets, options, target, now)
                     + options.cost_jitter.mul_f64(random.random());
                 Placement {
-                    target: key,
+                    target: permitted,
                     time_to_first_token,
                     cost,
                 }
@@ -277,7 +309,7 @@
         .min_by_key(|placement| placement.cost)
 }
 
-/// Chooses a target of a plain service by distance, requests in flight per slot and failure rate.
+/// Chooses a target of a plain service that `policy` permits by distance, requests in flight per slot and failure rate.
 ///
 /// A failure rate of up to 0.25 costs nothing: one in seven lookups returns an error at any target,
 /// and a few such errors in a row sent the calls of a host to another region, 60 ms away, for
@@ -287,11 +319,13 @@
     targets: &TargetTable,
     service: &DeploymentName,
     excluded_targets: &[TargetKey],
+    policy: &ResidencyPolicy,
     now: Duration,
-) -> Option<TargetKey> {
+) -> Option<PermittedTarget> {
     targets
         .of_service(service)
         .filter(|(key, target)| target.is_available(now) && !excluded_targets.contains(key))
+        .filter(|(_, target)| policy.allows(targets, target))
         .min_by_key(|(_, target)| {
             let slot_load =
                 f64::from(target.load(now).requests) / f64::from(target.entry.slots.max(1));
@@ -301,5 +335,5 @@
                 + CALL_FAILURE_COST
                     .mul_f64((target.failure_rate(now) - BASELINE_FAILURE_RATE).max(0.0))
         })
-        .map(|(key, _)| key)
+        .and_then(|(key, _)| policy.permit_target(targets, key))
 }
--- a/crates/mimosagap-routing/src/relay_selection.rs
+++ b/crates/mimosagap-routing/src/relay_selection.rs
@@ -9,7 +9,8 @@
 use mimosagap_types::prelude::*;
 use rand::Rng;
 
-use crate::hosts::{HostRecord, HostTable};
+use crate::hosts::HostTable;
+use crate::residency::{PermittedHost, ResidencyPolicy};
 
 /// Time for which a host that declined or failed is not asked.
 const DECLINE_TIME: Duration = Duration::from_secs(2);
@@ -51,17 +52,18 @@
         self.records.insert(name.to_owned(), record);
     }
 
-    /// Chooses a host other than `own_host` and those in `tried`; `None` if all others declined
-    /// lately. Hosts of the same region go first.
-    pub fn choose<'a>(
+    /// Chooses a host other than `own_host`, which is in `region`, and those in `tried` to which `policy` permits to send
+    /// the request; `None` if there is none or all of them declined lately. Hosts of the same region
+    /// go first.
+    pub fn choose(
         &self,
-        hosts: &'a HostTable,
-        own_host: &str,
-        region: &RegionName,
+        hosts: &HostTable,
+        (own_host, region): (&str, &RegionName),
         tried: &[String],
+        policy: &ResidencyPolicy,
         now: Duration,
         rng: &mut impl Rng,
-    ) -> Option<(&'a str, &'a HostRecord)> {
+    ) -> Option<PermittedHost> {
         let is_recent = |at: Option<Duration>, time: Duration| {
             at.is_some_and(|at| now.saturating_sub(at) < time)
         };
@@ -70,6 +72,7 @@
             .live()
             .filter(|(name, _)| *name != own_host && !tried.iter().any(|other| other == name))
             .filter(|(name, _)| !is_recent(record(name).declined_at, DECLINE_TIME))
+            .filter(|(_, record)| policy.allows_host(record))
             .collect();
         let served: Vec<_> = candidates
             .iter()
@@ -90,6 +93,7 @@
         if preferred.is_empty() {
             return None;
         }
-        Some(preferred[rng.random_range(0..preferred.len())])
+        let (name, record) = preferred[rng.random_range(0..preferred.len())];
+        policy.permit_host(name, record)
     }
 }
--- a/crates/mimosagap-routing/src/targets.rs
+++ b/crates/mimosagap-routing/src/targets.rs
@@ -11,6 +11,8 @@
 use crate::drain_time::DrainTimes;
 use crate::rate_keeper::RateKeeper;
 use crate::rate_limit::{RateChange, RateStatement, TargetRate};
+use crate::region_contention::RegionContention;
+use crate::residency::{ResidencyPolicy, UNRESTRICTED};
 use crate::target_backoff::TargetBackoff;
 use crate::version_registry::{RegistryStep, VersionRegistry};
 
@@ -305,6 +307,8 @@
     max_drain_use: Duration,
     /// Software versions at which streams may begin.
     versions: VersionRegistry,
+    /// Regions in which restricted requests lack capacity.
+    contention: RegionContention,
 }
 
 impl TargetTable {
@@ -328,6 +332,23 @@
         &mut self.versions
     }
 
+    /// Regions in which restricted requests lack capacity.
+    #[must_use]
+    pub fn contention(&self) -> &RegionContention {
+        &self.contention
+    }
+
+    /// Regions in which restricted requests lack capacity, to change them.
+    pub fn contention_mut(&mut self) -> &mut RegionContention {
+        &mut self.contention
+    }
+
+    /// The region of a zone; `None` if it is unknown.
+    #[must_use]
+    pub fn zone_region(&self, zone: &ZoneName) -> Option<&RegionName> {
+        self.regions.get(zone)
+    }
+
     /// Compares the admitted versions with the listed engines. Returns what is due.
     pub fn update_versions(&mut self, now: Duration) -> Vec<RegistryStep> {
         let mut versions = std::mem::take(&mut self.versions);
@@ -456,11 +477,17 @@
         self.targets.get_mut(key)
     }
 
-    /// Whether a target of a service that does not leave cannot be used now because of its rate
-    /// limit.
+    /// Whether a target of a service that may serve the request and does not leave cannot be used
+    /// now because of its rate limit.
     #[must_use]
-    pub fn is_held_back(&self, service: &DeploymentName, now: Duration) -> bool {
+    pub fn is_held_back(
+        &self,
+        service: &DeploymentName,
+        policy: &ResidencyPolicy,
+        now: Duration,
+    ) -> bool {
         self.of_service(service)
+            .filter(|(_, target)| policy.allows(self, target))
             .any(|(_, target)| !target.is_leaving(now) && !target.rate.hold_time(now).is_zero())
     }
 
@@ -487,8 +514,20 @@
         &self,
         service: &DeploymentName,
         now: Duration,
+    ) -> Option<Duration> {
+        self.time_until_permitted(service, &UNRESTRICTED, now)
+    }
+
+    /// Like [`Self::time_until_available`], for the targets that may serve a request.
+    #[must_use]
+    pub fn time_until_permitted(
+        &self,
+        service: &DeploymentName,
+        policy: &ResidencyPolicy,
+        now: Duration,
     ) -> Option<Duration> {
         self.of_service(service)
+            .filter(|(_, target)| policy.allows(self, target))
             .filter(|(_, target)| !target.is_leaving(now))
             .map(|(_, target)| {
                 target
--- a/crates/mimosagap-routing/tests/drain_time.rs
+++ b/crates/mimosagap-routing/tests/drain_time.rs
@@ -54,7 +54,7 @@
     };
     let mut random = SmallRng::seed_from_u64(1);
     let placement = place_generation(targets, &options, |_, _| true, now, &mut random);
-    placement.map(|placement| placement.target)
+    placement.map(|placement| placement.target.key())
 }
 
 /// A third of all engines is draining or not yet replaced, and the others are full. The draining
--- a/crates/mimosagap-routing/tests/host_selection.rs
+++ b/crates/mimosagap-routing/tests/host_selection.rs
@@ -6,6 +6,7 @@
 use mimosagap_routing::change_source::{ChangeSource, ReaderFailure, SourceSelector};
 use mimosagap_routing::discovery::host_addresses;
 use mimosagap_routing::hosts::{HostCapacity, HostRecord, HostTable};
+use mimosagap_routing::residency::AllowedRegions;
 use mimosagap_routing::store_revision::{StoreEra, StoreRevision};
 use mimosagap_types::prelude::*;
 
@@ -19,6 +20,7 @@
             peer_address: ([10, 0, 0, number], 7200).into(),
             zone: ZoneName::new(zone),
             capacity: HostCapacity::default(),
+            features: Vec::new(),
             region: RegionName::new(&zone[..1]),
         };
         hosts.upsert(name, record, revision(1));
@@ -46,6 +48,7 @@
         Some(&zone),
         Some(&region),
         excluded_host,
+        &AllowedRegions::Any,
     ))
 }
 
--- a/crates/mimosagap-routing/tests/migration.rs
+++ b/crates/mimosagap-routing/tests/migration.rs
@@ -8,6 +8,7 @@
     GenerationState, KvCopy, MigrationStep, choose_destination, next_step,
 };
 use mimosagap_routing::placement::GenerationDemand;
+use mimosagap_routing::residency::{PermittedTarget, UNRESTRICTED};
 use mimosagap_routing::targets::{TargetKey, TargetTable};
 use mimosagap_routing::token_time::TokenTimeEstimator;
 use support::{KV_CAPACITY_TOKENS, LONG_GENERATION, NOW, engines, service};
@@ -33,8 +34,10 @@
         source,
         LONG_GENERATION.mean_kv_tokens(),
         &[keys[0]],
+        &UNRESTRICTED,
         NOW,
-    );
+    )
+    .map(PermittedTarget::key);
     (key, keys)
 }
 
@@ -206,8 +209,10 @@
             source,
             LONG_GENERATION.mean_kv_tokens(),
             &keys[..1],
+            &UNRESTRICTED,
             now,
         )
+        .map(PermittedTarget::key)
     };
     assert_eq!(choose(0), None);
     assert_eq!(choose(650), None);
@@ -233,8 +238,10 @@
         source,
         LONG_GENERATION.mean_kv_tokens(),
         &keys[..1],
+        &UNRESTRICTED,
         now,
-    );
+    )
+    .map(PermittedTarget::key);
     assert_eq!(key, Some(keys[2]));
 }
 
--- a/crates/mimosagap-routing/tests/placement.rs
+++ b/crates/mimosagap-routing/tests/placement.rs
@@ -10,6 +10,7 @@
 use mimosagap_routing::placement::{
     GenerationDemand, PlacementOptions, cost_jitter, place_call, place_generation,
 };
+use mimosagap_routing::residency::{PermittedTarget, UNRESTRICTED};
 use mimosagap_routing::targets::{Locality, TargetKey, TargetLoad, TargetOutcome, TargetTable};
 use mimosagap_types::prelude::*;
 use options::long_generation_options;
@@ -18,6 +19,10 @@
 use rstest::rstest;
 use support::{KV_CAPACITY_TOKENS, LONG_GENERATION, NOW, engines, entry, service};
 
+fn place_any_call(targets: &TargetTable, now: Duration) -> Option<TargetKey> {
+    place_call(targets, &service(), &[], &UNRESTRICTED, now).map(PermittedTarget::key)
+}
+
 fn place_with(
     targets: &TargetTable,
     demand: GenerationDemand,
@@ -31,7 +36,7 @@
         ..long_generation_options(&service, &home_zone)
     };
     let placement = place_generation(targets, &options, |_, _| true, NOW, random);
-    placement.map(|placement| placement.target)
+    placement.map(|placement| placement.target.key())
 }
 
 fn place(targets: &TargetTable, demand: GenerationDemand) -> Option<TargetKey> {
@@ -100,7 +105,7 @@
         };
         let mut random = SmallRng::seed_from_u64(1);
         let placement = place_generation(targets, &options, |_, _| true, NOW, &mut random);
-        placement.map(|placement| placement.target)
+        placement.map(|placement| placement.target.key())
     };
     let queue_time = targets.get(keys[0]).unwrap().prefill_queue_time(NOW);
     let shorter_time = queue_time.saturating_sub(Duration::from_millis(1));
@@ -155,7 +160,7 @@
             ..long_generation_options(&service, &home_zone)
         };
         let placement = place_generation(&targets, &options, |_, _| true, NOW, &mut random);
-        placement.is_some_and(|placement| placement.target == remote_key)
+        placement.is_some_and(|placement| placement.target.key() == remote_key)
     });
     let chosen = chosen.count();
     assert!(
@@ -185,7 +190,7 @@
         };
         let placement = place_generation(&targets, &options, |_, _| true, NOW, &mut random);
         let placement = placement.expect("the partition of each host has an engine");
-        *chosen.entry(placement.target).or_default() += 1;
+        *chosen.entry(placement.target.key()).or_default() += 1;
     }
     let max_choices = chosen.values().max().copied();
     assert!(
@@ -200,7 +205,7 @@
     for _ in 0..8 {
         targets.record_outcome(keys[0], TargetOutcome::Failed, NOW);
     }
-    assert_eq!(place_call(&targets, &service(), &[], NOW), Some(keys[1]));
+    assert_eq!(place_any_call(&targets, NOW), Some(keys[1]));
     let later = NOW + Duration::from_mins(1);
     let failure_rate = targets.get(keys[0]).unwrap().failure_rate(later);
     assert!(failure_rate < 0.01, "{failure_rate} has not decayed");
@@ -215,7 +220,7 @@
     let mut fraction = 0.0;
     for call in 0..400 {
         let now = NOW + Duration::from_millis(200) * call;
-        let key = place_call(&targets, &service(), &[], now).expect("both targets are available");
+        let key = place_any_call(&targets, now).expect("both targets are available");
         let is_same_zone = key == keys[0];
         fraction += f64::from(u8::from(is_same_zone)) / 400.0;
         let outcome = if is_same_zone && random.random_bool(failure_probability) {
@@ -324,7 +329,7 @@
             targets.remove_request(key, 0, 0, 0);
             targets.record_outcome(key, TargetOutcome::Failed, expires_at);
         }
-        let key = place_call(&targets, &service(), &[], now).expect("all targets are listed");
+        let key = place_any_call(&targets, now).expect("all targets are listed");
         sent_count += u32::from(key == keys[0]);
         if key == keys[0] && request % 5 > 1 {
             targets.add_request(key, 0, 0, 0);
--- a/crates/mimosagap-routing/tests/placer_selection.rs
+++ b/crates/mimosagap-routing/tests/placer_selection.rs
@@ -32,6 +32,7 @@
     place_generation(targets, &options, |_, _| true, now, &mut random)
         .expect("an engine has capacity")
         .target
+        .key()
 }
 
 fn pending_prefill(targets: &TargetTable, key: TargetKey, now: Duration) -> u32 {
@@ -96,6 +97,7 @@
             peer_address: ([10, 0, 0, number], 7200).into(),
             zone: ZoneName::new(&name[..2]),
             capacity: HostCapacity::default(),
+            features: Vec::new(),
             region: RegionName::new(&name[..1]),
         };
         hosts.upsert(name, record, revision(1));
--- a/crates/mimosagap-routing/tests/software_version.rs
+++ b/crates/mimosagap-routing/tests/software_version.rs
@@ -7,6 +7,7 @@
 
 use mimosagap_routing::migration::choose_destination;
 use mimosagap_routing::placement::{PlacementOptions, may_place_on, place_generation};
+use mimosagap_routing::residency::{PermittedTarget, UNRESTRICTED};
 use mimosagap_routing::targets::{Locality, TargetEntry, TargetKey, TargetTable};
 use mimosagap_types::prelude::*;
 use options::long_generation_options;
@@ -42,7 +43,7 @@
     };
     let mut random = SmallRng::seed_from_u64(1);
     let placement = place_generation(targets, &options, |_, _| true, NOW, &mut random);
-    placement.map(|placement| placement.target)
+    placement.map(|placement| placement.target.key())
 }
 
 /// Guards against the restart of a stream at an idle engine of another version after a crash.
@@ -90,8 +91,10 @@
         targets.get(keys[0]).unwrap(),
         LONG_GENERATION.mean_kv_tokens(),
         &keys[..1],
+        &UNRESTRICTED,
         NOW,
-    );
+    )
+    .map(PermittedTarget::key);
     assert_eq!(destination, expected.map(|index| keys[index]));
 }
 
--- a/crates/mimosagap-routing/tests/support/mod.rs
+++ b/crates/mimosagap-routing/tests/support/mod.rs
@@ -48,9 +48,9 @@
         .into()
 }
 
-/// A table with one idle engine per zone name, all with the locality of the same zone.
-pub fn engines(zones: &[&str]) -> (TargetTable, Vec<TargetKey>) {
-    let mut targets = TargetTable::with_regions(regions());
+/// A table for engines of one version in these regions.
+pub fn empty_table(regions: BTreeMap<ZoneName, RegionName>) -> TargetTable {
+    let mut targets = TargetTable::with_regions(regions);
     targets.set_engine_specs(HashMap::from([(
         service(),
         EngineSpec {
@@ -64,6 +64,12 @@
     let version = SoftwareVersion::new("v1");
     let versions = targets.versions_mut();
     versions.admit((service(), version), Duration::ZERO);
+    targets
+}
+
+/// A table with one idle engine per zone name, all with the locality of the same zone.
+pub fn engines(zones: &[&str]) -> (TargetTable, Vec<TargetKey>) {
+    let mut targets = empty_table(regions());
     let keys = zones
         .iter()
         .zip(0..)
--- a/crates/mimosagap-routing/tests/support/options.rs
+++ b/crates/mimosagap-routing/tests/support/options.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use mimosagap_routing::placement::PlacementOptions;
+use mimosagap_routing::residency::UNRESTRICTED;
 use mimosagap_types::prelude::*;
 
 use crate::support::LONG_GENERATION;
@@ -22,5 +23,6 @@
         restart_time: None,
         cost_jitter: Duration::ZERO,
         remote_partition_host: None,
+        residency: &UNRESTRICTED,
     }
 }
--- a/crates/mimosagap-routing/tests/target_backoff.rs
+++ b/crates/mimosagap-routing/tests/target_backoff.rs
@@ -6,6 +6,7 @@
 
 use mimosagap_routing::migration::{GenerationState, KvCopy, MigrationStep, next_step};
 use mimosagap_routing::placement::place_call;
+use mimosagap_routing::residency::{PermittedTarget, UNRESTRICTED};
 use mimosagap_routing::target_backoff::TargetBackoff;
 use mimosagap_routing::targets::{TargetKey, TargetTable};
 use support::{LONG_GENERATION, NOW, engines, service};
@@ -22,7 +23,7 @@
 }
 
 fn place(targets: &TargetTable, now: Duration) -> Option<TargetKey> {
-    place_call(targets, &service(), &[], now)
+    place_call(targets, &service(), &[], &UNRESTRICTED, now).map(PermittedTarget::key)
 }
 
 /// A full target rejects requests at once, so it always has the fewest requests in flight and would
--- a/crates/mimosagap-routing/tests/version_registry.rs
+++ b/crates/mimosagap-routing/tests/version_registry.rs
@@ -81,7 +81,7 @@
     let place = |targets: &TargetTable| {
         let mut random = SmallRng::seed_from_u64(1);
         let placement = place_generation(targets, &options, |_, _| true, NOW, &mut random);
-        placement.map(|placement| placement.target)
+        placement.map(|placement| placement.target.key())
     };
     assert_eq!(place(&targets), Some(keys[1]));
     targets.mark_draining(keys[1], NOW);
