--- a/crates/mimosagap-gateway/src/peers.rs
+++ b/crates/mimosagap-gateway/src/peers.rs
@@ -18,6 +18,7 @@
 use crate::log::LogEvent;
 use crate::rate_permits::{self, PermitRequest, PermitResponse};
 use crate::remote_placement::{self, PlacementRequest, PlacementResponse};
+use crate::residency::{self, ContentionNotice};
 use crate::state::SharedGateway;
 use crate::suspicion::{self, AgedNotice, TimedNotice};
 use crate::target_notices::{self, TargetNotice};
@@ -69,6 +70,8 @@
     LoanRequest(LoanRequest),
     /// Response of the host that was asked.
     LoanResponse(LoanResponse),
+    /// Restricted requests of a host lack capacity in a region.
+    ContentionNotice(ContentionNotice),
 }
 
 impl PeerMessage {
@@ -121,6 +124,9 @@
                     suspicion::apply_notice(&gateway, notice);
                 }
             }
+            Some(PeerMessage::ContentionNotice(notice)) => {
+                residency::apply_notice(&gateway, &notice);
+            }
             Some(PeerMessage::PermitRequest(request)) => {
                 let response = rate_permits::handle_request(&gateway, &request);
                 if let Some(bytes) = PeerMessage::PermitResponse(response).encode() {
--- a/crates/mimosagap-routing/src/credit_lending.rs
+++ b/crates/mimosagap-routing/src/credit_lending.rs
@@ -16,6 +16,10 @@
 
 use crate::hosts::{HostRecord, HostTable};
 
+/// Feature in the record of a host that lends credit. Hosts of earlier builds cannot decode a
+/// request for a loan.
+pub const LOAN_FEATURE: &str = "retry_loans";
+
 /// Hosts that are asked for one loan. Two thirds of the hosts of a region held enough credit while
 /// the others ran out, so more than this many in a row seldom decline.
 pub const MAX_LENDERS: usize = 5;
@@ -55,6 +59,7 @@
         hosts
             .live()
             .filter(|(name, record)| *name != own_host && record.region == *region)
+            .filter(|(_, record)| record.has_feature(LOAN_FEATURE))
             .filter(|(name, _)| !has_declined(name))
             .choose(rng)
     }
--- a/crates/mimosagap-routing/tests/credit_lending.rs
+++ b/crates/mimosagap-routing/tests/credit_lending.rs
@@ -6,7 +6,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use mimosagap_routing::credit_lending::{LenderSelector, MAX_LENDERS};
+use mimosagap_routing::credit_lending::{LOAN_FEATURE, LenderSelector, MAX_LENDERS};
 use mimosagap_routing::hosts::{HostCapacity, HostRecord, HostTable};
 use mimosagap_routing::retry_budget::{RetryBounds, RetryBudget, RetryPurpose};
 use mimosagap_routing::store_revision::StoreRevision;
@@ -44,6 +44,7 @@
             zone: ZoneName::new("z"),
             region: RegionName::new(&format!("r{}", index % 3)),
             capacity: HostCapacity::default(),
+            features: vec![LOAN_FEATURE.to_owned()],
         };
         hosts.upsert(&format!("h{index}"), record, StoreRevision::default());
     }
