--- a/crates/mimosagap-gateway/src/standby.rs
+++ b/crates/mimosagap-gateway/src/standby.rs
@@ -106,6 +106,8 @@
             });
         };
         log_step("copy");
+        let policy = residency::policy(&gateway, &request);
+        residency::log_target(&gateway, &request, &policy, "copy", target);
         let order = CopyOrder {
             source: job.source,
             id: &job.id,
--- a/crates/mimosagap-soak/tests/support/mod.rs
+++ b/crates/mimosagap-soak/tests/support/mod.rs
@@ -10,20 +10,12 @@
 use mimosagap_soak::standins::store::StoreStandin;
 use serde_json::json;
 
-const TIMEOUT: Duration = Duration::from_secs(5);
+#[path = "process.rs"]
+mod process;
 
-/// Reads up to the end of a head; the requests of this test have no body.
-pub fn read_head(stream: &mut TcpStream) -> String {
-    stream
-        .set_read_timeout(Some(TIMEOUT))
-        .expect("the timeout is valid");
-    let mut bytes = Vec::new();
-    let mut byte = [0];
-    while !bytes.ends_with(b"\r\n\r\n") && stream.read(&mut byte).is_ok_and(|count| count > 0) {
-        bytes.push(byte[0]);
-    }
-    String::from_utf8_lossy(&bytes).into_owned()
-}
+pub use process::{gateway_program, read_head, run};
+
+const TIMEOUT: Duration = Duration::from_secs(5);
 
 /// Sends a request to a gateway, which closes the connection after its response.
 pub fn send_request(stream: &mut TcpStream, path: &str, id: &str) {
@@ -59,13 +51,6 @@
     String::from_utf8_lossy(&response).into_owned()
 }
 
-fn gateway_program() -> PathBuf {
-    let mut directory = std::env::current_exe().expect("a test has a path");
-    directory.pop();
-    directory.pop();
-    directory.join("mimosagapd")
-}
-
 /// A gateway process with its store and one target for all services.
 pub struct Scene {
     /// The gateway.
@@ -129,15 +114,6 @@
     }
 }
 
-/// Runs the processes of a test on one thread.
-pub fn run<T>(test: impl Future<Output = T>) -> T {
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()
-        .expect("a runtime starts");
-    tokio::task::LocalSet::new().block_on(&runtime, test)
-}
-
 fn config() -> serde_json::Value {
     let route = |prefix: &str, kind: &str, service: &str| {
         json!({
