test(soak): running streams and address lookups under changed lists

Cause: a stream keeps the list with which it began in addition to the one in force, which no test with real processes covered.

Change: a stream whose engine fails after the list has changed goes on in a region of both lists, or breaks without one. The lookup of a widened list names hosts of allowed regions.

--- a/crates/mimosagap-soak/tests/residency.rs
+++ b/crates/mimosagap-soak/tests/residency.rs
@@ -17,10 +17,10 @@
 use mimosagap_soak::process::{GatewayPlace, GatewayProcess};
 use mimosagap_soak::standins::store::StoreStandin;
 use process::{gateway_program, read_head, run};
+use rstest::rstest;
 use serde_json::{Value, json};
 use targets::{attempt_id, start_target};
 
-const BASE_PORT: u16 = 27_000;
 const REGION_COUNT: usize = 3;
 const TIMEOUT: Duration = Duration::from_secs(5);
 
@@ -31,6 +31,9 @@
 /// Time within which a request that cannot be served is to be refused.
 const MAX_REFUSAL_TIME: Duration = Duration::from_millis(500);
 
+/// Time from the first event of a stream until its engine closes the connection without an end.
+const STREAM_TIME: Duration = Duration::from_millis(2_500);
+
 const KEY_OF_R3_TEAM: &str = "key-of-the-team-in-r3";
 
 /// Region and path of the requests that targets received, with the attempt ids.
@@ -46,17 +49,23 @@
         if path.is_empty() {
             return;
         }
-        let body = format!("id: 1\ndata: {region}\n\n");
+        let is_continued = head.contains("last-event-id: 1\r\n");
+        let event_id = if is_continued { 2 } else { 1 };
+        let body = format!("id: {event_id}\ndata: {region}\n\n");
+        let breaks = path.starts_with("/breaking/") && !is_continued;
+        let length = body.len() + usize::from(breaks);
         let answer = format!(
             "HTTP/1.1 200 OK\r\nx-attempt-id: {id}\r\nx-server-signature: signed\r\n\
-             connection: close\r\ncontent-length: {}\r\n\r\n{body}",
-            body.len()
+             connection: close\r\ncontent-length: {length}\r\n\r\n{body}"
         );
         let mut requests = received.lock().expect("no target panics");
         requests.push((region.clone(), path, id));
         drop(requests);
         // The gateway may have given the request up.
         let _ = stream.write_all(answer.as_bytes());
+        if breaks {
+            std::thread::sleep(STREAM_TIME);
+        }
     })
 }
 
@@ -65,9 +74,10 @@
     let route = |prefix: &str, kind: &str, regions: &[&str], is_public: bool| {
         json!({
             "name": prefix, "hostname": "soak.example", "path_prefix": prefix, "route_kind": kind,
-            "timeout_ms": 3500, "target_latency_ms": 300, "priority": 1, "max_attempts": 2,
+            "timeout_ms": 8000, "target_latency_ms": 300, "priority": 1, "max_attempts": 2,
             "service": if kind == "streaming" { "model" } else { "plain" },
             "target_gap_ms": 200, "public": is_public, "allowed_regions": regions,
+            "resumable": prefix == "/breaking/",
         })
     };
     json!({
@@ -76,6 +86,7 @@
             route("/far/call/", "safe", far_regions, true),
             route("/far/order/", "unsafe", far_regions, true),
             route("/far/stream/", "streaming", far_regions, true),
+            route("/breaking/", "streaming", far_regions, true),
             route("/only/call/", "safe", &["r2"], true),
             route("/only/stream/", "streaming", &["r2"], true),
             route("/nowhere/", "safe", &["r9"], true),
@@ -106,7 +117,7 @@
         String::new()
     };
     let request = format!(
-        "GET {path} HTTP/1.1\r\nhost: soak.example\r\nx-attempt-id: {id}\r\nx-deadline-ms: 3000\r\n\
+        "GET {path} HTTP/1.1\r\nhost: soak.example\r\nx-attempt-id: {id}\r\nx-deadline-ms: 8000\r\n\
          x-model: m\r\nx-token-usage: 10,40\r\nx-prefix-hash: 1:5,2:5\r\n{key}connection: close\r\n\r\n"
     );
     stream
@@ -127,7 +138,7 @@
 }
 
 impl Fleet {
-    async fn start() -> Self {
+    async fn start(base_port: u16) -> Self {
         let store = Rc::new(StoreStandin::default());
         let listener = tokio::net::TcpListener::bind("127.0.0.1:0")
             .await
@@ -147,8 +158,10 @@
                 store.put(&format!("servers/i-{service}-r{number}"), &entry);
             }
         }
-        let directory =
-            std::env::temp_dir().join(format!("mimosagap-residency-{}", std::process::id()));
+        let directory = std::env::temp_dir().join(format!(
+            "mimosagap-residency-{base_port}-{}",
+            std::process::id()
+        ));
         std::fs::create_dir_all(&directory).expect("the folder can be made");
         let start = |index| {
             let place = GatewayPlace {
@@ -156,7 +169,7 @@
                 region_count: REGION_COUNT,
             };
             let program = gateway_program();
-            GatewayProcess::start(&program, &directory, place, BASE_PORT, store_address)
+            GatewayProcess::start(&program, &directory, place, base_port, store_address)
                 .expect("the gateway starts")
         };
         let gateways = (0..REGION_COUNT).map(start).collect();
@@ -212,6 +225,37 @@
         assert!(received.is_empty(), "{received:?}");
     }
 
+    /// The hosts whose addresses a caller in a region gets for the name of all routes.
+    async fn looked_up_hosts(&self, region: usize) -> Vec<usize> {
+        let status = SocketAddr::new(
+            self.gateways[0].client_address.ip(),
+            self.gateways[0].client_address.port() + 2,
+        );
+        let request = format!(
+            "GET /lookup?name=soak.example&region=r{region}&zone=z{region} HTTP/1.1\r\n\
+             host: lookup\r\nconnection: close\r\n\r\n"
+        );
+        let response = tokio::task::spawn_blocking(move || {
+            let mut stream = TcpStream::connect(status).expect("the gateway listens");
+            stream
+                .write_all(request.as_bytes())
+                .expect("the gateway reads");
+            let mut response = String::new();
+            let result = stream.read_to_string(&mut response);
+            result.map(|_| response).expect("the gateway answers")
+        });
+        let response = response.await.expect("the exchange ends");
+        let is_listed = |gateway: &GatewayProcess| {
+            let address = format!("\"{}\"", gateway.client_address);
+            response.contains(&address)
+        };
+        let hosts = self.gateways.iter().enumerate();
+        hosts
+            .filter(|(_, gateway)| is_listed(gateway))
+            .map(|(index, _)| index)
+            .collect()
+    }
+
     /// The log lines of an event at all gateways.
     fn log_lines(&self, event: &str) -> Vec<Value> {
         let texts = self.gateways.iter().map(|gateway| {
@@ -245,7 +289,7 @@
 #[test]
 fn restricted_requests_stay_in_their_regions() {
     run(async {
-        let fleet = Fleet::start().await;
+        let fleet = Fleet::start(27_000).await;
         for path in ["/far/call/x", "/far/order/x", "/far/stream/x"] {
             fleet.expect_served(path, &["r2", "r3"]).await;
         }
@@ -274,6 +318,9 @@
         for path in ["/far/call/z", "/far/order/z", "/far/stream/z"] {
             fleet.expect_served(path, &["r1"]).await;
         }
+        // The routes allow `r1` or `r2`, and each region has one host.
+        assert_eq!(fleet.looked_up_hosts(1).await, [0, 1]);
+        assert_eq!(fleet.looked_up_hosts(3).await, [0, 1, 2]);
 
         // The log is written every half second.
         tokio::time::sleep(Duration::from_secs(1)).await;
@@ -298,3 +345,38 @@
         assert_eq!(unknown.len(), 2 * REGION_COUNT, "{unknown:?}");
     });
 }
+
+/// Guards against a stream that goes on in a region which only the list of its begin or only the one
+/// in force allows. It begins at the host of `r2`, and its engine fails after the list has changed.
+#[rstest]
+#[case::in_both_lists(&["r1", "r3"], Some("r3"), 27_040)]
+#[case::in_no_common_region(&["r1"], None, 27_070)]
+fn a_running_stream_keeps_the_list_with_which_it_began(
+    #[case] next_regions: &[&str],
+    #[case] expected: Option<&str>,
+    #[case] base_port: u16,
+) {
+    run(async {
+        let fleet = Fleet::start(base_port).await;
+        let address = fleet.gateways[1].client_address;
+        let stream =
+            tokio::task::spawn_blocking(move || exchange(address, "/breaking/x", "stream"));
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        fleet.store.put("op/config", &config(2, next_regions));
+        let response = stream.await.expect("the exchange ends");
+        let received = fleet.received.lock().expect("no target panics").clone();
+        // The failed engine may also get an order to stop, which carries nothing of the request.
+        let regions: Vec<&str> = received
+            .iter()
+            .filter(|(_, path, _)| path == "/breaking/x")
+            .map(|(region, _, _)| region.as_str())
+            .collect();
+        let begin = Some("r2");
+        assert_eq!(
+            regions,
+            begin.into_iter().chain(expected).collect::<Vec<_>>()
+        );
+        let has_end = response.contains("id: 2");
+        assert_eq!(has_end, expected.is_some(), "{response}");
+    });
+}
