refactor(routing): decide partition and queue share of restricted requests without I/O

Cause: three decisions for restricted requests stood in the gateway, where no test without a network reaches them.

Change: place_generation ignores the partition for restricted requests; ResidencyPolicy counts available targets and the host's share. The test of a list of all regions compared choices with a partition, too, which such a list does not use by design; it now compares all others, and a further check covers the engines outside the partition.

--- a/crates/mimosagap-gateway/src/residency.rs
+++ b/crates/mimosagap-gateway/src/residency.rs
@@ -7,6 +7,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
 
 use mimosagap_routing::config::FleetConfig;
 use mimosagap_routing::refusal::RefusalReason;
@@ -75,6 +76,15 @@
     gateway.with_state(|state| policy.permit_target(&state.targets, key))
 }
 
+/// Whether the regions that a restricted request may use have no target left while it waits.
+pub fn has_lost_targets(gateway: &Gateway, request: &RoutedRequest, max_wait: Duration) -> bool {
+    let policy = policy(gateway, request);
+    let now = gateway.now();
+    let service = &request.service;
+    policy.is_restricted()
+        && !gateway.with_state(|state| policy.has_target(&state.targets, service, max_wait, now))
+}
+
 /// Permits a send again after a wait in which the configuration may have changed, and logs the
 /// decision for a restricted request.
 pub fn confirm_target(gateway: &Gateway, request: &RoutedRequest, target: PermittedTarget) -> bool {
--- a/crates/mimosagap-gateway/src/streams.rs
+++ b/crates/mimosagap-gateway/src/streams.rs
@@ -11,7 +11,7 @@
     GenerationDemand, Placement, PlacementOptions, cost_jitter, place_generation,
 };
 use mimosagap_routing::refusal::RefusalReason;
-use mimosagap_routing::residency::{AllowedRegions, ResidencyPolicy};
+use mimosagap_routing::residency::AllowedRegions;
 use mimosagap_routing::retry_budget::RetryPurpose;
 use mimosagap_routing::targets::{Locality, PRIORITY_LEVELS, Target, TargetKey, TargetOutcome};
 use mimosagap_routing::wait_queue::{QueuedRequest, WaitQueue, max_queue_time};
@@ -425,8 +425,7 @@
 }
 
 /// Chooses an engine. This host compares its region with the others by the loads that it knows; the
-/// choice within the region is the placer's. A restricted request may use all engines of the allowed
-/// regions, not only this host's partition of them.
+/// choice within the region is the placer's.
 async fn choose_engine(
     gateway: &SharedGateway,
     request: &RoutedRequest,
@@ -440,7 +439,6 @@
     let max_queue_time = max_queue_time(request.route.latency_objective).saturating_sub(waited);
     let token_time = gateway.token_time(&request.service);
     let policy = residency::policy(gateway, request);
-    let uses_partition = is_large_fleet && !policy.is_restricted();
     let regional_options = PlacementOptions {
         service: &request.service,
         demand,
@@ -456,7 +454,7 @@
     let place_outside = |is_remote: bool, cost_jitter: Duration, regions: &[RegionName]| {
         let options = PlacementOptions {
             cost_jitter,
-            remote_partition_host: uses_partition.then_some(gateway.host_hash),
+            remote_partition_host: is_large_fleet.then_some(gateway.host_hash),
             ..regional_options
         };
         let zone_regions = &gateway.settings.zone_regions;
@@ -499,45 +497,6 @@
     }
 }
 
-/// This host's share of the requests that all hosts run at the targets which a restricted request may
-/// use; 0 for one without restrictions. A host of another region runs few requests there itself, but
-/// capacity that any host frees may serve it.
-fn fleet_share(
-    state: &GatewayState,
-    service: &DeploymentName,
-    policy: &ResidencyPolicy,
-    now: Duration,
-) -> u32 {
-    if !policy.is_restricted() {
-        return 0;
-    }
-    let host_count = u32::try_from(state.hosts.len().max(1)).unwrap_or(u32::MAX);
-    let targets = state.targets.of_service(service);
-    let running: u32 = targets
-        .filter(|(_, target)| policy.allows(&state.targets, target))
-        .map(|(_, target)| target.load(now).requests)
-        .sum();
-    running / host_count
-}
-
-/// Whether the regions that a restricted request may use have no target left while it waits.
-fn has_lost_targets(
-    gateway: &SharedGateway,
-    request: &RoutedRequest,
-    permit_wait: Duration,
-) -> bool {
-    let policy = residency::policy(gateway, request);
-    let now = gateway.now();
-    policy.is_restricted()
-        && gateway.with_state(|state| {
-            let mut targets = state.targets.of_service(&request.service);
-            !targets.any(|(_, target)| {
-                policy.allows(&state.targets, target)
-                    && target.is_available_within(permit_wait, now)
-            })
-        })
-}
-
 /// Finds an engine with free capacity, waiting for one if it can be expected in time. A stream that
 /// an engine has begun goes on only at an engine of the same `version`.
 pub async fn find_engine(
@@ -574,8 +533,8 @@
             .inspect(|(_, target)| has_available |= target.is_available_within(permit_wait, now))
             .map(|(_, target)| target.local_load.requests)
             .sum();
-        let running_requests =
-            running_requests.max(fleet_share(state, &request.service, &policy, now));
+        let share = policy.fleet_share(&state.targets, &request.service, state.hosts.len(), now);
+        let running_requests = running_requests.max(share);
         if !has_available && state.targets.is_held_back(&request.service, &policy, now) {
             return Err(RefusalReason::RateLimited);
         }
@@ -631,7 +590,7 @@
         if now >= expires_at {
             return Err(RefusalReason::Overload);
         }
-        if has_lost_targets(gateway, request, permit_wait) {
+        if residency::has_lost_targets(gateway, request, permit_wait) {
             return Err(RefusalReason::NoTarget);
         }
         if gateway.may_exit_before(request) {
--- a/crates/mimosagap-routing/src/placement.rs
+++ b/crates/mimosagap-routing/src/placement.rs
@@ -154,7 +154,8 @@
     /// Maximum random cost that is added to each engine.
     pub cost_jitter: Duration,
     /// Hash of the host that chooses, if it uses only its partition of the engines of other regions
-    /// because it learns of their loads late; `None` if it may use all.
+    /// because it learns of their loads late; `None` if it may use all. A restricted request may use
+    /// all engines of its regions in any case, because these are few.
     pub remote_partition_host: Option<u64>,
     /// Where the request may be served.
     pub residency: &'a ResidencyPolicy,
@@ -273,9 +274,10 @@
         .filter(|(key, target)| may_use(*key, target))
         .filter(|(_, target)| may_place_on(targets, options, target, now))
         .filter(|(_, target)| {
-            options
+            let partition_host = options
                 .remote_partition_host
-                .is_none_or(|host_hash| may_use_remote(host_hash, target, now))
+                .filter(|_| !options.residency.is_restricted());
+            partition_host.is_none_or(|host_hash| may_use_remote(host_hash, target, now))
         })
         .filter_map(|(key, target)| {
             let permitted = options.residency.permit_target(targets, key)?;
--- a/crates/mimosagap-routing/src/residency.rs
+++ b/crates/mimosagap-routing/src/residency.rs
@@ -10,6 +10,7 @@
 use std::fmt;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use mimosagap_types::prelude::*;
 
@@ -177,6 +178,43 @@
                 .contains(targets.zone_region(&target.entry.zone))
     }
 
+    /// Whether a target that may serve the request is available, or will be within `max_wait`.
+    #[must_use]
+    pub fn has_target(
+        &self,
+        targets: &TargetTable,
+        service: &DeploymentName,
+        max_wait: Duration,
+        now: Duration,
+    ) -> bool {
+        targets
+            .of_service(service)
+            .filter(|(_, target)| self.allows(targets, target))
+            .any(|(_, target)| target.is_available_within(max_wait, now))
+    }
+
+    /// The share of one of `host_count` hosts in the requests that all of them run at the targets
+    /// which a restricted request may use; 0 for one without restrictions. A host of another region
+    /// runs few requests there itself, but capacity that any host frees may serve its request.
+    #[must_use]
+    pub fn fleet_share(
+        &self,
+        targets: &TargetTable,
+        service: &DeploymentName,
+        host_count: usize,
+        now: Duration,
+    ) -> u32 {
+        if !self.is_restricted() {
+            return 0;
+        }
+        let running: u32 = targets
+            .of_service(service)
+            .filter(|(_, target)| self.allows(targets, target))
+            .map(|(_, target)| target.load(now).requests)
+            .sum();
+        running / u32::try_from(host_count.max(1)).unwrap_or(u32::MAX)
+    }
+
     /// Permits to send the request to a target; `None` if it is in a region that is not allowed.
     /// A target that is not in the table is permitted only without restrictions.
     #[must_use]
--- a/crates/mimosagap-routing/tests/residency.rs
+++ b/crates/mimosagap-routing/tests/residency.rs
@@ -157,17 +157,19 @@
     hosts
 }
 
-/// The targets that all decisions for one request name, which runs at the target `source`.
+/// The targets that all decisions for one request name, which runs at the target `source`, without
+/// and with each partition of the engines of other regions.
 fn chosen_targets(
     targets: &TargetTable,
     source: TargetKey,
     home_zone: &ZoneName,
     policy: &ResidencyPolicy,
+    partitions: &[Option<u64>],
     rng: &mut SmallRng,
 ) -> Vec<TargetKey> {
     let service = service();
     let mut chosen = Vec::new();
-    for partition in [None, Some(rng.random())] {
+    for partition in partitions.iter().copied() {
         let options = PlacementOptions {
             residency: policy,
             remote_partition_host: partition,
@@ -218,7 +220,15 @@
         let (targets, keys) = random_targets(home_zone, &mut rng);
         let region = |key| region_of_zone(&targets.get(key).expect("it is listed").entry.zone);
         let policy_before = before.policy();
-        let chosen = chosen_targets(&targets, keys[0], home_zone, &policy_before, &mut rng);
+        let partitions = [None, Some(seed)];
+        let chosen = chosen_targets(
+            &targets,
+            keys[0],
+            home_zone,
+            &policy_before,
+            &partitions,
+            &mut rng,
+        );
         for key in chosen {
             chosen_count += 1;
             assert!(before.allow(region(key)), "seed {seed}: {before:?}");
@@ -278,7 +288,8 @@
     assert!(UNRESTRICTED.permit_target(&targets, key).is_some());
 }
 
-/// A deployment that lists nothing must decide as before; a list of all regions allows the same.
+/// A list of all regions allows the same as no list. Only the partition of the engines of other
+/// regions, by which unrestricted requests are spread, does not apply to it.
 #[test]
 fn a_list_of_all_regions_changes_no_choice() {
     let all = policy(&[&list(&REGIONS)]);
@@ -297,7 +308,7 @@
                 targets.add_request(key, rng.random_range(0..KV_CAPACITY_TOKENS), 900, 1);
             }
             let source = targets.iter().next().expect("it is listed").0;
-            chosen_targets(&targets, source, &home_zone, policy, &mut rng)
+            chosen_targets(&targets, source, &home_zone, policy, &[None], &mut rng)
         });
         assert_eq!(choices[0], choices[1], "seed {seed}");
     }
@@ -321,6 +332,7 @@
         let service = service();
         let options = PlacementOptions {
             residency: &restricted,
+            remote_partition_host: Some(7),
             ..long_generation_options(&service, &home_zone)
         };
         let mut rng = SmallRng::seed_from_u64(1);
@@ -328,6 +340,15 @@
         let chosen = placement.expect("an engine is idle").target.key();
         let instance = &targets.get(chosen).expect("it is listed").entry.instance;
         assert_eq!(*instance, format!("i-{engine}"));
+        // Half of the eleven requests that the two hosts run there.
+        let running = restricted.fleet_share(&targets, &service, 2, NOW);
+        assert_eq!(
+            (
+                running,
+                UNRESTRICTED.fleet_share(&targets, &service, 2, NOW)
+            ),
+            (5, 0)
+        );
     }
 }
 
