test(soak): a restricted request is served by way of a host of its region

Cause: no test let a relay of a restricted request succeed.

Change: the first gateway has links of its own to the targets. While they are cut, its requests for one region are served through the host of that region.

--- a/crates/mimosagap-soak/tests/residency.rs
+++ b/crates/mimosagap-soak/tests/residency.rs
@@ -16,6 +16,8 @@
 
 use mimosagap_soak::process::{GatewayPlace, GatewayProcess};
 use mimosagap_soak::standins::store::StoreStandin;
+use mimosagap_soak::standins::target::TargetContext;
+use mimosagap_standins::proxy::LinkMode;
 use process::{gateway_program, read_head, run};
 use serde_json::{Value, json};
 use targets::{attempt_id, start_target};
@@ -128,11 +130,13 @@
     String::from_utf8_lossy(&response).into_owned()
 }
 
-/// One gateway in each of the regions `r1` to `r3`, which have two targets each.
+/// One gateway in each of the regions `r1` to `r3`, which have two targets each. The first gateway
+/// has links of its own to the targets.
 struct Fleet {
     gateways: Vec<GatewayProcess>,
     store: Rc<StoreStandin>,
     received: Received,
+    links: Rc<TargetContext>,
     directory: PathBuf,
 }
 
@@ -144,11 +148,19 @@
             .expect("a port is free");
         let store_address = listener.local_addr().expect("the listener is bound");
         store.serve(listener);
+        let links: Rc<TargetContext> = Rc::default();
+        links.detours.enable();
+        let listener = tokio::net::TcpListener::bind("127.0.0.1:0")
+            .await
+            .expect("a port is free");
+        let detoured_address = listener.local_addr().expect("the listener is bound");
+        store.serve_detoured(listener, &links);
         store.put("op/config", &config(1, &["r2", "r3"]));
         let received = Received::default();
         for number in 1..=REGION_COUNT {
             for service in ["plain", "model"] {
                 let address = start_recorder(&format!("r{number}"), &received);
+                links.detours.add(address).await.expect("a port is free");
                 let entry = json!({
                     "service": service, "address": address.to_string(),
                     "zone": format!("z{number}"), "version": "v1", "slots": 200,
@@ -167,6 +179,11 @@
                 index,
                 region_count: REGION_COUNT,
             };
+            let store_address = if index == 0 {
+                detoured_address
+            } else {
+                store_address
+            };
             let program = gateway_program();
             GatewayProcess::start(&program, &directory, place, base_port, store_address)
                 .expect("the gateway starts")
@@ -177,6 +194,7 @@
             gateways,
             store,
             received,
+            links,
             directory,
         }
     }
@@ -301,6 +319,14 @@
         fleet.expect_refused("/keyed-only/x").await;
         fleet.expect_refused("/nowhere/x").await;
 
+        // The host of `r1` is cut off from all targets, and hands its requests to the host of `r2`.
+        fleet.links.detours.set_mode(Some(LinkMode::Cut));
+        for path in ["/only/call/c", "/only/stream/c"] {
+            fleet.expect_served(path, &["r2"]).await;
+        }
+        fleet.links.detours.set_mode(None);
+        tokio::time::sleep(APPLY_TIME).await;
+
         for service in ["plain", "model"] {
             fleet.store.remove(&format!("servers/i-{service}-r2"));
         }
@@ -325,6 +351,7 @@
         tokio::time::sleep(Duration::from_secs(1)).await;
         let relayed = fleet.log_lines("relayed");
         assert_eq!(texts(&relayed, "host"), BTreeSet::from(["gateway-1"]));
+        assert!(texts(&relayed, "outcome").contains("served"), "{relayed:?}");
         let decisions = fleet.log_lines("residency");
         for line in &decisions {
             let regions = line["regions"].as_str().expect("a line names the regions");
