test(soak): the key of a restricted team on a public route

Cause: the list of a team holds on public routes, too, which no test covered.

Change: one more route and expectation.

Test: the three tests passed.

--- a/crates/mimosagap-soak/tests/residency.rs
+++ b/crates/mimosagap-soak/tests/residency.rs
@@ -92,6 +92,7 @@
             route("/only/stream/", "streaming", &["r2"], true),
             route("/nowhere/", "safe", &["r9"], true),
             route("/keyed/", "safe", &[], false),
+            route("/keyed-public/", "safe", &[], true),
             route("/keyed-only/", "safe", &["r2"], false),
             route("/any/", "safe", &[], true),
         ],
@@ -313,7 +314,9 @@
         for path in ["/only/call/x", "/only/stream/x"] {
             fleet.expect_served(path, &["r2"]).await;
         }
-        fleet.expect_served("/keyed/x", &["r3"]).await;
+        for path in ["/keyed/x", "/keyed-public/x"] {
+            fleet.expect_served(path, &["r3"]).await;
+        }
         fleet.expect_served("/any/x", &["r1", "r2", "r3"]).await;
         // The lists of the route and of the team have no region in common.
         fleet.expect_refused("/keyed-only/x").await;
