feat(routing): send nothing new to evacuated zones

Cause: operators had no way to take a zone out of service; hosts went on choosing its targets.

Change: the store key op/evacuate/ZONE marks the targets of the zone. Target::is_available, is_available_within and is_available_while_draining exclude them, and the exchange checks again directly before a send. Copies into the zone are not requested or used. A service whose only targets are evacuated is refused as without targets. Without a key in the store no decision changes.

--- a/crates/mimosagap-gateway/src/calls.rs
+++ b/crates/mimosagap-gateway/src/calls.rs
@@ -138,7 +138,7 @@
                         record_unresponsive(gateway, &running, TargetOutcome::ReturnedError);
                         return forward_response(gateway, request, target, response);
                     }
-                    Err(ExchangeError::Unreachable) => {
+                    Err(ExchangeError::Unreachable | ExchangeError::Evacuated) => {
                         progress.executions -= 1;
                         true
                     }
--- a/crates/mimosagap-gateway/src/exchange.rs
+++ b/crates/mimosagap-gateway/src/exchange.rs
@@ -51,6 +51,8 @@
     InBackoff,
     /// Nothing was sent because of the rate limit that the target names.
     RateLimited,
+    /// Nothing was sent because operators evacuated the target's zone.
+    Evacuated,
     /// The connection failed or delivered something other than a response to this request, which
     /// may have been executed.
     Aborted,
@@ -66,6 +68,7 @@
             Self::Rejected => "not_run",
             Self::InBackoff => "held_back",
             Self::RateLimited => "rate_limited",
+            Self::Evacuated => "evacuated",
             Self::Aborted => "broken",
             Self::LimitExceeded => "endless",
         }
@@ -134,7 +137,7 @@
         ExchangeError::Rejected => Some(TargetOutcome::Rejected),
         ExchangeError::Aborted => Some(TargetOutcome::Failed),
         ExchangeError::LimitExceeded => Some(TargetOutcome::LimitExceeded),
-        ExchangeError::InBackoff | ExchangeError::RateLimited => None,
+        ExchangeError::InBackoff | ExchangeError::RateLimited | ExchangeError::Evacuated => None,
     };
     if let Some(outcome) = outcome {
         record_outcome(gateway, key, outcome);
@@ -180,6 +183,10 @@
     let must_be_fresh = !request.route.kind.is_idempotent();
     loop {
         let mut connection = acquire_connection(gateway, key, entry.address, must_be_fresh).await?;
+        // The zone may have been evacuated since the target was chosen.
+        if gateway.with_state(|state| state.targets.is_evacuated(key)) {
+            return Err(ExchangeError::Evacuated);
+        }
         let is_first_use = connection.request_count == 0;
         let message = build_message(gateway, request, &entry, options);
         match connection.send(message).await {
--- a/crates/mimosagap-gateway/src/lib.rs
+++ b/crates/mimosagap-gateway/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod connection;
 mod crash_probe;
 pub mod delta;
+mod evacuation;
 mod event_source;
 mod exchange;
 mod handover;
--- a/crates/mimosagap-gateway/src/log.rs
+++ b/crates/mimosagap-gateway/src/log.rs
@@ -163,6 +163,19 @@
         /// The era before.
         previous: u64,
     },
+    /// The evacuation of a zone began or ended, or is held although the store lost its key.
+    ZoneEvacuation {
+        /// Name of the zone.
+        zone: &'a str,
+        /// What changed; `unknown_zone` if the fleet has no zone of this name.
+        change: &'a str,
+        /// How this host learned of it.
+        source: &'a str,
+        /// Milliseconds since the state of the store was confirmed.
+        config_age_ms: u64,
+        /// Whether that is recent enough for the operators' bound on evacuations.
+        is_current: bool,
+    },
     /// A configuration of the store was not taken.
     ConfigSkipped {
         /// Its version.
--- a/crates/mimosagap-gateway/src/metrics.rs
+++ b/crates/mimosagap-gateway/src/metrics.rs
@@ -72,6 +72,16 @@
     Ok(counters)
 }
 
+fn register_gauge(
+    registry: &Registry,
+    name: &str,
+    help: &str,
+) -> Result<IntGauge, prometheus::Error> {
+    let gauge = IntGauge::new(name, help)?;
+    registry.register(Box::new(gauge.clone()))?;
+    Ok(gauge)
+}
+
 /// Metrics of what targets say in headers: their rate limits, and what was not read.
 #[derive(Clone)]
 pub struct SignalMetrics {
@@ -163,6 +173,33 @@
     }
 }
 
+/// Metrics of zones, targets and hosts that are left out or spared.
+#[derive(Clone)]
+pub struct ExclusionMetrics {
+    /// Changes of evacuations, by kind.
+    pub evacuation_changes: IntCounterVec,
+    /// Number of evacuated zones.
+    pub evacuated_zones: IntGauge,
+}
+
+impl ExclusionMetrics {
+    fn new(registry: &Registry) -> Result<Self, prometheus::Error> {
+        Ok(Self {
+            evacuation_changes: register_counters(
+                registry,
+                "mimosagap_evacuation_changes_total",
+                "Changes of evacuated zones",
+                &["change"],
+            )?,
+            evacuated_zones: register_gauge(
+                registry,
+                "mimosagap_evacuated_zones",
+                "Evacuated zones",
+            )?,
+        })
+    }
+}
+
 /// All metrics of the gateway. [`LabelLimit`] bounds the number of series.
 #[derive(Clone)]
 pub struct GatewayMetrics {
@@ -196,6 +233,8 @@
     pub in_flight: IntGauge,
     /// Open connections of callers.
     pub caller_connections: IntGauge,
+    /// Zones, targets and hosts that are left out or spared.
+    pub exclusions: ExclusionMetrics,
     /// Version of the configuration in force.
     pub config_version: IntGauge,
     /// Known targets and hosts, by `what`.
@@ -212,11 +251,7 @@
         let register_counters = |name: &str, help: &str, labels: &[&str]| {
             register_counters(&registry, name, help, labels)
         };
-        let register_gauge = |name: &str, help: &str| {
-            let gauge = IntGauge::new(name, help)?;
-            registry.register(Box::new(gauge.clone()))?;
-            Ok::<_, prometheus::Error>(gauge)
-        };
+        let register_gauge = |name: &str, help: &str| register_gauge(&registry, name, help);
         let responses =
             register_counters("mimosagap_answers_total", "Answers", &["route", "status"])?;
         let refusals = register_counters("mimosagap_refusals_total", "Own answers", &["reason"])?;
@@ -239,6 +274,7 @@
         )?;
         let target_signals = SignalMetrics::new(&registry)?;
         let resumptions = ResumptionMetrics::new(&registry)?;
+        let exclusions = ExclusionMetrics::new(&registry)?;
         let in_flight = register_gauge("mimosagap_in_flight", "Requests in flight")?;
         let config_version = register_gauge("mimosagap_config_version", "Configuration in force")?;
         let known_members =
@@ -284,6 +320,7 @@
             "Open connections of callers",
         )?;
         Ok(Self {
+            exclusions,
             registry,
             routes: LabelLimit::new(MAX_ROUTE_LABELS),
             teams: LabelLimit::new(MAX_TEAM_LABELS),
--- a/crates/mimosagap-gateway/src/peers.rs
+++ b/crates/mimosagap-gateway/src/peers.rs
@@ -11,9 +11,11 @@
 use std::time::Duration;
 
 use mimosagap_routing::targets::{PRIORITY_LEVELS, TargetLoad};
+use mimosagap_types::prelude::*;
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
 
+use crate::evacuation;
 use crate::log::LogEvent;
 use crate::rate_permits::{self, PermitRequest, PermitResponse};
 use crate::remote_placement::{self, PlacementRequest, PlacementResponse};
@@ -64,6 +66,8 @@
     /// What a host knows of requests that crash targets. New variants come last, so that hosts of an
     /// earlier version still decode the others.
     SuspicionNotices(Vec<AgedNotice>),
+    /// Evacuated zones whose keys the store lost, with the time for which they are held.
+    HeldEvacuations(Vec<(ZoneName, Duration)>),
 }
 
 impl PeerMessage {
@@ -123,6 +127,9 @@
                     let _ = socket.send_to(&bytes, sender).await;
                 }
             }
+            Some(PeerMessage::HeldEvacuations(zones)) => {
+                evacuation::apply_report(&gateway, &zones);
+            }
             Some(PeerMessage::PermitResponse(response)) => {
                 gateway.permit_client.complete(&response);
             }
@@ -188,7 +195,8 @@
     }
 }
 
-async fn send_to_all(gateway: &SharedGateway, socket: &UdpSocket, message: &PeerMessage) {
+/// Sends a message to all other hosts.
+pub async fn send_to_all(gateway: &SharedGateway, socket: &UdpSocket, message: &PeerMessage) {
     let Some(bytes) = message.encode() else {
         return;
     };
--- a/crates/mimosagap-gateway/src/standby.rs
+++ b/crates/mimosagap-gateway/src/standby.rs
@@ -210,6 +210,10 @@
     let destination = engine_address(gateway, next)?;
     let until = gateway.now() + STOP_RETRY_TIME;
     loop {
+        // The order would copy the generation into the zone.
+        if gateway.with_state(|state| state.targets.is_evacuated(next)) {
+            return None;
+        }
         let options = PermitOptions {
             id,
             class: PermitClass::Continuation,
--- a/crates/mimosagap-gateway/src/state.rs
+++ b/crates/mimosagap-gateway/src/state.rs
@@ -1,7 +1,7 @@
 //! State of the gateway, shared by all tasks of its single thread.
 
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -10,6 +10,7 @@
 use mimosagap_routing::buffer_budget::BufferBudget;
 use mimosagap_routing::config::FleetConfig;
 use mimosagap_routing::config_state::{ConfigState, StalenessBounds};
+use mimosagap_routing::evacuation::Evacuations;
 use mimosagap_routing::hashing::stable_hash;
 use mimosagap_routing::hosts::HostTable;
 use mimosagap_routing::output_length::LengthEstimator;
@@ -55,6 +56,10 @@
     pub config: ConfigState,
     /// Known targets with their load and health.
     pub targets: TargetTable,
+    /// Zones that operators evacuated.
+    pub evacuations: Evacuations,
+    /// Zones without a known name whose evacuation was logged.
+    pub unknown_evacuations: HashSet<ZoneName>,
     /// Hosts that the store lists.
     pub hosts: HostTable,
     /// Requests and parts of prompts that are suspected of crashing targets.
@@ -201,6 +206,8 @@
             state: RefCell::new(GatewayState {
                 config: ConfigState::new(bounds),
                 targets,
+                evacuations: Evacuations::default(),
+                unknown_evacuations: HashSet::new(),
                 hosts: HostTable::default(),
                 quarantine: Quarantine::new(clock.since_boot()),
                 token_time_estimators: HashMap::new(),
--- a/crates/mimosagap-gateway/src/store_sync.rs
+++ b/crates/mimosagap-gateway/src/store_sync.rs
@@ -15,6 +15,7 @@
 use rand::Rng;
 
 use crate::change_feed::{FeedClient, FeedError, FeedResponse};
+use crate::evacuation;
 use crate::log::LogEvent;
 use crate::mirror::KEPT_VALUE_REVISION;
 use crate::state::{Gateway, STORE_UNREACHABLE, SharedGateway};
@@ -111,6 +112,7 @@
             _ => self.poll_store().await,
         }
         recheck_restored_entries(&self.gateway);
+        evacuation::end_holds(&self.gateway);
     }
 
     async fn poll_reader(&mut self, reader: &ReaderHost, after: StoreRevision) {
@@ -239,6 +241,7 @@
     let keys: HashSet<String> = items.iter().map(|change| change.key.clone()).collect();
     let outcome = dispatch_changes(gateway, items, revision.era);
     remove_unlisted(gateway, &keys);
+    evacuation::apply_listing(gateway, &keys, revision.era);
     gateway.with_state(|state| {
         let kept = outcome.kept_config(state.mirror.value(names::CONFIG_KEY));
         let mirrored = without_stream_records(items);
@@ -408,6 +411,8 @@
     for change in changes {
         if change.key == names::CONFIG_KEY {
             outcome = apply_config(gateway, change, era);
+        } else if let Some(zone) = names::evacuated_zone(&change.key) {
+            evacuation::apply_key(gateway, zone, change.value.is_some(), era);
         } else if let Some(instance) = entry::instance_from_key(&change.key) {
             apply_target(gateway, instance, change.value.as_deref());
         } else if let Some(name) = change.key.strip_prefix(HOSTS_PREFIX) {
@@ -582,6 +587,7 @@
     if listed && name != gateway.settings.host {
         target_notices::announce_rate_limits(gateway);
         suspicion::announce_verdicts(gateway);
+        evacuation::announce_held(gateway);
     }
 }
 
--- a/crates/mimosagap-gateway/src/stream_relay.rs
+++ b/crates/mimosagap-gateway/src/stream_relay.rs
@@ -344,11 +344,12 @@
             return;
         }
         let standby_target = self.standby.as_ref().map(|copy| copy.target);
-        let is_leaving = |key| {
-            self.gateway
-                .with_state(|state| state.targets.is_leaving(key, now))
+        let is_unusable = |key| {
+            self.gateway.with_state(|state| {
+                state.targets.is_leaving(key, now) || state.targets.is_evacuated(key)
+            })
         };
-        if standby_target.is_some_and(is_leaving) {
+        if standby_target.is_some_and(is_unusable) {
             self.standby = None;
         }
         let generation = self.generation_state();
@@ -644,7 +645,14 @@
     /// Starts to resume from the standby copy. The retry budget was asked before the engine was asked
     /// to stop; without that it is asked now.
     fn hand_over_to_standby(&mut self) -> Option<HandoverTask> {
-        self.standby.as_ref()?;
+        let target = self.standby.as_ref()?.target;
+        if self
+            .gateway
+            .with_state(|state| state.targets.is_evacuated(target))
+        {
+            release_standby(&self.gateway, self.standby.take()?);
+            return None;
+        }
         let is_paid = self.source_stop.is_some();
         let purpose = RetryPurpose::Move;
         if !is_paid && !self.gateway.try_spend_retry(&self.request, purpose) {
--- a/crates/mimosagap-gateway/src/streams.rs
+++ b/crates/mimosagap-gateway/src/streams.rs
@@ -260,7 +260,7 @@
                 continue;
             }
             Ok(Err(ExchangeError::Rejected | ExchangeError::InBackoff)) => was_rejected = true,
-            Ok(Err(ExchangeError::Unreachable)) => {}
+            Ok(Err(ExchangeError::Unreachable | ExchangeError::Evacuated)) => {}
             Err(_) => break RefusalReason::DeadlineAfterSend,
         }
         tried.push(target);
@@ -543,6 +543,10 @@
         if now >= expires_at {
             return Err(RefusalReason::Overload);
         }
+        // An evacuation may have begun during the wait; no other engine will become free.
+        if gateway.with_state(|state| state.targets.has_only_evacuated(&request.service, now)) {
+            return Err(RefusalReason::NoTarget);
+        }
         if gateway.may_exit_before(request) {
             return Err(RefusalReason::ShuttingDown);
         }
--- a/crates/mimosagap-gateway/tests/log.rs
+++ b/crates/mimosagap-gateway/tests/log.rs
@@ -206,6 +206,13 @@
 fn belief_events() -> Vec<LogEvent<'static>> {
     let empty = String::new;
     vec![
+        LogEvent::ZoneEvacuation {
+            zone: "z",
+            change: "started",
+            source: "store",
+            config_age_ms: 40,
+            is_current: true,
+        },
         LogEvent::StoreEra {
             era: 2,
             previous: 1,
--- a/crates/mimosagap-routing/src/lib.rs
+++ b/crates/mimosagap-routing/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod config_state;
 pub mod discovery;
 pub mod drain_time;
+pub mod evacuation;
 pub mod hashing;
 pub mod hosts;
 pub mod keeper_selection;
--- a/crates/mimosagap-routing/src/targets.rs
+++ b/crates/mimosagap-routing/src/targets.rs
@@ -1,6 +1,6 @@
 //! Table of the targets of all services: their store entries, their load and their recent failures.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -162,6 +162,8 @@
     pub draining_since: Option<Duration>,
     /// Time from which it counts as removed, if its entry has vanished.
     pub removed_at: Option<Duration>,
+    /// Whether operators evacuated its zone.
+    pub is_evacuated: bool,
     /// Load caused by this host.
     pub local_load: TargetLoad,
     peer_loads: HashMap<u64, (Duration, TargetLoad)>,
@@ -188,6 +190,7 @@
             listed_at: now,
             draining_since: None,
             removed_at: None,
+            is_evacuated: false,
             local_load: TargetLoad::default(),
             peer_loads: HashMap::new(),
             reservations: Vec::new(),
@@ -218,6 +221,7 @@
     #[must_use]
     pub fn is_available_within(&self, max_wait: Duration, now: Duration) -> bool {
         self.draining_since.is_none()
+            && !self.is_evacuated
             && self.removed_at.is_none_or(|at| now < at)
             && now >= self.paused_until
             && !self.backoff.is_active(now)
@@ -228,6 +232,7 @@
     #[must_use]
     pub fn is_available_while_draining(&self, now: Duration) -> bool {
         self.draining_since.is_some()
+            && !self.is_evacuated
             && self.removed_at.is_none()
             && now >= self.paused_until
             && !self.backoff.is_active(now)
@@ -305,6 +310,8 @@
     max_drain_use: Duration,
     /// Software versions at which streams may begin.
     versions: VersionRegistry,
+    /// Zones that operators evacuated.
+    evacuated_zones: BTreeSet<ZoneName>,
 }
 
 impl TargetTable {
@@ -370,6 +377,7 @@
                 if starts_draining {
                     target.draining_since = Some(now);
                 }
+                target.is_evacuated = self.evacuated_zones.contains(&entry.zone);
                 target.entry = entry;
                 return (key, starts_draining);
             }
@@ -378,6 +386,7 @@
         let instance = entry.instance.clone();
         let service = entry.service.clone();
         let mut target = Target::new(entry, locality, now);
+        target.is_evacuated = self.evacuated_zones.contains(&target.entry.zone);
         if target.entry.is_draining {
             target.draining_since = Some(now);
         }
@@ -461,7 +470,8 @@
     #[must_use]
     pub fn is_held_back(&self, service: &DeploymentName, now: Duration) -> bool {
         self.of_service(service)
-            .any(|(_, target)| !target.is_leaving(now) && !target.rate.hold_time(now).is_zero())
+            .filter(|(_, target)| !target.is_leaving(now) && !target.is_evacuated)
+            .any(|(_, target)| !target.rate.hold_time(now).is_zero())
     }
 
     /// Demand of all hosts for the limited targets of a service, as a multiple of their rates; 1 if
@@ -489,7 +499,7 @@
         now: Duration,
     ) -> Option<Duration> {
         self.of_service(service)
-            .filter(|(_, target)| !target.is_leaving(now))
+            .filter(|(_, target)| !target.is_leaving(now) && !target.is_evacuated)
             .map(|(_, target)| {
                 target
                     .backoff
@@ -529,6 +539,36 @@
         }
     }
 
+    /// Replaces the zones whose targets receive nothing new.
+    pub fn set_evacuated_zones(&mut self, zones: BTreeSet<ZoneName>) {
+        for target in self.targets.values_mut() {
+            target.is_evacuated = zones.contains(&target.entry.zone);
+        }
+        self.evacuated_zones = zones;
+    }
+
+    /// Whether a zone of the fleet has this name.
+    #[must_use]
+    pub fn has_zone(&self, zone: &ZoneName) -> bool {
+        self.regions.contains_key(zone)
+    }
+
+    /// Whether operators evacuated the zone of a target.
+    #[must_use]
+    pub fn is_evacuated(&self, key: TargetKey) -> bool {
+        self.get(key).is_some_and(|target| target.is_evacuated)
+    }
+
+    /// Whether a service has targets that do not leave, all of them in evacuated zones.
+    #[must_use]
+    pub fn has_only_evacuated(&self, service: &DeploymentName, now: Duration) -> bool {
+        let mut staying = self
+            .of_service(service)
+            .filter(|(_, target)| !target.is_leaving(now))
+            .peekable();
+        staying.peek().is_some() && staying.all(|(_, target)| target.is_evacuated)
+    }
+
     /// Sets the time after its notice from which an engine must receive no more requests.
     pub fn set_drain_timeout(&mut self, drain_timeout: Duration) {
         self.max_drain_use = drain_timeout.mul_f64(DRAIN_USE_FRACTION);
