feat(routing): bound the rate of engines that may be cold

Cause: an engine that has just started sustains cold_per_s requests a second from all hosts and crashes well above that.

Change: services with cold_per_s get a permit of the engine's keeper for each request, cold or not, since an engine may become cold without notice. Slots have no burst, and at most the keeper, a former one and one deputy grant. Hosts that reach neither use random seconds of a tenth of the rate, at warm engines only. Invalid values send less. With cold_per_s 0 or missing no decision changes.

--- a/crates/mimosagap-gateway/src/exchange.rs
+++ b/crates/mimosagap-gateway/src/exchange.rs
@@ -175,14 +175,33 @@
         class,
         max_wait: options.max_permit_wait,
     };
-    acquire_permit(gateway, key, permit_options)
-        .await
-        .map_err(|_| ExchangeError::RateLimited)?;
+    let must_be_fresh = !request.route.kind.is_idempotent();
+    // The permit of an engine that may be cold does not last until a connection is open.
+    let may_be_cold = gateway.with_state(|state| {
+        let target = state.targets.get(key);
+        target.is_some_and(|target| target.cold.spec.is_some())
+    });
+    let mut ready_connection = if may_be_cold {
+        Some(acquire_connection(gateway, key, entry.address, must_be_fresh).await?)
+    } else {
+        None
+    };
+    let permit = acquire_permit(gateway, key, permit_options).await;
+    let Ok(permit) = permit else {
+        return_unused(gateway, key, ready_connection);
+        return Err(ExchangeError::RateLimited);
+    };
     let asked_at = gateway.now();
     log_attempt(gateway, request, key, &entry, options);
-    let must_be_fresh = !request.route.kind.is_idempotent();
     loop {
-        let mut connection = acquire_connection(gateway, key, entry.address, must_be_fresh).await?;
+        let mut connection = match ready_connection.take() {
+            Some(connection) => connection,
+            None => acquire_connection(gateway, key, entry.address, must_be_fresh).await?,
+        };
+        if !permit.is_valid(gateway.now()) {
+            return_unused(gateway, key, Some(connection));
+            return Err(ExchangeError::RateLimited);
+        }
         // The zone may have been evacuated since the target was chosen.
         if gateway.with_state(|state| state.targets.is_evacuated(key)) {
             return Err(ExchangeError::Evacuated);
@@ -228,6 +247,14 @@
     open_connection(gateway, address).await
 }
 
+/// Returns a connection to the pool on which nothing was sent.
+fn return_unused(gateway: &Gateway, key: TargetKey, connection: Option<HttpConnection>) {
+    if let Some(connection) = connection {
+        let now = gateway.now();
+        gateway.with_state(|state| state.connection_pool.put(key, connection, None, now));
+    }
+}
+
 async fn open_connection(
     gateway: &Gateway,
     address: SocketAddr,
--- a/crates/mimosagap-gateway/src/listeners.rs
+++ b/crates/mimosagap-gateway/src/listeners.rs
@@ -233,6 +233,13 @@
         });
         limited.collect()
     });
+    let cold_count = gateway.with_state(|state| {
+        let targets = state.targets.iter();
+        let cold = targets.filter(|(_, target)| target.cold.is_cold(now));
+        cold.filter(|(_, target)| !target.is_removed(now)).count()
+    });
+    let cold_targets = &gateway.metrics.exclusions.cold_targets;
+    cold_targets.set(i64::try_from(cold_count).unwrap_or(i64::MAX));
     let signals = &gateway.metrics.target_signals;
     signals.set_limits(limits.into_iter());
     match gateway.metrics.encode() {
--- a/crates/mimosagap-gateway/src/log.rs
+++ b/crates/mimosagap-gateway/src/log.rs
@@ -120,6 +120,17 @@
         /// no limit any more.
         per_second: Option<f64>,
     },
+    /// An engine is cold, of which a service bounds the rate.
+    TargetCold {
+        /// Instance name of the target.
+        target: &'a str,
+        /// How this host learned of it.
+        source: &'a str,
+        /// Milliseconds for which it counts as cold.
+        remaining_ms: u64,
+        /// Requests per second that its keeper grants to all hosts together.
+        per_second: f64,
+    },
     /// A target sent a header that was not read; logged once per target.
     HeaderUnread {
         /// Instance name of the target.
@@ -543,6 +554,7 @@
             | Self::TargetLeaving { .. }
             | Self::TargetPauses { .. }
             | Self::TargetRateLimit { .. }
+            | Self::TargetCold { .. }
             | Self::HeaderUnread { .. } => (7, "target"),
             Self::EntryUnreadable { .. } | Self::ConfigUnreadable { .. } => (8, "unreadable"),
             Self::Trouble { .. } => (9, "trouble"),
--- a/crates/mimosagap-gateway/src/metrics.rs
+++ b/crates/mimosagap-gateway/src/metrics.rs
@@ -180,6 +180,10 @@
     pub evacuation_changes: IntCounterVec,
     /// Number of evacuated zones.
     pub evacuated_zones: IntGauge,
+    /// Asks for permits of engines that may be cold, by result.
+    pub cold_permits: IntCounterVec,
+    /// Number of engines that count as cold.
+    pub cold_targets: IntGauge,
 }
 
 impl ExclusionMetrics {
@@ -196,6 +200,13 @@
                 "mimosagap_evacuated_zones",
                 "Evacuated zones",
             )?,
+            cold_permits: register_counters(
+                registry,
+                "mimosagap_cold_permits_total",
+                "Asks for permits of engines that may be cold",
+                &["result"],
+            )?,
+            cold_targets: register_gauge(registry, "mimosagap_cold_targets", "Cold engines")?,
         })
     }
 }
--- a/crates/mimosagap-gateway/src/rate_permits.rs
+++ b/crates/mimosagap-gateway/src/rate_permits.rs
@@ -11,6 +11,9 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use mimosagap_routing::cold_rate::{
+    COLD_PERMIT_TTL, DEPUTY_COUNT, LocalShare, MAX_COLD_WAIT, keeper_fraction,
+};
 use mimosagap_routing::keeper_selection::{KeeperSelector, MAX_PROOF_AGE, rate_fraction};
 use mimosagap_routing::rate_keeper::{PermitAsk, PermitClass, PermitDecision, RateKeeper};
 use mimosagap_routing::rate_limit::RateStatement;
@@ -47,6 +50,17 @@
 /// that were denied together do not ask together.
 const HOLD_JITTER: f64 = 0.25;
 
+/// Name of the keeper in the log if a host used its local share of the rate of a cold engine.
+const LOCAL_SHARE: &str = "local";
+
+/// Statement of a host that heard of no limit, which asks for a permit because the target may be
+/// cold. No response arrives at the time of its request.
+const NO_STATEMENT: RateStatement = RateStatement {
+    per_second: None,
+    asked_at: Duration::ZERO,
+    heard_at: Duration::ZERO,
+};
+
 /// Targets that the log names for one refused request.
 const MAX_HELD_LINES: usize = 4;
 
@@ -147,24 +161,41 @@
     pub max_wait: Duration,
 }
 
-/// Waits until a request may be sent to a target. Returns at once if the target names no limit.
+/// A permit to send one request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Permit {
+    /// Time from which it is void; `None` if it was checked when the slot began.
+    valid_until: Option<Duration>,
+}
+
+impl Permit {
+    /// Whether the request may be sent now.
+    pub fn is_valid(&self, now: Duration) -> bool {
+        self.valid_until.is_none_or(|until| now < until)
+    }
+}
+
+/// Waits until a request may be sent to a target. Returns at once if the target names no limit and
+/// its service no rate for cold engines.
 pub async fn acquire_permit(
     gateway: &SharedGateway,
     key: TargetKey,
     options: PermitOptions<'_>,
-) -> Result<(), PermitError> {
+) -> Result<Permit, PermitError> {
     let now = gateway.now();
     let limit = gateway.with_state(|state| {
         let target = state.targets.get(key)?;
-        target.rate.per_second(now)?;
-        Some(target.rate.hold_time(now))
+        target.permit_rate(now)?;
+        Some((target.hold_time(now), target.cold.spec.is_some()))
     });
-    let Some(hold) = limit else {
-        return Ok(());
+    let Some((hold, may_be_cold)) = limit else {
+        return Ok(Permit { valid_until: None });
     };
+    let mut asked_at = now;
     let (keeper, result) = match options.max_wait.checked_sub(hold) {
         Some(max_wait) => {
             sleep_unless_zero(hold).await;
+            asked_at = gateway.now();
             ask_keeper(
                 gateway,
                 key,
@@ -181,12 +212,80 @@
         }
         None => (String::new(), Err(PermitError::Held)),
     };
+    let (keeper, result) = match result {
+        Err(PermitError::NoKeeper) if may_be_cold => use_local_share(gateway, key),
+        result => (keeper, result),
+    };
     let result = match result {
         Ok(wait) => await_slot(gateway, wait).await.map(|()| wait),
         Err(error) => Err(error),
     };
     log_permit(gateway, key, options.id, &keeper, result);
-    result.map(|_| ())
+    if may_be_cold {
+        count_cold_permit(gateway, &keeper, result);
+    }
+    result.map(|wait| Permit {
+        valid_until: may_be_cold.then(|| {
+            // The keeper granted the slot between the ask and its response.
+            let granted_at = if keeper == LOCAL_SHARE {
+                gateway.now()
+            } else {
+                asked_at
+            };
+            granted_at + wait + COLD_PERMIT_TTL
+        }),
+    })
+}
+
+/// Waits until a call about a generation that runs at a target may be sent there. Such a call starts
+/// nothing and needs no permit of a cold engine; a limit that the target names holds for all calls.
+pub async fn acquire_call_permit(
+    gateway: &SharedGateway,
+    key: TargetKey,
+    options: PermitOptions<'_>,
+) -> Result<Permit, PermitError> {
+    let now = gateway.now();
+    let is_limited = gateway.with_state(|state| {
+        let target = state.targets.get(key);
+        target.is_some_and(|target| target.rate.per_second(now).is_some())
+    });
+    if is_limited {
+        acquire_permit(gateway, key, options).await
+    } else {
+        Ok(Permit { valid_until: None })
+    }
+}
+
+/// Uses this host's share of the rate of an engine, because neither the keeper nor its deputy
+/// responds. Without a share now, the engine is held until the next one.
+fn use_local_share(
+    gateway: &SharedGateway,
+    key: TargetKey,
+) -> (String, Result<Duration, PermitError>) {
+    let now = gateway.now();
+    let wait = gateway.with_state(|state| {
+        let host_count = state.sharing_hosts(now)?;
+        let target = state.targets.get_mut(key)?;
+        let share = LocalShare::new(gateway.host_hash, &target.entry.instance, host_count);
+        target.cold.use_local_share(&share, now)
+    });
+    match wait {
+        Some(Duration::ZERO) => (LOCAL_SHARE.to_owned(), Ok(Duration::ZERO)),
+        wait => {
+            hold(gateway, key, wait.unwrap_or(FAILURE_HOLD), 1.0);
+            (String::new(), Err(PermitError::NoKeeper))
+        }
+    }
+}
+
+fn count_cold_permit(gateway: &Gateway, keeper: &str, result: Result<Duration, PermitError>) {
+    let name = match result {
+        Ok(_) if keeper == LOCAL_SHARE => "local_share",
+        Ok(_) => "granted",
+        Err(error) => error.name(),
+    };
+    let permits = &gateway.metrics.exclusions.cold_permits;
+    permits.with_label_values(&[name]).inc();
 }
 
 /// Waits for the start of a slot, and checks that this host was not suspended beyond its end.
@@ -213,8 +312,12 @@
     let prepared = gateway.with_state(|state| {
         let region = state.targets.region_of(key);
         let selector = client.selector.borrow();
-        let (name, record) = selector.select(&state.hosts, region, now)?;
         let target = state.targets.get(key)?;
+        let (name, record) = if target.cold.spec.is_some() {
+            selector.select_among(DEPUTY_COUNT + 1, &state.hosts, region, now)?
+        } else {
+            selector.select(&state.hosts, region, now)?
+        };
         let budget = state.retry_budgets.get(&target.entry.service);
         let bounds = gateway.retry_bounds();
         let demand = budget.map_or(0.0, |budget: &RetryBudget| budget.request_rate(&bounds));
@@ -222,7 +325,7 @@
             id: pending.id,
             instance: target.entry.instance.clone(),
             started_unix_ms: target.entry.started_unix_ms,
-            statement: target.rate.newest()?,
+            statement: target.rate.newest().unwrap_or(NO_STATEMENT),
             ask: PermitAsk {
                 host_hash: gateway.host_hash,
                 class: options.class,
@@ -316,7 +419,7 @@
         let jitter = rng.random_range(1.0 - HOLD_JITTER..1.0 + HOLD_JITTER);
         let ask_in = ask_in.mul_f64(jitter);
         if let Some(target) = targets.get_mut(key) {
-            target.rate.hold(ask_in, overload, now);
+            target.hold(ask_in, overload, now);
         }
         ask_in
     });
@@ -343,12 +446,12 @@
         .with_label_values(&[name])
         .inc();
     let (per_second, named_for, ask_in) = gateway.with_state(|state| {
-        let rate = state.targets.get(key).map(|target| target.rate);
-        rate.map_or((None, None, Duration::ZERO), |rate| {
+        let target = state.targets.get(key);
+        target.map_or((None, None, Duration::ZERO), |target| {
             (
-                rate.per_second(now),
-                rate.named_for(now),
-                rate.hold_time(now),
+                target.permit_rate(now),
+                target.rate.named_for(now),
+                target.hold_time(now),
             )
         })
     });
@@ -371,7 +474,7 @@
     let held: Vec<TargetKey> = gateway.with_state(|state| {
         let targets = state.targets.of_service(service);
         targets
-            .filter(|(_, target)| !target.rate.hold_time(now).is_zero())
+            .filter(|(_, target)| !target.hold_time(now).is_zero())
             .map(|(key, _)| key)
             .take(MAX_HELD_LINES)
             .collect()
@@ -417,7 +520,9 @@
     let Some(key) = key.filter(|_| !gateway.is_stopping()) else {
         return PermitAnswer::Unable;
     };
-    target_notices::record_statement(gateway, key, request.statement, "host");
+    if request.statement.asked_at != request.statement.heard_at {
+        target_notices::record_statement(gateway, key, request.statement, "host");
+    }
     gateway.with_state(|state| {
         // Until all hosts have registered again with a store that lost their records, another one may
         // take itself for the keeper.
@@ -426,10 +531,24 @@
             .is_none_or(|at| now.saturating_sub(at) >= MAX_PROOF_AGE);
         let proof_age = state.config.contact_age(now).filter(|_| is_settled);
         let region = state.targets.region_of(key);
-        let fraction = rate_fraction(&state.hosts, region, &gateway.settings.host, proof_age);
+        let host = &gateway.settings.host;
+        let fraction = rate_fraction(&state.hosts, region, host, proof_age);
+        let cold_fraction = keeper_fraction(&state.hosts, region, host, proof_age);
         let Some(target) = state.targets.get_mut(key) else {
             return PermitAnswer::Unable;
         };
+        if let Some(cold_rate) = target.cold.per_second() {
+            let named_rate = target.rate.per_second(now).map(|rate| rate * fraction);
+            let cold_rate = cold_rate * cold_fraction;
+            let rate = named_rate.map_or(cold_rate, |rate| rate.min(cold_rate));
+            if rate <= 0.0 {
+                return PermitAnswer::Unable;
+            }
+            let keeper = target.keeper.get_or_insert_with(|| {
+                Box::new(RateKeeper::without_burst(rate, MAX_COLD_WAIT, now))
+            });
+            return PermitAnswer::Decided(keeper.decide(&request.ask, rate, now));
+        }
         let Some(rate) = target.rate.per_second(now) else {
             return target.rate.newest().map_or(PermitAnswer::Unable, |newest| {
                 PermitAnswer::Unlimited(newest.to_ages(now))
--- a/crates/mimosagap-gateway/src/standby.rs
+++ b/crates/mimosagap-gateway/src/standby.rs
@@ -24,7 +24,7 @@
 use crate::exchange::{acquire_connection, release_connection};
 use crate::load_reservation::LoadReservation;
 use crate::log::LogEvent;
-use crate::rate_permits::{PermitOptions, acquire_permit};
+use crate::rate_permits::{PermitOptions, acquire_call_permit};
 use crate::request::RoutedRequest;
 use crate::state::{SharedGateway, millis};
 use crate::target_notices;
@@ -333,13 +333,16 @@
     call: EngineCall,
     permit_options: PermitOptions<'_>,
 ) -> Result<(StatusCode, Bytes), String> {
-    acquire_permit(gateway, key, permit_options)
+    let permit = acquire_call_permit(gateway, key, permit_options)
         .await
         .map_err(|error| format!("the rate limit of the engine: {}", error.name()))?;
     let asked_at = gateway.now();
     let mut connection = acquire_connection(gateway, key, address, true)
         .await
         .map_err(|error| error.name().to_owned())?;
+    if !permit.is_valid(gateway.now()) {
+        return Err("the permit of the engine expired before the connection was open".to_owned());
+    }
     let mut request = Request::new(Full::new(Bytes::from(call.body)));
     *request.method_mut() = call.method;
     *request.uri_mut() = call.path.parse().unwrap_or_default();
--- a/crates/mimosagap-gateway/src/state.rs
+++ b/crates/mimosagap-gateway/src/state.rs
@@ -8,6 +8,7 @@
 
 use mimosagap_platform::settings::HostSettings;
 use mimosagap_routing::buffer_budget::BufferBudget;
+use mimosagap_routing::cold_rate::ColdBound;
 use mimosagap_routing::config::FleetConfig;
 use mimosagap_routing::config_state::{ConfigState, StalenessBounds};
 use mimosagap_routing::evacuation::Evacuations;
@@ -178,6 +179,10 @@
         };
         let mut targets = TargetTable::with_regions(settings.zone_regions.clone());
         targets.set_drain_timeout(settings.bounds.drain_timeout);
+        targets.set_cold_bound(ColdBound {
+            overshoot: settings.bounds.cold_overshoot,
+            slack: settings.bounds.cold_slack,
+        });
         *targets.versions_mut() = VersionRegistry::new(clock.since_boot());
         let store_client = StoreClient::new(settings.store_address, metrics.store_calls.clone());
         let origin_reader = OriginReader::new(store_client);
--- a/crates/mimosagap-gateway/src/store_sync.rs
+++ b/crates/mimosagap-gateway/src/store_sync.rs
@@ -483,10 +483,17 @@
                 .services()
                 .filter_map(|service| service.engine.map(|engine| (service.name.clone(), engine)))
                 .collect();
+            // Plain targets do not become cold; a bound would slow them down for good.
+            let cold_specs: HashMap<_, _> = fleet_config
+                .services()
+                .filter(|service| service.engine.is_some())
+                .filter_map(|service| Some((service.name.clone(), service.cold?)))
+                .collect();
             let is_new = gateway.with_state(|state| {
                 let is_new = state.config.apply(revision, fleet_config);
                 if is_new {
                     state.targets.set_engine_specs(engines);
+                    state.targets.set_cold_specs(cold_specs);
                 }
                 is_new
             });
@@ -537,16 +544,28 @@
         });
         return;
     }
-    let (is_draining, address) = (entry.is_draining, entry.address);
+    let (is_draining, address, cold) = (entry.is_draining, entry.address, entry.cold);
     let version = entry.version.clone();
-    let (_, is_changed) = gateway.with_state(|state| {
+    let (key, is_changed, is_new_claim) = gateway.with_state(|state| {
         let targets = &mut state.targets;
+        // A renewed entry repeats what the target said before.
+        let known = targets
+            .find_instance(instance)
+            .and_then(|key| targets.get(key));
+        let is_new_claim = known.is_none_or(|known| known.entry.cold != cold);
         let locality = targets.locality_between(&gateway.settings.zone, &entry.zone);
-        targets.upsert(entry, locality, now)
+        let (key, is_changed) = targets.upsert(entry, locality, now);
+        (key, is_changed, is_new_claim)
     });
+    if is_new_claim {
+        target_notices::record_cold_claim(gateway, key, cold, "entry");
+    }
     if !is_changed {
         return;
     }
+    if !is_draining {
+        target_notices::log_cold(gateway, key, "listed");
+    }
     if is_draining {
         announce_leaving(gateway, instance, "draining");
     } else {
--- a/crates/mimosagap-gateway/src/target_notices.rs
+++ b/crates/mimosagap-gateway/src/target_notices.rs
@@ -5,8 +5,9 @@
 use std::time::Duration;
 
 use http::{HeaderMap, StatusCode};
-use mimosagap_platform::engine::{is_leaving, named_rate_limit, retry_after_delay};
-use mimosagap_platform::names::RATE_LIMIT;
+use mimosagap_platform::engine::{cold_claim, is_leaving, named_rate_limit, retry_after_delay};
+use mimosagap_platform::names::{COLD_MS, RATE_LIMIT};
+use mimosagap_routing::cold_rate::ColdClaim;
 use mimosagap_routing::keeper_selection::is_keeper;
 use mimosagap_routing::rate_limit::{RateChange, RateStatement};
 use mimosagap_routing::targets::TargetKey;
@@ -66,6 +67,7 @@
     header_audit::observe_unknown_headers(gateway, key, headers);
     observe_leaving(gateway, key, headers);
     observe_rate_limit(gateway, key, headers, asked_at);
+    observe_cold(gateway, key, headers);
     if let Some(retry_after) = retry_after_delay(status, headers) {
         let now = gateway.now();
         let is_new = gateway.with_state(|state| {
@@ -87,6 +89,50 @@
     }
 }
 
+/// Records for how long a target says that it stays cold.
+fn observe_cold(gateway: &Gateway, key: TargetKey, headers: &HeaderMap) {
+    let claim = cold_claim(headers);
+    if claim != ColdClaim::Unstated {
+        record_cold_claim(gateway, key, claim, "answer");
+    }
+}
+
+/// Records for how long a target says that it stays cold, and logs when it becomes cold. A value
+/// that cannot be used is logged once per target.
+pub fn record_cold_claim(gateway: &Gateway, key: TargetKey, claim: ColdClaim, source: &str) {
+    let now = gateway.now();
+    let recorded = gateway.with_state(|state| {
+        let target = state.targets.get_mut(key)?;
+        let spec = target.cold.spec?;
+        let (_, is_corrected) = claim.cold_time(&spec);
+        Some((target.cold.record_claim(claim, now), is_corrected))
+    });
+    let Some((is_new, is_corrected)) = recorded else {
+        return;
+    };
+    if is_corrected {
+        let cause = "the time for which the target stays cold is taken as that after a start";
+        header_audit::report_unreadable(gateway, key, COLD_MS, cause);
+    }
+    if is_new {
+        log_cold(gateway, key, source);
+    }
+}
+
+/// Logs that an engine counts as cold.
+pub fn log_cold(gateway: &Gateway, key: TargetKey, source: &str) {
+    let now = gateway.now();
+    let cold = gateway.with_state(|state| Some(state.targets.get(key)?.cold));
+    if let Some(cold) = cold.filter(|cold| cold.is_cold(now)) {
+        gateway.log.event(&LogEvent::TargetCold {
+            target: &gateway.instance(key),
+            source,
+            remaining_ms: millis(cold.remaining(now)),
+            per_second: cold.per_second().unwrap_or_default(),
+        });
+    }
+}
+
 /// Records the rate limit that a target names in the response to a request sent at `asked_at`. A
 /// limit that cannot be read does not replace the one before.
 pub fn observe_rate_limit(
--- a/crates/mimosagap-gateway/tests/log.rs
+++ b/crates/mimosagap-gateway/tests/log.rs
@@ -160,6 +160,12 @@
             source: "answer",
             per_second: Some(3.7),
         },
+        LogEvent::TargetCold {
+            target: "t",
+            source: "entry",
+            remaining_ms: 8000,
+            per_second: 22.0,
+        },
         LogEvent::HeaderUnread {
             target: "t",
             header: "h",
--- a/crates/mimosagap-routing/src/config.rs
+++ b/crates/mimosagap-routing/src/config.rs
@@ -6,6 +6,8 @@
 
 use mimosagap_types::prelude::*;
 
+use crate::cold_rate::ColdSpec;
+
 /// Whether a route responds with a stream, and whether its requests may run more than once.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RouteKind {
@@ -91,6 +93,8 @@
     pub name: DeploymentName,
     /// Properties of its model engines; `None` for a plain service.
     pub engine: Option<EngineSpec>,
+    /// The rate of its engines while they are cold; `None` without a bound.
+    pub cold: Option<ColdSpec>,
 }
 
 /// Limits on the requests and connections of callers.
--- a/crates/mimosagap-routing/src/keeper_selection.rs
+++ b/crates/mimosagap-routing/src/keeper_selection.rs
@@ -56,6 +56,14 @@
     all
 }
 
+/// Position of a host among those that may keep the limits of a region's targets, 0 for the keeper;
+/// `None` if it is not among them.
+#[must_use]
+pub fn duty_rank(hosts: &HostTable, region: Option<&RegionName>, host_name: &str) -> Option<usize> {
+    let mut candidates = candidates(hosts, region).into_iter();
+    candidates.position(|(name, _)| name == host_name)
+}
+
 /// Whether the store lists a host as the keeper of the targets of a region, as far as this host
 /// knows.
 #[must_use]
@@ -105,7 +113,20 @@
         region: Option<&RegionName>,
         now: Duration,
     ) -> Option<(&'a str, &'a HostRecord)> {
-        candidates(hosts, region).into_iter().find(|(name, _)| {
+        self.select_among(usize::MAX, hosts, region, now)
+    }
+
+    /// The host to ask for a permit among the first `count` in line; `None` if none of them responds.
+    #[must_use]
+    pub fn select_among<'a>(
+        &self,
+        count: usize,
+        hosts: &'a HostTable,
+        region: Option<&RegionName>,
+        now: Duration,
+    ) -> Option<(&'a str, &'a HostRecord)> {
+        let mut candidates = candidates(hosts, region).into_iter().take(count);
+        candidates.find(|(name, _)| {
             self.failures.get(*name).is_none_or(|(count, failed_at)| {
                 *count < MAX_FAILURES || now >= *failed_at + FAILURE_COOLDOWN
             })
--- a/crates/mimosagap-routing/src/lib.rs
+++ b/crates/mimosagap-routing/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod buffer_budget;
 pub mod change_source;
+pub mod cold_rate;
 pub mod config;
 pub mod config_state;
 pub mod discovery;
--- a/crates/mimosagap-routing/src/rate_keeper.rs
+++ b/crates/mimosagap-routing/src/rate_keeper.rs
@@ -82,6 +82,10 @@
     next_slot: Duration,
     interval: Duration,
     demands: HashMap<u64, (Duration, f64)>,
+    /// Time for which unused slots are kept; at least one interval.
+    burst: Duration,
+    /// Longest time that a slot is granted ahead.
+    max_wait: Duration,
 }
 
 impl RateKeeper {
@@ -95,6 +99,21 @@
             next_slot: now + interval,
             interval,
             demands: HashMap::new(),
+            burst: BURST_TIME,
+            max_wait: MAX_WAIT,
+        }
+    }
+
+    /// Creates the slots of a target that must not get a burst, granted at most `max_wait` ahead.
+    /// The first one starts after `max_wait`, up to which another keeper may have granted.
+    #[must_use]
+    pub fn without_burst(rate: f64, max_wait: Duration, now: Duration) -> Self {
+        let keeper = Self::new(rate, now);
+        Self {
+            next_slot: keeper.next_slot.max(now + max_wait),
+            burst: Duration::ZERO,
+            max_wait,
+            ..keeper
         }
     }
 
@@ -105,7 +124,7 @@
             .retain(|_, (stated_at, _)| now < *stated_at + DEMAND_TTL);
         let demand = ask.demand.clamp(MIN_DEMAND, f64::from(u32::MAX));
         self.demands.insert(ask.host_hash, (now, demand));
-        let burst = BURST_TIME.max(self.interval);
+        let burst = self.burst.max(self.interval);
         let slot = self.next_slot.max(now.saturating_sub(burst));
         let wait = slot.saturating_sub(now);
         let (is_admitted, max_wait) = match ask.class {
@@ -113,7 +132,7 @@
             PermitClass::First(level) => (true, ask.max_wait / (u32::from(level) + 1)),
             PermitClass::Spare => (slot + burst / 2 <= now, Duration::ZERO),
         };
-        let max_wait = max_wait.min(MAX_WAIT);
+        let max_wait = max_wait.min(self.max_wait);
         if is_admitted && wait <= max_wait {
             self.next_slot = slot + self.interval;
             return PermitDecision::Granted(wait);
--- a/crates/mimosagap-routing/src/targets.rs
+++ b/crates/mimosagap-routing/src/targets.rs
@@ -7,6 +7,7 @@
 use mimosagap_types::prelude::*;
 use slotmap::{SlotMap, new_key_type};
 
+use crate::cold_rate::{ColdBound, ColdClaim, ColdSpec, ColdState};
 use crate::config::EngineSpec;
 use crate::drain_time::DrainTimes;
 use crate::rate_keeper::RateKeeper;
@@ -84,6 +85,8 @@
     pub is_draining: bool,
     /// When its process started, in milliseconds since the Unix epoch; 0 if the entry has no time.
     pub started_unix_ms: u64,
+    /// For how long it says that it stays cold.
+    pub cold: ColdClaim,
 }
 
 /// Network distance of a target, nearest first.
@@ -178,6 +181,8 @@
     pub backoff: TargetBackoff,
     /// The rate limit that it names for all hosts together.
     pub rate: TargetRate,
+    /// The rate at which it may be sent requests because it may be cold.
+    pub cold: ColdState,
     /// Slots that this host grants for it, if hosts ask this one.
     pub keeper: Option<Box<RateKeeper>>,
 }
@@ -201,6 +206,7 @@
             next_pause: FIRST_PAUSE,
             backoff: TargetBackoff::default(),
             rate: TargetRate::default(),
+            cold: ColdState::default(),
             keeper: None,
         }
     }
@@ -225,7 +231,7 @@
             && self.removed_at.is_none_or(|at| now < at)
             && now >= self.paused_until
             && !self.backoff.is_active(now)
-            && self.rate.hold_time(now) <= max_wait
+            && self.hold_time(now) <= max_wait
     }
 
     /// Whether it is draining and new requests may be sent to it otherwise.
@@ -236,7 +242,37 @@
             && self.removed_at.is_none()
             && now >= self.paused_until
             && !self.backoff.is_active(now)
-            && self.rate.hold_time(now).is_zero()
+            && self.hold_time(now).is_zero()
+    }
+
+    /// Requests per second that all hosts together may send; `None` if there is no limit.
+    #[must_use]
+    pub fn permit_rate(&self, now: Duration) -> Option<f64> {
+        let named = self.rate.per_second(now);
+        let cold = self.cold.per_second();
+        named.into_iter().chain(cold).reduce(f64::min)
+    }
+
+    /// Time until this host may ask for a permit; zero if it may ask now or needs none.
+    #[must_use]
+    pub fn hold_time(&self, now: Duration) -> Duration {
+        self.rate.hold_time(now).max(self.cold.hold_time(now))
+    }
+
+    /// Records that no permit was given and the next one may be asked for after `ask_in`.
+    pub fn hold(&mut self, ask_in: Duration, overload: f64, now: Duration) {
+        if self.rate.per_second(now).is_some() {
+            self.rate.hold(ask_in, overload, now);
+        }
+        self.cold.hold(ask_in, overload, now);
+    }
+
+    /// Sets the rate of its service while it is cold. Slots that were granted without it are void.
+    fn set_cold_spec(&mut self, spec: Option<ColdSpec>, bound: &ColdBound) {
+        if self.cold.set_spec(spec, bound) {
+            self.keeper = None;
+            self.cold.record_start(self.listed_at);
+        }
     }
 
     /// Whether its entry has vanished.
@@ -312,6 +348,8 @@
     versions: VersionRegistry,
     /// Zones that operators evacuated.
     evacuated_zones: BTreeSet<ZoneName>,
+    cold_specs: HashMap<DeploymentName, ColdSpec>,
+    cold_bound: ColdBound,
 }
 
 impl TargetTable {
@@ -387,6 +425,8 @@
         let service = entry.service.clone();
         let mut target = Target::new(entry, locality, now);
         target.is_evacuated = self.evacuated_zones.contains(&target.entry.zone);
+        let cold_spec = self.cold_specs.get(&target.entry.service).copied();
+        target.set_cold_spec(cold_spec, &self.cold_bound);
         if target.entry.is_draining {
             target.draining_since = Some(now);
         }
@@ -471,7 +511,7 @@
     pub fn is_held_back(&self, service: &DeploymentName, now: Duration) -> bool {
         self.of_service(service)
             .filter(|(_, target)| !target.is_leaving(now) && !target.is_evacuated)
-            .any(|(_, target)| !target.rate.hold_time(now).is_zero())
+            .any(|(_, target)| !target.hold_time(now).is_zero())
     }
 
     /// Demand of all hosts for the limited targets of a service, as a multiple of their rates; 1 if
@@ -479,8 +519,8 @@
     #[must_use]
     pub fn rate_overload(&self, service: &DeploymentName, now: Duration) -> f64 {
         self.of_service(service)
-            .filter(|(_, target)| target.rate.per_second(now).is_some())
-            .map(|(_, target)| target.rate.overload())
+            .filter(|(_, target)| target.permit_rate(now).is_some())
+            .map(|(_, target)| target.rate.overload().max(target.cold.overload()))
             .fold(1.0, f64::max)
     }
 
@@ -500,12 +540,7 @@
     ) -> Option<Duration> {
         self.of_service(service)
             .filter(|(_, target)| !target.is_leaving(now) && !target.is_evacuated)
-            .map(|(_, target)| {
-                target
-                    .backoff
-                    .remaining(now)
-                    .max(target.rate.hold_time(now))
-            })
+            .map(|(_, target)| target.backoff.remaining(now).max(target.hold_time(now)))
             .min()
             .filter(|remaining| !remaining.is_zero())
     }
@@ -539,6 +574,20 @@
         }
     }
 
+    /// Sets the bound on requests that reach a cold engine.
+    pub fn set_cold_bound(&mut self, bound: ColdBound) {
+        self.cold_bound = bound;
+    }
+
+    /// Replaces the rates of cold engines of all services.
+    pub fn set_cold_specs(&mut self, cold_specs: HashMap<DeploymentName, ColdSpec>) {
+        for target in self.targets.values_mut() {
+            let spec = cold_specs.get(&target.entry.service).copied();
+            target.set_cold_spec(spec, &self.cold_bound);
+        }
+        self.cold_specs = cold_specs;
+    }
+
     /// Replaces the zones whose targets receive nothing new.
     pub fn set_evacuated_zones(&mut self, zones: BTreeSet<ZoneName>) {
         for target in self.targets.values_mut() {
--- a/crates/mimosagap-routing/tests/support/mod.rs
+++ b/crates/mimosagap-routing/tests/support/mod.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 
+use mimosagap_routing::cold_rate::ColdClaim;
 use mimosagap_routing::config::EngineSpec;
 use mimosagap_routing::placement::GenerationDemand;
 use mimosagap_routing::targets::{Locality, TargetEntry, TargetKey, TargetTable};
@@ -38,6 +39,7 @@
         slots: 24,
         is_draining: false,
         started_unix_ms: 1,
+        cold: ColdClaim::Unstated,
     }
 }
 
