feat(routing): leave silent hosts out of lookups

Cause: while the store is away or pauses its leases, the record of a killed host stays and every lookup lists its address.

Change: a host from which no datagram arrived for 6 s is left out, unless this host hears from nobody. Idle hosts send an empty load report every 2 s, which earlier builds decode; records name the feature, and hosts of earlier builds are not judged.

Tests of routing, platform and gateway pass.

--- a/crates/mimosagap-gateway/src/log.rs
+++ b/crates/mimosagap-gateway/src/log.rs
@@ -154,6 +154,15 @@
         /// Whether the store lists it.
         listed: bool,
     },
+    /// Nothing was heard from a listed host for long, or something was heard again.
+    HostSilent {
+        /// Name of the host.
+        name: &'a str,
+        /// Whether its address is left out of lookups.
+        silent: bool,
+        /// Milliseconds since something was heard from it.
+        silent_ms: u64,
+    },
     /// A target crashed while it ran requests.
     TargetCrashed {
         /// Instance name of the target.
--- a/crates/mimosagap-gateway/src/metrics.rs
+++ b/crates/mimosagap-gateway/src/metrics.rs
@@ -184,6 +184,8 @@
     pub cold_permits: IntCounterVec,
     /// Number of engines that count as cold.
     pub cold_targets: IntGauge,
+    /// Number of listed hosts from which nothing is heard.
+    pub silent_hosts: IntGauge,
 }
 
 impl ExclusionMetrics {
@@ -207,6 +209,7 @@
                 &["result"],
             )?,
             cold_targets: register_gauge(registry, "mimosagap_cold_targets", "Cold engines")?,
+            silent_hosts: register_gauge(registry, "mimosagap_silent_hosts", "Silent hosts")?,
         })
     }
 }
--- a/crates/mimosagap-gateway/src/peers.rs
+++ b/crates/mimosagap-gateway/src/peers.rs
@@ -10,6 +10,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use mimosagap_routing::host_liveness::LIVENESS_INTERVAL;
 use mimosagap_routing::targets::{PRIORITY_LEVELS, TargetLoad};
 use mimosagap_types::prelude::*;
 use serde::{Deserialize, Serialize};
@@ -19,7 +20,7 @@
 use crate::log::LogEvent;
 use crate::rate_permits::{self, PermitRequest, PermitResponse};
 use crate::remote_placement::{self, PlacementRequest, PlacementResponse};
-use crate::state::SharedGateway;
+use crate::state::{Gateway, SharedGateway, millis};
 use crate::suspicion::{self, AgedNotice, TimedNotice};
 use crate::target_notices::{self, TargetNotice};
 
@@ -145,6 +146,7 @@
     let mut tick_count = 0_u32;
     let mut reported_near = ReportedLoads::new();
     let mut reported_far = ReportedLoads::new();
+    let mut liveness = [HostGroup::Near, HostGroup::Far].map(|group| (group, None));
     loop {
         // A change that loses against a tick here is reported by the tick.
         tokio::select! {
@@ -154,8 +156,20 @@
                     reported_near.retain(|_, load| load.requests == 0);
                     reported_far.retain(|_, load| load.requests == 0);
                 }
-                send_changed_loads(&gateway, &socket, HostGroup::Near, &mut reported_near).await;
-                send_changed_loads(&gateway, &socket, HostGroup::Far, &mut reported_far).await;
+                update_liveness(&gateway);
+                for (group, sent_at) in &mut liveness {
+                    let reported = match group {
+                        HostGroup::Near => &mut reported_near,
+                        HostGroup::Far => &mut reported_far,
+                    };
+                    let now = gateway.now();
+                    let is_sent = send_changed_loads(&gateway, &socket, *group, reported).await
+                        || sent_at.is_none_or(|at| is_liveness_due(at, now))
+                            && send_loads(&gateway, &socket, *group, Vec::new()).await;
+                    if is_sent {
+                        *sent_at = Some(now);
+                    }
+                }
                 send_notices(&gateway, &socket, gateway.target_notices.take_repeats()).await;
                 let repeats = gateway.suspicions.notices.take_repeats();
                 send_suspicions(&gateway, &socket, repeats).await;
@@ -165,12 +179,49 @@
                 send_notices(&gateway, &socket, gateway.target_notices.take_new()).await;
                 let unsent = gateway.suspicions.notices.take_new();
                 send_suspicions(&gateway, &socket, unsent).await;
-                send_changed_loads(&gateway, &socket, HostGroup::Near, &mut reported_near).await;
+                let group = HostGroup::Near;
+                let now = gateway.now();
+                if send_changed_loads(&gateway, &socket, group, &mut reported_near).await {
+                    liveness[0].1 = Some(now);
+                }
             }
         }
     }
 }
 
+/// Whether an empty report is due before the next tick, after which it would be late.
+fn is_liveness_due(sent_at: Duration, now: Duration) -> bool {
+    now + FAR_REPORT_INTERVAL / 2 >= sent_at + LIVENESS_INTERVAL
+}
+
+/// Updates which hosts are silent, and logs changes.
+fn update_liveness(gateway: &Gateway) {
+    let now = gateway.now();
+    let changed = gateway.with_state(|state| {
+        state.host_liveness.record_tick(now);
+        let own_host = &gateway.settings.host;
+        let hosts = &mut state.hosts;
+        let silent = state.host_liveness.silent_hosts(hosts, own_host, now);
+        let count = i64::try_from(silent.len()).unwrap_or(i64::MAX);
+        gateway.metrics.exclusions.silent_hosts.set(count);
+        let changed = hosts.set_silent(&silent).into_iter();
+        let changed = changed.map(|(name, is_silent)| {
+            let record = hosts.live().find(|(other, _)| *other == name);
+            let silence = record
+                .and_then(|(_, record)| state.host_liveness.silence(record.peer_address, now));
+            (name, is_silent, silence)
+        });
+        changed.collect::<Vec<_>>()
+    });
+    for (name, silent, silence) in changed {
+        gateway.log.event(&LogEvent::HostSilent {
+            name: &name,
+            silent,
+            silent_ms: millis(silence.unwrap_or_default()),
+        });
+    }
+}
+
 /// Waits for a change to report, and then for others that follow at once.
 async fn next_change(gateway: &SharedGateway) {
     gateway.peer_update_due.notified().await;
@@ -218,17 +269,16 @@
     Far,
 }
 
-/// Sends a group of hosts the loads that changed since the last report.
+/// Sends a group of hosts the loads that changed since the last report. Returns whether anything was
+/// sent.
 async fn send_changed_loads(
     gateway: &SharedGateway,
     socket: &UdpSocket,
     group: HostGroup,
     reported: &mut ReportedLoads,
-) {
-    let settings = &gateway.settings;
-    let is_near = group == HostGroup::Near;
-    let (mut changed, peers) = gateway.with_state(|state| {
-        let changed: Vec<(String, TargetLoad)> = state
+) -> bool {
+    let mut changed: Vec<(String, TargetLoad)> = gateway.with_state(|state| {
+        state
             .targets
             .iter()
             .map(|(_, target)| (&target.entry.instance, target.local_load))
@@ -238,36 +288,53 @@
                     .map_or(load.requests > 0, |reported| reported != load)
             })
             .map(|(instance, load)| (instance.clone(), load))
-            .collect();
+            .collect()
+    });
+    reported.extend(changed.iter().cloned());
+    let mut is_sent = false;
+    while !changed.is_empty() {
+        let rest = changed.split_off(changed.len().min(MAX_LOADS_PER_DATAGRAM));
+        is_sent |= send_loads(gateway, socket, group, changed).await;
+        changed = rest;
+    }
+    is_sent
+}
+
+/// Sends a load report to a group of hosts. An empty one says only that this host runs. Returns
+/// whether there are such hosts.
+async fn send_loads(
+    gateway: &SharedGateway,
+    socket: &UdpSocket,
+    group: HostGroup,
+    loads: Vec<(String, TargetLoad)>,
+) -> bool {
+    let settings = &gateway.settings;
+    let is_near = group == HostGroup::Near;
+    let peers: Vec<SocketAddr> = gateway.with_state(|state| {
         let is_small_fleet = state.hosts.len() <= SMALL_FLEET_HOSTS;
-        let peers: Vec<SocketAddr> = state
+        state
             .hosts
             .live()
             .filter(|(name, _)| *name != settings.host)
             .filter(|(_, record)| (is_small_fleet || record.region == settings.region) == is_near)
             .map(|(_, record)| record.peer_address)
-            .collect();
-        (changed, peers)
+            .collect()
     });
-    reported.extend(changed.iter().cloned());
-    while !changed.is_empty() {
-        let rest = changed.split_off(changed.len().min(MAX_LOADS_PER_DATAGRAM));
-        let message = LoadMessage {
-            host_hash: gateway.host_hash,
-            loads: changed
-                .into_iter()
-                .map(|(name, load)| (name, load.requests, load.kv_tokens, load.pending_prefill))
-                .collect(),
-        };
-        changed = rest;
-        let Some(bytes) = PeerMessage::Load(message).encode() else {
-            return;
-        };
-        for peer in &peers {
-            // The next full report makes up for a datagram that cannot be sent.
-            let _ = socket.send_to(&bytes, peer).await;
-        }
+    let message = LoadMessage {
+        host_hash: gateway.host_hash,
+        loads: loads
+            .into_iter()
+            .map(|(name, load)| (name, load.requests, load.kv_tokens, load.pending_prefill))
+            .collect(),
+    };
+    let Some(bytes) = PeerMessage::Load(message).encode() else {
+        return false;
+    };
+    for peer in &peers {
+        // The next full report makes up for a datagram that cannot be sent.
+        let _ = socket.send_to(&bytes, peer).await;
     }
+    !peers.is_empty()
 }
 
 /// Decodes a datagram, if its sender is a host of the fleet.
@@ -276,11 +343,14 @@
     bytes: &[u8],
     sender: SocketAddr,
 ) -> Option<PeerMessage> {
+    let now = gateway.now();
     let is_known_host = gateway.with_state(|state| {
-        state
-            .hosts
-            .live()
-            .any(|(_, record)| record.peer_address.ip() == sender.ip())
+        let mut known_hosts = state.hosts.live();
+        let is_known = known_hosts.any(|(_, record)| record.peer_address.ip() == sender.ip());
+        if is_known {
+            state.host_liveness.record_datagram(sender, now);
+        }
+        is_known
     });
     if !is_known_host {
         return None;
@@ -297,6 +367,9 @@
 }
 
 fn apply_load(gateway: &SharedGateway, message: &LoadMessage) {
+    if message.loads.is_empty() {
+        return;
+    }
     let now = gateway.now();
     gateway.with_state(|state| {
         for (instance, requests, kv_tokens, pending_prefill) in &message.loads {
--- a/crates/mimosagap-gateway/src/registration.rs
+++ b/crates/mimosagap-gateway/src/registration.rs
@@ -36,6 +36,7 @@
             cpu_millicores: settings.cpu_millicores,
             link_mbps: settings.link_mbps,
         },
+        sends_liveness: true,
     };
     let value = serde_json::to_vec(&record).unwrap_or_default();
     let key = format!("{HOSTS_PREFIX}{}", settings.host);
--- a/crates/mimosagap-gateway/src/state.rs
+++ b/crates/mimosagap-gateway/src/state.rs
@@ -13,6 +13,7 @@
 use mimosagap_routing::config_state::{ConfigState, StalenessBounds};
 use mimosagap_routing::evacuation::Evacuations;
 use mimosagap_routing::hashing::stable_hash;
+use mimosagap_routing::host_liveness::HostLiveness;
 use mimosagap_routing::hosts::HostTable;
 use mimosagap_routing::output_length::LengthEstimator;
 use mimosagap_routing::quarantine::Quarantine;
@@ -63,6 +64,8 @@
     pub unknown_evacuations: HashSet<ZoneName>,
     /// Hosts that the store lists.
     pub hosts: HostTable,
+    /// When this host last heard from each of them.
+    pub host_liveness: HostLiveness,
     /// Requests and parts of prompts that are suspected of crashing targets.
     pub quarantine: Quarantine,
     /// Estimators of the time per output token, by service.
@@ -214,6 +217,7 @@
                 evacuations: Evacuations::default(),
                 unknown_evacuations: HashSet::new(),
                 hosts: HostTable::default(),
+                host_liveness: HostLiveness::new(clock.since_boot()),
                 quarantine: Quarantine::new(clock.since_boot()),
                 token_time_estimators: HashMap::new(),
                 length_estimators: HashMap::new(),
--- a/crates/mimosagap-gateway/src/store_sync.rs
+++ b/crates/mimosagap-gateway/src/store_sync.rs
@@ -599,7 +599,11 @@
     let removed_at = removal_time(gateway, hosts::OUTAGE_GRACE);
     let listed = record.is_some();
     gateway.with_state(|state| match record {
-        Some(record) => state.hosts.upsert(name, record, revision),
+        Some(record) => {
+            let now = gateway.now();
+            state.host_liveness.record_listed(record.peer_address, now);
+            state.hosts.upsert(name, record, revision);
+        }
         None => state.hosts.mark_removed(name, removed_at),
     });
     gateway.log.event(&LogEvent::Host { name, listed });
--- a/crates/mimosagap-gateway/tests/log.rs
+++ b/crates/mimosagap-gateway/tests/log.rs
@@ -212,6 +212,11 @@
 fn belief_events() -> Vec<LogEvent<'static>> {
     let empty = String::new;
     vec![
+        LogEvent::HostSilent {
+            name: "h",
+            silent: true,
+            silent_ms: 6000,
+        },
         LogEvent::ZoneEvacuation {
             zone: "z",
             change: "started",
--- a/crates/mimosagap-routing/src/discovery.rs
+++ b/crates/mimosagap-routing/src/discovery.rs
@@ -3,7 +3,8 @@
 //! Callers keep the list that they get and pick hosts from it at random. The list holds the hosts
 //! of the caller's zone, which keeps traffic between regions low. In a zone with a single host left
 //! that host would get all callers, so a list of fewer than two hosts is widened to the region and
-//! then to the whole fleet.
+//! then to the whole fleet. Hosts that are silent are left out, see
+//! [`host_liveness`](crate::host_liveness).
 
 use std::net::SocketAddr;
 
@@ -28,7 +29,7 @@
     excluded_host: Option<&str>,
 ) -> Vec<SocketAddr> {
     let candidates: Vec<_> = hosts
-        .live()
+        .heard()
         .filter(|(name, _)| Some(*name) != excluded_host)
         .map(|(_, record)| record)
         .collect();
--- a/crates/mimosagap-routing/src/hosts.rs
+++ b/crates/mimosagap-routing/src/hosts.rs
@@ -1,6 +1,6 @@
 //! The hosts of the fleet as registered in the store.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -29,6 +29,10 @@
     pub region: RegionName,
     /// Resources of the host, by which readers and placers are chosen.
     pub capacity: HostCapacity,
+    /// Whether the host sends load reports also when it has nothing to report. Earlier builds do
+    /// not, and their records lack the field.
+    #[serde(default)]
+    pub sends_liveness: bool,
 }
 
 /// Resources of a host. The greatest capacity, compared field by field, takes the shared duties.
@@ -48,6 +52,8 @@
     /// The store revision that wrote the record; a host that registers anew has a later one.
     revision: StoreRevision,
     removed_at: Option<Duration>,
+    /// Whether nothing was heard from the host for long.
+    is_silent: bool,
 }
 
 /// All known hosts by name.
@@ -59,10 +65,13 @@
 impl HostTable {
     /// Inserts or replaces the record of a host, which a store revision wrote.
     pub fn upsert(&mut self, name: &str, record: HostRecord, revision: StoreRevision) {
+        // A record that is read again does not prove that the host runs.
+        let is_silent = self.entries.get(name).is_some_and(|entry| entry.is_silent);
         let entry = HostEntry {
             record,
             revision,
             removed_at: None,
+            is_silent,
         };
         self.entries.insert(name.to_owned(), entry);
     }
@@ -87,6 +96,27 @@
             .map(|(name, entry)| (name.as_str(), &entry.record))
     }
 
+    /// Replaces the names of the silent hosts. Returns the names of those for which that changed, with
+    /// whether they are silent now.
+    pub fn set_silent(&mut self, silent: &BTreeSet<String>) -> Vec<(String, bool)> {
+        let mut changed = Vec::new();
+        for (name, entry) in &mut self.entries {
+            let is_silent = silent.contains(name);
+            if std::mem::replace(&mut entry.is_silent, is_silent) != is_silent {
+                changed.push((name.clone(), is_silent));
+            }
+        }
+        changed
+    }
+
+    /// Names and records of all hosts that were not purged and are not silent.
+    pub fn heard(&self) -> impl Iterator<Item = (&str, &HostRecord)> {
+        self.entries
+            .iter()
+            .filter(|(_, entry)| !entry.is_silent)
+            .map(|(name, entry)| (name.as_str(), &entry.record))
+    }
+
     /// Names and records of all hosts that the store lists, those registered longest first. Hosts
     /// whose record vanished are left out, also while they stay listed for their grace period.
     pub fn by_registration(&self) -> impl Iterator<Item = (&str, &HostRecord)> {
--- a/crates/mimosagap-routing/src/lib.rs
+++ b/crates/mimosagap-routing/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod drain_time;
 pub mod evacuation;
 pub mod hashing;
+pub mod host_liveness;
 pub mod hosts;
 pub mod keeper_selection;
 pub mod migration;
--- a/crates/mimosagap-routing/tests/cold_fleet.rs
+++ b/crates/mimosagap-routing/tests/cold_fleet.rs
@@ -200,6 +200,7 @@
             zone: ZoneName::new("z"),
             region: region(host),
             capacity: HostCapacity::default(),
+            sends_liveness: true,
         };
         let revision = StoreRevision::new(StoreEra(1), self.next_revision);
         self.next_revision += 1;
--- a/crates/mimosagap-routing/tests/host_selection.rs
+++ b/crates/mimosagap-routing/tests/host_selection.rs
@@ -19,6 +19,7 @@
             peer_address: ([10, 0, 0, number], 7200).into(),
             zone: ZoneName::new(zone),
             capacity: HostCapacity::default(),
+            sends_liveness: true,
             region: RegionName::new(&zone[..1]),
         };
         hosts.upsert(name, record, revision(1));
--- a/crates/mimosagap-routing/tests/placer_selection.rs
+++ b/crates/mimosagap-routing/tests/placer_selection.rs
@@ -96,6 +96,7 @@
             peer_address: ([10, 0, 0, number], 7200).into(),
             zone: ZoneName::new(&name[..2]),
             capacity: HostCapacity::default(),
+            sends_liveness: true,
             region: RegionName::new(&name[..1]),
         };
         hosts.upsert(name, record, revision(1));
--- a/crates/mimosagap-routing/tests/rate_keeper.rs
+++ b/crates/mimosagap-routing/tests/rate_keeper.rs
@@ -139,6 +139,7 @@
         zone: ZoneName::new("z"),
         region: RegionName::new(region),
         capacity: HostCapacity::default(),
+        sends_liveness: true,
     }
 }
 
--- a/crates/mimosagap-routing/tests/support/rate_simulation.rs
+++ b/crates/mimosagap-routing/tests/support/rate_simulation.rs
@@ -170,6 +170,7 @@
         peer_address: ([10, 0, octets[0], octets[1]], 7200).into(),
         zone: ZoneName::new("a"),
         capacity: HostCapacity::default(),
+        sends_liveness: true,
         region: RegionName::new("a"),
     }
 }
