--- a/crates/mimosagap-soak/tests/support/mod.rs
+++ b/crates/mimosagap-soak/tests/support/mod.rs
@@ -138,7 +138,9 @@
     tokio::task::LocalSet::new().block_on(&runtime, test)
 }
 
-fn config() -> serde_json::Value {
+/// The configuration of the scenes, with a plain service and one with engines.
+#[must_use]
+pub fn config() -> serde_json::Value {
     let route = |prefix: &str, kind: &str, service: &str| {
         json!({
             "name": prefix, "hostname": "soak.example", "path_prefix": prefix, "route_kind": kind,
