fix(gateway): keep idle connections fresh while a permit is awaited

Cause: a connection that waits for the permit of a cold engine went back to the pool with its idle time counted anew, and a request that must not be sent twice could use one that its target was about to close.

Change: only connections on which nothing was sent go back, and one that was used before is replaced after a wait of 0.6 s. An engine that is listed again under its old entry counts as cold, calls to copy generations read X-Cold-Ms, and an unknown zone is logged with the age of the state.

--- a/crates/mimosagap-gateway/src/evacuation.rs
+++ b/crates/mimosagap-gateway/src/evacuation.rs
@@ -31,6 +31,7 @@
 
 /// Applies a change of the key of a zone.
 pub fn apply_key(gateway: &Gateway, zone: ZoneName, is_present: bool, era: StoreEra) {
+    let now = gateway.now();
     let change = gateway.with_state(|state| {
         if !is_present {
             state.unknown_evacuations.remove(&zone);
@@ -40,7 +41,8 @@
             return state.evacuations.record_key(&zone, era);
         }
         if state.unknown_evacuations.insert(zone.clone()) {
-            log_change(gateway, &zone, "unknown_zone", ChangeSource::Store, None);
+            let age = state.config.confirmation_age(now);
+            log_change(gateway, &zone, "unknown_zone", ChangeSource::Store, age);
         }
         None
     });
--- a/crates/mimosagap-gateway/src/exchange.rs
+++ b/crates/mimosagap-gateway/src/exchange.rs
@@ -27,6 +27,11 @@
 use crate::state::{Gateway, SharedGateway, millis};
 use crate::target_notices;
 
+/// Time for which a connection that was used before may wait for a permit, if the request must not
+/// be sent twice: an ask that is repeated, and a slot. With the 1.5 s for which the pool takes a
+/// connection as fresh it stays well below the idle time of targets.
+const MAX_READY_TIME: Duration = Duration::from_millis(600);
+
 /// Highest value of the priority header.
 const MAX_HEADER_PRIORITY: u8 = 9;
 
@@ -186,12 +191,17 @@
     } else {
         None
     };
+    let ready_at = gateway.now();
     let permit = acquire_permit(gateway, key, permit_options).await;
     let Ok(permit) = permit else {
         return_unused(gateway, key, ready_connection);
         return Err(ExchangeError::RateLimited);
     };
     let asked_at = gateway.now();
+    // The target may have closed a connection that was idle during a long wait.
+    if must_be_fresh && asked_at >= ready_at + MAX_READY_TIME {
+        ready_connection = ready_connection.filter(|connection| connection.request_count == 0);
+    }
     log_attempt(gateway, request, key, &entry, options);
     loop {
         let mut connection = match ready_connection.take() {
@@ -200,6 +210,8 @@
         };
         if !permit.is_valid(gateway.now()) {
             return_unused(gateway, key, Some(connection));
+            let permits = &gateway.metrics.exclusions.cold_permits;
+            permits.with_label_values(&["expired"]).inc();
             return Err(ExchangeError::RateLimited);
         }
         // The zone may have been evacuated since the target was chosen.
@@ -247,9 +259,10 @@
     open_connection(gateway, address).await
 }
 
-/// Returns a connection to the pool on which nothing was sent.
+/// Returns a connection to the pool on which nothing was ever sent. One that was used before is
+/// closed, because the pool would count its idle time anew.
 fn return_unused(gateway: &Gateway, key: TargetKey, connection: Option<HttpConnection>) {
-    if let Some(connection) = connection {
+    if let Some(connection) = connection.filter(|connection| connection.request_count == 0) {
         let now = gateway.now();
         gateway.with_state(|state| state.connection_pool.put(key, connection, None, now));
     }
--- a/crates/mimosagap-gateway/src/standby.rs
+++ b/crates/mimosagap-gateway/src/standby.rs
@@ -363,6 +363,7 @@
     }
     target_notices::observe_leaving(gateway, key, &head.headers);
     target_notices::observe_rate_limit(gateway, key, &head.headers, asked_at);
+    target_notices::observe_cold(gateway, key, &head.headers);
     release_connection(gateway, key, &head, connection);
     Ok((head.status, body))
 }
--- a/crates/mimosagap-gateway/src/target_notices.rs
+++ b/crates/mimosagap-gateway/src/target_notices.rs
@@ -90,7 +90,7 @@
 }
 
 /// Records for how long a target says that it stays cold.
-fn observe_cold(gateway: &Gateway, key: TargetKey, headers: &HeaderMap) {
+pub fn observe_cold(gateway: &Gateway, key: TargetKey, headers: &HeaderMap) {
     let claim = cold_claim(headers);
     if claim != ColdClaim::Unstated {
         record_cold_claim(gateway, key, claim, "answer");
--- a/crates/mimosagap-routing/src/targets.rs
+++ b/crates/mimosagap-routing/src/targets.rs
@@ -409,6 +409,9 @@
                 && target.entry.version == entry.version
                 && target.entry.service == entry.service;
             if is_same_process {
+                if target.is_removed(now) {
+                    target.cold.record_start(now);
+                }
                 target.removed_at = None;
                 // Draining is final for a process, so an entry that arrives late does not undo it.
                 let starts_draining = entry.is_draining && target.draining_since.is_none();
--- a/crates/mimosagap-routing/tests/cold_rate.rs
+++ b/crates/mimosagap-routing/tests/cold_rate.rs
@@ -126,6 +126,18 @@
     assert!(can_place(&targets, NOW + SECOND));
 }
 
+/// Guards against an engine that counts as warm because it comes back under its old entry.
+#[test]
+fn an_engine_that_is_listed_again_is_cold() {
+    let (mut targets, keys) = engines(&["a"]);
+    targets.set_cold_specs(HashMap::from([(service(), spec())]));
+    targets.mark_removed("i-0", NOW);
+    let (key, _) = targets.upsert(entry(0, "a"), Locality::SameZone, NOW + SECOND);
+    assert_eq!(key, keys[0]);
+    let target = targets.get(key).expect("the target is in the table");
+    assert!(target.cold.is_cold(NOW + 20 * SECOND));
+}
+
 /// Guards against a host that sends to a cold engine, or more than once in a second, because it
 /// reaches no keeper.
 #[test]
