style(soak): assign the status in place

Cause: clippy's assigning_clones rejected the new test file.

Change: clone into the existing text.

Test: clippy of the workspace passes; the four tests of exclusions.rs pass.

--- a/crates/mimosagap-soak/tests/exclusions.rs
+++ b/crates/mimosagap-soak/tests/exclusions.rs
@@ -68,7 +68,8 @@
     let paths = ["/safe/x", "/once/x", "/stream/x"];
     for (status, path) in statuses.iter_mut().zip(paths) {
         let response = scene.exchange(path, "a1").await;
-        *status = response.split(' ').nth(1).unwrap_or_default().to_owned();
+        let code = response.split(' ').nth(1).unwrap_or_default();
+        code.clone_into(status);
     }
     statuses
 }
