test(routing): replay the death of a cold engine's keeper

Cause: the design note claims that a deputy grants until the store lists it as the keeper; no replay showed it.

Change: a scenario in which the first keeper dies and stays listed for 4 s.

--- a/crates/mimosagap-routing/tests/cold_fleet.rs
+++ b/crates/mimosagap-routing/tests/cold_fleet.rs
@@ -58,6 +58,8 @@
     store_away: (Duration, Duration),
     /// Hosts that are restarted, and when.
     restarts: Vec<(Duration, usize)>,
+    /// Time from the death of the first keeper until the store no longer lists it.
+    dead_keeper: (Duration, Duration),
     /// Whether the engines count as warm, and become cold without notice.
     is_unnoticed: bool,
 }
@@ -72,6 +74,7 @@
             deaf: (Duration::MAX, Duration::MAX),
             store_away: (Duration::MAX, Duration::MAX),
             restarts: Vec::new(),
+            dead_keeper: (Duration::MAX, Duration::MAX),
             is_unnoticed: false,
         }
     }
@@ -81,6 +84,7 @@
 enum Event {
     Demand(usize),
     Restart(usize),
+    Unlist(usize),
     Ask(Ask),
     Answer(Ask, PermitDecision),
     Unable(Ask),
@@ -162,6 +166,7 @@
         for (at, host) in simulation.scenario.restarts.clone() {
             simulation.schedule(at, Event::Restart(host));
         }
+        simulation.schedule(simulation.scenario.dead_keeper.1, Event::Unlist(0));
         // The hosts were up for a while when the engines return.
         let returned_at = Duration::from_secs(4);
         for engine in 0..ENGINE_COUNT {
@@ -249,6 +254,8 @@
                 self.hosts[host] = self.started_host(now);
                 self.register(host);
             }
+            Event::Unlist(host) => self.table.mark_removed(&host_name(host), now),
+            Event::Ask(ask) if ask.keeper == 0 && now >= self.scenario.dead_keeper.0 => {}
             Event::Ask(ask) => self.decide(ask),
             Event::Answer(ask, decision) => self.apply(ask, decision),
             Event::Unable(ask) => {
@@ -494,3 +501,14 @@
     let mean = assert_within_bound(&scenario);
     assert!(mean > 0.15 * COLD_PER_SECOND, "{mean} a second");
 }
+
+/// Guards against a dead keeper whose slots are granted twice, or by nobody.
+#[rstest]
+fn a_deputy_takes_over_from_a_dead_keeper(#[values(6, 79, 106, 300)] host_count: usize) {
+    let scenario = Scenario {
+        dead_keeper: (Duration::from_secs(5), Duration::from_secs(9)),
+        ..Scenario::new(host_count, Sharing::Keeper)
+    };
+    let mean = assert_within_bound(&scenario);
+    assert!(mean > 0.4 * COLD_PER_SECOND, "{mean} a second");
+}
