--- a/crates/mimosagap-gateway/src/calls.rs
+++ b/crates/mimosagap-gateway/src/calls.rs
@@ -140,7 +140,11 @@
                         record_unresponsive(gateway, &running, TargetOutcome::ReturnedError);
                         return forward_response(gateway, request, target, response);
                     }
-                    Err(ExchangeError::Unreachable | ExchangeError::OutsideRegions) => {
+                    Err(
+                        ExchangeError::Unreachable
+                        | ExchangeError::OutsideRegions
+                        | ExchangeError::Evacuated,
+                    ) => {
                         progress.executions -= 1;
                         true
                     }
--- a/crates/mimosagap-gateway/src/exchange.rs
+++ b/crates/mimosagap-gateway/src/exchange.rs
@@ -29,6 +29,11 @@
 use crate::state::{Gateway, SharedGateway, millis};
 use crate::target_notices;
 
+/// Time for which a connection that was used before may wait for a permit, if the request must not
+/// be sent twice: an ask that is repeated, and a slot. With the 1.5 s for which the pool takes a
+/// connection as fresh it stays well below the idle time of targets.
+const MAX_READY_TIME: Duration = Duration::from_millis(600);
+
 /// Highest value of the priority header.
 const MAX_HEADER_PRIORITY: u8 = 9;
 
@@ -56,6 +61,8 @@
     /// Nothing was sent because the configuration has changed, and the target is now in a region that
     /// is not allowed.
     OutsideRegions,
+    /// Nothing was sent because operators evacuated the target's zone.
+    Evacuated,
     /// The connection failed or delivered something other than a response to this request, which
     /// may have been executed.
     Aborted,
@@ -72,6 +79,7 @@
             Self::InBackoff => "held_back",
             Self::RateLimited => "rate_limited",
             Self::OutsideRegions => "outside_regions",
+            Self::Evacuated => "evacuated",
             Self::Aborted => "broken",
             Self::LimitExceeded => "endless",
         }
@@ -141,9 +149,10 @@
         ExchangeError::Rejected => Some(TargetOutcome::Rejected),
         ExchangeError::Aborted => Some(TargetOutcome::Failed),
         ExchangeError::LimitExceeded => Some(TargetOutcome::LimitExceeded),
-        ExchangeError::InBackoff | ExchangeError::RateLimited | ExchangeError::OutsideRegions => {
-            None
-        }
+        ExchangeError::InBackoff
+        | ExchangeError::RateLimited
+        | ExchangeError::OutsideRegions
+        | ExchangeError::Evacuated => None,
     };
     if let Some(outcome) = outcome {
         record_outcome(gateway, key, outcome);
@@ -182,18 +191,49 @@
         class,
         max_wait: options.max_permit_wait,
     };
-    acquire_permit(gateway, key, permit_options)
-        .await
-        .map_err(|_| ExchangeError::RateLimited)?;
+    let must_be_fresh = !request.route.kind.is_idempotent();
+    // The permit of an engine that may be cold does not last until a connection is open.
+    let may_be_cold = gateway.with_state(|state| {
+        let target = state.targets.get(key);
+        target.is_some_and(|target| target.cold.spec.is_some())
+    });
+    let mut ready_connection = if may_be_cold {
+        Some(acquire_connection(gateway, key, entry.address, must_be_fresh).await?)
+    } else {
+        None
+    };
+    let ready_at = gateway.now();
+    let permit = acquire_permit(gateway, key, permit_options).await;
+    let Ok(permit) = permit else {
+        return_unused(gateway, key, ready_connection);
+        return Err(ExchangeError::RateLimited);
+    };
+    let asked_at = gateway.now();
+    // The target may have closed a connection that was idle during a long wait.
+    if must_be_fresh && asked_at >= ready_at + MAX_READY_TIME {
+        ready_connection = ready_connection.filter(|connection| connection.request_count == 0);
+    }
     // The configuration may have changed since the target was chosen.
     if !residency::confirm_target(gateway, request, target) {
+        return_unused(gateway, key, ready_connection);
         return Err(ExchangeError::OutsideRegions);
     }
-    let asked_at = gateway.now();
     log_attempt(gateway, request, key, &entry, options);
-    let must_be_fresh = !request.route.kind.is_idempotent();
     loop {
-        let mut connection = acquire_connection(gateway, key, entry.address, must_be_fresh).await?;
+        let mut connection = match ready_connection.take() {
+            Some(connection) => connection,
+            None => acquire_connection(gateway, key, entry.address, must_be_fresh).await?,
+        };
+        if !permit.is_valid(gateway.now()) {
+            return_unused(gateway, key, Some(connection));
+            let permits = &gateway.metrics.exclusions.cold_permits;
+            permits.with_label_values(&["expired"]).inc();
+            return Err(ExchangeError::RateLimited);
+        }
+        // The zone may have been evacuated since the target was chosen.
+        if gateway.with_state(|state| state.targets.is_evacuated(key)) {
+            return Err(ExchangeError::Evacuated);
+        }
         let is_first_use = connection.request_count == 0;
         let message = build_message(gateway, request, &entry, options);
         match connection.send(message).await {
@@ -235,6 +275,15 @@
     open_connection(gateway, address).await
 }
 
+/// Returns a connection to the pool on which nothing was ever sent. One that was used before is
+/// closed, because the pool would count its idle time anew.
+fn return_unused(gateway: &Gateway, key: TargetKey, connection: Option<HttpConnection>) {
+    if let Some(connection) = connection.filter(|connection| connection.request_count == 0) {
+        let now = gateway.now();
+        gateway.with_state(|state| state.connection_pool.put(key, connection, None, now));
+    }
+}
+
 async fn open_connection(
     gateway: &Gateway,
     address: SocketAddr,
--- a/crates/mimosagap-gateway/src/lib.rs
+++ b/crates/mimosagap-gateway/src/lib.rs
@@ -13,6 +13,7 @@
 mod crash_probe;
 mod credit_loans;
 pub mod delta;
+mod evacuation;
 mod event_source;
 mod exchange;
 mod handover;
--- a/crates/mimosagap-gateway/src/log.rs
+++ b/crates/mimosagap-gateway/src/log.rs
@@ -120,6 +120,17 @@
         /// no limit any more.
         per_second: Option<f64>,
     },
+    /// An engine is cold, of which a service bounds the rate.
+    TargetCold {
+        /// Instance name of the target.
+        target: &'a str,
+        /// How this host learned of it.
+        source: &'a str,
+        /// Milliseconds for which it counts as cold.
+        remaining_ms: u64,
+        /// Requests per second that its keeper grants to all hosts together.
+        per_second: f64,
+    },
     /// A target sent a header that was not read; logged once per target.
     HeaderUnread {
         /// Instance name of the target.
@@ -143,6 +154,15 @@
         /// Whether the store lists it.
         listed: bool,
     },
+    /// Nothing was heard from a listed host for long, or something was heard again.
+    HostSilent {
+        /// Name of the host.
+        name: &'a str,
+        /// Whether its address is left out of lookups.
+        silent: bool,
+        /// Milliseconds since something was heard from it.
+        silent_ms: u64,
+    },
     /// A target crashed while it ran requests.
     TargetCrashed {
         /// Instance name of the target.
@@ -163,6 +183,19 @@
         /// The era before.
         previous: u64,
     },
+    /// The evacuation of a zone began or ended, or is held although the store lost its key.
+    ZoneEvacuation {
+        /// Name of the zone.
+        zone: &'a str,
+        /// What changed; `unknown_zone` if the fleet has no zone of this name.
+        change: &'a str,
+        /// How this host learned of it.
+        source: &'a str,
+        /// Milliseconds since the state of the store was confirmed.
+        config_age_ms: u64,
+        /// Whether that is recent enough for the operators' bound on evacuations.
+        is_current: bool,
+    },
     /// A configuration of the store was not taken.
     ConfigSkipped {
         /// Its version.
@@ -565,6 +598,7 @@
             | Self::TargetLeaving { .. }
             | Self::TargetPauses { .. }
             | Self::TargetRateLimit { .. }
+            | Self::TargetCold { .. }
             | Self::HeaderUnread { .. } => (7, "target"),
             Self::EntryUnreadable { .. } | Self::ConfigUnreadable { .. } => (8, "unreadable"),
             Self::Trouble { .. } => (9, "trouble"),
--- a/crates/mimosagap-gateway/src/metrics.rs
+++ b/crates/mimosagap-gateway/src/metrics.rs
@@ -203,6 +203,47 @@
     }
 }
 
+/// Metrics of zones, targets and hosts that are left out or spared.
+#[derive(Clone)]
+pub struct ExclusionMetrics {
+    /// Changes of evacuations, by kind.
+    pub evacuation_changes: IntCounterVec,
+    /// Number of evacuated zones.
+    pub evacuated_zones: IntGauge,
+    /// Asks for permits of engines that may be cold, by result.
+    pub cold_permits: IntCounterVec,
+    /// Number of engines that count as cold.
+    pub cold_targets: IntGauge,
+    /// Number of listed hosts from which nothing is heard.
+    pub silent_hosts: IntGauge,
+}
+
+impl ExclusionMetrics {
+    fn new(registry: &Registry) -> Result<Self, prometheus::Error> {
+        Ok(Self {
+            evacuation_changes: register_counters(
+                registry,
+                "mimosagap_evacuation_changes_total",
+                "Changes of evacuated zones",
+                &["change"],
+            )?,
+            evacuated_zones: register_gauge(
+                registry,
+                "mimosagap_evacuated_zones",
+                "Evacuated zones",
+            )?,
+            cold_permits: register_counters(
+                registry,
+                "mimosagap_cold_permits_total",
+                "Asks for permits of engines that may be cold",
+                &["result"],
+            )?,
+            cold_targets: register_gauge(registry, "mimosagap_cold_targets", "Cold engines")?,
+            silent_hosts: register_gauge(registry, "mimosagap_silent_hosts", "Silent hosts")?,
+        })
+    }
+}
+
 /// All metrics of the gateway. [`LabelLimit`] bounds the number of series.
 #[derive(Clone)]
 pub struct GatewayMetrics {
@@ -239,6 +280,8 @@
     pub in_flight: IntGauge,
     /// Open connections of callers.
     pub caller_connections: IntGauge,
+    /// Zones, targets and hosts that are left out or spared.
+    pub exclusions: ExclusionMetrics,
     /// Version of the configuration in force.
     pub config_version: IntGauge,
     /// Known targets and hosts, by `what`.
@@ -278,6 +321,7 @@
         )?;
         let target_signals = SignalMetrics::new(&registry)?;
         let resumptions = ResumptionMetrics::new(&registry)?;
+        let exclusions = ExclusionMetrics::new(&registry)?;
         let in_flight = register_gauge("mimosagap_in_flight", "Requests in flight")?;
         let config_version = register_gauge("mimosagap_config_version", "Configuration in force")?;
         let known_members =
@@ -320,6 +364,7 @@
             "Open connections of callers",
         )?;
         Ok(Self {
+            exclusions,
             registry,
             routes: LabelLimit::new(MAX_ROUTE_LABELS),
             teams: LabelLimit::new(MAX_TEAM_LABELS),
--- a/crates/mimosagap-gateway/src/standby.rs
+++ b/crates/mimosagap-gateway/src/standby.rs
@@ -25,7 +25,7 @@
 use crate::exchange::{acquire_connection, release_connection};
 use crate::load_reservation::LoadReservation;
 use crate::log::LogEvent;
-use crate::rate_permits::{PermitOptions, acquire_permit};
+use crate::rate_permits::{PermitOptions, acquire_call_permit};
 use crate::request::RoutedRequest;
 use crate::residency;
 use crate::state::{SharedGateway, millis};
@@ -218,6 +218,10 @@
 ) -> Option<String> {
     let until = gateway.now() + STOP_RETRY_TIME;
     loop {
+        // The order would copy the generation into the zone.
+        if gateway.with_state(|state| state.targets.is_evacuated(next.key())) {
+            return None;
+        }
         let options = PermitOptions {
             id,
             class: PermitClass::Continuation,
@@ -364,13 +368,16 @@
     call: EngineCall,
     permit_options: PermitOptions<'_>,
 ) -> Result<(StatusCode, Bytes), String> {
-    acquire_permit(gateway, key, permit_options)
+    let permit = acquire_call_permit(gateway, key, permit_options)
         .await
         .map_err(|error| format!("the rate limit of the engine: {}", error.name()))?;
     let asked_at = gateway.now();
     let mut connection = acquire_connection(gateway, key, address, true)
         .await
         .map_err(|error| error.name().to_owned())?;
+    if !permit.is_valid(gateway.now()) {
+        return Err("the permit of the engine expired before the connection was open".to_owned());
+    }
     let mut request = Request::new(Full::new(Bytes::from(call.body)));
     *request.method_mut() = call.method;
     *request.uri_mut() = call.path.parse().unwrap_or_default();
@@ -391,6 +398,7 @@
     }
     target_notices::observe_leaving(gateway, key, &head.headers);
     target_notices::observe_rate_limit(gateway, key, &head.headers, asked_at);
+    target_notices::observe_cold(gateway, key, &head.headers);
     release_connection(gateway, key, &head, connection);
     Ok((head.status, body))
 }
--- a/crates/mimosagap-gateway/src/state.rs
+++ b/crates/mimosagap-gateway/src/state.rs
@@ -1,16 +1,19 @@
 //! State of the gateway, shared by all tasks of its single thread.
 
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
 use mimosagap_platform::settings::{HEALTH_CONTRACT, HostSettings};
 use mimosagap_routing::buffer_budget::BufferBudget;
+use mimosagap_routing::cold_rate::ColdBound;
 use mimosagap_routing::config::FleetConfig;
 use mimosagap_routing::config_state::{ConfigState, StalenessBounds};
+use mimosagap_routing::evacuation::Evacuations;
 use mimosagap_routing::hashing::stable_hash;
+use mimosagap_routing::host_liveness::HostLiveness;
 use mimosagap_routing::hosts::HostTable;
 use mimosagap_routing::output_length::LengthEstimator;
 use mimosagap_routing::quarantine::Quarantine;
@@ -58,8 +61,14 @@
     pub config: ConfigState,
     /// Known targets with their load and health.
     pub targets: TargetTable,
+    /// Zones that operators evacuated.
+    pub evacuations: Evacuations,
+    /// Zones without a known name whose evacuation was logged.
+    pub unknown_evacuations: HashSet<ZoneName>,
     /// Hosts that the store lists.
     pub hosts: HostTable,
+    /// When this host last heard from each of them.
+    pub host_liveness: HostLiveness,
     /// Requests and parts of prompts that are suspected of crashing targets.
     pub quarantine: Quarantine,
     /// Estimators of the time per output token, by service.
@@ -179,6 +188,10 @@
         };
         let mut targets = TargetTable::with_regions(settings.zone_regions.clone());
         targets.set_drain_timeout(settings.bounds.drain_timeout);
+        targets.set_cold_bound(ColdBound {
+            overshoot: settings.bounds.cold_overshoot,
+            slack: settings.bounds.cold_slack,
+        });
         *targets.versions_mut() = VersionRegistry::new(clock.since_boot());
         let store_client = StoreClient::new(settings.store_address, metrics.store_calls.clone());
         let origin_reader = OriginReader::new(store_client);
@@ -208,7 +221,10 @@
             state: RefCell::new(GatewayState {
                 config: ConfigState::new(bounds),
                 targets,
+                evacuations: Evacuations::default(),
+                unknown_evacuations: HashSet::new(),
                 hosts: HostTable::default(),
+                host_liveness: HostLiveness::new(clock.since_boot()),
                 quarantine: Quarantine::new(clock.since_boot()),
                 token_time_estimators: HashMap::new(),
                 length_estimators: HashMap::new(),
--- a/crates/mimosagap-gateway/src/stream_relay.rs
+++ b/crates/mimosagap-gateway/src/stream_relay.rs
@@ -353,11 +353,12 @@
             return;
         }
         let standby_target = self.standby.as_ref().map(|copy| copy.target);
-        let is_leaving = |key| {
-            self.gateway
-                .with_state(|state| state.targets.is_leaving(key, now))
+        let is_unusable = |key| {
+            self.gateway.with_state(|state| {
+                state.targets.is_leaving(key, now) || state.targets.is_evacuated(key)
+            })
         };
-        if standby_target.is_some_and(is_leaving) {
+        if standby_target.is_some_and(is_unusable) {
             self.standby = None;
         }
         self.release_denied_standby();
@@ -678,6 +679,13 @@
     fn hand_over_to_standby(&mut self) -> Option<HandoverTask> {
         self.release_denied_standby();
         let target = self.standby.as_ref()?.target;
+        if self
+            .gateway
+            .with_state(|state| state.targets.is_evacuated(target))
+        {
+            release_standby(&self.gateway, self.standby.take()?);
+            return None;
+        }
         let permitted = residency::permit_target(&self.gateway, &self.request, target)?;
         let is_paid = self.source_stop.is_some();
         let purpose = RetryPurpose::Move;
--- a/crates/mimosagap-gateway/src/streams.rs
+++ b/crates/mimosagap-gateway/src/streams.rs
@@ -255,7 +255,11 @@
                 continue;
             }
             Ok(Err(ExchangeError::Rejected | ExchangeError::InBackoff)) => was_rejected = true,
-            Ok(Err(ExchangeError::Unreachable | ExchangeError::OutsideRegions)) => {}
+            Ok(Err(
+                ExchangeError::Unreachable
+                | ExchangeError::OutsideRegions
+                | ExchangeError::Evacuated,
+            )) => {}
             Err(_) => break RefusalReason::DeadlineAfterSend,
         }
         tried.push(target);
@@ -590,7 +594,10 @@
         if now >= expires_at {
             return Err(RefusalReason::Overload);
         }
-        if residency::has_lost_targets(gateway, request, permit_wait) {
+        // Evacuations or a new configuration may have taken all engines during the wait.
+        if residency::has_lost_targets(gateway, request, permit_wait)
+            || gateway.with_state(|state| state.targets.has_only_evacuated(&request.service, now))
+        {
             return Err(RefusalReason::NoTarget);
         }
         if gateway.may_exit_before(request) {
--- a/crates/mimosagap-gateway/tests/log.rs
+++ b/crates/mimosagap-gateway/tests/log.rs
@@ -160,6 +160,12 @@
             source: "answer",
             per_second: Some(3.7),
         },
+        LogEvent::TargetCold {
+            target: "t",
+            source: "entry",
+            remaining_ms: 8000,
+            per_second: 22.0,
+        },
         LogEvent::HeaderUnread {
             target: "t",
             header: "h",
@@ -206,6 +212,18 @@
 fn belief_events() -> Vec<LogEvent<'static>> {
     let empty = String::new;
     vec![
+        LogEvent::HostSilent {
+            name: "h",
+            silent: true,
+            silent_ms: 6000,
+        },
+        LogEvent::ZoneEvacuation {
+            zone: "z",
+            change: "started",
+            source: "store",
+            config_age_ms: 40,
+            is_current: true,
+        },
         LogEvent::StoreEra {
             era: 2,
             previous: 1,
--- a/crates/mimosagap-routing/src/discovery.rs
+++ b/crates/mimosagap-routing/src/discovery.rs
@@ -5,7 +5,8 @@
 //! that host would get all callers, so a list of fewer than two hosts is widened to the region and
 //! then to the whole fleet. If routes of the looked-up name are restricted to some regions, the list
 //! is widened to the hosts of these regions, and to the whole fleet only if there is none: a host of
-//! a region that is neither allowed nor the caller's would have to send each request on.
+//! a region that is neither allowed nor the caller's would have to send each request on. Hosts that
+//! are silent are left out, see [`host_liveness`](crate::host_liveness).
 
 use std::net::SocketAddr;
 
@@ -33,7 +34,7 @@
     preferred_regions: &AllowedRegions,
 ) -> Vec<SocketAddr> {
     let candidates: Vec<_> = hosts
-        .live()
+        .heard()
         .filter(|(name, _)| Some(*name) != excluded_host)
         .map(|(_, record)| record)
         .collect();
--- a/crates/mimosagap-routing/src/lib.rs
+++ b/crates/mimosagap-routing/src/lib.rs
@@ -7,12 +7,15 @@
 
 pub mod buffer_budget;
 pub mod change_source;
+pub mod cold_rate;
 pub mod config;
 pub mod config_state;
 pub mod credit_lending;
 pub mod discovery;
 pub mod drain_time;
+pub mod evacuation;
 pub mod hashing;
+pub mod host_liveness;
 pub mod hosts;
 pub mod keeper_selection;
 pub mod migration;
