--- a/crates/mimosagap-soak/src/process.rs
+++ b/crates/mimosagap-soak/src/process.rs
@@ -35,6 +35,24 @@
     pub region_count: usize,
 }
 
+/// Resources of its machine that the settings of a gateway name.
+#[derive(Debug, Clone, Copy)]
+pub struct GatewayLimits {
+    /// Memory in MiB.
+    pub memory_mb: u32,
+    /// Open file descriptors; `None` leaves the setting out.
+    pub max_fds: Option<u32>,
+}
+
+impl Default for GatewayLimits {
+    fn default() -> Self {
+        Self {
+            memory_mb: 64,
+            max_fds: None,
+        }
+    }
+}
+
 /// Name of the zone of a region, both counted from 0.
 #[must_use]
 pub fn zone_name(region: usize) -> String {
@@ -54,6 +72,26 @@
         base_port: u16,
         store_address: SocketAddr,
     ) -> std::io::Result<Self> {
+        let limits = GatewayLimits::default();
+        Self::start_with_limits(program, directory, place, base_port, store_address, limits)
+    }
+
+    /// Like [`Self::start`], with the resources of a certain machine.
+    ///
+    /// # Errors
+    /// If the settings cannot be written or the program cannot be started.
+    pub fn start_with_limits(
+        program: &Path,
+        directory: &Path,
+        place: GatewayPlace,
+        base_port: u16,
+        store_address: SocketAddr,
+        limits: GatewayLimits,
+    ) -> std::io::Result<Self> {
+        let max_fds = limits
+            .max_fds
+            .map_or_else(String::new, |max_fds| format!("max_fds = {max_fds}\n"));
+        let memory_mb = limits.memory_mb;
         let GatewayPlace {
             index,
             region_count,
@@ -71,7 +109,7 @@
              [zones]\n{zones}\n\
              [listen]\nfrontend = \"127.0.0.1:{port}\"\nready = \"127.0.0.1:{}\"\n\
              registry = \"127.0.0.1:{}\"\n\
-             [limits]\nmemory_mb = 64\n[bounds]\nconfig_apply_ms = 3000\nrevoke_ms = 5000\nrevoke_strict = true\n\
+             [limits]\nmemory_mb = {memory_mb}\n{max_fds}[bounds]\nconfig_apply_ms = 3000\nrevoke_ms = 5000\nrevoke_strict = true\n\
              grace_period_s = 4\nretry_budget_ratio = 0.2\nretry_window_s = 10\nretry_slack = 60\n\
              ttl_max_s = 5\n[platform]\naddress = \"{store_address}\"\n",
             zone_name(region),
--- a/crates/mimosagap-soak/tests/support/mod.rs
+++ b/crates/mimosagap-soak/tests/support/mod.rs
@@ -6,7 +6,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use mimosagap_soak::process::{GatewayPlace, GatewayProcess};
+use mimosagap_soak::process::{GatewayLimits, GatewayPlace, GatewayProcess};
 use mimosagap_soak::standins::store::StoreStandin;
 use serde_json::json;
 
@@ -75,10 +75,22 @@
 
 impl Scene {
     /// Prepares the store and starts the gateway.
+    #[allow(dead_code, reason = "each test uses one of the two constructors")]
     pub async fn start(
         target: SocketAddr,
         base_port: u16,
         prepare_store: impl FnOnce(&Rc<StoreStandin>),
+    ) -> Self {
+        let limits = GatewayLimits::default();
+        Self::start_with_limits(target, base_port, limits, prepare_store).await
+    }
+
+    /// Like [`Self::start`], with the resources of a certain machine.
+    pub async fn start_with_limits(
+        target: SocketAddr,
+        base_port: u16,
+        limits: GatewayLimits,
+        prepare_store: impl FnOnce(&Rc<StoreStandin>),
     ) -> Self {
         let store = Rc::new(StoreStandin::default());
         let listener = tokio::net::TcpListener::bind("127.0.0.1:0")
@@ -106,8 +118,15 @@
             region_count: 1,
         };
         let program = gateway_program();
-        let gateway = GatewayProcess::start(&program, &directory, place, base_port, store_address)
-            .expect("the gateway starts");
+        let gateway = GatewayProcess::start_with_limits(
+            &program,
+            &directory,
+            place,
+            base_port,
+            store_address,
+            limits,
+        )
+        .expect("the gateway starts");
         tokio::time::sleep(Duration::from_secs(1)).await;
         Self { gateway, directory }
     }
@@ -138,7 +157,8 @@
     tokio::task::LocalSet::new().block_on(&runtime, test)
 }
 
-fn config() -> serde_json::Value {
+/// The configuration with which the gateway starts.
+pub fn config() -> serde_json::Value {
     let route = |prefix: &str, kind: &str, service: &str| {
         json!({
             "name": prefix, "hostname": "soak.example", "path_prefix": prefix, "route_kind": kind,
