feat(gateway): one memory budget for requests and a bound on connections

Cause: bodies were read whole, each up to max_body_bytes, and connections were accepted without a bound. Change: request_budget decides which request gets memory, which one is refused and which one is evicted; request_body reads within it; connection_bound and client_connections bound the connections of each listener and the time of heads. Buffered responses count until the caller has them.

--- a/crates/mimosagap-explain/src/cause.rs
+++ b/crates/mimosagap-explain/src/cause.rs
@@ -140,6 +140,9 @@
             "it resumes a stream, and no engine of the software version that began it was available"
         }
         RefusalReason::ShuttingDown => "the host was shutting down and could not have finished it",
+        RefusalReason::RequestMemory => {
+            "the host had no memory left for its body, or evicted it because it made no progress"
+        }
     }
 }
 
@@ -190,6 +193,10 @@
              caller has to start the stream anew"
         }
         RefusalReason::ShuttingDown => "none: another host serves the next attempt",
+        RefusalReason::RequestMemory => {
+            "check the `request_memory` line of the request: `cause` says whether it was stalled, \
+             its client held too much or the host was full"
+        }
     }
 }
 
--- a/crates/mimosagap-gateway/src/body_reader.rs
+++ b/crates/mimosagap-gateway/src/body_reader.rs
@@ -1,5 +1,8 @@
 //! Reads complete response bodies of targets within the host's memory budget.
 
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
@@ -36,9 +39,11 @@
 impl BodyBuffer<'_> {
     fn append(&mut self, added: &[u8]) -> Result<(), BodyError> {
         let buffered = self.bytes.len();
-        let may_grow = self
-            .gateway
-            .with_state(|state| state.buffer_budget.try_reserve(buffered, added.len()));
+        let sent = self.gateway.sent_response_bytes.swap(0, Ordering::Relaxed);
+        let may_grow = self.gateway.with_state(|state| {
+            state.buffer_budget.release(sent);
+            state.buffer_budget.try_reserve(buffered, added.len())
+        });
         if !may_grow {
             return Err(BodyError::LimitExceeded);
         }
@@ -55,6 +60,26 @@
     }
 }
 
+/// A whole body, which keeps its share of the memory budget until it is sent to the caller, who may
+/// read slowly. The connection task drops it, which has no access to the budget.
+struct BufferedBody {
+    bytes: Bytes,
+    sent_bytes: Arc<AtomicUsize>,
+}
+
+impl AsRef<[u8]> for BufferedBody {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
+}
+
+impl Drop for BufferedBody {
+    fn drop(&mut self) {
+        self.sent_bytes
+            .fetch_add(self.bytes.len(), Ordering::Relaxed);
+    }
+}
+
 /// Reads a body to its end.
 pub async fn read_to_end(
     gateway: &Gateway,
@@ -75,5 +100,10 @@
             }
         }
     }
-    Ok(Bytes::copy_from_slice(&buffer.bytes))
+    let bytes = Bytes::copy_from_slice(&buffer.bytes);
+    buffer.bytes.clear();
+    Ok(Bytes::from_owner(BufferedBody {
+        bytes,
+        sent_bytes: Arc::clone(&gateway.sent_response_bytes),
+    }))
 }
--- a/crates/mimosagap-gateway/src/ingress.rs
+++ b/crates/mimosagap-gateway/src/ingress.rs
@@ -4,25 +4,26 @@
 //! to `calls` or `streams`.
 
 use std::convert::Infallible;
+use std::net::IpAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use http::header::{self, HeaderValue};
 use http::request::Parts;
 use http::{Request, Response};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use mimosagap_platform::request::RequestHead;
 use mimosagap_routing::config::{FleetConfig, Route, Team};
 use mimosagap_routing::quarantine::{Admission, RequestFingerprint, RequestTraits};
 use mimosagap_routing::refusal::RefusalReason;
+use mimosagap_routing::request_budget::RequestHolder;
 use mimosagap_types::prelude::*;
 use rand::Rng;
 
 use crate::log::LogEvent;
 use crate::request::RoutedRequest;
+use crate::request_body::{BodyRequest, read_body};
 use crate::response::{RefusedRequest, ResponseBody, refusal_response};
 use crate::state::{SharedGateway, millis};
 use crate::{calls, streams, suspicion};
@@ -76,6 +77,10 @@
     }
 }
 
+/// Address of the client of a request, in the extensions of its head.
+#[derive(Debug, Clone, Copy)]
+pub struct ClientAddress(pub IpAddr);
+
 /// Who sent a request to this host.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum RequestOrigin {
@@ -136,7 +141,12 @@
                 service: None,
                 is_relayed,
             };
-            refusal_response(&gateway, request, reason)
+            let mut response = refusal_response(&gateway, request, reason);
+            if closes_connection(reason) {
+                let close = HeaderValue::from_static("close");
+                response.headers_mut().insert(header::CONNECTION, close);
+            }
+            response
         }
     };
     disconnect_logger.has_response = true;
@@ -147,6 +157,15 @@
     Ok(response)
 }
 
+/// Whether the body of a refused request was not read to its end, so that its connection cannot carry
+/// another request.
+fn closes_connection(reason: RefusalReason) -> bool {
+    matches!(
+        reason,
+        RefusalReason::BodyTooLong | RefusalReason::RequestMemory
+    )
+}
+
 /// Why a request is refused before it is handed on, and its traits if its body was read.
 struct IngressRefusal {
     reason: RefusalReason,
@@ -172,9 +191,20 @@
 ) -> Result<RoutedRequest, IngressRefusal> {
     let config = gateway.config().ok_or(RefusalReason::NoConfig)?;
     let route = find_route(gateway, &config, &parts)?;
-    find_team(gateway, &config, &route, &head)?;
+    let team = find_team(gateway, &config, &route, &head)?;
     let timeout = head.timeout.unwrap_or(route.timeout).min(route.timeout);
-    let body = read_body(body, config.limits.max_body_bytes, timeout).await?;
+    let client = parts.extensions.get::<ClientAddress>();
+    let body_request = BodyRequest {
+        id: &head.attempt_id,
+        headers: &parts.headers,
+        holder: RequestHolder {
+            address: client.map_or(gateway.settings.ip, |client| client.0),
+            team: team.map(|team| team.name.clone()),
+        },
+        max_bytes: config.limits.max_body_bytes,
+        timeout,
+    };
+    let body = read_body(gateway, body_request, body).await?;
     // The configuration may have changed while the body was read, so it is looked up again.
     let config = gateway.config().ok_or(RefusalReason::NoConfig)?;
     let route = find_route(gateway, &config, &parts)?;
@@ -184,7 +214,7 @@
         .path_and_query()
         .map_or_else(|| "/".to_owned(), ToString::to_string);
     let team_name = team.as_ref().map_or("", |team| team.name.as_str());
-    let fingerprint = RequestFingerprint::new(&path, team_name, &body);
+    let fingerprint = RequestFingerprint::new(&path, team_name, &body.bytes);
     let traits = RequestTraits::new(fingerprint, &head.prompt_parts);
     let is_trial = match suspicion::admit(gateway, &head.attempt_id, &traits) {
         Admission::Admitted => false,
@@ -202,7 +232,8 @@
         headers: parts.headers,
         service: choose_service(gateway, &route),
         head,
-        body,
+        body: body.bytes,
+        memory: body.lease,
         route,
         team,
         arrived_at,
@@ -264,19 +295,6 @@
     }
 }
 
-async fn read_body(
-    body: Incoming,
-    max_bytes: usize,
-    timeout: Duration,
-) -> Result<Bytes, RefusalReason> {
-    match tokio::time::timeout(timeout, Limited::new(body, max_bytes).collect()).await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(RefusalReason::BodyTooLong),
-        Ok(Err(_)) => Err(RefusalReason::Malformed),
-        Err(_) => Err(RefusalReason::DeadlineBeforeSend),
-    }
-}
-
 /// Picks one of the route's services at random by weight.
 fn choose_service(gateway: &SharedGateway, route: &Route) -> DeploymentName {
     let total_weight: u32 = route
--- a/crates/mimosagap-gateway/src/lib.rs
+++ b/crates/mimosagap-gateway/src/lib.rs
@@ -9,6 +9,7 @@
 mod body_reader;
 mod calls;
 mod change_feed;
+mod client_connections;
 pub mod connection;
 mod crash_probe;
 pub mod delta;
@@ -34,6 +35,7 @@
 mod relay;
 mod remote_placement;
 mod request;
+mod request_body;
 mod response;
 mod resumption;
 mod run;
--- a/crates/mimosagap-gateway/src/listeners.rs
+++ b/crates/mimosagap-gateway/src/listeners.rs
@@ -4,21 +4,29 @@
 use std::future::ready;
 use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use http::{Method, Request, Response, StatusCode};
+use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use mimosagap_platform::addresses::{AddressQuery, encode_addresses};
 use mimosagap_platform::names;
+use mimosagap_routing::connection_bound::CONNECTION_BYTES;
 use mimosagap_routing::discovery::host_addresses;
+use mimosagap_routing::request_budget::RECEIVE_BUFFER_BYTES;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 
 use crate::change_feed;
+use crate::client_connections::{
+    ConnectionSlot, ExchangeGuard, GuardedBody, ObservedStream, admit_connection,
+};
 use crate::connection::set_socket_options;
-use crate::ingress;
+use crate::ingress::{self, ClientAddress};
 use crate::log::LogEvent;
 use crate::relay;
 use crate::response::{ResponseBody, local_response};
@@ -27,8 +35,18 @@
 /// Length of the accept queue, in connections.
 const ACCEPT_BACKLOG: u32 = 1024;
 
-/// Read buffer of a connection in bytes; larger than the longest request head allowed.
-const READ_BUFFER_BYTES: usize = 64 << 10;
+/// Send buffer of a connection in the kernel, in bytes; bounds what is kept for a caller that does
+/// not read.
+const SEND_BUFFER_BYTES: u32 = 128 << 10;
+
+/// Longest request head until a configuration sets a limit, in bytes.
+const DEFAULT_HEAD_BYTES: usize = 16 << 10;
+
+/// Room for the request line beside the headers, in bytes. Callers may not count it as a header.
+const REQUEST_LINE_BYTES: usize = 4 << 10;
+
+/// Smallest read buffer that the HTTP library allows, in bytes.
+const MIN_READ_BUFFER_BYTES: usize = 8 << 10;
 
 /// Idle timeout of a caller's connection until a configuration sets one.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(15);
@@ -54,6 +72,20 @@
     Peers,
 }
 
+impl ListenerKind {
+    /// All kinds, in the order of their declaration.
+    pub const ALL: [Self; 3] = [Self::Callers, Self::Status, Self::Peers];
+
+    /// Stable name for logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Callers => "callers",
+            Self::Status => "status",
+            Self::Peers => "peers",
+        }
+    }
+}
+
 /// Opens a listener. The address is reusable, so that a restart does not wait for old connections.
 pub fn bind_listener(address: SocketAddr) -> std::io::Result<TcpListener> {
     let socket = match address {
@@ -61,6 +93,9 @@
         SocketAddr::V6(_) => TcpSocket::new_v6()?,
     };
     socket.set_reuseaddr(true)?;
+    // Accepted connections inherit the sizes. Otherwise the kernel keeps up to 32 MB for each.
+    socket.set_recv_buffer_size(u32::try_from(RECEIVE_BUFFER_BYTES).unwrap_or(u32::MAX))?;
+    socket.set_send_buffer_size(SEND_BUFFER_BYTES)?;
     socket.bind(address)?;
     socket.listen(ACCEPT_BACKLOG)
 }
@@ -70,8 +105,19 @@
     loop {
         match listener.accept().await {
             Ok((stream, peer)) => {
-                let gateway = Rc::clone(&gateway);
-                tokio::task::spawn_local(serve_connection(gateway, stream, peer.ip(), kind));
+                let peer = peer.ip();
+                // A connection that is not admitted is closed.
+                if let Some(slot) = admit_connection(&gateway, kind, peer) {
+                    let gateway = Rc::clone(&gateway);
+                    tokio::task::spawn_local(async move {
+                        let activity = Arc::clone(&slot.activity);
+                        tokio::select! {
+                            biased;
+                            () = activity.closed() => {}
+                            () = serve_connection(gateway, stream, peer, kind, &slot) => {}
+                        }
+                    });
+                }
             }
             Err(error) => {
                 gateway.log.event(&LogEvent::Trouble {
@@ -89,27 +135,35 @@
     stream: TcpStream,
     peer: IpAddr,
     kind: ListenerKind,
+    slot: &ConnectionSlot,
 ) {
     if set_socket_options(&stream).is_err() {
         // The peer has closed the connection already.
         return;
     }
-    let idle_timeout = gateway
-        .config()
-        .map_or(DEFAULT_IDLE_TIMEOUT, |config| config.limits.idle_timeout);
+    let limits = gateway.config().map(|config| config.limits);
+    let idle_timeout = limits.map_or(DEFAULT_IDLE_TIMEOUT, |limits| limits.idle_timeout);
+    let head_bytes = limits.map_or(DEFAULT_HEAD_BYTES, |limits| limits.max_header_bytes);
+    let head_bytes = head_bytes.saturating_add(REQUEST_LINE_BYTES);
+    let activity = Arc::clone(&slot.activity);
+    let stream = ObservedStream::new(stream, Arc::clone(&activity));
     let mut builder = http1::Builder::new();
     builder
         .timer(TokioTimer::new())
         .header_read_timeout(idle_timeout)
-        .max_buf_size(READ_BUFFER_BYTES);
+        .max_header_size(head_bytes)
+        .max_buf_size(head_bytes.max(MIN_READ_BUFFER_BYTES));
     // An error means that the peer disconnected or violated the protocol; requests log their own
     // outcome.
     let _ = match kind {
         ListenerKind::Callers => {
             let caller_connections = gateway.metrics.caller_connections.clone();
             caller_connections.inc();
-            let service =
-                service_fn(move |request| ingress::handle_request(Rc::clone(&gateway), request));
+            let service = service_fn(move |mut request: Request<Incoming>| {
+                request.extensions_mut().insert(ClientAddress(peer));
+                let response = ingress::handle_request(Rc::clone(&gateway), request);
+                guard_exchange(ExchangeGuard::new(&activity), response)
+            });
             let result = builder
                 .serve_connection(TokioIo::new(stream), service)
                 .await;
@@ -117,17 +171,22 @@
             result
         }
         ListenerKind::Peers => {
-            let service =
-                service_fn(move |request| handle_peer_request(Rc::clone(&gateway), peer, request));
+            let service = service_fn(move |mut request: Request<Incoming>| {
+                request.extensions_mut().insert(ClientAddress(peer));
+                let response = handle_peer_request(Rc::clone(&gateway), peer, request);
+                guard_exchange(ExchangeGuard::new(&activity), response)
+            });
             builder
                 .serve_connection(TokioIo::new(stream), service)
                 .await
         }
         ListenerKind::Status => {
             let service = service_fn(move |request| {
-                ready(Ok::<_, Infallible>(handle_status_request(
-                    &gateway, &request,
-                )))
+                let response = handle_status_request(&gateway, &request);
+                guard_exchange(
+                    ExchangeGuard::new(&activity),
+                    ready(Ok::<_, Infallible>(response)),
+                )
             });
             builder
                 .serve_connection(TokioIo::new(stream), service)
@@ -136,6 +195,17 @@
     };
 }
 
+/// Marks a connection as busy until the response of a request is sent.
+fn guard_exchange(
+    exchange: ExchangeGuard,
+    response: impl Future<Output = Result<Response<ResponseBody>, Infallible>>,
+) -> impl Future<Output = Result<Response<ResponseBody>, Infallible>> {
+    async move {
+        let response = response.await?;
+        Ok(response.map(|body| GuardedBody::new(body, exchange).boxed_unsync()))
+    }
+}
+
 fn handle_status_request(
     gateway: &SharedGateway,
     request: &Request<Incoming>,
@@ -225,6 +295,7 @@
     let now = gateway.now();
     let age = gateway.with_state(|state| state.config.confirmation_age(now));
     gateway.metrics.refresh_gauges(age.unwrap_or(now));
+    refresh_memory_gauges(gateway);
     let limits: Vec<(String, f64)> = gateway.with_state(|state| {
         let targets = state.targets.iter();
         let limited = targets.filter_map(|(_, target)| {
@@ -243,3 +314,24 @@
         }
     }
 }
+
+fn refresh_memory_gauges(gateway: &SharedGateway) {
+    let (usage, limits, buffered_bytes) = gateway.with_state(|state| {
+        let budget = &state.request_budget;
+        let buffered_bytes = state.buffer_budget.used_bytes();
+        (budget.usage(), *budget.limits(), buffered_bytes)
+    });
+    let sent_bytes = gateway.sent_response_bytes.load(Ordering::Relaxed);
+    let metrics = &gateway.metrics.request_memory;
+    let mut connections = 0;
+    for kind in ListenerKind::ALL {
+        let count = gateway.client_connections.count(kind);
+        metrics.set_connections(kind.name(), count);
+        connections += count;
+    }
+    metrics.set_bytes("reading", usage.reading_bytes);
+    metrics.set_bytes("complete", usage.complete_bytes);
+    metrics.set_bytes("capacity", limits.capacity_bytes);
+    metrics.set_bytes("connections", connections * CONNECTION_BYTES);
+    metrics.set_bytes("responses", buffered_bytes.saturating_sub(sent_bytes));
+}
--- a/crates/mimosagap-gateway/src/log.rs
+++ b/crates/mimosagap-gateway/src/log.rs
@@ -361,6 +361,38 @@
         /// Milliseconds since the process started.
         up_ms: u64,
     },
+    /// The memory budget for requests refused a request or evicted one. The request gets a line of
+    /// its own.
+    RequestMemory {
+        /// Attempt id, set by the caller anew for each retry.
+        id: &'a str,
+        /// `refused` or `evicted`.
+        action: &'a str,
+        /// Why.
+        cause: &'a str,
+        /// Bytes of the body that had arrived.
+        received_bytes: usize,
+        /// Bytes that were charged to an evicted request.
+        held_bytes: usize,
+        /// Milliseconds since the last progress of an evicted request.
+        stalled_ms: u64,
+        /// Bytes that requests hold.
+        used_bytes: usize,
+        /// Bytes that they may hold.
+        capacity_bytes: usize,
+    },
+    /// A client's connection was closed or not accepted, because of the bound on connections or of
+    /// the limit on heads.
+    ConnectionClosed {
+        /// Kind of the clients.
+        listener: &'a str,
+        /// IP address of the client.
+        address: String,
+        /// Why.
+        cause: &'a str,
+        /// Milliseconds for which it had been silent, idle or in its head.
+        after_ms: u64,
+    },
     /// The gateway itself rejected a request.
     Refused {
         /// Attempt id, set by the caller anew for each retry.
@@ -536,13 +568,15 @@
             Self::RatePermit { .. } => (10, "rate_permit"),
             Self::Retry { .. } => (11, "retry"),
             Self::Relayed { .. } | Self::RelayRefused { .. } => (12, "relayed"),
+            Self::RequestMemory { .. } => (14, "request_memory"),
+            Self::ConnectionClosed { .. } => (15, "connection_closed"),
             _ => (13, "state"),
         }
     }
 }
 
 /// Number of kinds that [`LogEvent::kind`] distinguishes.
-const KIND_COUNT: usize = 14;
+const KIND_COUNT: usize = 16;
 
 #[derive(Serialize)]
 struct LogLine<'a> {
--- a/crates/mimosagap-gateway/src/metrics.rs
+++ b/crates/mimosagap-gateway/src/metrics.rs
@@ -163,6 +163,65 @@
     }
 }
 
+/// Metrics of the memory of requests and of the connections of clients.
+#[derive(Clone)]
+pub struct RequestMemoryMetrics {
+    /// Bytes by part of the memory of requests and responses, and the limits on them.
+    pub bytes: IntGaugeVec,
+    /// Requests that were refused or evicted, by action and cause.
+    pub decisions: IntCounterVec,
+    /// Open connections of clients, by listener.
+    pub connections: IntGaugeVec,
+    /// Connections that were closed or not accepted, by listener and cause.
+    pub closed_connections: IntCounterVec,
+}
+
+impl RequestMemoryMetrics {
+    fn new(registry: &Registry) -> Result<Self, prometheus::Error> {
+        let register_gauges = |name: &str, help: &str, label: &str| {
+            let gauges = IntGaugeVec::new(Opts::new(name, help), &[label])?;
+            registry.register(Box::new(gauges.clone()))?;
+            Ok::<_, prometheus::Error>(gauges)
+        };
+        Ok(Self {
+            bytes: register_gauges(
+                "mimosagap_request_memory_bytes",
+                "Memory of requests, responses and connections by part",
+                "part",
+            )?,
+            decisions: register_counters(
+                registry,
+                "mimosagap_request_memory_decisions_total",
+                "Requests that were refused or evicted for lack of memory",
+                &["action", "cause"],
+            )?,
+            connections: register_gauges(
+                "mimosagap_client_connections",
+                "Open connections of clients",
+                "listener",
+            )?,
+            closed_connections: register_counters(
+                registry,
+                "mimosagap_closed_connections_total",
+                "Connections of clients that were closed or not accepted",
+                &["listener", "cause"],
+            )?,
+        })
+    }
+
+    /// Sets the size of a part.
+    pub fn set_bytes(&self, part: &str, bytes: usize) {
+        let gauge = self.bytes.with_label_values(&[part]);
+        gauge.set(i64::try_from(bytes).unwrap_or(i64::MAX));
+    }
+
+    /// Sets the number of connections of a listener.
+    pub fn set_connections(&self, listener: &str, count: usize) {
+        let gauge = self.connections.with_label_values(&[listener]);
+        gauge.set(i64::try_from(count).unwrap_or(i64::MAX));
+    }
+}
+
 /// All metrics of the gateway. [`LabelLimit`] bounds the number of series.
 #[derive(Clone)]
 pub struct GatewayMetrics {
@@ -192,6 +251,8 @@
     pub target_signals: SignalMetrics,
     /// Streams that callers resume.
     pub resumptions: ResumptionMetrics,
+    /// Memory of requests and connections of clients.
+    pub request_memory: RequestMemoryMetrics,
     /// Requests in flight.
     pub in_flight: IntGauge,
     /// Open connections of callers.
@@ -239,6 +300,7 @@
         )?;
         let target_signals = SignalMetrics::new(&registry)?;
         let resumptions = ResumptionMetrics::new(&registry)?;
+        let request_memory = RequestMemoryMetrics::new(&registry)?;
         let in_flight = register_gauge("mimosagap_in_flight", "Requests in flight")?;
         let config_version = register_gauge("mimosagap_config_version", "Configuration in force")?;
         let known_members =
@@ -302,6 +364,7 @@
             target_connections,
             target_signals,
             resumptions,
+            request_memory,
             in_flight,
             caller_connections,
             config_version,
--- a/crates/mimosagap-gateway/src/relay.rs
+++ b/crates/mimosagap-gateway/src/relay.rs
@@ -76,6 +76,11 @@
     headers.insert(RELAYED_HEADER, HeaderValue::from_static("1"));
     headers.remove(REFUSAL_HEADER);
     if let Some(reason) = reason {
+        // Hosts of an earlier version do not know this reason, and treat the request as lost.
+        let reason = match reason {
+            RefusalReason::RequestMemory => RefusalReason::NoTarget,
+            reason => reason,
+        };
         headers.insert(REFUSAL_HEADER, HeaderValue::from_static(reason.name()));
     }
 }
--- a/crates/mimosagap-gateway/src/request.rs
+++ b/crates/mimosagap-gateway/src/request.rs
@@ -10,6 +10,8 @@
 use mimosagap_routing::quarantine::RequestTraits;
 use mimosagap_types::prelude::*;
 
+use crate::request_body::RequestLease;
+
 /// Time past a request's deadline during which a response that is on its way is still awaited.
 const RESPONSE_MARGIN: Duration = Duration::from_millis(120);
 
@@ -25,6 +27,9 @@
     pub head: RequestHead,
     /// Complete body, kept for further attempts.
     pub body: Bytes,
+    /// Share of the memory budget that the request holds until it ends, as it may be sent again.
+    #[expect(dead_code, reason = "dropping it releases the memory")]
+    pub memory: RequestLease,
     /// Route that matches host and path.
     pub route: Arc<Route>,
     /// Service picked from the route's weighted services.
--- a/crates/mimosagap-gateway/src/response.rs
+++ b/crates/mimosagap-gateway/src/response.rs
@@ -126,6 +126,7 @@
     let now = gateway.now();
     let available_in = gateway.with_state(|state| match reason {
         RefusalReason::VersionUnknown => state.version_history.complete_in(now),
+        RefusalReason::RequestMemory => Some(state.request_budget.retry_delay(now)),
         _ => request
             .service
             .and_then(|service| state.targets.time_until_available(service, now)),
--- a/crates/mimosagap-gateway/src/run.rs
+++ b/crates/mimosagap-gateway/src/run.rs
@@ -16,7 +16,9 @@
 use crate::metrics::GatewayMetrics;
 use crate::state::{Gateway, SharedGateway};
 use crate::store::StoreClient;
-use crate::{peers, reach, registration, store_sync, stream_records, version_admission};
+use crate::{
+    client_connections, peers, reach, registration, store_sync, stream_records, version_admission,
+};
 
 /// Callers keep using an address for up to this many times its time to live.
 const ADDRESS_TTL_FACTOR: u32 = 2;
@@ -176,6 +178,7 @@
     let registration_client = StoreClient::new(store_address, store_calls.clone());
     tokio::task::spawn_local(store_sync::follow_store(Rc::clone(&gateway), watch_client));
     tokio::task::spawn_local(reach::probe_isolated(Rc::clone(&gateway)));
+    tokio::task::spawn_local(client_connections::close_overdue_heads(Rc::clone(&gateway)));
     tokio::task::spawn_local(registration::maintain_registration(
         Rc::clone(&gateway),
         registration_client,
--- a/crates/mimosagap-gateway/src/state.rs
+++ b/crates/mimosagap-gateway/src/state.rs
@@ -4,6 +4,7 @@
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
 use std::time::Duration;
 
 use mimosagap_platform::settings::HostSettings;
@@ -15,6 +16,7 @@
 use mimosagap_routing::output_length::LengthEstimator;
 use mimosagap_routing::quarantine::Quarantine;
 use mimosagap_routing::relay_selection::RelaySelector;
+use mimosagap_routing::request_budget::RequestBudget;
 use mimosagap_routing::retry_budget::{
     FleetSize, RetryBounds, RetryBudget, RetryPurpose, capacity,
 };
@@ -32,6 +34,7 @@
 use rand::rngs::SmallRng;
 use tokio::sync::Notify;
 
+use crate::client_connections::ConnectionTable;
 use crate::header_audit::HeaderAudit;
 use crate::log::{EventLog, LogEvent};
 use crate::metrics::GatewayMetrics;
@@ -41,6 +44,7 @@
 use crate::rate_permits::PermitClient;
 use crate::remote_placement::PlacementClient;
 use crate::request::RoutedRequest;
+use crate::request_body::BodyReaders;
 use crate::resumption::OriginReader;
 use crate::store::StoreClient;
 use crate::suspicion::SuspicionExchange;
@@ -94,6 +98,8 @@
     pub last_ticket: u64,
     /// Memory budget of responses that are still being read.
     pub buffer_budget: BufferBudget,
+    /// Memory budget of requests.
+    pub request_budget: RequestBudget,
     /// At which version each stream began.
     pub stream_origins: StreamOrigins,
     /// Whether this host knows all versions at which streams can have begun.
@@ -149,6 +155,12 @@
     pub permit_client: PermitClient,
     /// Number of requests in flight.
     pub in_flight: Cell<u32>,
+    /// Connections that clients opened.
+    pub client_connections: ConnectionTable,
+    /// Requests whose bodies are being read.
+    pub body_readers: BodyReaders,
+    /// Bytes of buffered responses that were sent or dropped since the budget was last updated.
+    pub sent_response_bytes: Arc<AtomicUsize>,
     state: RefCell<GatewayState>,
     clock: SystemClock,
     /// When the process started, as time since boot.
@@ -177,6 +189,7 @@
         let store_client = StoreClient::new(settings.store_address, metrics.store_calls.clone());
         let origin_reader = OriginReader::new(store_client);
         let buffer_budget = BufferBudget::with_memory(settings.memory_bytes);
+        let request_budget = RequestBudget::new(settings.request_memory.budget);
         Self {
             host_hash: stable_hash(&[settings.host.as_bytes()]),
             settings,
@@ -198,6 +211,9 @@
             header_audit: HeaderAudit::default(),
             permit_client: PermitClient::new(clock.since_boot()),
             in_flight: Cell::new(0),
+            client_connections: ConnectionTable::default(),
+            body_readers: BodyReaders::default(),
+            sent_response_bytes: Arc::default(),
             state: RefCell::new(GatewayState {
                 config: ConfigState::new(bounds),
                 targets,
@@ -220,6 +236,7 @@
                 mirror: StoreMirror::default(),
                 last_ticket: 0,
                 buffer_budget,
+                request_budget,
                 stream_origins: StreamOrigins::default(),
                 version_history: VersionHistory::default(),
             }),
--- a/crates/mimosagap-gateway/tests/log.rs
+++ b/crates/mimosagap-gateway/tests/log.rs
@@ -292,6 +292,22 @@
             after_ms: 1,
         },
         refused_event("a"),
+        LogEvent::RequestMemory {
+            id: "a",
+            action: "evicted",
+            cause: "stalled",
+            received_bytes: 1,
+            held_bytes: 2,
+            stalled_ms: 1_000,
+            used_bytes: 3,
+            capacity_bytes: 4,
+        },
+        LogEvent::ConnectionClosed {
+            listener: "callers",
+            address: empty(),
+            cause: "silent",
+            after_ms: 1,
+        },
         LogEvent::CallerLeft {
             id: "a",
             after_ms: 1,
--- a/crates/mimosagap-routing/src/config.rs
+++ b/crates/mimosagap-routing/src/config.rs
@@ -100,6 +100,8 @@
     pub max_body_bytes: usize,
     /// Maximum size of a request head in bytes.
     pub max_header_bytes: usize,
+    /// Longest time from the first to the last byte of a request head.
+    pub header_timeout: Duration,
     /// Time after which an idle keep-alive connection is closed.
     pub idle_timeout: Duration,
 }
--- a/crates/mimosagap-routing/src/refusal.rs
+++ b/crates/mimosagap-routing/src/refusal.rs
@@ -45,11 +45,14 @@
     VersionGone,
     /// The host is shutting down and cannot finish a request of this length in time.
     ShuttingDown,
+    /// The memory of the host has no room for the body, or the body made too little progress while
+    /// others needed the room. The request was not sent.
+    RequestMemory,
 }
 
 impl RefusalReason {
     /// All reasons, in the order of their declaration.
-    pub const ALL: [Self; 19] = [
+    pub const ALL: [Self; 20] = [
         Self::NoConfig,
         Self::StaleConfig,
         Self::NoRoute,
@@ -69,6 +72,7 @@
         Self::VersionUnknownAfterSend,
         Self::VersionGone,
         Self::ShuttingDown,
+        Self::RequestMemory,
     ];
 
     /// Parses the result of [`Self::name`]; `None` if there is no such reason.
@@ -90,7 +94,8 @@
             | Self::DeadlineBeforeSend
             | Self::VersionUnknown
             | Self::VersionGone
-            | Self::ShuttingDown => 503,
+            | Self::ShuttingDown
+            | Self::RequestMemory => 503,
             Self::NoRoute => 404,
             Self::UnknownKey => 401,
             Self::Malformed => 400,
@@ -126,6 +131,7 @@
             Self::VersionUnknownAfterSend => "version_unknown_sent",
             Self::VersionGone => "version_gone",
             Self::ShuttingDown => "leaving",
+            Self::RequestMemory => "request_memory",
         }
     }
 
@@ -134,7 +140,11 @@
     pub fn holds_for_one_host(self) -> bool {
         matches!(
             self,
-            Self::NoConfig | Self::StaleConfig | Self::NoTarget | Self::ShuttingDown
+            Self::NoConfig
+                | Self::StaleConfig
+                | Self::NoTarget
+                | Self::ShuttingDown
+                | Self::RequestMemory
         )
     }
 
@@ -156,7 +166,7 @@
 
     /// Time after which the caller should retry, before jitter; `None` if the refusal states none.
     /// `backoff_remaining` is the time until the first backoff or hold ends, if all targets have one,
-    /// or until this host knows all versions.
+    /// or until this host knows all versions or has room for further bodies.
     #[must_use]
     pub fn retry_after(self, backoff_remaining: Option<Duration>) -> Option<Duration> {
         let backoff_remaining = backoff_remaining.unwrap_or(Duration::ZERO);
@@ -171,6 +181,7 @@
             Self::VersionUnknown => Some(backoff_remaining.max(Duration::from_millis(600))),
             // An engine that crashed may start again with the same version.
             Self::VersionGone => Some(backoff_remaining.max(Duration::from_secs(2))),
+            Self::RequestMemory => Some(backoff_remaining.max(Duration::from_millis(500))),
             Self::Overload => Some(backoff_remaining.max(Duration::from_millis(1500))),
             _ => None,
         }
--- a/crates/mimosagap-routing/tests/config_state.rs
+++ b/crates/mimosagap-routing/tests/config_state.rs
@@ -30,6 +30,7 @@
     let limits = RequestLimits {
         max_body_bytes: 1 << 20,
         max_header_bytes: 1 << 14,
+        header_timeout: Duration::from_secs(3),
         idle_timeout: seconds(15),
     };
     FleetConfig::new(version, limits, Vec::new(), Vec::new(), Vec::new())
