test(gateway): the decisions on memory and connections, and single bodies

Cause: the budget and the bound on connections had no tests of their own. A complete body no longer counts the buffer of the kernel.

--- a/crates/mimosagap-routing/src/request_budget.rs
+++ b/crates/mimosagap-routing/src/request_budget.rs
@@ -318,10 +318,19 @@
         Ok(())
     }
 
-    /// The body is complete, so that the request may be sent and is never evicted.
+    /// The body is complete, so that the request may be sent and is never evicted. The kernel holds
+    /// nothing of it any more.
     pub fn complete(&mut self, key: RequestKey) {
-        if let Some(holding) = self.requests.get_mut(&key) {
-            holding.state = BodyState::Complete;
+        let Some(holding) = self.requests.get_mut(&key) else {
+            return;
+        };
+        holding.state = BodyState::Complete;
+        let needed_bytes = REQUEST_OVERHEAD_BYTES.saturating_add(holding.received_bytes);
+        let freed_bytes = holding.charged_bytes.saturating_sub(needed_bytes);
+        holding.charged_bytes -= freed_bytes;
+        self.used_bytes -= freed_bytes;
+        if !holding.is_small {
+            self.large_bytes -= freed_bytes;
         }
     }
 
--- a/crates/mimosagap-soak/tests/uncontrolled_clients.rs
+++ b/crates/mimosagap-soak/tests/uncontrolled_clients.rs
@@ -13,6 +13,7 @@
 use std::time::Duration;
 
 use mimosagap_soak::process::GatewayLimits;
+use rstest::rstest;
 use serde_json::json;
 use support::{Scene, read_head};
 use targets::{attempt_id, start_target};
@@ -164,14 +165,50 @@
     send_pieces(stream, EXCESSIVE_SENT_BYTES)
 }
 
+/// A configuration with this limit on bodies.
+fn config(max_body_bytes: usize) -> serde_json::Value {
+    let mut config = support::config();
+    config["limits"] = json!({
+        "max_header_bytes": 16384, "max_body_bytes": max_body_bytes,
+        "header_timeout_ms": 3000, "idle_timeout_ms": 15000,
+    });
+    // The crowd must not run into the deadline of its requests before it is measured.
+    for route in config["routes"].as_array_mut().expect("a list") {
+        route["timeout_ms"] = json!(30_000);
+    }
+    config
+}
+
+/// Which listeners of the gateway the crowd connects to.
+#[derive(Debug, Clone, Copy)]
+enum Listeners {
+    Callers,
+    /// Those for callers, readiness, lookups and other hosts.
+    All,
+}
+
+impl Listeners {
+    fn addresses(self, callers: SocketAddr) -> Vec<SocketAddr> {
+        let count = match self {
+            Self::Callers => 1,
+            Self::All => 4,
+        };
+        let ports = (0..count).map(|offset| callers.port() + offset);
+        ports
+            .map(|port| SocketAddr::new(callers.ip(), port))
+            .collect()
+    }
+}
+
 type SendBody = fn(&mut TcpStream, usize, &Barrier) -> std::io::Result<()>;
 
 /// Connects the crowd and sends its bodies, each on a thread. Returns the connections, which stay
-/// open until they are dropped.
-fn send_crowd(gateway: SocketAddr, send_body: SendBody) -> Vec<TcpStream> {
+/// open until they are dropped. The clients are spread over the listeners in turn.
+fn send_crowd(addresses: &[SocketAddr], send_body: SendBody) -> Vec<TcpStream> {
     let limit_reached = Arc::new(Barrier::new(CLIENTS));
     let clients: Vec<_> = (0..CLIENTS)
         .map(|number| {
+            let gateway = addresses[number % addresses.len()];
             let limit_reached = Arc::clone(&limit_reached);
             std::thread::spawn(move || {
                 let mut stream = TcpStream::connect(gateway).expect("the gateway listens");
@@ -192,7 +229,7 @@
 
 /// Checks that a gateway on a small machine survives a crowd, stays within the machine and answers
 /// an ordinary request afterwards, while the crowd is still connected.
-fn check_crowd(send_body: SendBody, base_port: u16) {
+fn check_crowd(send_body: SendBody, listeners: Listeners, base_port: u16) {
     let _turn = ONE_AT_A_TIME.lock().unwrap_or_else(PoisonError::into_inner);
     support::run(async {
         let limits = GatewayLimits {
@@ -201,20 +238,11 @@
         };
         let target = start_reading_target();
         let scene = Scene::start_with_limits(target, base_port, limits, |store| {
-            let mut config = support::config();
-            config["limits"] = json!({
-                "max_header_bytes": 16384, "max_body_bytes": MAX_BODY_BYTES,
-                "header_timeout_ms": 3000, "idle_timeout_ms": 15000,
-            });
-            // The crowd must not run into the deadline of its requests before it is measured.
-            for route in config["routes"].as_array_mut().expect("a list") {
-                route["timeout_ms"] = json!(30_000);
-            }
-            store.put("op/config", &config);
+            store.put("op/config", &config(MAX_BODY_BYTES));
         });
         let mut scene = scene.await;
-        let address = scene.gateway.client_address;
-        let crowd = tokio::task::spawn_blocking(move || send_crowd(address, send_body));
+        let addresses = listeners.addresses(scene.gateway.client_address);
+        let crowd = tokio::task::spawn_blocking(move || send_crowd(&addresses, send_body));
         let crowd = crowd.await.expect("the crowd has sent");
         tokio::time::sleep(STAY_TIME).await;
         let usage = scene.gateway.resource_usage();
@@ -244,17 +272,153 @@
 /// A gateway read every body of legal size into memory, and the sum exceeded the machine.
 #[test]
 fn large_bodies_that_stop_before_their_end_fill_the_memory() {
-    check_crowd(send_large_body, 27_300);
+    check_crowd(send_large_body, Listeners::Callers, 27_300);
 }
 
 /// A gateway kept the read buffers of chunked bodies, which are a multiple of tiny chunks.
 #[test]
 fn chunked_bodies_that_stop_before_their_end_fill_the_memory() {
-    check_crowd(send_chunked_body, 27_310);
+    check_crowd(send_chunked_body, Listeners::Callers, 27_310);
 }
 
 /// A gateway read bodies up to the limit before it refused them, announced or not.
 #[test]
 fn bodies_far_over_the_limit_fill_the_memory() {
-    check_crowd(send_excessive_body, 27_320);
+    check_crowd(send_excessive_body, Listeners::Callers, 27_320);
+}
+
+/// Connections that send nothing, heads that stop before their end, and heads that never end.
+fn send_no_head(stream: &mut TcpStream, number: usize, _: &Barrier) -> std::io::Result<()> {
+    // The clients of each listener do all three.
+    match number / 4 % 3 {
+        0 => Ok(()),
+        1 => stream.write_all(head(number, "x-unfinished: ").trim_end().as_bytes()),
+        _ => {
+            stream.write_all(b"GET /once/x HTTP/1.1\r\nx-endless: ")?;
+            for _ in 0..MAX_BODY_BYTES / PIECE_BYTES {
+                stream.write_all(&[b'x'; PIECE_BYTES])?;
+            }
+            Ok(())
+        }
+    }
+}
+
+/// Connections without a request used up the descriptors of the machine.
+#[test]
+fn connections_without_a_request_fill_the_descriptors() {
+    check_crowd(send_no_head, Listeners::All, 27_330);
+}
+
+/// Reads a response until the gateway closes the connection.
+fn read_response(stream: &mut TcpStream) -> String {
+    stream
+        .set_read_timeout(Some(IO_TIMEOUT))
+        .expect("the timeout is valid");
+    let mut response = Vec::new();
+    // A connection whose request was not read to its end may be reset after the response.
+    let _ = stream.read_to_end(&mut response);
+    String::from_utf8_lossy(&response).into_owned()
+}
+
+/// Sends one request and returns its response.
+fn send_alone(gateway: SocketAddr, framing: &str, body: &[u8]) -> String {
+    let mut stream = TcpStream::connect(gateway).expect("the gateway listens");
+    let framing = format!("connection: close\r\n{framing}");
+    stream
+        .write_all(head(1, &framing).as_bytes())
+        .expect("the gateway reads");
+    for piece in body.chunks(PIECE_BYTES) {
+        stream.write_all(piece).expect("the gateway reads");
+    }
+    read_response(&mut stream)
+}
+
+/// The budget must not refuse a single body of the longest length that callers are promised, on the
+/// smallest machines and however it arrives.
+#[rstest]
+#[case::smallest(88, 27_340)]
+#[case::small(110, 27_350)]
+fn a_single_body_of_the_longest_length_is_served(#[case] memory_mb: u32, #[case] base_port: u16) {
+    const LONGEST_BYTES: usize = 4 << 20;
+    let _turn = ONE_AT_A_TIME.lock().unwrap_or_else(PoisonError::into_inner);
+    support::run(async {
+        let limits = GatewayLimits {
+            memory_mb,
+            max_fds: Some(2_870),
+        };
+        let target = start_reading_target();
+        let scene = Scene::start_with_limits(target, base_port, limits, |store| {
+            store.put("op/config", &config(LONGEST_BYTES));
+        });
+        let scene = scene.await;
+        let address = scene.gateway.client_address;
+        let tiny_sizes: Vec<usize> = (1..=16).collect();
+        let declared = format!("content-length: {LONGEST_BYTES}");
+        let framed = "transfer-encoding: chunked";
+        let end = b"0\r\n\r\n".to_vec();
+        let requests = [
+            (declared.as_str(), vec![b'x'; LONGEST_BYTES]),
+            (
+                framed,
+                [chunked(LONGEST_BYTES, &[PIECE_BYTES]), end.clone()].concat(),
+            ),
+            (framed, [chunked(LONGEST_BYTES, &tiny_sizes), end].concat()),
+        ];
+        for (framing, body) in requests {
+            let framing = framing.to_owned();
+            let exchange =
+                tokio::task::spawn_blocking(move || send_alone(address, &framing, &body));
+            let response = exchange.await.expect("the exchange ends");
+            assert!(response.starts_with("HTTP/1.1 200"), "{response:?}");
+        }
+    });
+}
+
+/// A status must say what happened: 413 only for a body that the configuration forbids, and 503 with
+/// a time to return for one that the machine has no memory for.
+#[test]
+fn refusals_of_bodies_say_why() {
+    let _turn = ONE_AT_A_TIME.lock().unwrap_or_else(PoisonError::into_inner);
+    support::run(async {
+        let limits = GatewayLimits {
+            memory_mb: MEMORY_MB,
+            max_fds: Some(MAX_FDS),
+        };
+        let target = start_reading_target();
+        let scene = Scene::start_with_limits(target, 27_360, limits, |store| {
+            store.put("op/config", &config(MAX_BODY_BYTES));
+        });
+        let scene = scene.await;
+        let address = scene.gateway.client_address;
+        let checks = tokio::task::spawn_blocking(move || {
+            let too_long = format!("content-length: {}", MAX_BODY_BYTES + 1);
+            let response = send_alone(address, &too_long, b"");
+            assert!(response.starts_with("HTTP/1.1 413"), "{response:?}");
+            let body = chunked(MAX_BODY_BYTES + 1, &[PIECE_BYTES]);
+            let response = send_alone(address, "transfer-encoding: chunked", &body);
+            assert!(response.starts_with("HTTP/1.1 413"), "{response:?}");
+            // All are of legal length and more than fit, and none sends its body.
+            let mut stalled: Vec<TcpStream> = (0..12)
+                .map(|number| {
+                    let mut stream = TcpStream::connect(address).expect("the gateway listens");
+                    let framing = format!("content-length: {MAX_BODY_BYTES}");
+                    stream
+                        .write_all(head(number, &framing).as_bytes())
+                        .expect("the gateway reads");
+                    stream
+                })
+                .collect();
+            let last = stalled.last_mut().expect("there are some");
+            let response = read_response(last).to_ascii_lowercase();
+            assert!(response.starts_with("http/1.1 503"), "{response:?}");
+            assert!(response.contains("retry-after: "), "{response:?}");
+            assert!(response.contains("request_memory"), "{response:?}");
+            // The stalled ones give way to a body that arrives.
+            std::thread::sleep(STAY_TIME);
+            let framing = format!("content-length: {MAX_BODY_BYTES}");
+            let response = send_alone(address, &framing, &vec![b'x'; MAX_BODY_BYTES]);
+            assert!(response.starts_with("HTTP/1.1 200"), "{response:?}");
+        });
+        checks.await.expect("the checks pass");
+    });
 }
