test(soak): enough connections without a request to show the fault

Cause: the test for connections without a request had been written after the product change, and with 120 connections it passed on the unchanged product (100 descriptors against 128), as the heads that never end are cut off there too. Change: it has a crowd of its own of 240. The crowds and bounds of the tests (a), (b) and (c) are as before.

--- a/crates/mimosagap-soak/tests/uncontrolled_clients.rs
+++ b/crates/mimosagap-soak/tests/uncontrolled_clients.rs
@@ -33,6 +33,10 @@
 /// Connections of the crowd.
 const CLIENTS: usize = 120;
 
+/// Connections of the crowd that sends no request. The heads that never end are cut off even without
+/// a bound, so only two thirds of the connections stay.
+const CLIENTS_WITHOUT_REQUEST: usize = 240;
+
 /// Length of the bodies that are sent in chunks of one to sixteen bytes.
 const TINY_CHUNKED_BYTES: usize = 96 << 10;
 
@@ -200,36 +204,56 @@
     }
 }
 
-type SendBody = fn(&mut TcpStream, usize, &Barrier) -> std::io::Result<()>;
-
-/// Connects the crowd and sends its bodies, each on a thread. Returns the connections, which stay
-/// open until they are dropped. The clients are spread over the listeners in turn.
-fn send_crowd(addresses: &[SocketAddr], send_body: SendBody) -> Vec<TcpStream> {
-    let limit_reached = Arc::new(Barrier::new(CLIENTS));
-    let clients: Vec<_> = (0..CLIENTS)
-        .map(|number| {
-            let gateway = addresses[number % addresses.len()];
-            let limit_reached = Arc::clone(&limit_reached);
-            std::thread::spawn(move || {
-                let mut stream = TcpStream::connect(gateway).expect("the gateway listens");
-                stream
-                    .set_write_timeout(Some(IO_TIMEOUT))
-                    .expect("the timeout is valid");
-                // The gateway may refuse the request or close the connection.
-                let _ = send_body(&mut stream, number, &limit_reached);
-                stream
+type SendRequest = fn(&mut TcpStream, usize, &Barrier) -> std::io::Result<()>;
+
+/// Clients that connect at the same time.
+#[derive(Debug, Clone, Copy)]
+struct Crowd {
+    clients: usize,
+    listeners: Listeners,
+    send: SendRequest,
+}
+
+impl Crowd {
+    /// A crowd of callers.
+    fn new(send: SendRequest) -> Self {
+        Self {
+            clients: CLIENTS,
+            listeners: Listeners::Callers,
+            send,
+        }
+    }
+
+    /// Connects the clients, to each listener in turn, and sends what each has to send on a thread.
+    /// Returns the connections, which stay open until they are dropped.
+    fn send(self, callers: SocketAddr) -> Vec<TcpStream> {
+        let addresses = self.listeners.addresses(callers);
+        let limit_reached = Arc::new(Barrier::new(self.clients));
+        let clients: Vec<_> = (0..self.clients)
+            .map(|number| {
+                let address = addresses[number % addresses.len()];
+                let limit_reached = Arc::clone(&limit_reached);
+                std::thread::spawn(move || {
+                    let mut stream = TcpStream::connect(address).expect("the gateway listens");
+                    stream
+                        .set_write_timeout(Some(IO_TIMEOUT))
+                        .expect("the timeout is valid");
+                    // The gateway may refuse the request or close the connection.
+                    let _ = (self.send)(&mut stream, number, &limit_reached);
+                    stream
+                })
             })
-        })
-        .collect();
-    let streams = clients.into_iter().map(std::thread::JoinHandle::join);
-    streams
-        .map(|stream| stream.expect("a client does not panic"))
-        .collect()
+            .collect();
+        let streams = clients.into_iter().map(std::thread::JoinHandle::join);
+        streams
+            .map(|stream| stream.expect("a client does not panic"))
+            .collect()
+    }
 }
 
 /// Checks that a gateway on a small machine survives a crowd, stays within the machine and answers
 /// an ordinary request afterwards, while the crowd is still connected.
-fn check_crowd(send_body: SendBody, listeners: Listeners, base_port: u16) {
+fn check_crowd(crowd: Crowd, base_port: u16) {
     let _turn = ONE_AT_A_TIME.lock().unwrap_or_else(PoisonError::into_inner);
     support::run(async {
         let limits = GatewayLimits {
@@ -241,8 +265,8 @@
             store.put("op/config", &config(MAX_BODY_BYTES));
         });
         let mut scene = scene.await;
-        let addresses = listeners.addresses(scene.gateway.client_address);
-        let crowd = tokio::task::spawn_blocking(move || send_crowd(&addresses, send_body));
+        let address = scene.gateway.client_address;
+        let crowd = tokio::task::spawn_blocking(move || crowd.send(address));
         let crowd = crowd.await.expect("the crowd has sent");
         tokio::time::sleep(STAY_TIME).await;
         let usage = scene.gateway.resource_usage();
@@ -272,19 +296,19 @@
 /// A gateway read every body of legal size into memory, and the sum exceeded the machine.
 #[test]
 fn large_bodies_that_stop_before_their_end_fill_the_memory() {
-    check_crowd(send_large_body, Listeners::Callers, 27_300);
+    check_crowd(Crowd::new(send_large_body), 27_300);
 }
 
 /// A gateway kept the read buffers of chunked bodies, which are a multiple of tiny chunks.
 #[test]
 fn chunked_bodies_that_stop_before_their_end_fill_the_memory() {
-    check_crowd(send_chunked_body, Listeners::Callers, 27_310);
+    check_crowd(Crowd::new(send_chunked_body), 27_310);
 }
 
 /// A gateway read bodies up to the limit before it refused them, announced or not.
 #[test]
 fn bodies_far_over_the_limit_fill_the_memory() {
-    check_crowd(send_excessive_body, Listeners::Callers, 27_320);
+    check_crowd(Crowd::new(send_excessive_body), 27_320);
 }
 
 /// Connections that send nothing, heads that stop before their end, and heads that never end.
@@ -306,7 +330,12 @@
 /// Connections without a request used up the descriptors of the machine.
 #[test]
 fn connections_without_a_request_fill_the_descriptors() {
-    check_crowd(send_no_head, Listeners::All, 27_330);
+    let crowd = Crowd {
+        clients: CLIENTS_WITHOUT_REQUEST,
+        listeners: Listeners::All,
+        send: send_no_head,
+    };
+    check_crowd(crowd, 27_330);
 }
 
 /// Reads a response until the gateway closes the connection.
