fix(gateway): count callers' connections that are closed at the bound

Cause: the gauge of callers' connections was decremented at the end of a future that is dropped when its connection is closed for a new one. A crowd on the status or peer listener whose connections were all busy evicted a caller's body, which freed no connection there, and a configuration could set a read buffer of any size.

The three faults were found by reading and have no test of their own.

--- a/crates/mimosagap-gateway/src/client_connections.rs
+++ b/crates/mimosagap-gateway/src/client_connections.rs
@@ -262,6 +262,7 @@
 pub struct ConnectionSlot {
     gateway: SharedGateway,
     key: ConnectionKey,
+    kind: ListenerKind,
     /// What the connection is doing.
     pub activity: Arc<ConnectionActivity>,
 }
@@ -269,6 +270,9 @@
 impl Drop for ConnectionSlot {
     fn drop(&mut self) {
         self.gateway.client_connections.remove(self.key);
+        if self.kind == ListenerKind::Callers {
+            self.gateway.metrics.caller_connections.dec();
+        }
     }
 }
 
@@ -293,9 +297,13 @@
         activity: Arc::clone(&activity),
     };
     table.connections.borrow_mut().insert(key, open);
+    if kind == ListenerKind::Callers {
+        gateway.metrics.caller_connections.inc();
+    }
     Some(ConnectionSlot {
         gateway: Rc::clone(gateway),
         key,
+        kind,
         activity,
     })
 }
@@ -309,7 +317,8 @@
     }
 }
 
-/// Closes a connection without a request, or else the one whose body is stalled the longest.
+/// Closes a connection without a request, or else, if callers need it, evicts the body that is
+/// stalled the longest, whose connection closes with its response.
 fn make_room(gateway: &Gateway, kind: ListenerKind) -> bool {
     let victim = {
         let connections = gateway.client_connections.connections.borrow();
@@ -325,6 +334,9 @@
         close(gateway, victim, cause);
         return true;
     }
+    if kind != ListenerKind::Callers {
+        return false;
+    }
     let now = gateway.now();
     let eviction = gateway.with_state(|state| state.request_budget.evict_stalled(now));
     if let Some(eviction) = eviction {
--- a/crates/mimosagap-gateway/src/listeners.rs
+++ b/crates/mimosagap-gateway/src/listeners.rs
@@ -45,8 +45,10 @@
 /// Room for the request line beside the headers, in bytes. Callers may not count it as a header.
 const REQUEST_LINE_BYTES: usize = 4 << 10;
 
-/// Smallest read buffer that the HTTP library allows, in bytes.
+/// Smallest read buffer of a connection that the HTTP library allows, and the largest one that a
+/// configuration can set, in bytes.
 const MIN_READ_BUFFER_BYTES: usize = 8 << 10;
+const MAX_READ_BUFFER_BYTES: usize = 64 << 10;
 
 /// Idle timeout of a caller's connection until a configuration sets one.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(15);
@@ -152,23 +154,19 @@
         .timer(TokioTimer::new())
         .header_read_timeout(idle_timeout)
         .max_header_size(head_bytes)
-        .max_buf_size(head_bytes.max(MIN_READ_BUFFER_BYTES));
+        .max_buf_size(head_bytes.clamp(MIN_READ_BUFFER_BYTES, MAX_READ_BUFFER_BYTES));
     // An error means that the peer disconnected or violated the protocol; requests log their own
     // outcome.
     let _ = match kind {
         ListenerKind::Callers => {
-            let caller_connections = gateway.metrics.caller_connections.clone();
-            caller_connections.inc();
             let service = service_fn(move |mut request: Request<Incoming>| {
                 request.extensions_mut().insert(ClientAddress(peer));
                 let response = ingress::handle_request(Rc::clone(&gateway), request);
                 guard_exchange(ExchangeGuard::new(&activity), response)
             });
-            let result = builder
+            builder
                 .serve_connection(TokioIo::new(stream), service)
-                .await;
-            caller_connections.dec();
-            result
+                .await
         }
         ListenerKind::Peers => {
             let service = service_fn(move |mut request: Request<Incoming>| {
