feat(gateway): bound responses that callers do not read

Change: complete responses that are not yet sent are counted by themselves. Above an eighth of the memory, connections that took nothing of their responses for 300 ms are closed.

--- a/crates/mimosagap-gateway/src/body_reader.rs
+++ b/crates/mimosagap-gateway/src/body_reader.rs
@@ -8,6 +8,7 @@
 use hyper::body::Incoming;
 use tokio::time::Instant;
 
+use crate::client_connections;
 use crate::head_limit::SlowSendDetector;
 use crate::state::Gateway;
 
@@ -39,11 +40,9 @@
 impl BodyBuffer<'_> {
     fn append(&mut self, added: &[u8]) -> Result<(), BodyError> {
         let buffered = self.bytes.len();
-        let sent = self.gateway.sent_response_bytes.swap(0, Ordering::Relaxed);
-        let may_grow = self.gateway.with_state(|state| {
-            state.buffer_budget.release(sent);
-            state.buffer_budget.try_reserve(buffered, added.len())
-        });
+        let may_grow = self
+            .gateway
+            .with_state(|state| state.buffer_budget.try_reserve(buffered, added.len()));
         if !may_grow {
             return Err(BodyError::LimitExceeded);
         }
@@ -60,11 +59,22 @@
     }
 }
 
-/// A whole body, which keeps its share of the memory budget until it is sent to the caller, who may
-/// read slowly. The connection task drops it, which has no access to the budget.
+/// A whole body, which is counted until it is sent to the caller, who may read slowly. It does not
+/// count toward the budget for reading: targets are judged by that, and must not suffer from callers
+/// who do not read.
 struct BufferedBody {
     bytes: Bytes,
-    sent_bytes: Arc<AtomicUsize>,
+    unsent_bytes: Arc<AtomicUsize>,
+}
+
+impl BufferedBody {
+    fn new(bytes: Bytes, unsent_bytes: &Arc<AtomicUsize>) -> Self {
+        unsent_bytes.fetch_add(bytes.len(), Ordering::Relaxed);
+        Self {
+            bytes,
+            unsent_bytes: Arc::clone(unsent_bytes),
+        }
+    }
 }
 
 impl AsRef<[u8]> for BufferedBody {
@@ -75,8 +85,8 @@
 
 impl Drop for BufferedBody {
     fn drop(&mut self) {
-        self.sent_bytes
-            .fetch_add(self.bytes.len(), Ordering::Relaxed);
+        self.unsent_bytes
+            .fetch_sub(self.bytes.len(), Ordering::Relaxed);
     }
 }
 
@@ -101,9 +111,7 @@
         }
     }
     let bytes = Bytes::copy_from_slice(&buffer.bytes);
-    buffer.bytes.clear();
-    Ok(Bytes::from_owner(BufferedBody {
-        bytes,
-        sent_bytes: Arc::clone(&gateway.sent_response_bytes),
-    }))
+    let body = BufferedBody::new(bytes, &gateway.unsent_response_bytes);
+    client_connections::close_unread(gateway);
+    Ok(Bytes::from_owner(body))
 }
--- a/crates/mimosagap-gateway/src/client_connections.rs
+++ b/crates/mimosagap-gateway/src/client_connections.rs
@@ -16,7 +16,7 @@
 use bytes::Bytes;
 use hyper::body::{Body, Frame, SizeHint};
 use mimosagap_routing::connection_bound::{
-    ConnectionKey, ConnectionPhase, ConnectionState, connection_to_close,
+    ConnectionKey, ConnectionPhase, ConnectionState, connection_to_close, is_unread_excess,
 };
 use mimosagap_types::prelude::*;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
@@ -29,7 +29,7 @@
 use crate::response::{IncompleteStream, ResponseBody};
 use crate::state::{Gateway, SharedGateway, millis};
 
-/// Interval at which heads that take too long are looked for.
+/// Interval at which heads that take too long and responses that nobody reads are looked for.
 const CHECK_INTERVAL: Duration = Duration::from_millis(500);
 
 /// Limit on heads until a configuration sets one.
@@ -45,6 +45,9 @@
     had_request: AtomicBool,
     /// When the phase began, in milliseconds since boot.
     since_ms: AtomicU64,
+    /// Since when the client has taken nothing of a response, in milliseconds since boot; 0 if it
+    /// takes it.
+    blocked_since_ms: AtomicU64,
     closed: Notify,
 }
 
@@ -56,6 +59,7 @@
             has_partial_head: AtomicBool::new(false),
             had_request: AtomicBool::new(false),
             since_ms: AtomicU64::new(millis(clock.since_boot())),
+            blocked_since_ms: AtomicU64::new(0),
             closed: Notify::new(),
         })
     }
@@ -75,8 +79,24 @@
         }
     }
 
+    fn blocked_for(&self, now: Duration) -> Duration {
+        match self.blocked_since_ms.load(Ordering::Relaxed) {
+            0 => Duration::ZERO,
+            since_ms => now.saturating_sub(Duration::from_millis(since_ms)),
+        }
+    }
+
+    /// Records that the client does not take more bytes of a response.
+    fn record_blocked(&self) {
+        if self.blocked_since_ms.load(Ordering::Relaxed) == 0 {
+            let now_ms = millis(self.clock.since_boot());
+            self.blocked_since_ms.store(now_ms, Ordering::Relaxed);
+        }
+    }
+
     /// Records that the client took bytes of a response, which may outlast its exchange.
     fn record_write(&self) {
+        self.blocked_since_ms.store(0, Ordering::Relaxed);
         if !self.is_busy() && !self.has_partial_head.load(Ordering::Relaxed) {
             self.start_phase();
         }
@@ -176,8 +196,10 @@
     }
 
     fn observe_write(&self, result: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
-        if matches!(result, Poll::Ready(Ok(1..))) {
-            self.activity.record_write();
+        match &result {
+            Poll::Ready(Ok(1..)) => self.activity.record_write(),
+            Poll::Pending => self.activity.record_blocked(),
+            Poll::Ready(_) => {}
         }
         result
     }
@@ -375,8 +397,9 @@
     });
 }
 
-/// Closes connections whose head takes longer than the configuration allows, until the process ends.
-pub async fn close_overdue_heads(gateway: SharedGateway) {
+/// Closes connections whose head takes longer than the configuration allows, and those that take
+/// nothing of their responses while these use too much memory, until the process ends.
+pub async fn close_overdue(gateway: SharedGateway) {
     loop {
         tokio::time::sleep(CHECK_INTERVAL).await;
         let head_timeout = gateway
@@ -395,5 +418,26 @@
         for connection in overdue {
             close(&gateway, connection, "head_timeout");
         }
+        close_unread(&gateway);
+    }
+}
+
+/// Closes connections that take nothing of their responses, if complete responses that are not yet
+/// sent use too much memory.
+pub fn close_unread(gateway: &Gateway) {
+    let now = gateway.now();
+    let unsent_bytes = gateway.unsent_response_bytes.load(Ordering::Relaxed);
+    let memory_bytes = gateway.settings.memory_bytes;
+    let unread: Vec<ConnectionState> = {
+        let connections = gateway.client_connections.connections.borrow();
+        let unread = connections.iter().filter(|(_, open)| {
+            is_unread_excess(unsent_bytes, memory_bytes, open.activity.blocked_for(now))
+        });
+        unread
+            .map(|(key, open)| open.activity.state(*key))
+            .collect()
+    };
+    for connection in unread {
+        close(gateway, connection, "unread");
     }
 }
--- a/crates/mimosagap-gateway/src/listeners.rs
+++ b/crates/mimosagap-gateway/src/listeners.rs
@@ -317,7 +317,7 @@
         let buffered_bytes = state.buffer_budget.used_bytes();
         (budget.usage(), *budget.limits(), buffered_bytes)
     });
-    let sent_bytes = gateway.sent_response_bytes.load(Ordering::Relaxed);
+    let unsent_bytes = gateway.unsent_response_bytes.load(Ordering::Relaxed);
     let metrics = &gateway.metrics.request_memory;
     let mut connections = 0;
     for kind in ListenerKind::ALL {
@@ -329,5 +329,5 @@
     metrics.set_bytes("complete", usage.complete_bytes);
     metrics.set_bytes("capacity", limits.capacity_bytes);
     metrics.set_bytes("connections", connections * CONNECTION_BYTES);
-    metrics.set_bytes("responses", buffered_bytes.saturating_sub(sent_bytes));
+    metrics.set_bytes("responses", buffered_bytes + unsent_bytes);
 }
--- a/crates/mimosagap-gateway/src/run.rs
+++ b/crates/mimosagap-gateway/src/run.rs
@@ -178,7 +178,7 @@
     let registration_client = StoreClient::new(store_address, store_calls.clone());
     tokio::task::spawn_local(store_sync::follow_store(Rc::clone(&gateway), watch_client));
     tokio::task::spawn_local(reach::probe_isolated(Rc::clone(&gateway)));
-    tokio::task::spawn_local(client_connections::close_overdue_heads(Rc::clone(&gateway)));
+    tokio::task::spawn_local(client_connections::close_overdue(Rc::clone(&gateway)));
     tokio::task::spawn_local(registration::maintain_registration(
         Rc::clone(&gateway),
         registration_client,
--- a/crates/mimosagap-gateway/src/state.rs
+++ b/crates/mimosagap-gateway/src/state.rs
@@ -159,8 +159,8 @@
     pub client_connections: ConnectionTable,
     /// Requests whose bodies are being read.
     pub body_readers: BodyReaders,
-    /// Bytes of buffered responses that were sent or dropped since the budget was last updated.
-    pub sent_response_bytes: Arc<AtomicUsize>,
+    /// Bytes of complete responses that are not yet sent to their callers.
+    pub unsent_response_bytes: Arc<AtomicUsize>,
     state: RefCell<GatewayState>,
     clock: SystemClock,
     /// When the process started, as time since boot.
@@ -213,7 +213,7 @@
             in_flight: Cell::new(0),
             client_connections: ConnectionTable::default(),
             body_readers: BodyReaders::default(),
-            sent_response_bytes: Arc::default(),
+            unsent_response_bytes: Arc::default(),
             state: RefCell::new(GatewayState {
                 config: ConfigState::new(bounds),
                 targets,
--- a/crates/mimosagap-routing/src/connection_bound.rs
+++ b/crates/mimosagap-routing/src/connection_bound.rs
@@ -61,6 +61,24 @@
     }
 }
 
+/// Complete responses that are not yet sent may use the memory of the host divided by this before
+/// connections are closed for them.
+const UNSENT_MEMORY_DIVISOR: usize = 8;
+
+/// Time for which a caller takes nothing of a response until its connection may be closed for it:
+/// several of the longest round trips of 60 ms. With 1 s, a crowd of 40 responses of 1 MiB a second
+/// exceeded a machine of 48 MiB.
+const MIN_BLOCKED_TIME: Duration = Duration::from_millis(300);
+
+/// Whether to close a connection whose client has taken nothing of its response for `blocked_for`,
+/// on a host that keeps `unsent_bytes` of complete responses.
+///
+/// Load pattern: many callers ask for long responses and read none of them.
+#[must_use]
+pub fn is_unread_excess(unsent_bytes: usize, memory_bytes: usize, blocked_for: Duration) -> bool {
+    unsent_bytes > memory_bytes / UNSENT_MEMORY_DIVISOR && blocked_for >= MIN_BLOCKED_TIME
+}
+
 /// Identifies a connection.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct ConnectionKey(pub u64);
--- a/crates/mimosagap-routing/tests/connection_bound.rs
+++ b/crates/mimosagap-routing/tests/connection_bound.rs
@@ -5,7 +5,7 @@
 
 use mimosagap_routing::connection_bound::{
     CONNECTION_BYTES, ConnectionKey, ConnectionLimits, ConnectionPhase, ConnectionState,
-    connection_to_close,
+    connection_to_close, is_unread_excess,
 };
 use rstest::rstest;
 
@@ -98,6 +98,16 @@
     );
 }
 
+/// Responses that nobody read filled the memory. Slow callers must not be cut off while there is
+/// room, nor those that still take something.
+#[test]
+fn unread_responses_are_cut_off_only_when_they_use_too_much() {
+    let (long, moment) = (Duration::from_millis(300), Duration::from_millis(200));
+    assert!(is_unread_excess(12 * MIB, 88 * MIB, long));
+    assert!(!is_unread_excess(12 * MIB, 88 * MIB, moment));
+    assert!(!is_unread_excess(10 * MIB, 88 * MIB, long));
+}
+
 #[test]
 fn a_head_is_overdue_after_its_limit() {
     let timeout = Duration::from_secs(3);
--- a/crates/mimosagap-soak/tests/uncontrolled_clients.rs
+++ b/crates/mimosagap-soak/tests/uncontrolled_clients.rs
@@ -212,6 +212,7 @@
     clients: usize,
     listeners: Listeners,
     send: SendRequest,
+    target: fn() -> SocketAddr,
 }
 
 impl Crowd {
@@ -221,6 +222,7 @@
             clients: CLIENTS,
             listeners: Listeners::Callers,
             send,
+            target: start_reading_target,
         }
     }
 
@@ -260,7 +262,7 @@
             memory_mb: MEMORY_MB,
             max_fds: Some(MAX_FDS),
         };
-        let target = start_reading_target();
+        let target = (crowd.target)();
         let scene = Scene::start_with_limits(target, base_port, limits, |store| {
             store.put("op/config", &config(MAX_BODY_BYTES));
         });
@@ -333,7 +335,7 @@
     let crowd = Crowd {
         clients: CLIENTS_WITHOUT_REQUEST,
         listeners: Listeners::All,
-        send: send_no_head,
+        ..Crowd::new(send_no_head)
     };
     check_crowd(crowd, 27_330);
 }
@@ -451,3 +453,46 @@
         checks.await.expect("the checks pass");
     });
 }
+
+/// Answers with a long response at once and reads the rest of the request.
+fn start_long_target() -> SocketAddr {
+    start_target(|stream| {
+        let request = read_head(stream);
+        let id = attempt_id(&request);
+        let length = if request.contains("/long") {
+            MAX_BODY_BYTES
+        } else {
+            4
+        };
+        let head = format!(
+            "HTTP/1.1 200 OK\r\nx-attempt-id: {id}\r\nx-server-signature: signed\r\n\
+             connection: close\r\ncontent-length: {length}\r\n\r\n"
+        );
+        let _ = stream.write_all(head.as_bytes());
+        let _ = stream.write_all(&vec![b'x'; length]);
+        let mut rest = vec![0; PIECE_BYTES];
+        while stream.read(&mut rest).is_ok_and(|count| count > 0) {}
+    })
+}
+
+/// Callers who ask for long responses one after the other and read none of them.
+fn send_and_read_nothing(
+    stream: &mut TcpStream,
+    number: usize,
+    _: &Barrier,
+) -> std::io::Result<()> {
+    std::thread::sleep(Duration::from_millis(25) * u32::try_from(number).unwrap_or(0));
+    let request =
+        format!("GET /once/long HTTP/1.1\r\nhost: soak.example\r\nx-attempt-id: c{number}\r\n\r\n");
+    stream.write_all(request.as_bytes())
+}
+
+/// Responses that nobody reads were kept beside the budget for those that are being read.
+#[test]
+fn responses_that_nobody_reads_fill_the_memory() {
+    let crowd = Crowd {
+        target: start_long_target,
+        ..Crowd::new(send_and_read_nothing)
+    };
+    check_crowd(crowd, 27_370);
+}
