--- a/crates/mimosagap-soak/tests/uncontrolled_clients.rs
+++ b/crates/mimosagap-soak/tests/uncontrolled_clients.rs
@@ -487,7 +487,9 @@
     stream.write_all(request.as_bytes())
 }
 
-/// Responses that nobody reads were kept beside the budget for those that are being read.
+/// Guards against responses that nobody reads filling the memory of the process. They do not fit into
+/// the kernel's send buffers since these are bounded; before that the kernel kept them, which the
+/// memory of the process does not show.
 #[test]
 fn responses_that_nobody_reads_fill_the_memory() {
     let crowd = Crowd {
