--- a/crates/mimosagap-gateway/src/body_reader.rs
+++ b/crates/mimosagap-gateway/src/body_reader.rs
@@ -1,10 +1,14 @@
 //! Reads complete response bodies of targets within the host's memory budget.
 
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use tokio::time::Instant;
 
+use crate::client_connections;
 use crate::head_limit::SlowSendDetector;
 use crate::state::Gateway;
 
@@ -55,6 +59,37 @@
     }
 }
 
+/// A whole body, which is counted until it is sent to the caller, who may read slowly. It does not
+/// count toward the budget for reading: targets are judged by that, and must not suffer from callers
+/// who do not read.
+struct BufferedBody {
+    bytes: Bytes,
+    unsent_bytes: Arc<AtomicUsize>,
+}
+
+impl BufferedBody {
+    fn new(bytes: Bytes, unsent_bytes: &Arc<AtomicUsize>) -> Self {
+        unsent_bytes.fetch_add(bytes.len(), Ordering::Relaxed);
+        Self {
+            bytes,
+            unsent_bytes: Arc::clone(unsent_bytes),
+        }
+    }
+}
+
+impl AsRef<[u8]> for BufferedBody {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
+}
+
+impl Drop for BufferedBody {
+    fn drop(&mut self) {
+        self.unsent_bytes
+            .fetch_sub(self.bytes.len(), Ordering::Relaxed);
+    }
+}
+
 /// Reads a body to its end.
 pub async fn read_to_end(
     gateway: &Gateway,
@@ -75,5 +110,8 @@
             }
         }
     }
-    Ok(Bytes::copy_from_slice(&buffer.bytes))
+    let bytes = Bytes::copy_from_slice(&buffer.bytes);
+    let body = BufferedBody::new(bytes, &gateway.unsent_response_bytes);
+    client_connections::close_unread(gateway);
+    Ok(Bytes::from_owner(body))
 }
--- a/crates/mimosagap-gateway/src/log.rs
+++ b/crates/mimosagap-gateway/src/log.rs
@@ -429,6 +429,38 @@
         /// Whether it gave the credit; `false` also if it did not respond.
         granted: bool,
     },
+    /// The memory budget for requests refused a request or evicted one. The request gets a line of
+    /// its own.
+    RequestMemory {
+        /// Attempt id, set by the caller anew for each retry.
+        id: &'a str,
+        /// `refused` or `evicted`.
+        action: &'a str,
+        /// Why.
+        cause: &'a str,
+        /// Bytes of the body that had arrived.
+        received_bytes: usize,
+        /// Bytes that were charged to an evicted request.
+        held_bytes: usize,
+        /// Milliseconds since the last progress of an evicted request.
+        stalled_ms: u64,
+        /// Bytes that requests hold.
+        used_bytes: usize,
+        /// Bytes that they may hold.
+        capacity_bytes: usize,
+    },
+    /// A client's connection was closed or not accepted, because of the bound on connections or of
+    /// the limit on heads.
+    ConnectionClosed {
+        /// Kind of the clients.
+        listener: &'a str,
+        /// IP address of the client.
+        address: String,
+        /// Why.
+        cause: &'a str,
+        /// Milliseconds for which it had been silent, idle or in its head.
+        after_ms: u64,
+    },
     /// The gateway itself rejected a request.
     Refused {
         /// Attempt id, set by the caller anew for each retry.
@@ -606,13 +638,15 @@
             Self::Retry { .. } | Self::RetryLoan { .. } => (11, "retry"),
             Self::Relayed { .. } | Self::RelayRefused { .. } => (12, "relayed"),
             Self::Residency { .. } => (14, "residency"),
+            Self::RequestMemory { .. } => (15, "request_memory"),
+            Self::ConnectionClosed { .. } => (16, "connection_closed"),
             _ => (13, "state"),
         }
     }
 }
 
 /// Number of kinds that [`LogEvent::kind`] distinguishes.
-const KIND_COUNT: usize = 15;
+const KIND_COUNT: usize = 17;
 
 #[derive(Serialize)]
 struct LogLine<'a> {
--- a/crates/mimosagap-gateway/src/state.rs
+++ b/crates/mimosagap-gateway/src/state.rs
@@ -4,6 +4,7 @@
 use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
 use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
 use std::time::Duration;
 
 use mimosagap_platform::settings::{HEALTH_CONTRACT, HostSettings};
@@ -18,6 +19,7 @@
 use mimosagap_routing::output_length::LengthEstimator;
 use mimosagap_routing::quarantine::Quarantine;
 use mimosagap_routing::relay_selection::RelaySelector;
+use mimosagap_routing::request_budget::RequestBudget;
 use mimosagap_routing::residency::AllowedRegions;
 use mimosagap_routing::retry_budget::{
     FleetSize, RetryBounds, RetryBudget, RetryPurpose, capacity,
@@ -36,6 +38,7 @@
 use rand::rngs::SmallRng;
 use tokio::sync::Notify;
 
+use crate::client_connections::ConnectionTable;
 use crate::credit_loans::LoanClient;
 use crate::header_audit::HeaderAudit;
 use crate::log::{EventLog, LogEvent};
@@ -46,6 +49,7 @@
 use crate::rate_permits::PermitClient;
 use crate::remote_placement::PlacementClient;
 use crate::request::RoutedRequest;
+use crate::request_body::BodyReaders;
 use crate::residency;
 use crate::resumption::OriginReader;
 use crate::store::StoreClient;
@@ -107,6 +111,8 @@
     pub last_ticket: u64,
     /// Memory budget of responses that are still being read.
     pub buffer_budget: BufferBudget,
+    /// Memory budget of requests.
+    pub request_budget: RequestBudget,
     /// At which version each stream began.
     pub stream_origins: StreamOrigins,
     /// Whether this host knows all versions at which streams can have begun.
@@ -164,6 +170,12 @@
     pub permit_client: PermitClient,
     /// Number of requests in flight.
     pub in_flight: Cell<u32>,
+    /// Connections that clients opened.
+    pub client_connections: ConnectionTable,
+    /// Requests whose bodies are being read.
+    pub body_readers: BodyReaders,
+    /// Bytes of complete responses that are not yet sent to their callers.
+    pub unsent_response_bytes: Arc<AtomicUsize>,
     state: RefCell<GatewayState>,
     clock: SystemClock,
     /// When the process started, as time since boot.
@@ -196,6 +208,7 @@
         let store_client = StoreClient::new(settings.store_address, metrics.store_calls.clone());
         let origin_reader = OriginReader::new(store_client);
         let buffer_budget = BufferBudget::with_memory(settings.memory_bytes);
+        let request_budget = RequestBudget::new(settings.request_memory.budget);
         Self {
             host_hash: stable_hash(&[settings.host.as_bytes()]),
             settings,
@@ -218,6 +231,9 @@
             loan_client: LoanClient::new(clock.since_boot()),
             permit_client: PermitClient::new(clock.since_boot()),
             in_flight: Cell::new(0),
+            client_connections: ConnectionTable::default(),
+            body_readers: BodyReaders::default(),
+            unsent_response_bytes: Arc::default(),
             state: RefCell::new(GatewayState {
                 config: ConfigState::new(bounds),
                 targets,
@@ -243,6 +259,7 @@
                 mirror: StoreMirror::default(),
                 last_ticket: 0,
                 buffer_budget,
+                request_budget,
                 stream_origins: StreamOrigins::default(),
                 version_history: VersionHistory::default(),
             }),
