feat(gateway): suspect engines that hang, and tell all hosts

Cause: engines that report healthy but answer nothing lost up to nine generations each, because every host found out alone after its own requests hung. Change: an overdue first event or a silent stream is reported to all hosts by datagram; placement avoids the engine while others have capacity, and a first event or response clears it.

--- a/crates/mimosagap-gateway/src/lib.rs
+++ b/crates/mimosagap-gateway/src/lib.rs
@@ -15,6 +15,7 @@
 mod event_source;
 mod exchange;
 mod handover;
+mod hang_watch;
 pub mod head_limit;
 mod header_audit;
 mod ingress;
--- a/crates/mimosagap-gateway/src/log.rs
+++ b/crates/mimosagap-gateway/src/log.rs
@@ -120,6 +120,36 @@
         /// no limit any more.
         per_second: Option<f64>,
     },
+    /// A host reported that a target may hang.
+    TargetSuspected {
+        /// Instance name of the target.
+        target: &'a str,
+        /// Whether a `wait` of this host led to it or a notice of another `host`.
+        source: &'a str,
+        /// `silent` if nothing is heard from the target, `unanswered` if only new work is not
+        /// answered.
+        evidence: &'a str,
+        /// `suspected` from now on, or `contradicted` because this host heard from the target.
+        step: &'a str,
+        /// Milliseconds for which the request waited, or since the other host's report.
+        waited_ms: u64,
+    },
+    /// A target is no longer suspected, because a host heard from it.
+    SuspicionCleared {
+        /// Instance name of the target.
+        target: &'a str,
+        /// What this host heard, or `host` if another one did.
+        source: &'a str,
+        /// Milliseconds for which it was suspected.
+        after_ms: u64,
+    },
+    /// A target is late but not reported, because this host reaches no other target either.
+    SuspicionWithheld {
+        /// Instance name of the target.
+        target: &'a str,
+        /// Milliseconds for which the request waited.
+        waited_ms: u64,
+    },
     /// A target sent a header that was not read; logged once per target.
     HeaderUnread {
         /// Instance name of the target.
@@ -530,6 +560,9 @@
             | Self::TargetLeaving { .. }
             | Self::TargetPauses { .. }
             | Self::TargetRateLimit { .. }
+            | Self::TargetSuspected { .. }
+            | Self::SuspicionCleared { .. }
+            | Self::SuspicionWithheld { .. }
             | Self::HeaderUnread { .. } => (7, "target"),
             Self::EntryUnreadable { .. } | Self::ConfigUnreadable { .. } => (8, "unreadable"),
             Self::Trouble { .. } => (9, "trouble"),
--- a/crates/mimosagap-gateway/src/metrics.rs
+++ b/crates/mimosagap-gateway/src/metrics.rs
@@ -85,6 +85,8 @@
     /// Verdicts against requests or parts of prompts under which targets crashed, by how this host
     /// learned of them.
     pub quarantine_verdicts: IntCounterVec,
+    /// Steps of suspecting targets that hang, by name.
+    pub suspicions: IntCounterVec,
 }
 
 impl SignalMetrics {
@@ -105,6 +107,12 @@
                 &["source"],
             )?,
             limits,
+            suspicions: register_counters(
+                registry,
+                "mimosagap_target_suspicions_total",
+                "Steps of suspecting targets that hang",
+                &["step"],
+            )?,
             quarantine_verdicts: register_counters(
                 registry,
                 "mimosagap_quarantine_verdicts_total",
--- a/crates/mimosagap-gateway/src/peers.rs
+++ b/crates/mimosagap-gateway/src/peers.rs
@@ -14,6 +14,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
 
+use crate::hang_watch::{self, HangNotice};
 use crate::log::LogEvent;
 use crate::rate_permits::{self, PermitRequest, PermitResponse};
 use crate::remote_placement::{self, PlacementRequest, PlacementResponse};
@@ -61,9 +62,11 @@
     PermitRequest(PermitRequest),
     /// Response of a keeper.
     PermitResponse(PermitResponse),
-    /// What a host knows of requests that crash targets. New variants come last, so that hosts of an
-    /// earlier version still decode the others.
+    /// What a host knows of requests that crash targets.
     SuspicionNotices(Vec<AgedNotice>),
+    /// Notices of targets that may hang. New variants come last, so that hosts of an earlier version
+    /// still decode the others.
+    HangNotices(Vec<HangNotice>),
 }
 
 impl PeerMessage {
@@ -116,6 +119,15 @@
                     suspicion::apply_notice(&gateway, notice);
                 }
             }
+            Some(PeerMessage::HangNotices(notices)) => {
+                let replies = hang_watch::apply_notices(&gateway, &notices);
+                if !replies.is_empty()
+                    && let Some(bytes) = PeerMessage::HangNotices(replies).encode()
+                {
+                    // The other host renews its report if the reply is lost.
+                    let _ = socket.send_to(&bytes, sender).await;
+                }
+            }
             Some(PeerMessage::PermitRequest(request)) => {
                 let response = rate_permits::handle_request(&gateway, &request);
                 if let Some(bytes) = PeerMessage::PermitResponse(response).encode() {
@@ -152,12 +164,16 @@
                 send_notices(&gateway, &socket, gateway.target_notices.take_repeats()).await;
                 let repeats = gateway.suspicions.notices.take_repeats();
                 send_suspicions(&gateway, &socket, repeats).await;
+                let repeats = gateway.hang_notices.take_repeats();
+                send_hang_notices(&gateway, &socket, repeats).await;
                 gateway.log.flush();
             }
             () = next_change(&gateway) => {
                 send_notices(&gateway, &socket, gateway.target_notices.take_new()).await;
                 let unsent = gateway.suspicions.notices.take_new();
                 send_suspicions(&gateway, &socket, unsent).await;
+                let unsent = gateway.hang_notices.take_new();
+                send_hang_notices(&gateway, &socket, unsent).await;
                 send_changed_loads(&gateway, &socket, HostGroup::Near, &mut reported_near).await;
             }
         }
@@ -188,6 +204,15 @@
     }
 }
 
+/// Sends notices of targets that may hang to all other hosts.
+async fn send_hang_notices(gateway: &SharedGateway, socket: &UdpSocket, notices: Vec<HangNotice>) {
+    for chunk in notices.chunks(MAX_NOTICES_PER_DATAGRAM) {
+        let now = gateway.now();
+        let chunk = chunk.iter().map(|notice| notice.to_ages(now)).collect();
+        send_to_all(gateway, socket, &PeerMessage::HangNotices(chunk)).await;
+    }
+}
+
 async fn send_to_all(gateway: &SharedGateway, socket: &UdpSocket, message: &PeerMessage) {
     let Some(bytes) = message.encode() else {
         return;
--- a/crates/mimosagap-gateway/src/remote_placement.rs
+++ b/crates/mimosagap-gateway/src/remote_placement.rs
@@ -14,6 +14,7 @@
     GenerationDemand, Placement, PlacementOptions, may_place_on, place_generation,
 };
 use mimosagap_routing::placer_selection::PlacerSelector;
+use mimosagap_routing::target_suspicion::Standing;
 use mimosagap_routing::targets::{Locality, Target, TargetKey, TargetLoad};
 use mimosagap_types::prelude::*;
 use serde::{Deserialize, Serialize};
@@ -160,7 +161,9 @@
             let usable_engine = gateway.with_state(|state| {
                 let key = state.targets.find_instance(&instance)?;
                 let target = state.targets.get(key)?;
-                may_place_on(&state.targets, options, target, now).then_some(key)
+                // The placer may not have heard of a suspicion; it avoids what it knows of.
+                let is_suspected = target.suspicion.standing(now) == Standing::Suspected;
+                (may_place_on(&state.targets, options, target, now) && !is_suspected).then_some(key)
             });
             // An engine may be unavailable, leave without the placer's knowledge, or not be known to
             // this host yet.
--- a/crates/mimosagap-gateway/src/state.rs
+++ b/crates/mimosagap-gateway/src/state.rs
@@ -22,6 +22,7 @@
 use mimosagap_routing::store_revision::EraTracker;
 use mimosagap_routing::stream_origins::StreamOrigins;
 use mimosagap_routing::target_reach::TargetReach;
+use mimosagap_routing::target_suspicion::NoticeBudget;
 use mimosagap_routing::targets::{TargetKey, TargetTable};
 use mimosagap_routing::token_time::TokenTimeEstimator;
 use mimosagap_routing::version_history::VersionHistory;
@@ -32,6 +33,7 @@
 use rand::rngs::SmallRng;
 use tokio::sync::Notify;
 
+use crate::hang_watch::HangNotice;
 use crate::header_audit::HeaderAudit;
 use crate::log::{EventLog, LogEvent};
 use crate::metrics::GatewayMetrics;
@@ -141,6 +143,10 @@
     pub suspicions: SuspicionExchange,
     /// Notices of targets, to be sent to the other hosts.
     pub target_notices: NoticeQueue<TargetNotice>,
+    /// Notices of targets that may hang, to be sent to the other hosts.
+    pub hang_notices: NoticeQueue<HangNotice>,
+    /// Limits the notices of targets that may hang.
+    pub hang_budget: RefCell<NoticeBudget>,
     /// Client for placement requests to the placer of the region.
     pub placer_rpc: PlacementClient,
     /// Headers of targets that were reported as unread.
@@ -194,6 +200,8 @@
             origin_reader,
             suspicions: SuspicionExchange::default(),
             target_notices: NoticeQueue::default(),
+            hang_notices: NoticeQueue::default(),
+            hang_budget: RefCell::default(),
             placer_rpc: PlacementClient::default(),
             header_audit: HeaderAudit::default(),
             permit_client: PermitClient::new(clock.since_boot()),
--- a/crates/mimosagap-gateway/src/stream_relay.rs
+++ b/crates/mimosagap-gateway/src/stream_relay.rs
@@ -7,6 +7,7 @@
 use mimosagap_routing::placement::GenerationDemand;
 use mimosagap_routing::quarantine::PROOF_TIME;
 use mimosagap_routing::retry_budget::RetryPurpose;
+use mimosagap_routing::target_suspicion::{EventWait, LifeSign};
 use mimosagap_routing::targets::{TargetKey, TargetOutcome};
 use mimosagap_types::prelude::*;
 use tokio::sync::oneshot;
@@ -18,6 +19,7 @@
     HandoverJob, HandoverTask, MAX_OVERLAP, ResumedStream, STOP_TIMEOUT, restart_stream,
     resume_stopped, resume_stream,
 };
+use crate::hang_watch::{self, HangWatch};
 use crate::load_reservation::LoadReservation;
 use crate::log::{LogEvent, STREAM_COMPLETE};
 use crate::reach;
@@ -105,6 +107,8 @@
     longest_gap: Duration,
     /// Whether the answer went on for long enough to prove that the request crashes no target.
     is_proved: bool,
+    /// Reports the engine if the stream stops; `None` if it may stop, or if that is not enabled.
+    hang_watch: Option<HangWatch>,
 }
 
 enum RelayEnd {
@@ -141,6 +145,11 @@
             engine.map_or(1, |engine| engine.tokens_per_event)
         });
         let stream = *stream;
+        let target = stream.reservation.target;
+        let wait = EventWait::Next {
+            since: gateway.now(),
+        };
+        let hang_watch = HangWatch::start(&gateway, target, &request.service, wait);
         let relay = Self {
             first_event_at: None,
             last_event_at: gateway.now(),
@@ -172,6 +181,7 @@
             is_preconnected: false,
             longest_gap: Duration::ZERO,
             is_proved: false,
+            hang_watch,
         };
         (relay, body)
     }
@@ -437,6 +447,7 @@
                 .resize(self.current_demand().mean_kv_tokens());
         }
         reach::record_contact(&self.gateway, &self.request.service);
+        hang_watch::record_sign(&self.gateway, self.reservation.target, LifeSign::Event);
         let now = self.gateway.now();
         if self.generated_tokens > self.tokens_per_event {
             self.longest_gap = self.longest_gap.max(now.saturating_sub(self.last_event_at));
@@ -446,7 +457,19 @@
         if now.saturating_sub(first_event_at) >= PROOF_TIME {
             self.record_proof();
         }
-        self.send_part(StreamPart::Event(event.bytes)).await
+        // While the caller reads slowly, silence says nothing of the engine.
+        self.set_wait(None);
+        let result = self.send_part(StreamPart::Event(event.bytes)).await;
+        self.set_wait(Some(EventWait::Next {
+            since: self.gateway.now(),
+        }));
+        result
+    }
+
+    fn set_wait(&self, wait: Option<EventWait>) {
+        if let Some(watch) = &self.hang_watch {
+            watch.set_wait(wait);
+        }
     }
 
     /// Sends a part to the caller. During an overlap the wait for a slow caller is bounded, so that
@@ -482,6 +505,7 @@
         let order = stop_source(&self.gateway, id, self.reservation.target, next);
         self.next_target = Some(next);
         self.stop_order = Some(order);
+        self.hang_watch = None;
         self.stop_request = StopRequest::Asked;
         self.source_stop = Some(SourceStop {
             ordered_at: now,
@@ -599,6 +623,7 @@
     /// Records that the engine or its connection failed.
     fn record_failure(&mut self, outcome: TargetOutcome) {
         self.source = None;
+        self.hang_watch = None;
         self.copy_task = None;
         self.gateway.log.event(&LogEvent::StreamBroke {
             id: &self.request.head.attempt_id,
@@ -701,6 +726,11 @@
         }
         self.source = Some(resumed.source);
         self.reservation = resumed.reservation;
+        let target = self.reservation.target;
+        let wait = EventWait::Next {
+            since: self.gateway.now(),
+        };
+        self.hang_watch = HangWatch::start(&self.gateway, target, &self.request.service, wait);
         self.resume_count += 1;
         self.is_resuming = true;
         self.is_preconnected = false;
--- a/crates/mimosagap-gateway/src/streams.rs
+++ b/crates/mimosagap-gateway/src/streams.rs
@@ -12,6 +12,7 @@
 };
 use mimosagap_routing::refusal::RefusalReason;
 use mimosagap_routing::retry_budget::RetryPurpose;
+use mimosagap_routing::target_suspicion::{EventWait, LifeSign};
 use mimosagap_routing::targets::{Locality, PRIORITY_LEVELS, Target, TargetKey, TargetOutcome};
 use mimosagap_routing::wait_queue::{QueuedRequest, WaitQueue, max_queue_time};
 use mimosagap_types::prelude::*;
@@ -25,6 +26,7 @@
     Exchange, ExchangeError, SendOptions, record_failed_attempt, release_connection, send_request,
     sleep_unless_zero,
 };
+use crate::hang_watch::{self, HangWatch};
 use crate::ingress::InFlightGuard;
 use crate::load_reservation::LoadReservation;
 use crate::log::LogEvent;
@@ -300,6 +302,20 @@
         max_permit_wait: permit_wait(gateway, request),
         ..SendOptions::default()
     };
+    let now = gateway.now();
+    let may_wait_for_permit = gateway.with_state(|state| {
+        let target = state.targets.get(target);
+        target.is_some_and(|target| target.rate.per_second(now).is_some())
+    });
+    let wait = EventWait::First {
+        sent_at: if may_wait_for_permit {
+            started_at + options.max_permit_wait
+        } else {
+            started_at
+        },
+        expected: expected_latency,
+    };
+    let _watch = HangWatch::start(gateway, target, &request.service, wait);
     let exchange = send_request(gateway, request, target, options).await?;
     if !exchange.head.status.is_success() {
         return read_error_response(gateway, request, &reservation, exchange, attempt).await;
@@ -309,6 +325,7 @@
         SourceItem::Event(first_event) => {
             let latency = reservation.finish_prefill();
             reach::record_contact(gateway, &request.service);
+            hang_watch::record_sign(gateway, target, LifeSign::Answer);
             gateway.log.event(&LogEvent::FirstEvent {
                 id: &request.head.attempt_id,
                 target: &gateway.instance(target),
@@ -363,6 +380,7 @@
         }
     };
     reservation.record_outcome(TargetOutcome::Failed);
+    hang_watch::record_sign(gateway, reservation.target, LifeSign::Answer);
     release_connection(
         gateway,
         reservation.target,
--- a/crates/mimosagap-gateway/tests/log.rs
+++ b/crates/mimosagap-gateway/tests/log.rs
@@ -206,6 +206,22 @@
 fn belief_events() -> Vec<LogEvent<'static>> {
     let empty = String::new;
     vec![
+        LogEvent::TargetSuspected {
+            target: "t",
+            source: "wait",
+            evidence: "silent",
+            step: "suspected",
+            waited_ms: 900,
+        },
+        LogEvent::SuspicionCleared {
+            target: "t",
+            source: "event",
+            after_ms: 700,
+        },
+        LogEvent::SuspicionWithheld {
+            target: "t",
+            waited_ms: 900,
+        },
         LogEvent::StoreEra {
             era: 2,
             previous: 1,
--- a/crates/mimosagap-routing/src/lib.rs
+++ b/crates/mimosagap-routing/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod stream_origins;
 pub mod target_backoff;
 pub mod target_reach;
+pub mod target_suspicion;
 pub mod targets;
 pub mod token_time;
 pub mod version_history;
--- a/crates/mimosagap-routing/src/placement.rs
+++ b/crates/mimosagap-routing/src/placement.rs
@@ -17,6 +17,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::hashing::stable_hash;
+use crate::target_suspicion::SuspicionPolicy;
 use crate::targets::{Locality, Target, TargetKey, TargetTable};
 
 /// Fraction of an engine's KV capacity that the expected sizes of its generations may fill. It
@@ -238,9 +239,12 @@
     } else {
         MAX_KV_FILL - URGENT_KV_RESERVE
     };
+    let may_repeat = options.restart_time.is_some();
+    let suspicion = SuspicionPolicy::new(targets, options.service, &demand, may_repeat, now);
     targets
         .of_service(options.service)
         .filter(|(key, target)| may_use(*key, target))
+        .filter(|(_, target)| suspicion.admits(target))
         .filter(|(_, target)| may_place_on(targets, options, target, now))
         .filter(|(_, target)| {
             options
@@ -266,6 +270,7 @@
                     + FULL_KV_COST.mul_f64(kv_fill.min(1.0))
                     + FAILURE_COST.mul_f64(target.failure_rate(now))
                     + peer_backoff_cost(target, now)
+                    + suspicion.cost(target)
                     + options.cost_jitter.mul_f64(random.random());
                 Placement {
                     target: key,
--- a/crates/mimosagap-routing/src/targets.rs
+++ b/crates/mimosagap-routing/src/targets.rs
@@ -12,6 +12,7 @@
 use crate::rate_keeper::RateKeeper;
 use crate::rate_limit::{RateChange, RateStatement, TargetRate};
 use crate::target_backoff::TargetBackoff;
+use crate::target_suspicion::TargetSuspicion;
 use crate::version_registry::{RegistryStep, VersionRegistry};
 
 new_key_type! {
@@ -176,6 +177,8 @@
     pub backoff: TargetBackoff,
     /// The rate limit that it names for all hosts together.
     pub rate: TargetRate,
+    /// Whether it is suspected of hanging.
+    pub suspicion: TargetSuspicion,
     /// Slots that this host grants for it, if hosts ask this one.
     pub keeper: Option<Box<RateKeeper>>,
 }
@@ -198,6 +201,7 @@
             next_pause: FIRST_PAUSE,
             backoff: TargetBackoff::default(),
             rate: TargetRate::default(),
+            suspicion: TargetSuspicion::default(),
             keeper: None,
         }
     }
@@ -698,7 +702,11 @@
     ) {
         if let Some(key) = self.find_instance(instance) {
             let target = &mut self.targets[key];
-            target.peer_loads.insert(host_hash, (now, load));
+            let previous = target.peer_loads.insert(host_hash, (now, load));
+            let pending = |load: &TargetLoad| load.pending_prefill.iter().sum::<u32>();
+            if previous.is_some_and(|(_, previous)| pending(&load) < pending(&previous)) {
+                target.suspicion.record_progress(now);
+            }
             target
                 .reservations
                 .retain(|(_, reserving_host, _)| *reserving_host != host_hash);
