feat(gateway): spend scarce retry credit where second attempts help

Cause: 245 of 338 second attempts of reads repeated the error and took credit from calls that a second target serves. Change: each host learns per route and cause how often a retry helped; when credit is short, the least useful ones are skipped. Enabled by the contract 'health'; unchanged with credit to spare.

--- a/crates/mimosagap-gateway/src/calls.rs
+++ b/crates/mimosagap-gateway/src/calls.rs
@@ -14,6 +14,7 @@
 use mimosagap_routing::placement::place_call;
 use mimosagap_routing::refusal::RefusalReason;
 use mimosagap_routing::retry_budget::RetryPurpose;
+use mimosagap_routing::retry_value::RetryCause;
 use mimosagap_routing::targets::{TargetKey, TargetOutcome};
 
 use crate::body_reader::{ResponsePace, read_to_end};
@@ -77,6 +78,8 @@
     /// Attempts that were not sent because of the rate limit of their target.
     rate_limited_attempts: u32,
     error_response: Option<(TargetKey, BufferedResponse)>,
+    /// What led to the last retry; `None` for a first attempt and a hedge.
+    retry_cause: Option<RetryCause>,
 }
 
 impl CallProgress {
@@ -111,6 +114,7 @@
         was_aborted: false,
         rate_limited_attempts: 0,
         error_response: None,
+        retry_cause: None,
     };
     let mut running: Vec<RunningAttempt<'_>> = Vec::new();
     start_attempt(gateway, request, &mut progress, &mut running);
@@ -129,9 +133,11 @@
         tokio::select! {
             attempt = next_finished(&mut running) => {
                 let target = attempt.target;
+                record_retry(gateway, request, &mut progress, &attempt);
                 let should_retry = match attempt.result {
                     Ok(response) if is_idempotent && response.head.status.is_server_error() => {
                         progress.error_response = Some((target, response));
+                        progress.retry_cause = Some(RetryCause::ErrorResponse);
                         true
                     }
                     Ok(response) => {
@@ -190,6 +196,11 @@
     if progress.sends > 0 && suspicion::is_blocked(gateway, request) {
         return;
     }
+    if let Some(cause) = progress.retry_cause
+        && !gateway.is_retry_worthwhile(request, cause)
+    {
+        return;
+    }
     if progress.sends >= MAX_SENDS || progress.executions >= request.route.max_attempts {
         return;
     }
@@ -223,6 +234,27 @@
     });
 }
 
+/// Records whether a retry helped, and assumes that the next one follows an attempt without a
+/// response. An attempt that was not sent says nothing.
+fn record_retry(
+    gateway: &SharedGateway,
+    request: &RoutedRequest,
+    progress: &mut CallProgress,
+    attempt: &AttemptResult,
+) {
+    let has_helped = match &attempt.result {
+        Err(ExchangeError::RateLimited | ExchangeError::InBackoff) => return,
+        Err(_) => false,
+        Ok(response) => !response.head.status.is_server_error(),
+    };
+    let cause = progress.retry_cause.replace(RetryCause::NoResponse);
+    if let Some(cause) = cause
+        && attempt.attempt > 1
+    {
+        gateway.record_retry(request, cause, has_helped);
+    }
+}
+
 /// How long a call can wait for the rate limit of the target that was chosen last.
 fn max_permit_wait(
     gateway: &SharedGateway,
--- a/crates/mimosagap-gateway/src/log.rs
+++ b/crates/mimosagap-gateway/src/log.rs
@@ -391,6 +391,20 @@
         /// Milliseconds since the process started.
         up_ms: u64,
     },
+    /// A retry was not sent, because it seldom helps and the credit that is left is reserved for
+    /// others.
+    RetrySkipped {
+        /// Attempt id, set by the caller anew for each retry.
+        id: &'a str,
+        /// Route of the request.
+        route: &'a str,
+        /// What the attempt before ended with.
+        cause: &'a str,
+        /// How often such retries help, relative to the best that are wanted.
+        value: f64,
+        /// Retries that this process may still send.
+        credit: f64,
+    },
     /// The gateway itself rejected a request.
     Refused {
         /// Attempt id, set by the caller anew for each retry.
@@ -567,7 +581,7 @@
             Self::EntryUnreadable { .. } | Self::ConfigUnreadable { .. } => (8, "unreadable"),
             Self::Trouble { .. } => (9, "trouble"),
             Self::RatePermit { .. } => (10, "rate_permit"),
-            Self::Retry { .. } => (11, "retry"),
+            Self::Retry { .. } | Self::RetrySkipped { .. } => (11, "retry"),
             Self::Relayed { .. } | Self::RelayRefused { .. } => (12, "relayed"),
             _ => (13, "state"),
         }
--- a/crates/mimosagap-gateway/src/metrics.rs
+++ b/crates/mimosagap-gateway/src/metrics.rs
@@ -348,6 +348,11 @@
         self.retries.with_label_values(&[result]).inc();
     }
 
+    /// Counts a retry that was not sent because it seldom helps and credit is short.
+    pub fn count_skipped_retry(&self) {
+        self.retries.with_label_values(&["skipped"]).inc();
+    }
+
     /// Updates the gauges that are only read on a scrape: age of the configuration and memory.
     pub fn refresh_gauges(&self, config_age: Duration) {
         let age_ms = i64::try_from(config_age.as_millis()).unwrap_or(i64::MAX);
--- a/crates/mimosagap-gateway/src/state.rs
+++ b/crates/mimosagap-gateway/src/state.rs
@@ -18,11 +18,12 @@
 use mimosagap_routing::retry_budget::{
     FleetSize, RetryBounds, RetryBudget, RetryPurpose, capacity,
 };
+use mimosagap_routing::retry_value::{RetryCause, RetryValues, RetryVerdict};
 use mimosagap_routing::shutdown::{ShutdownWindow, longest_generation};
 use mimosagap_routing::store_revision::EraTracker;
 use mimosagap_routing::stream_origins::StreamOrigins;
 use mimosagap_routing::target_reach::TargetReach;
-use mimosagap_routing::target_suspicion::NoticeBudget;
+use mimosagap_routing::target_suspicion::{HEALTH_CONTRACT, NoticeBudget};
 use mimosagap_routing::targets::{TargetKey, TargetTable};
 use mimosagap_routing::token_time::TokenTimeEstimator;
 use mimosagap_routing::version_history::VersionHistory;
@@ -69,6 +70,8 @@
     pub fleet_size: FleetSize,
     /// Retry budgets, by service.
     pub retry_budgets: HashMap<DeploymentName, RetryBudget>,
+    /// How often retries helped, by service.
+    pub retry_values: HashMap<DeploymentName, RetryValues>,
     /// Whether this host reaches the targets, by service.
     pub target_reach: HashMap<DeploymentName, TargetReach>,
     /// Which hosts served requests that this one could not send to a target.
@@ -215,6 +218,7 @@
                 length_estimators: HashMap::new(),
                 fleet_size: FleetSize::new(clock.since_boot()),
                 retry_budgets: HashMap::new(),
+                retry_values: HashMap::new(),
                 target_reach: HashMap::new(),
                 relay_selector: RelaySelector::default(),
                 wait_queues: HashMap::new(),
@@ -320,6 +324,45 @@
         is_allowed
     }
 
+    /// Whether a retry helps often enough to be sent with the credit that is left. Always true where
+    /// the deployment does not enable the learned value of retries.
+    pub fn is_retry_worthwhile(&self, request: &RoutedRequest, cause: RetryCause) -> bool {
+        if !self.settings.has_contract(HEALTH_CONTRACT) {
+            return true;
+        }
+        let (now, bounds) = (self.now(), self.retry_bounds());
+        let (service, route) = (&request.service, &request.route.name);
+        let (verdict, credit) = self.with_state(|state| {
+            let sharing_hosts = state.sharing_hosts(now);
+            let budget = self.retry_budget(state, service);
+            let credit = budget.current_credit(now, &bounds, sharing_hosts);
+            let values = state.retry_values.entry(service.clone()).or_default();
+            let capacity = capacity(&bounds, sharing_hosts);
+            (values.judge(route, cause, credit, capacity, now), credit)
+        });
+        if let RetryVerdict::Skip { relative_value } = verdict {
+            self.metrics.count_skipped_retry();
+            self.log.event(&LogEvent::RetrySkipped {
+                id: &request.head.attempt_id,
+                route: route.as_str(),
+                cause: cause.name(),
+                value: relative_value,
+                credit,
+            });
+        }
+        verdict == RetryVerdict::Send
+    }
+
+    /// Records whether a retry of a call brought a response without a server error.
+    pub fn record_retry(&self, request: &RoutedRequest, cause: RetryCause, has_helped: bool) {
+        let now = self.now();
+        self.with_state(|state| {
+            let values = state.retry_values.entry(request.service.clone());
+            let values = values.or_default();
+            values.record(&request.route.name, cause, has_helped, now);
+        });
+    }
+
     /// The retry budget of a service, which begins with the process.
     fn retry_budget<'a>(
         &self,
--- a/crates/mimosagap-gateway/tests/log.rs
+++ b/crates/mimosagap-gateway/tests/log.rs
@@ -206,6 +206,13 @@
 fn belief_events() -> Vec<LogEvent<'static>> {
     let empty = String::new;
     vec![
+        LogEvent::RetrySkipped {
+            id: "a",
+            route: "r",
+            cause: "error_response",
+            value: 0.3,
+            credit: 1.2,
+        },
         LogEvent::TargetSuspected {
             target: "t",
             source: "wait",
--- a/crates/mimosagap-routing/src/lib.rs
+++ b/crates/mimosagap-routing/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod refusal;
 pub mod relay_selection;
 pub mod retry_budget;
+pub mod retry_value;
 pub mod shutdown;
 pub mod store_revision;
 pub mod stream_origins;
--- a/crates/mimosagap-routing/src/retry_budget.rs
+++ b/crates/mimosagap-routing/src/retry_budget.rs
@@ -155,6 +155,17 @@
         is_allowed
     }
 
+    /// Retries that this host may still spend now.
+    pub fn current_credit(
+        &mut self,
+        now: Duration,
+        bounds: &RetryBounds,
+        sharing_hosts: Option<usize>,
+    ) -> f64 {
+        self.update(now, bounds, sharing_hosts);
+        self.credit
+    }
+
     /// Returns a retry that was spent on a request which was not sent after all.
     pub fn refund(&mut self) {
         self.credit += 1.0;
