--- a/crates/mimosagap-gateway/src/calls.rs
+++ b/crates/mimosagap-gateway/src/calls.rs
@@ -196,11 +196,6 @@
     if progress.sends > 0 && suspicion::is_blocked(gateway, request) {
         return;
     }
-    if let Some(cause) = progress.retry_cause
-        && !gateway.is_retry_worthwhile(request, cause)
-    {
-        return;
-    }
     if progress.sends >= MAX_SENDS || progress.executions >= request.route.max_attempts {
         return;
     }
@@ -213,7 +208,11 @@
         if progress.rate_limited_attempts == 0 {
             gateway.count_request(&request.service);
         }
-    } else if !gateway.try_spend_retry(request, RetryPurpose::Attempt) {
+    } else if progress
+        .retry_cause
+        .is_some_and(|cause| !gateway.is_retry_worthwhile(request, cause))
+        || !gateway.try_spend_retry(request, RetryPurpose::Attempt)
+    {
         return;
     }
     progress.tried.push(target);
--- a/crates/mimosagap-routing/tests/target_suspicion.rs
+++ b/crates/mimosagap-routing/tests/target_suspicion.rs
@@ -100,6 +100,7 @@
 #[test]
 fn a_host_whose_link_is_cut_reports_nothing() {
     let cut = Replay {
+        hosts: 6,
         silent_engines: 0,
         cut_host: Some(5),
         ..HANG
--- a/crates/mimosagap-soak/tests/support/mod.rs
+++ b/crates/mimosagap-soak/tests/support/mod.rs
@@ -47,7 +47,7 @@
 }
 
 /// Sends a request to the gateway and reads everything until it closes the connection.
-fn exchange(gateway: SocketAddr, (path, id): (&str, &str)) -> String {
+pub fn exchange(gateway: SocketAddr, (path, id): (&str, &str)) -> String {
     let mut stream = TcpStream::connect(gateway).expect("the gateway listens");
     stream
         .set_read_timeout(Some(TIMEOUT))
@@ -59,7 +59,8 @@
     String::from_utf8_lossy(&response).into_owned()
 }
 
-fn gateway_program() -> PathBuf {
+/// The program that the gateways of the tests run.
+pub fn gateway_program() -> PathBuf {
     let mut directory = std::env::current_exe().expect("a test has a path");
     directory.pop();
     directory.pop();
