--- a/crates/mimosagap-gateway/src/lib.rs
+++ b/crates/mimosagap-gateway/src/lib.rs
@@ -18,6 +18,7 @@
 mod event_source;
 mod exchange;
 mod handover;
+mod hang_watch;
 pub mod head_limit;
 mod header_audit;
 mod ingress;
--- a/crates/mimosagap-gateway/src/log.rs
+++ b/crates/mimosagap-gateway/src/log.rs
@@ -131,6 +131,36 @@
         /// Requests per second that its keeper grants to all hosts together.
         per_second: f64,
     },
+    /// A host reported that a target may hang.
+    TargetSuspected {
+        /// Instance name of the target.
+        target: &'a str,
+        /// Whether a `wait` of this host led to it or a notice of another `host`.
+        source: &'a str,
+        /// `silent` if nothing is heard from the target, `unanswered` if only new work is not
+        /// answered.
+        evidence: &'a str,
+        /// `suspected` from now on, or `contradicted` because this host heard from the target.
+        step: &'a str,
+        /// Milliseconds for which the request waited, or since the other host's report.
+        waited_ms: u64,
+    },
+    /// A target is no longer suspected, because a host heard from it.
+    SuspicionCleared {
+        /// Instance name of the target.
+        target: &'a str,
+        /// What this host heard, or `host` if another one did.
+        source: &'a str,
+        /// Milliseconds for which it was suspected.
+        after_ms: u64,
+    },
+    /// A target is late but not reported, because this host reaches no other target either.
+    SuspicionWithheld {
+        /// Instance name of the target.
+        target: &'a str,
+        /// Milliseconds for which the request waited.
+        waited_ms: u64,
+    },
     /// A target sent a header that was not read; logged once per target.
     HeaderUnread {
         /// Instance name of the target.
@@ -461,6 +491,20 @@
         /// Milliseconds for which it had been silent, idle or in its head.
         after_ms: u64,
     },
+    /// A retry was not sent, because it seldom helps and the credit that is left is reserved for
+    /// others.
+    RetrySkipped {
+        /// Attempt id, set by the caller anew for each retry.
+        id: &'a str,
+        /// Route of the request.
+        route: &'a str,
+        /// What the attempt before ended with.
+        cause: &'a str,
+        /// How often such retries help, relative to the best that are wanted.
+        value: f64,
+        /// Retries that this process may still send.
+        credit: f64,
+    },
     /// The gateway itself rejected a request.
     Refused {
         /// Attempt id, set by the caller anew for each retry.
@@ -631,11 +675,16 @@
             | Self::TargetPauses { .. }
             | Self::TargetRateLimit { .. }
             | Self::TargetCold { .. }
+            | Self::TargetSuspected { .. }
+            | Self::SuspicionCleared { .. }
+            | Self::SuspicionWithheld { .. }
             | Self::HeaderUnread { .. } => (7, "target"),
             Self::EntryUnreadable { .. } | Self::ConfigUnreadable { .. } => (8, "unreadable"),
             Self::Trouble { .. } => (9, "trouble"),
             Self::RatePermit { .. } => (10, "rate_permit"),
-            Self::Retry { .. } | Self::RetryLoan { .. } => (11, "retry"),
+            Self::Retry { .. } | Self::RetryLoan { .. } | Self::RetrySkipped { .. } => {
+                (11, "retry")
+            }
             Self::Relayed { .. } | Self::RelayRefused { .. } => (12, "relayed"),
             Self::Residency { .. } => (14, "residency"),
             Self::RequestMemory { .. } => (15, "request_memory"),
--- a/crates/mimosagap-gateway/src/remote_placement.rs
+++ b/crates/mimosagap-gateway/src/remote_placement.rs
@@ -15,6 +15,7 @@
 };
 use mimosagap_routing::placer_selection::PlacerSelector;
 use mimosagap_routing::residency::UNRESTRICTED;
+use mimosagap_routing::target_suspicion::Standing;
 use mimosagap_routing::targets::{Locality, Target, TargetKey, TargetLoad};
 use mimosagap_types::prelude::*;
 use serde::{Deserialize, Serialize};
@@ -176,7 +177,10 @@
                 let key = state.targets.find_instance(&instance)?;
                 let target = state.targets.get(key)?;
                 let permitted = options.residency.permit_target(&state.targets, key)?;
-                may_place_on(&state.targets, options, target, now).then_some(permitted)
+                // The placer may not have heard of a suspicion; it avoids what it knows of.
+                let is_suspected = target.suspicion.standing(now) == Standing::Suspected;
+                let is_usable = may_place_on(&state.targets, options, target, now) && !is_suspected;
+                is_usable.then_some(permitted)
             });
             // An engine may be unavailable, leave without the placer's knowledge, or not be known to
             // this host yet.
--- a/crates/mimosagap-routing/src/targets.rs
+++ b/crates/mimosagap-routing/src/targets.rs
@@ -15,6 +15,7 @@
 use crate::region_contention::RegionContention;
 use crate::residency::{ResidencyPolicy, UNRESTRICTED};
 use crate::target_backoff::TargetBackoff;
+use crate::target_suspicion::TargetSuspicion;
 use crate::version_registry::{RegistryStep, VersionRegistry};
 
 new_key_type! {
@@ -185,6 +186,8 @@
     pub rate: TargetRate,
     /// The rate at which it may be sent requests because it may be cold.
     pub cold: ColdState,
+    /// Whether it is suspected of hanging.
+    pub suspicion: TargetSuspicion,
     /// Slots that this host grants for it, if hosts ask this one.
     pub keeper: Option<Box<RateKeeper>>,
 }
@@ -209,6 +212,7 @@
             backoff: TargetBackoff::default(),
             rate: TargetRate::default(),
             cold: ColdState::default(),
+            suspicion: TargetSuspicion::default(),
             keeper: None,
         }
     }
@@ -829,7 +833,11 @@
     ) {
         if let Some(key) = self.find_instance(instance) {
             let target = &mut self.targets[key];
-            target.peer_loads.insert(host_hash, (now, load));
+            let previous = target.peer_loads.insert(host_hash, (now, load));
+            let pending = |load: &TargetLoad| load.pending_prefill.iter().sum::<u32>();
+            if previous.is_some_and(|(_, previous)| pending(&load) < pending(&previous)) {
+                target.suspicion.record_progress(now);
+            }
             target
                 .reservations
                 .retain(|(_, reserving_host, _)| *reserving_host != host_hash);
--- a/crates/mimosagap-soak/tests/exclusions.rs
+++ b/crates/mimosagap-soak/tests/exclusions.rs
@@ -214,6 +214,10 @@
                     .expect("the gateway starts")
             })
             .collect();
+        for gateway in &mut gateways {
+            let restarted = gateway.restart_with_contracts(&["places"]);
+            restarted.expect("the gateway starts again");
+        }
         tokio::time::sleep(Duration::from_secs(6)).await;
         let addresses: Vec<SocketAddr> = gateways.iter().map(|host| host.client_address).collect();
         let killed = addresses[2].to_string();
--- a/crates/mimosagap-soak/tests/support/mod.rs
+++ b/crates/mimosagap-soak/tests/support/mod.rs
@@ -39,7 +39,7 @@
 }
 
 /// Sends a request to the gateway and reads everything until it closes the connection.
-fn exchange(gateway: SocketAddr, (path, id): (&str, &str)) -> String {
+pub fn exchange(gateway: SocketAddr, (path, id): (&str, &str)) -> String {
     let mut stream = TcpStream::connect(gateway).expect("the gateway listens");
     stream
         .set_read_timeout(Some(TIMEOUT))
