--- a/crates/mimosagap-gateway/src/calls.rs
+++ b/crates/mimosagap-gateway/src/calls.rs
@@ -79,6 +79,8 @@
     was_aborted: bool,
     /// Attempts that were not sent because of the rate limit of their target.
     rate_limited_attempts: u32,
+    /// Attempts that were not sent after their target was chosen, those included.
+    unsent_attempts: u32,
     error_response: Option<(TargetKey, BufferedResponse)>,
     /// What led to the last retry; `None` for a first attempt and a hedge.
     retry_cause: Option<RetryCause>,
@@ -87,7 +89,7 @@
 impl CallProgress {
     /// Takes back what was counted for an attempt that was not sent.
     fn undo_send(&mut self, gateway: &SharedGateway, request: &RoutedRequest, attempt: u32) {
-        self.rate_limited_attempts += 1;
+        self.unsent_attempts += 1;
         self.executions -= 1;
         self.sends -= 1;
         if attempt > 1 {
@@ -115,6 +117,7 @@
         was_rejected: false,
         was_aborted: false,
         rate_limited_attempts: 0,
+        unsent_attempts: 0,
         error_response: None,
         retry_cause: None,
     };
@@ -146,20 +149,21 @@
                         record_unresponsive(gateway, &running, TargetOutcome::ReturnedError);
                         return forward_response(gateway, request, target, response);
                     }
-                    Err(
-                        ExchangeError::Unreachable
-                        | ExchangeError::OutsideRegions
-                        | ExchangeError::Evacuated,
-                    ) => {
+                    Err(ExchangeError::Unreachable) => {
                         progress.executions -= 1;
                         true
                     }
+                    Err(ExchangeError::OutsideRegions | ExchangeError::Evacuated) => {
+                        progress.undo_send(gateway, request, attempt.attempt);
+                        true
+                    }
                     Err(ExchangeError::Rejected | ExchangeError::InBackoff) => {
                         progress.executions -= 1;
                         progress.was_rejected = true;
                         true
                     }
                     Err(ExchangeError::RateLimited) => {
+                        progress.rate_limited_attempts += 1;
                         progress.undo_send(gateway, request, attempt.attempt);
                         true
                     }
@@ -215,7 +219,7 @@
     };
     let target = permitted.key();
     if progress.sends == 0 {
-        if progress.rate_limited_attempts == 0 {
+        if progress.unsent_attempts == 0 {
             gateway.count_request(&request.service);
         }
     } else if progress
--- a/crates/mimosagap-gateway/src/client_connections.rs
+++ b/crates/mimosagap-gateway/src/client_connections.rs
@@ -43,6 +43,8 @@
     exchanges: AtomicU32,
     has_partial_head: AtomicBool,
     had_request: AtomicBool,
+    /// Whether its newest response is complete in memory, not a stream.
+    sends_complete: AtomicBool,
     /// When the phase began, in milliseconds since boot.
     since_ms: AtomicU64,
     /// Since when the client has taken nothing of a response, in milliseconds since boot; 0 if it
@@ -58,6 +60,7 @@
             exchanges: AtomicU32::new(0),
             has_partial_head: AtomicBool::new(false),
             had_request: AtomicBool::new(false),
+            sends_complete: AtomicBool::new(false),
             since_ms: AtomicU64::new(millis(clock.since_boot())),
             blocked_since_ms: AtomicU64::new(0),
             closed: Notify::new(),
@@ -135,6 +138,7 @@
         activity.exchanges.fetch_add(1, Ordering::Relaxed);
         activity.has_partial_head.store(false, Ordering::Relaxed);
         activity.had_request.store(true, Ordering::Relaxed);
+        activity.sends_complete.store(false, Ordering::Relaxed);
         Self(Arc::clone(activity))
     }
 }
@@ -155,6 +159,9 @@
 impl GuardedBody {
     /// Joins a body and its exchange.
     pub fn new(body: ResponseBody, exchange: ExchangeGuard) -> Self {
+        let is_complete = body.size_hint().exact().is_some();
+        let sends_complete = &exchange.0.sends_complete;
+        sends_complete.store(is_complete, Ordering::Relaxed);
         Self {
             body,
             _exchange: exchange,
@@ -431,7 +438,9 @@
     let unread: Vec<ConnectionState> = {
         let connections = gateway.client_connections.connections.borrow();
         let unread = connections.iter().filter(|(_, open)| {
-            is_unread_excess(unsent_bytes, memory_bytes, open.activity.blocked_for(now))
+            // Closing a stream would free none of these bytes.
+            open.activity.sends_complete.load(Ordering::Relaxed)
+                && is_unread_excess(unsent_bytes, memory_bytes, open.activity.blocked_for(now))
         });
         unread
             .map(|(key, open)| open.activity.state(*key))
--- a/crates/mimosagap-gateway/src/credit_loans.rs
+++ b/crates/mimosagap-gateway/src/credit_loans.rs
@@ -3,6 +3,7 @@
 //! The selection of lenders is in `mimosagap_routing::credit_lending`.
 
 use std::cell::RefCell;
+use std::collections::HashSet;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -38,6 +39,8 @@
 /// Sends requests for loans and matches responses to them.
 pub struct LoanClient {
     pending: PendingResponses<bool>,
+    /// Services for which a loan is being asked for in the background.
+    borrowing: RefCell<HashSet<DeploymentName>>,
     selector: RefCell<LenderSelector>,
 }
 
@@ -48,6 +51,7 @@
         let first_id = u64::try_from(started_at.as_nanos()).unwrap_or_default();
         Self {
             pending: PendingResponses::new(first_id),
+            borrowing: RefCell::default(),
             selector: RefCell::default(),
         }
     }
@@ -66,11 +70,19 @@
     }
 }
 
-/// Borrows the credit of one retry in the background and wakes the streams that wait for it.
+/// Borrows the credit of one retry in the background and wakes the streams that wait for it. Several
+/// loans at once could exceed what this host can hold.
 pub fn start_borrowing(gateway: &SharedGateway, service: &DeploymentName) {
+    let borrowing = &gateway.loan_client.borrowing;
+    if !borrowing.borrow_mut().insert(service.clone()) {
+        return;
+    }
     let (gateway, service) = (Rc::clone(gateway), service.clone());
     tokio::task::spawn_local(async move {
-        if borrow(&gateway, &service).await {
+        let is_lent = borrow(&gateway, &service).await;
+        let borrowing = &gateway.loan_client.borrowing;
+        borrowing.borrow_mut().remove(&service);
+        if is_lent {
             gateway.target_leaving.notify_waiters();
         }
     });
--- a/crates/mimosagap-gateway/src/evacuation.rs
+++ b/crates/mimosagap-gateway/src/evacuation.rs
@@ -1,7 +1,7 @@
 //! Applies the evacuations that the store shows, and passes on those that the store lost.
 
 use std::collections::{BTreeSet, HashSet};
-use std::rc::Rc;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use mimosagap_platform::names;
@@ -10,7 +10,7 @@
 use mimosagap_types::prelude::*;
 
 use crate::log::LogEvent;
-use crate::peers::{PeerMessage, send_to_all};
+use crate::peers::PeerMessage;
 use crate::state::{Gateway, SharedGateway, millis};
 
 /// How this host learned of a change.
@@ -94,16 +94,21 @@
     apply_changes(gateway, changes, ChangeSource::Host);
 }
 
-/// Tells the other hosts the evacuations that the store lost, because one of them has just started.
-pub fn announce_held(gateway: &SharedGateway) {
+/// Tells a host that was listed just now, and may have just started, the evacuations that the store
+/// lost. All hosts are listed again after the store came back, so a message to all of them for each
+/// would be one for each pair of hosts.
+pub fn announce_held(gateway: &SharedGateway, peer_address: SocketAddr) {
     let now = gateway.now();
     let held = gateway.with_state(|state| state.evacuations.held(now));
     let Some(socket) = gateway.placer_rpc.socket().filter(|_| !held.is_empty()) else {
         return;
     };
-    let gateway = Rc::clone(gateway);
+    let Some(bytes) = PeerMessage::HeldEvacuations(held).encode() else {
+        return;
+    };
     tokio::task::spawn_local(async move {
-        send_to_all(&gateway, &socket, &PeerMessage::HeldEvacuations(held)).await;
+        // Each of the other hosts sends the same.
+        let _ = socket.send_to(&bytes, peer_address).await;
     });
 }
 
--- a/crates/mimosagap-gateway/src/peers.rs
+++ b/crates/mimosagap-gateway/src/peers.rs
@@ -12,6 +12,8 @@
 
 use mimosagap_platform::settings::PLACES_CONTRACT;
 use mimosagap_routing::host_liveness::LIVENESS_INTERVAL;
+use mimosagap_routing::hosts::HostRecord;
+use mimosagap_routing::target_suspicion::HANG_NOTICE_FEATURE;
 use mimosagap_routing::targets::{PRIORITY_LEVELS, TargetLoad};
 use mimosagap_types::prelude::*;
 use serde::{Deserialize, Serialize};
@@ -289,18 +291,32 @@
     for chunk in notices.chunks(MAX_NOTICES_PER_DATAGRAM) {
         let now = gateway.now();
         let chunk = chunk.iter().map(|notice| notice.to_ages(now)).collect();
-        send_to_all(gateway, socket, &PeerMessage::HangNotices(chunk)).await;
+        let message = PeerMessage::HangNotices(chunk);
+        let reads = |record: &HostRecord| record.has_feature(HANG_NOTICE_FEATURE);
+        send_to(gateway, socket, &message, reads).await;
     }
 }
 
 /// Sends a message to all other hosts.
-pub async fn send_to_all(gateway: &SharedGateway, socket: &UdpSocket, message: &PeerMessage) {
+async fn send_to_all(gateway: &SharedGateway, socket: &UdpSocket, message: &PeerMessage) {
+    send_to(gateway, socket, message, |_| true).await;
+}
+
+/// Sends a message to the other hosts whose records `is_addressed` selects.
+async fn send_to(
+    gateway: &SharedGateway,
+    socket: &UdpSocket,
+    message: &PeerMessage,
+    is_addressed: impl Fn(&HostRecord) -> bool,
+) {
     let Some(bytes) = message.encode() else {
         return;
     };
     let own_host = &gateway.settings.host;
     let peers: Vec<SocketAddr> = gateway.with_state(|state| {
-        let other_hosts = state.hosts.live().filter(|(name, _)| name != own_host);
+        let other_hosts = state.hosts.live();
+        let other_hosts =
+            other_hosts.filter(|(name, record)| name != own_host && is_addressed(record));
         other_hosts.map(|(_, record)| record.peer_address).collect()
     });
     for peer in peers {
--- a/crates/mimosagap-gateway/src/rate_permits.rs
+++ b/crates/mimosagap-gateway/src/rate_permits.rs
@@ -12,7 +12,7 @@
 use std::time::Duration;
 
 use mimosagap_routing::cold_rate::{
-    COLD_PERMIT_TTL, DEPUTY_COUNT, LocalShare, MAX_COLD_WAIT, keeper_fraction,
+    COLD_PERMIT_FEATURE, COLD_PERMIT_TTL, DEPUTY_COUNT, LocalShare, MAX_COLD_WAIT, keeper_fraction,
 };
 use mimosagap_routing::keeper_selection::{KeeperSelector, MAX_PROOF_AGE, rate_fraction};
 use mimosagap_routing::rate_keeper::{PermitAsk, PermitClass, PermitDecision, RateKeeper};
@@ -314,7 +314,13 @@
         let selector = client.selector.borrow();
         let target = state.targets.get(key)?;
         let (name, record) = if target.cold.spec.is_some() {
-            selector.select_among(DEPUTY_COUNT + 1, &state.hosts, region, now)?
+            selector.select_among(
+                DEPUTY_COUNT + 1,
+                COLD_PERMIT_FEATURE,
+                &state.hosts,
+                region,
+                now,
+            )?
         } else {
             selector.select(&state.hosts, region, now)?
         };
@@ -389,8 +395,14 @@
 ) -> Result<Duration, PermitError> {
     let now = gateway.now();
     let mut selector = gateway.permit_client.selector.borrow_mut();
+    let has_named_limit = gateway.with_state(|state| {
+        let target = state.targets.get(key);
+        target.is_some_and(|target| target.rate.per_second(now).is_some())
+    });
     match answer {
-        None | Some(PermitAnswer::Unable) => selector.record_failure(keeper, now),
+        None => selector.record_failure(keeper, now),
+        // A keeper may learn of a new engine later than this host. For other engines it still grants.
+        Some(PermitAnswer::Unable) if has_named_limit => selector.record_failure(keeper, now),
         Some(_) => selector.record_response(keeper),
     }
     drop(selector);
--- a/crates/mimosagap-gateway/src/registration.rs
+++ b/crates/mimosagap-gateway/src/registration.rs
@@ -5,10 +5,12 @@
 
 use mimosagap_platform::settings::{HostSettings, PLACES_CONTRACT};
 use mimosagap_platform::store::{StoreCall, StoreStatusError};
+use mimosagap_routing::cold_rate::COLD_PERMIT_FEATURE;
 use mimosagap_routing::credit_lending::LOAN_FEATURE;
 use mimosagap_routing::host_liveness::LIVENESS_FEATURE;
 use mimosagap_routing::hosts::{HostCapacity, HostRecord};
 use mimosagap_routing::residency::RESIDENCY_FEATURE;
+use mimosagap_routing::target_suspicion::HANG_NOTICE_FEATURE;
 
 use crate::lease::{HeldLease, grant_lease, renew_lease};
 use crate::log::LogEvent;
@@ -34,9 +36,14 @@
     let liveness = settings
         .has_contract(PLACES_CONTRACT)
         .then_some(LIVENESS_FEATURE);
-    let features = [RESIDENCY_FEATURE, LOAN_FEATURE]
-        .into_iter()
-        .chain(liveness);
+    let features = [
+        RESIDENCY_FEATURE,
+        LOAN_FEATURE,
+        COLD_PERMIT_FEATURE,
+        HANG_NOTICE_FEATURE,
+    ]
+    .into_iter()
+    .chain(liveness);
     features.map(str::to_owned).collect()
 }
 
--- a/crates/mimosagap-gateway/src/standby.rs
+++ b/crates/mimosagap-gateway/src/standby.rs
@@ -169,7 +169,14 @@
         class: PermitClass::Spare,
         max_wait: Duration::ZERO,
     };
-    let call = call_engine(gateway, key, address, release_kv_copy(handle), options);
+    let call = call_engine(
+        gateway,
+        key,
+        address,
+        release_kv_copy(handle),
+        None,
+        options,
+    );
     let _ = timeout(COPY_TIMEOUT, call).await;
 }
 
@@ -335,7 +342,8 @@
     } else {
         copy_kv_cache(id, destination)
     };
-    let response = call_engine(gateway, source, address, call, options);
+    let key = order.destination.key();
+    let response = call_engine(gateway, source, address, call, Some(key), options);
     let response = timeout(COPY_TIMEOUT, response);
     match response.await {
         Ok(Ok((status, body))) => match decode_kv_copy(status, &body) {
@@ -366,6 +374,7 @@
     key: TargetKey,
     address: SocketAddr,
     call: EngineCall,
+    destination: Option<TargetKey>,
     permit_options: PermitOptions<'_>,
 ) -> Result<(StatusCode, Bytes), String> {
     let permit = acquire_call_permit(gateway, key, permit_options)
@@ -378,6 +387,10 @@
     if !permit.is_valid(gateway.now()) {
         return Err("the permit of the engine expired before the connection was open".to_owned());
     }
+    // The zone may have been evacuated while the permit and the connection were awaited.
+    if destination.is_some_and(|key| gateway.with_state(|state| state.targets.is_evacuated(key))) {
+        return Err("the zone of the destination was evacuated".to_owned());
+    }
     let mut request = Request::new(Full::new(Bytes::from(call.body)));
     *request.method_mut() = call.method;
     *request.uri_mut() = call.path.parse().unwrap_or_default();
--- a/crates/mimosagap-gateway/src/store_sync.rs
+++ b/crates/mimosagap-gateway/src/store_sync.rs
@@ -604,6 +604,7 @@
     let record = value.and_then(|value| serde_json::from_slice::<HostRecord>(value).ok());
     let removed_at = removal_time(gateway, hosts::OUTAGE_GRACE);
     let listed = record.is_some();
+    let peer_address = record.as_ref().map(|record| record.peer_address);
     gateway.with_state(|state| match record {
         Some(record) => {
             let now = gateway.now();
@@ -613,10 +614,12 @@
         None => state.hosts.mark_removed(name, removed_at),
     });
     gateway.log.event(&LogEvent::Host { name, listed });
-    if listed && name != gateway.settings.host {
+    if let Some(peer_address) = peer_address
+        && name != gateway.settings.host
+    {
         target_notices::announce_rate_limits(gateway);
         suspicion::announce_verdicts(gateway);
-        evacuation::announce_held(gateway);
+        evacuation::announce_held(gateway, peer_address);
     }
 }
 
--- a/crates/mimosagap-gateway/src/stream_relay.rs
+++ b/crates/mimosagap-gateway/src/stream_relay.rs
@@ -45,9 +45,9 @@
 /// Delay before another copy is attempted after one failed or found no engine.
 const COPY_RETRY_DELAY: Duration = Duration::from_millis(150);
 
-/// Delay before the retry budget is asked again after it denied a move. Loans of other hosts take a
-/// few milliseconds, and a stream has an event about every 30 ms.
-const MOVE_RETRY_DELAY: Duration = Duration::from_millis(40);
+/// Delay before the retry budget is asked again after it denied a move: less than the round trip of a
+/// loan, whose arrival wakes the stream.
+const MOVE_RETRY_DELAY: Duration = Duration::from_millis(1);
 
 /// Copy in progress. Yields `None` if no engine took it.
 type CopyReceiver = oneshot::Receiver<Option<StandbyCopy>>;
@@ -198,6 +198,8 @@
     /// Relays the stream until it ends, then records and logs its outcome.
     pub async fn run(mut self) {
         let end = self.relay_events().await;
+        // The caller may take the rest slowly, which says nothing about the engine.
+        self.hang_watch = None;
         // A handover in progress is no longer needed.
         self.handover = None;
         if matches!(end, RelayEnd::Complete) {
@@ -368,8 +370,10 @@
                 state.targets.is_leaving(key, now) || state.targets.is_evacuated(key)
             })
         };
-        if standby_target.is_some_and(is_unusable) {
-            self.standby = None;
+        if standby_target.is_some_and(is_unusable)
+            && let Some(copy) = self.standby.take()
+        {
+            release_standby(&self.gateway, copy);
         }
         self.release_denied_standby();
         let generation = self.generation_state();
@@ -718,20 +722,16 @@
         if !is_paid && !self.gateway.has_unreliable_targets() {
             return None;
         }
-        let StandbyCopy {
-            reservation,
-            kv_source,
-            ..
-        } = self.standby.take()?;
+        let copy = self.standby.take()?;
         self.gateway.log.event(&LogEvent::Handover {
             id: &self.request.head.attempt_id,
             from: &self.gateway.instance(self.reservation.target),
-            to: &self.gateway.instance(reservation.target),
+            to: &self.gateway.instance(copy.target),
             last_event: self.last_event_id.unwrap_or(0),
             silent_ms: self.gap_ms(),
             is_running: self.source.is_some() || self.was_asked_to_stop(),
         });
-        self.next_target = Some(reservation.target);
+        self.next_target = Some(copy.target);
         if self.source.is_none() {
             // An engine that lost the connection may still run the generation.
             let id = &self.request.head.attempt_id;
@@ -740,8 +740,14 @@
         let job = self.next_handover_job();
         Some(Box::pin(async move {
             if !is_paid && !borrow_for_move(&job).await {
+                release_standby(&job.gateway, copy);
                 return None;
             }
+            let StandbyCopy {
+                reservation,
+                kv_source,
+                ..
+            } = copy;
             resume_stream(job, reservation, Some(kv_source)).await
         }))
     }
--- a/crates/mimosagap-gateway/src/streams.rs
+++ b/crates/mimosagap-gateway/src/streams.rs
@@ -257,11 +257,13 @@
                 continue;
             }
             Ok(Err(ExchangeError::Rejected | ExchangeError::InBackoff)) => was_rejected = true,
-            Ok(Err(
-                ExchangeError::Unreachable
-                | ExchangeError::OutsideRegions
-                | ExchangeError::Evacuated,
-            )) => {}
+            Ok(Err(ExchangeError::Unreachable)) => {}
+            Ok(Err(ExchangeError::OutsideRegions | ExchangeError::Evacuated)) => {
+                sends -= 1;
+                if sends > 0 {
+                    gateway.refund_retry(&request.service);
+                }
+            }
             Err(_) => break RefusalReason::DeadlineAfterSend,
         }
         tried.push(target);
--- a/crates/mimosagap-routing/src/cold_rate.rs
+++ b/crates/mimosagap-routing/src/cold_rate.rs
@@ -21,6 +21,11 @@
 use crate::keeper_selection::{MAX_PROOF_AGE, duty_rank};
 use crate::rate_limit::MAX_RATE;
 
+/// Feature in the record of a host that grants slots of engines without a named limit. Hosts of
+/// earlier builds answer that they cannot, so that an upgrade from the youngest host on would leave
+/// the upgraded ones without permits.
+pub const COLD_PERMIT_FEATURE: &str = "cold_permits";
+
 /// Longest time that a slot of a cold engine is granted ahead. A new keeper grants nothing for this
 /// long, because the one before may have granted these slots.
 pub const MAX_COLD_WAIT: Duration = Duration::from_millis(250);
@@ -43,6 +48,10 @@
 /// deputy. Each may grant one slot at once.
 const GRANTING_HOSTS: f64 = 3.0;
 
+/// Lowest rate that is kept: one request in about eleven days. The interval of a lower one may exceed
+/// the range of a duration.
+const LOWEST_RATE: f64 = 1e-6;
+
 /// Lowest rate of a cold engine, per second; what an invalid setting is read as.
 const MIN_COLD_RATE: f64 = 1.0;
 
@@ -82,7 +91,7 @@
             return None;
         }
         let per_second = if per_second > 0.0 {
-            per_second.min(MAX_RATE)
+            per_second.clamp(LOWEST_RATE, MAX_RATE)
         } else {
             MIN_COLD_RATE
         };
@@ -308,7 +317,7 @@
     proof_age: Option<Duration>,
 ) -> f64 {
     let is_proved = proof_age.is_some_and(|age| age <= MAX_PROOF_AGE);
-    match duty_rank(hosts, region, host_name) {
+    match duty_rank(hosts, region, COLD_PERMIT_FEATURE, host_name) {
         Some(0) if is_proved => 1.0,
         Some(rank) if rank <= DEPUTY_COUNT => COLD_DEPUTY_FRACTION,
         Some(_) | None => 0.0,
--- a/crates/mimosagap-routing/src/keeper_selection.rs
+++ b/crates/mimosagap-routing/src/keeper_selection.rs
@@ -38,16 +38,19 @@
     failures: HashMap<String, (u32, Duration)>,
 }
 
-/// Hosts that may keep the limits of the targets of a region, the keeper first.
+/// Hosts that may keep the limits of the targets of a region, the keeper first. With a feature, only
+/// hosts whose build has it.
 fn candidates<'a>(
     hosts: &'a HostTable,
     region: Option<&RegionName>,
+    feature: Option<&str>,
 ) -> Vec<(&'a str, &'a HostRecord)> {
     let mut all: Vec<_> = hosts.by_registration().collect();
     if all.is_empty() {
         // After an outage of the store, all records may have vanished for some seconds.
         all = hosts.live().collect();
     }
+    all.retain(|(_, record)| feature.is_none_or(|feature| record.has_feature(feature)));
     let is_regional = |(_, record): &(&str, &HostRecord)| Some(&record.region) == region;
     // Without a host of the region, hosts of other regions keep the limit.
     if all.iter().any(is_regional) {
@@ -56,11 +59,16 @@
     all
 }
 
-/// Position of a host among those that may keep the limits of a region's targets, 0 for the keeper;
-/// `None` if it is not among them.
+/// Position of a host among those with a feature that may keep the limits of a region's targets, 0
+/// for the keeper; `None` if it is not among them.
 #[must_use]
-pub fn duty_rank(hosts: &HostTable, region: Option<&RegionName>, host_name: &str) -> Option<usize> {
-    let mut candidates = candidates(hosts, region).into_iter();
+pub fn duty_rank(
+    hosts: &HostTable,
+    region: Option<&RegionName>,
+    feature: &str,
+    host_name: &str,
+) -> Option<usize> {
+    let mut candidates = candidates(hosts, region, Some(feature)).into_iter();
     candidates.position(|(name, _)| name == host_name)
 }
 
@@ -69,7 +77,7 @@
 #[must_use]
 pub fn is_keeper(hosts: &HostTable, region: Option<&RegionName>, host_name: &str) -> bool {
     let is_listed = hosts.by_registration().any(|(name, _)| name == host_name);
-    let first = candidates(hosts, region).first().copied();
+    let first = candidates(hosts, region, None).first().copied();
     is_listed && first.is_some_and(|(name, _)| name == host_name)
 }
 
@@ -113,20 +121,31 @@
         region: Option<&RegionName>,
         now: Duration,
     ) -> Option<(&'a str, &'a HostRecord)> {
-        self.select_among(usize::MAX, hosts, region, now)
+        self.first_responsive(candidates(hosts, region, None), now)
     }
 
-    /// The host to ask for a permit among the first `count` in line; `None` if none of them responds.
+    /// The host to ask for a permit among the first `count` in line that have a feature; `None` if
+    /// none of them responds.
     #[must_use]
     pub fn select_among<'a>(
         &self,
         count: usize,
+        feature: &str,
         hosts: &'a HostTable,
         region: Option<&RegionName>,
         now: Duration,
     ) -> Option<(&'a str, &'a HostRecord)> {
-        let mut candidates = candidates(hosts, region).into_iter().take(count);
-        candidates.find(|(name, _)| {
+        let mut candidates = candidates(hosts, region, Some(feature));
+        candidates.truncate(count);
+        self.first_responsive(candidates, now)
+    }
+
+    fn first_responsive<'a>(
+        &self,
+        candidates: Vec<(&'a str, &'a HostRecord)>,
+        now: Duration,
+    ) -> Option<(&'a str, &'a HostRecord)> {
+        candidates.into_iter().find(|(name, _)| {
             self.failures.get(*name).is_none_or(|(count, failed_at)| {
                 *count < MAX_FAILURES || now >= *failed_at + FAILURE_COOLDOWN
             })
--- a/crates/mimosagap-routing/src/target_suspicion.rs
+++ b/crates/mimosagap-routing/src/target_suspicion.rs
@@ -21,6 +21,9 @@
 use crate::placement::GenerationDemand;
 use crate::targets::{Target, TargetKey, TargetTable};
 
+/// Feature in the record of a host that reads notices of targets that may hang.
+pub const HANG_NOTICE_FEATURE: &str = "hang_notices";
+
 /// Multiple of the expected time to the first event after which it is overdue. The expectation is
 /// based on load reports that are up to half a second old and a prefill rate that varies.
 const FIRST_EVENT_FACTOR: f64 = 1.5;
--- a/crates/mimosagap-routing/tests/cold_fleet.rs
+++ b/crates/mimosagap-routing/tests/cold_fleet.rs
@@ -11,8 +11,8 @@
 use std::time::Duration;
 
 use mimosagap_routing::cold_rate::{
-    COLD_PERMIT_TTL, ColdBound, ColdSpec, ColdState, DEPUTY_COUNT, LocalShare, MAX_COLD_WAIT,
-    keeper_fraction,
+    COLD_PERMIT_FEATURE, COLD_PERMIT_TTL, ColdBound, ColdSpec, ColdState, DEPUTY_COUNT, LocalShare,
+    MAX_COLD_WAIT, keeper_fraction,
 };
 use mimosagap_routing::hosts::{HostCapacity, HostRecord, HostTable};
 use mimosagap_routing::keeper_selection::KeeperSelector;
@@ -205,7 +205,7 @@
             zone: ZoneName::new("z"),
             region: region(host),
             capacity: HostCapacity::default(),
-            features: Vec::new(),
+            features: vec![COLD_PERMIT_FEATURE.to_owned()],
         };
         let revision = StoreRevision::new(StoreEra(1), self.next_revision);
         self.next_revision += 1;
@@ -303,9 +303,13 @@
             Sharing::Keeper => {
                 let region = region(0);
                 let count = DEPUTY_COUNT + 1;
-                let chosen = state
-                    .selector
-                    .select_among(count, &self.table, Some(&region), now);
+                let chosen = state.selector.select_among(
+                    count,
+                    COLD_PERMIT_FEATURE,
+                    &self.table,
+                    Some(&region),
+                    now,
+                );
                 let Some((_, record)) = chosen else {
                     self.use_local_share(ask);
                     return;
--- a/crates/mimosagap-routing/tests/cold_rate.rs
+++ b/crates/mimosagap-routing/tests/cold_rate.rs
@@ -7,9 +7,15 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-use mimosagap_routing::cold_rate::{ColdBound, ColdClaim, ColdSpec, ColdState, LocalShare};
+use mimosagap_routing::cold_rate::{
+    COLD_PERMIT_FEATURE, ColdBound, ColdClaim, ColdSpec, ColdState, LocalShare, keeper_fraction,
+};
+use mimosagap_routing::hosts::{HostCapacity, HostRecord, HostTable};
+use mimosagap_routing::keeper_selection::KeeperSelector;
 use mimosagap_routing::placement::{place_call, place_generation};
+use mimosagap_routing::rate_keeper::RateKeeper;
 use mimosagap_routing::residency::{PermittedTarget, UNRESTRICTED};
+use mimosagap_routing::store_revision::{StoreEra, StoreRevision};
 use mimosagap_routing::targets::{Locality, TargetTable};
 use mimosagap_types::prelude::*;
 use options::long_generation_options;
@@ -152,3 +158,39 @@
     state.record_start(NOW);
     assert_eq!(state.use_local_share(&share, NOW + SECOND), None);
 }
+
+/// Guards against a rate whose interval is beyond the range of a duration, at which the keeper ended
+/// its task.
+#[rstest]
+#[case::tiny(1e-20)]
+#[case::smallest(f64::MIN_POSITIVE)]
+fn a_tiny_rate_is_kept(#[case] per_second: f64) {
+    let spec = ColdSpec::new(per_second, None).expect("the rate is positive");
+    let rate = spec.granted_rate(&ColdBound::default());
+    let _keeper = RateKeeper::without_burst(rate, SECOND, NOW);
+}
+
+/// Guards against hosts without permits during an upgrade: the hosts that are registered longest run
+/// the build before, and cannot grant slots.
+#[test]
+fn hosts_of_an_earlier_build_are_not_asked() {
+    let mut hosts = HostTable::default();
+    for (number, features) in [(1, vec![]), (2, vec![COLD_PERMIT_FEATURE.to_owned()])] {
+        let record = HostRecord {
+            caller_address: ([10, 0, 0, number], 80).into(),
+            peer_address: ([10, 0, 0, number], 7200).into(),
+            zone: ZoneName::new("a"),
+            region: RegionName::new("a"),
+            capacity: HostCapacity::default(),
+            features,
+        };
+        let revision = StoreRevision::new(StoreEra(1), u64::from(number));
+        hosts.upsert(&format!("h{number}"), record, revision);
+    }
+    let region = RegionName::new("a");
+    let selector = KeeperSelector::default();
+    let chosen = selector.select_among(2, COLD_PERMIT_FEATURE, &hosts, Some(&region), NOW);
+    assert_eq!(chosen.map(|(name, _)| name), Some("h2"));
+    let fraction = |host| keeper_fraction(&hosts, Some(&region), host, Some(Duration::ZERO));
+    assert!(fraction("h1") < f64::EPSILON && fraction("h2") > 0.99);
+}
