feat(gateway): hedge late requests after a learned delay

Cause: a few slow responses decide the 99th percentile. Calls were hedged once at 0.75 of their latency objective, which is too late for targets that slow down for 600 ms at a time.

Calls and resumable streams before their first event use it; the losing attempt is dropped at once. One log line and metrics for each hedge.

--- a/crates/mimosagap-daemon/src/main.rs
+++ b/crates/mimosagap-daemon/src/main.rs
@@ -17,12 +17,14 @@
 mimosagapd: the mimosagap daemon for entry hosts
 
 Usage: mimosagapd --settings FILE [--check] [--log-level LEVEL]
-       mimosagapd gateway [--settings FILE] [--check] [--metrics-port PORT]
+       mimosagapd gateway [--settings FILE] [--check] [--metrics-port PORT] [--hedge-ratio RATIO]
 
   --settings FILE    JSON settings; see docs/operators.md
   --check            check the settings and exit
   --log-level LEVEL  error, warn, info (default), debug or trace
   --metrics-port PORT  where the gateway serves metrics, on the host's own address
+  --hedge-ratio RATIO  hedged requests per request of a service for routes without a value of
+                     their own, 0 (off) to 1, in place of hedging.max_extra_ratio
   --help             print this help
   --version          print the version
 
@@ -111,6 +113,9 @@
         metrics_port: arguments
             .opt_value_from_str("--metrics-port")
             .map_err(usage_error)?,
+        hedge_ratio: arguments
+            .opt_value_from_str("--hedge-ratio")
+            .map_err(usage_error)?,
     };
     match arguments.finish().first() {
         None => Ok(options),
--- a/crates/mimosagap-gateway/src/calls.rs
+++ b/crates/mimosagap-gateway/src/calls.rs
@@ -11,7 +11,7 @@
 use bytes::Bytes;
 use http::Response;
 use http::response::Parts;
-use mimosagap_routing::placement::place_call;
+use mimosagap_routing::hedging::{HedgeDenial, HedgePlan};
 use mimosagap_routing::refusal::RefusalReason;
 use mimosagap_routing::retry_budget::RetryPurpose;
 use mimosagap_routing::targets::{TargetKey, TargetOutcome};
@@ -22,6 +22,7 @@
     ExchangeError, SendOptions, record_failed_attempt, release_connection, send_request,
     sleep_unless_zero,
 };
+use crate::hedging::{self, HedgeRecord};
 use crate::load_reservation::{LoadReservation, record_outcome};
 use crate::log::LogEvent;
 use crate::reach;
@@ -31,8 +32,9 @@
 use crate::state::{SharedGateway, millis};
 use crate::suspicion;
 
-/// An idempotent call is hedged, that is sent to a second target, when it has no response after
-/// this fraction of the route's latency objective. The slowest calls of a healthy target take less.
+/// While the operators set no limit on hedges, an idempotent call is hedged, that is sent to a second
+/// target, when it has no response after this fraction of the route's latency objective. The slowest
+/// calls of a healthy target take less.
 const HEDGE_DELAY_FRACTION: f64 = 0.75;
 
 /// A call waits at most this fraction of the route's latency objective for the rate limit of a
@@ -63,9 +65,65 @@
 
 struct RunningAttempt<'a> {
     target: TargetKey,
+    /// Number of the send, starting at 1.
+    attempt: u32,
+    started_at: Duration,
     future: Pin<Box<dyn Future<Output = AttemptResult> + 'a>>,
 }
 
+/// When a call is hedged.
+enum HedgeTimer<'a> {
+    /// After [`HEDGE_DELAY_FRACTION`] of the objective, without a limit of the operators.
+    Fixed,
+    /// As planned, if the limit and the state of the service allow it then.
+    Planned(HedgePlan),
+    /// The call was hedged already.
+    Sent(HedgeRecord<'a>),
+    /// No hedge is allowed any more.
+    Over,
+}
+
+impl<'a> HedgeTimer<'a> {
+    fn new(gateway: &SharedGateway, request: &RoutedRequest) -> Self {
+        if !hedging::is_enabled(gateway, request) {
+            return Self::Fixed;
+        }
+        hedging::plan(gateway, request).map_or(Self::Over, Self::Planned)
+    }
+
+    /// Time until the hedge of a call that was first sent at `sent_at`.
+    fn time_left(&self, request: &RoutedRequest, sent_at: Duration, now: Duration) -> Duration {
+        match self {
+            Self::Planned(plan) => (sent_at + plan.delay).saturating_sub(now),
+            _ => request
+                .route
+                .latency_objective
+                .mul_f64(HEDGE_DELAY_FRACTION),
+        }
+    }
+
+    fn is_over(&self) -> bool {
+        matches!(self, Self::Sent(_) | Self::Over)
+    }
+
+    /// The record of the hedge, to settle it.
+    fn take_record(&mut self) -> Option<HedgeRecord<'a>> {
+        match std::mem::replace(self, Self::Over) {
+            Self::Sent(record) => Some(record),
+            _ => None,
+        }
+    }
+
+    /// Settles the hedge if its target left it unsent.
+    fn refund_unsent(&mut self, target: TargetKey) {
+        if matches!(self, Self::Sent(record) if record.target == target)
+            && let Some(record) = self.take_record()
+        {
+            record.refund(HedgeDenial::RateLimited);
+        }
+    }
+}
+
 /// Progress of a call over its attempts.
 struct CallProgress {
     tried: Vec<TargetKey>,
@@ -117,15 +175,15 @@
     let deadline = sleep_unless_zero(request.response_time_left(gateway.now()));
     tokio::pin!(deadline);
     let is_idempotent = request.route.kind.is_idempotent();
+    let mut hedge = HedgeTimer::new(gateway, request);
     loop {
-        if running.is_empty() {
+        let Some(oldest) = running.first() else {
+            settle_hedge(&mut hedge, &progress);
             return final_response(gateway, request, progress).await;
-        }
-        let hedge_delay = request
-            .route
-            .latency_objective
-            .mul_f64(HEDGE_DELAY_FRACTION);
-        let may_hedge = is_idempotent && running.len() == 1 && progress.sends == 1;
+        };
+        let hedge_delay = hedge.time_left(request, oldest.started_at, gateway.now());
+        let may_hedge =
+            is_idempotent && running.len() == 1 && progress.sends == 1 && !hedge.is_over();
         tokio::select! {
             attempt = next_finished(&mut running) => {
                 let target = attempt.target;
@@ -135,7 +193,15 @@
                         true
                     }
                     Ok(response) => {
-                        record_unresponsive(gateway, &running, TargetOutcome::ReturnedError);
+                        record_unresponsive(
+                            gateway,
+                            request,
+                            &running,
+                            TargetOutcome::ReturnedError,
+                        );
+                        if let Some(record) = hedge.take_record() {
+                            record.finish(target);
+                        }
                         return forward_response(gateway, request, target, response);
                     }
                     Err(ExchangeError::Unreachable) => {
@@ -145,10 +211,12 @@
                     Err(ExchangeError::Rejected | ExchangeError::InBackoff) => {
                         progress.executions -= 1;
                         progress.was_rejected = true;
+                        hedging::record_rejection(gateway, request);
                         true
                     }
                     Err(ExchangeError::RateLimited) => {
                         progress.undo_send(gateway, request, attempt.attempt);
+                        hedge.refund_unsent(target);
                         true
                     }
                     Err(ExchangeError::Aborted | ExchangeError::LimitExceeded) => {
@@ -161,12 +229,19 @@
                 }
             }
             () = sleep_unless_zero(hedge_delay), if may_hedge => {
-                start_attempt(gateway, request, &mut progress, &mut running);
-                // A call is hedged at most once, even if there was no second target.
-                progress.sends = progress.sends.max(2);
+                if let HedgeTimer::Planned(plan) = hedge {
+                    hedge = start_hedge(gateway, request, plan, &mut progress, &mut running);
+                } else {
+                    start_attempt(gateway, request, &mut progress, &mut running);
+                    // A call is hedged at most once, even if there was no second target.
+                    progress.sends = progress.sends.max(2);
+                }
             }
             () = &mut deadline => {
-                record_unresponsive(gateway, &running, TargetOutcome::Failed);
+                record_unresponsive(gateway, request, &running, TargetOutcome::Failed);
+                if let Some(record) = hedge.take_record() {
+                    record.fail();
+                }
                 let reason = if progress.executions > 0 || progress.was_aborted {
                     RefusalReason::DeadlineAfterSend
                 } else {
@@ -178,40 +253,76 @@
     }
 }
 
-/// Starts another attempt if the route, the retry budget and the available targets allow it.
+/// Settles the hedge of a call after its last attempt.
+fn settle_hedge(hedge: &mut HedgeTimer<'_>, progress: &CallProgress) {
+    let Some(record) = hedge.take_record() else {
+        return;
+    };
+    match &progress.error_response {
+        Some((target, _)) => record.finish(*target),
+        None => record.fail(),
+    }
+}
+
+/// Sends a late call to a second target if the operators' limit, the state of the service and the
+/// retry budget allow it.
+fn start_hedge<'a>(
+    gateway: &'a SharedGateway,
+    request: &'a RoutedRequest,
+    plan: HedgePlan,
+    progress: &mut CallProgress,
+    running: &mut Vec<RunningAttempt<'a>>,
+) -> HedgeTimer<'a> {
+    let late_target = running[0].target;
+    let Some(credit) = hedging::try_hedge(gateway, request, plan, late_target) else {
+        let next_plan = hedging::plan_after_denial(plan, request);
+        return next_plan.map_or(HedgeTimer::Over, HedgeTimer::Planned);
+    };
+    if let Some(target) = start_attempt(gateway, request, progress, running) {
+        HedgeTimer::Sent(credit.send_to(request, target))
+    } else {
+        credit.refund(request, HedgeDenial::NoTarget);
+        HedgeTimer::Over
+    }
+}
+
+/// Starts another attempt if the route, the retry budget and the available targets allow it. Returns
+/// its target.
 fn start_attempt<'a>(
     gateway: &'a SharedGateway,
     request: &'a RoutedRequest,
     progress: &mut CallProgress,
     running: &mut Vec<RunningAttempt<'a>>,
-) {
-    let now = gateway.now();
+) -> Option<TargetKey> {
     // Targets may have crashed under an earlier attempt.
     if progress.sends > 0 && suspicion::is_blocked(gateway, request) {
-        return;
+        return None;
     }
     if progress.sends >= MAX_SENDS || progress.executions >= request.route.max_attempts {
-        return;
+        return None;
     }
-    let chosen = gateway
-        .with_state(|state| place_call(&state.targets, &request.service, &progress.tried, now));
-    let Some(target) = chosen else {
-        return;
-    };
+    let target = hedging::choose_call_target(gateway, request, &progress.tried)?;
     if progress.sends == 0 {
         if progress.rate_limited_attempts == 0 {
             gateway.count_request(&request.service);
         }
     } else if !gateway.try_spend_retry(request, RetryPurpose::Attempt) {
-        return;
+        return None;
     }
     progress.tried.push(target);
     progress.sends += 1;
     progress.executions += 1;
     let attempt = progress.sends;
-    let max_permit_wait = max_permit_wait(gateway, request, &progress.tried);
+    let is_limited_hedge = !running.is_empty() && hedging::is_enabled(gateway, request);
+    let max_permit_wait = if is_limited_hedge {
+        Duration::ZERO
+    } else {
+        max_permit_wait(gateway, request, &progress.tried)
+    };
     running.push(RunningAttempt {
         target,
+        attempt,
+        started_at: gateway.now(),
         future: Box::pin(async move {
             let result = run_attempt(gateway, request, target, attempt, max_permit_wait).await;
             AttemptResult {
@@ -221,6 +332,7 @@
             }
         }),
     });
+    Some(target)
 }
 
 /// How long a call can wait for the rate limit of the target that was chosen last.
@@ -255,13 +367,24 @@
 /// Some targets accept requests and never respond to part of them. Judged by its responses alone,
 /// such a target looks healthy and keeps getting non-idempotent requests, which must not be sent
 /// again.
+///
+/// A target that is only late is none of these: a hedge of a learned delay may win long before the
+/// response would be unusually late.
 fn record_unresponsive(
     gateway: &SharedGateway,
+    request: &RoutedRequest,
     running: &[RunningAttempt<'_>],
     outcome: TargetOutcome,
 ) {
+    let now = gateway.now();
+    let min_silence = HedgePlan::for_objective(request.route.latency_objective).delay;
     for unresponsive in running {
-        record_outcome(gateway, unresponsive.target, outcome);
+        let (target, attempt) = (unresponsive.target, unresponsive.attempt);
+        let elapsed = now.saturating_sub(unresponsive.started_at);
+        hedging::record_response(gateway, request, target, attempt, elapsed);
+        if elapsed >= min_silence || !hedging::is_enabled(gateway, request) {
+            record_outcome(gateway, target, outcome);
+        }
     }
 }
 
@@ -310,6 +433,8 @@
         TargetOutcome::Succeeded
     };
     reservation.record_outcome(outcome);
+    let elapsed = gateway.now().saturating_sub(started_at);
+    hedging::record_response(gateway, request, target, attempt, elapsed);
     if outcome == TargetOutcome::Succeeded {
         suspicion::report_sound(gateway, &request.traits);
     }
--- a/crates/mimosagap-gateway/src/lib.rs
+++ b/crates/mimosagap-gateway/src/lib.rs
@@ -17,6 +17,7 @@
 mod handover;
 pub mod head_limit;
 mod header_audit;
+mod hedging;
 mod ingress;
 mod lease;
 mod listeners;
--- a/crates/mimosagap-gateway/src/log.rs
+++ b/crates/mimosagap-gateway/src/log.rs
@@ -361,6 +361,25 @@
         /// Milliseconds since the process started.
         up_ms: u64,
     },
+    /// A late request was sent to a second target, and how that ended, or why it was not.
+    Hedge {
+        /// Attempt id, set by the caller anew for each retry.
+        id: &'a str,
+        /// Name of the route.
+        route: &'a str,
+        /// Instance name of the second target, or of the late one if the hedge was denied.
+        target: &'a str,
+        /// `won`, `lost`, `failed`, `abandoned` or `denied`.
+        outcome: &'a str,
+        /// Why the hedge was denied; empty otherwise.
+        cause: &'a str,
+        /// What the delay was derived from.
+        trigger: &'a str,
+        /// Milliseconds after the first send at which the request was late.
+        delay_ms: u64,
+        /// Milliseconds since the request arrived.
+        after_ms: u64,
+    },
     /// The gateway itself rejected a request.
     Refused {
         /// Attempt id, set by the caller anew for each retry.
@@ -536,13 +555,14 @@
             Self::RatePermit { .. } => (10, "rate_permit"),
             Self::Retry { .. } => (11, "retry"),
             Self::Relayed { .. } | Self::RelayRefused { .. } => (12, "relayed"),
-            _ => (13, "state"),
+            Self::Hedge { .. } => (13, "hedge"),
+            _ => (14, "state"),
         }
     }
 }
 
 /// Number of kinds that [`LogEvent::kind`] distinguishes.
-const KIND_COUNT: usize = 14;
+const KIND_COUNT: usize = 15;
 
 #[derive(Serialize)]
 struct LogLine<'a> {
--- a/crates/mimosagap-gateway/src/metrics.rs
+++ b/crates/mimosagap-gateway/src/metrics.rs
@@ -163,6 +163,35 @@
     }
 }
 
+/// Metrics of requests that are sent to a second target because the first is late.
+#[derive(Clone)]
+struct HedgeMetrics {
+    outcomes: IntCounterVec,
+    delays: GaugeVec,
+}
+
+impl HedgeMetrics {
+    fn new(registry: &Registry) -> Result<Self, prometheus::Error> {
+        let delays = GaugeVec::new(
+            Opts::new(
+                "mimosagap_hedge_delay_seconds",
+                "Time after which the last request of a route counted as late",
+            ),
+            &["route"],
+        )?;
+        registry.register(Box::new(delays.clone()))?;
+        Ok(Self {
+            outcomes: register_counters(
+                registry,
+                "mimosagap_hedges_total",
+                "Late requests by how their second attempt ended or why it was denied",
+                &["route", "outcome"],
+            )?,
+            delays,
+        })
+    }
+}
+
 /// All metrics of the gateway. [`LabelLimit`] bounds the number of series.
 #[derive(Clone)]
 pub struct GatewayMetrics {
@@ -174,6 +203,7 @@
     wait_times: HistogramVec,
     longest_gaps: HistogramVec,
     retries: IntCounterVec,
+    hedges: HedgeMetrics,
     config_age: IntGauge,
     resident_memory: IntGauge,
     /// Requests handed to other hosts, by result.
@@ -284,6 +314,7 @@
             "Open connections of callers",
         )?;
         Ok(Self {
+            hedges: HedgeMetrics::new(&registry)?,
             registry,
             routes: LabelLimit::new(MAX_ROUTE_LABELS),
             teams: LabelLimit::new(MAX_TEAM_LABELS),
@@ -340,6 +371,24 @@
         self.retries.with_label_values(&[result]).inc();
     }
 
+    /// Counts a late request, by the outcome of its hedge or the cause of its denial.
+    pub fn count_hedge(&self, route: &str, outcome: &str) {
+        let route = self.routes.label(route);
+        self.hedges
+            .outcomes
+            .with_label_values(&[route, outcome])
+            .inc();
+    }
+
+    /// Records the time after which a request of a route counts as late.
+    pub fn set_hedge_delay(&self, route: &str, delay: Duration) {
+        let gauge = self
+            .hedges
+            .delays
+            .with_label_values(&[self.routes.label(route)]);
+        gauge.set(delay.as_secs_f64());
+    }
+
     /// Updates the gauges that are only read on a scrape: age of the configuration and memory.
     pub fn refresh_gauges(&self, config_age: Duration) {
         let age_ms = i64::try_from(config_age.as_millis()).unwrap_or(i64::MAX);
--- a/crates/mimosagap-gateway/src/run.rs
+++ b/crates/mimosagap-gateway/src/run.rs
@@ -33,6 +33,9 @@
     pub check_only: bool,
     /// Additional port for metrics and the other status endpoints; `None` opens none.
     pub metrics_port: Option<u16>,
+    /// Hedges per request for routes without a value of their own; `None` takes it from the
+    /// settings.
+    pub hedge_ratio: Option<f64>,
 }
 
 /// How a run of the gateway ended.
@@ -74,6 +77,8 @@
     },
     /// The metrics cannot be registered.
     MetricsFailed(prometheus::Error),
+    /// A command-line option has an invalid value.
+    InvalidOption(SettingsError),
 }
 
 impl fmt::Display for Error {
@@ -101,6 +106,7 @@
                     "cannot start {resource}: {cause}; free the address or raise process limits"
                 )
             }
+            Self::InvalidOption(cause) => write!(f, "invalid option: {cause}"),
             Self::MetricsFailed(cause) => {
                 write!(f, "cannot register the metrics: {cause}; report this bug")
             }
@@ -116,7 +122,10 @@
 /// If the settings are invalid or a resource cannot be started. Nothing keeps running then.
 pub fn run(options: &Options) -> Result<Outcome, Error> {
     let path = settings_path(options)?;
-    let settings = read_settings(&path)?;
+    if let Some(ratio) = options.hedge_ratio {
+        settings::check_hedge_ratio("--hedge-ratio", ratio).map_err(Error::InvalidOption)?;
+    }
+    let settings = read_settings(&path, options)?;
     if options.check_only {
         return Ok(Outcome::SettingsChecked);
     }
@@ -125,7 +134,7 @@
         .build()
         .map_err(|cause| start_error("the runtime", cause))?;
     let local_set = tokio::task::LocalSet::new();
-    local_set.block_on(&runtime, run_gateway(settings, path, options.metrics_port))
+    local_set.block_on(&runtime, run_gateway(settings, path, options))
 }
 
 fn settings_path(options: &Options) -> Result<PathBuf, Error> {
@@ -136,15 +145,20 @@
         .ok_or(Error::MissingSettingsPath)
 }
 
-fn read_settings(path: &PathBuf) -> Result<HostSettings, Error> {
+/// Reads the settings file; options take the place of its values.
+fn read_settings(path: &PathBuf, options: &Options) -> Result<HostSettings, Error> {
     let text = std::fs::read_to_string(path).map_err(|cause| Error::UnreadableSettings {
         path: path.clone(),
         cause,
     })?;
-    settings::parse(&text).map_err(|cause| Error::InvalidSettings {
+    let mut settings = settings::parse(&text).map_err(|cause| Error::InvalidSettings {
         path: path.clone(),
         cause,
-    })
+    })?;
+    if let Some(ratio) = options.hedge_ratio {
+        settings.hedging.max_extra_ratio = ratio;
+    }
+    Ok(settings)
 }
 
 fn start_error(resource: impl Into<String>, cause: std::io::Error) -> Error {
@@ -158,7 +172,7 @@
 async fn run_gateway(
     settings: HostSettings,
     path: PathBuf,
-    metrics_port: Option<u16>,
+    options: &Options,
 ) -> Result<Outcome, Error> {
     let clock = SystemClock;
     let log =
@@ -169,7 +183,7 @@
     let mut sigterm =
         signal(SignalKind::terminate()).map_err(|cause| start_error("signals", cause))?;
     let mut sighup = signal(SignalKind::hangup()).map_err(|cause| start_error("signals", cause))?;
-    start_listeners(&gateway, metrics_port)?;
+    start_listeners(&gateway, options.metrics_port)?;
     start_peer_endpoint(&gateway).await?;
     let store_calls = &gateway.metrics.store_calls;
     let watch_client = StoreClient::new(store_address, store_calls.clone());
@@ -196,7 +210,7 @@
     loop {
         tokio::select! {
             _ = sigterm.recv() => break,
-            _ = sighup.recv() => check_settings_change(&gateway, &path),
+            _ = sighup.recv() => check_settings_change(&gateway, &path, options),
         }
     }
     Ok(drain(&gateway).await)
@@ -256,8 +270,8 @@
 
 /// Validates the settings file again and logs whether it changed. Addresses and bounds are fixed
 /// while a process runs, so a change takes effect at the next start.
-fn check_settings_change(gateway: &Gateway, path: &PathBuf) {
-    let text = match read_settings(path) {
+fn check_settings_change(gateway: &Gateway, path: &PathBuf, options: &Options) {
+    let text = match read_settings(path, options) {
         Ok(settings) if settings == gateway.settings => "unchanged".to_owned(),
         Ok(_) => "changed; takes effect at the next start".to_owned(),
         Err(error) => error.to_string(),
--- a/crates/mimosagap-gateway/src/state.rs
+++ b/crates/mimosagap-gateway/src/state.rs
@@ -11,6 +11,7 @@
 use mimosagap_routing::config::FleetConfig;
 use mimosagap_routing::config_state::{ConfigState, StalenessBounds};
 use mimosagap_routing::hashing::stable_hash;
+use mimosagap_routing::hedging::HedgePlanner;
 use mimosagap_routing::hosts::HostTable;
 use mimosagap_routing::output_length::LengthEstimator;
 use mimosagap_routing::quarantine::Quarantine;
@@ -67,6 +68,8 @@
     pub fleet_size: FleetSize,
     /// Retry budgets, by service.
     pub retry_budgets: HashMap<DeploymentName, RetryBudget>,
+    /// When requests are hedged, by service.
+    pub hedge_planners: HashMap<DeploymentName, HedgePlanner>,
     /// Whether this host reaches the targets, by service.
     pub target_reach: HashMap<DeploymentName, TargetReach>,
     /// Which hosts served requests that this one could not send to a target.
@@ -207,6 +210,7 @@
                 length_estimators: HashMap::new(),
                 fleet_size: FleetSize::new(clock.since_boot()),
                 retry_budgets: HashMap::new(),
+                hedge_planners: HashMap::new(),
                 target_reach: HashMap::new(),
                 relay_selector: RelaySelector::default(),
                 wait_queues: HashMap::new(),
@@ -276,13 +280,19 @@
         self.with_state(|state| Some(state.targets.get(key)?.entry.version.clone()))
     }
 
-    /// Counts the first send of a request, which adds to the retry budget of its service.
+    /// Counts the first send of a request, which adds to the retry budget and the hedges of its
+    /// service.
     pub fn count_request(&self, service: &DeploymentName) {
         let (now, bounds) = (self.now(), self.retry_bounds());
         self.with_state(|state| {
             let sharing_hosts = state.sharing_hosts(now);
             let budget = self.retry_budget(state, service);
             budget.record_request(now, &bounds, sharing_hosts);
+            let limits = &self.settings.hedging;
+            if limits.is_any_enabled() {
+                let planner = state.hedge_planners.entry(service.clone()).or_default();
+                planner.record_request(limits);
+            }
         });
     }
 
--- a/crates/mimosagap-gateway/src/streams.rs
+++ b/crates/mimosagap-gateway/src/streams.rs
@@ -2,11 +2,13 @@
 //!
 //! `stream_relay` takes over once the first event has arrived.
 
+use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
 
 use http::Response;
 use http_body_util::BodyExt;
+use mimosagap_routing::hedging::HedgeDenial;
 use mimosagap_routing::placement::{
     GenerationDemand, Placement, PlacementOptions, cost_jitter, place_generation,
 };
@@ -25,6 +27,7 @@
     Exchange, ExchangeError, SendOptions, record_failed_attempt, release_connection, send_request,
     sleep_unless_zero,
 };
+use crate::hedging::{self, HedgeRecord};
 use crate::ingress::InFlightGuard;
 use crate::load_reservation::LoadReservation;
 use crate::log::LogEvent;
@@ -43,6 +46,9 @@
 /// Limit on the sends of one request, including those that an engine rejected.
 const MAX_SENDS: u32 = 4;
 
+/// Number of the send of a hedge: only the first attempt of a generation is hedged.
+const HEDGE_ATTEMPT: u32 = 2;
+
 /// Estimates what a generation needs, from its headers and the lengths of earlier generations of
 /// its route.
 fn estimate_demand(gateway: &SharedGateway, request: &RoutedRequest) -> GenerationDemand {
@@ -226,13 +232,23 @@
             placement.time_to_first_token,
             sends,
         );
-        match tokio::time::timeout(timeout, attempt).await {
-            Ok(Ok(FirstOutput::Event(mut stream))) => {
+        let attempt = await_hedged_event(gateway, request, demand, target, &tried, attempt);
+        let Ok(hedged) = tokio::time::timeout(timeout, attempt).await else {
+            break RefusalReason::DeadlineAfterSend;
+        };
+        let target = hedged.target;
+        if let Some(other) = hedged.other {
+            tried.push(other.target);
+            sends += 1;
+            executions += u32::from(other.may_have_run);
+        }
+        match hedged.result {
+            Ok(FirstOutput::Event(mut stream)) => {
                 stream.sends = sends;
                 stream.executions = executions + 1;
                 return StartOutcome::Stream(stream);
             }
-            Ok(Ok(FirstOutput::Response(response))) => {
+            Ok(FirstOutput::Response(response)) => {
                 executions += 1;
                 let may_retry = request.route.kind.is_idempotent()
                     && response.head.status.is_server_error()
@@ -241,14 +257,14 @@
                     return StartOutcome::Responded(target, response);
                 }
             }
-            Ok(Err(ExchangeError::Aborted | ExchangeError::LimitExceeded)) => {
+            Err(ExchangeError::Aborted | ExchangeError::LimitExceeded) => {
                 was_aborted = true;
                 executions += 1;
                 if !request.route.kind.is_idempotent() || executions >= request.route.max_attempts {
                     break RefusalReason::TargetAborted;
                 }
             }
-            Ok(Err(ExchangeError::RateLimited)) => {
+            Err(ExchangeError::RateLimited) => {
                 sends -= 1;
                 if sends > 0 {
                     gateway.refund_retry(&request.service);
@@ -259,9 +275,11 @@
                 // The target is held back until the next ask, and may be used then.
                 continue;
             }
-            Ok(Err(ExchangeError::Rejected | ExchangeError::InBackoff)) => was_rejected = true,
-            Ok(Err(ExchangeError::Unreachable)) => {}
-            Err(_) => break RefusalReason::DeadlineAfterSend,
+            Err(ExchangeError::Rejected | ExchangeError::InBackoff) => {
+                was_rejected = true;
+                hedging::record_rejection(gateway, request);
+            }
+            Err(ExchangeError::Unreachable) => {}
         }
         tried.push(target);
     };
@@ -285,6 +303,197 @@
     Response(BufferedResponse),
 }
 
+/// Result of an attempt that may have been hedged.
+struct HedgedOutput {
+    /// Engine of the attempt that brought the result.
+    target: TargetKey,
+    result: Result<FirstOutput, ExchangeError>,
+    /// The other attempt, if both were sent.
+    other: Option<EndedAttempt>,
+}
+
+/// An attempt that brought no result.
+struct EndedAttempt {
+    target: TargetKey,
+    may_have_run: bool,
+}
+
+impl EndedAttempt {
+    /// The attempt with this result; `None` if the rate limit of its engine left it unsent.
+    fn new(target: TargetKey, result: &Result<FirstOutput, ExchangeError>) -> Option<Self> {
+        let may_have_run = match result {
+            Ok(_) | Err(ExchangeError::Aborted | ExchangeError::LimitExceeded) => true,
+            Err(ExchangeError::RateLimited) => return None,
+            Err(
+                ExchangeError::Unreachable | ExchangeError::Rejected | ExchangeError::InBackoff,
+            ) => false,
+        };
+        Some(Self {
+            target,
+            may_have_run,
+        })
+    }
+}
+
+/// Waits for the first event of `attempt` at `target`, and asks a second engine if that is late and
+/// the operators' limit allows it. The first event of either wins; the connection of the other
+/// attempt is closed when it is dropped here.
+async fn await_hedged_event(
+    gateway: &SharedGateway,
+    request: &Rc<RoutedRequest>,
+    demand: GenerationDemand,
+    target: TargetKey,
+    tried: &[TargetKey],
+    attempt: impl Future<Output = Result<FirstOutput, ExchangeError>>,
+) -> HedgedOutput {
+    let started_at = gateway.now();
+    let record_first = || {
+        let elapsed = gateway.now().saturating_sub(started_at);
+        hedging::record_response(gateway, request, target, 1, elapsed);
+    };
+    let record = RefCell::new(None);
+    let finish = |winner| {
+        if let Some(record) = record.take() {
+            HedgeRecord::finish(record, winner);
+        }
+    };
+    let second = send_hedge(gateway, request, demand, target, tried, &record);
+    tokio::pin!(attempt, second);
+    let first_result = tokio::select! {
+        biased;
+        result = &mut attempt => result,
+        (second_target, second_result) = &mut second => {
+            if is_final(&second_result) {
+                record_first();
+                finish(second_target);
+                return HedgedOutput {
+                    target: second_target,
+                    result: second_result,
+                    other: Some(EndedAttempt { target, may_have_run: true }),
+                };
+            }
+            let result = attempt.await;
+            finish(target);
+            let other = EndedAttempt::new(second_target, &second_result);
+            return HedgedOutput { target, result, other };
+        }
+    };
+    let second_target = record.borrow().as_ref().map(|record| record.target);
+    if is_final(&first_result) || second_target.is_none() {
+        if let Ok(FirstOutput::Event(_)) = first_result {
+            record_first();
+        }
+        finish(target);
+        let other = second_target.map(|target| EndedAttempt {
+            target,
+            may_have_run: true,
+        });
+        return HedgedOutput {
+            target,
+            result: first_result,
+            other,
+        };
+    }
+    let (second_target, result) = second.await;
+    if is_final(&result) {
+        finish(second_target);
+    } else if let Some(record) = record.take() {
+        HedgeRecord::fail(record);
+    }
+    if let Err(ExchangeError::RateLimited) = result {
+        return HedgedOutput {
+            target,
+            result: first_result,
+            other: None,
+        };
+    }
+    HedgedOutput {
+        target: second_target,
+        result,
+        other: EndedAttempt::new(target, &first_result),
+    }
+}
+
+/// Whether a result is passed on at once: an event, or an error that is the request's own fault.
+fn is_final(result: &Result<FirstOutput, ExchangeError>) -> bool {
+    match result {
+        Ok(FirstOutput::Event(_)) => true,
+        Ok(FirstOutput::Response(response)) => !response.head.status.is_server_error(),
+        Err(_) => false,
+    }
+}
+
+/// Sends a generation to a second engine once the first event of `late_target` is late, and fills
+/// `record` then. Does not return if it is not sent.
+async fn send_hedge<'a>(
+    gateway: &SharedGateway,
+    request: &'a Rc<RoutedRequest>,
+    demand: GenerationDemand,
+    late_target: TargetKey,
+    tried: &[TargetKey],
+    record: &RefCell<Option<HedgeRecord<'a>>>,
+) -> (TargetKey, Result<FirstOutput, ExchangeError>) {
+    let sent_at = gateway.now();
+    let mut next_plan = hedging::plan(gateway, request).filter(|_| tried.is_empty());
+    while let Some(plan) = next_plan {
+        let late_at = sent_at + plan.delay;
+        sleep_unless_zero(late_at.saturating_sub(gateway.now())).await;
+        let Some(credit) = hedging::try_hedge(gateway, request, plan, late_target) else {
+            next_plan = hedging::plan_after_denial(plan, request);
+            continue;
+        };
+        let Some(placement) = choose_hedge_engine(gateway, request, demand, late_target).await
+        else {
+            credit.refund(request, HedgeDenial::NoTarget);
+            break;
+        };
+        if !gateway.try_spend_retry(request, RetryPurpose::Attempt) {
+            credit.refund(request, HedgeDenial::RetryBudget);
+            break;
+        }
+        let target = placement.target;
+        *record.borrow_mut() = Some(credit.send_to(request, target));
+        let reservation =
+            LoadReservation::for_stream(gateway, target, &demand, demand.prompt_tokens);
+        let expected_latency = placement.time_to_first_token;
+        let attempt = await_first_event(
+            gateway,
+            request,
+            demand,
+            reservation,
+            expected_latency,
+            HEDGE_ATTEMPT,
+        );
+        let result = attempt.await;
+        if let Err(ExchangeError::RateLimited) = result {
+            gateway.refund_retry(&request.service);
+            if let Some(record) = record.take() {
+                record.refund(HedgeDenial::RateLimited);
+            }
+        }
+        return (target, result);
+    }
+    std::future::pending().await
+}
+
+/// Chooses a second engine of the version of the late one, so that the stream has one version
+/// whichever brings it.
+async fn choose_hedge_engine(
+    gateway: &SharedGateway,
+    request: &RoutedRequest,
+    demand: GenerationDemand,
+    late_target: TargetKey,
+) -> Option<Placement> {
+    let version = gateway.software_version(late_target)?;
+    let (tried, version) = ([late_target], Some(&version));
+    let placement =
+        choose_engine(gateway, request, demand, version, &tried, Duration::ZERO).await?;
+    let can_send = !suspicion::is_blocked(gateway, request)
+        && !gateway.is_stopping()
+        && resumption::note_send(gateway, request, placement.target).await;
+    can_send.then_some(placement)
+}
+
 async fn await_first_event(
     gateway: &SharedGateway,
     request: &Rc<RoutedRequest>,
--- a/crates/mimosagap-gateway/tests/log.rs
+++ b/crates/mimosagap-gateway/tests/log.rs
@@ -235,6 +235,16 @@
             hosts: 1,
             up_ms: 1,
         },
+        LogEvent::Hedge {
+            id: "a",
+            route: "r",
+            target: "t",
+            outcome: "denied",
+            cause: "extra_limit",
+            trigger: "percentile",
+            delay_ms: 90,
+            after_ms: 91,
+        },
         LogEvent::TargetsReachable {
             service: "s",
             reachable: false,
--- a/crates/mimosagap-routing/src/lib.rs
+++ b/crates/mimosagap-routing/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod discovery;
 pub mod drain_time;
 pub mod hashing;
+pub mod hedging;
 pub mod hosts;
 pub mod keeper_selection;
 pub mod migration;
