test(soak): hedged streams and the unchanged hedge without a limit

Cause: the failure tests covered calls only, and nothing held the behaviour without a limit.

Change: both failure tests also run with a resumable stream; a further test checks that a call without a limit is hedged at 0.75 of its objective and logs no hedge.

--- a/crates/mimosagap-soak/tests/hedging.rs
+++ b/crates/mimosagap-soak/tests/hedging.rs
@@ -1,5 +1,5 @@
-//! A target that never answers a call, and a caller that leaves while two targets run its call. In
-//! both cases a target that runs a call nobody waits for must see its connection closed.
+//! A target that never answers a request, and a caller that leaves while two targets run it. In
+//! both cases a target that runs a request nobody waits for must see its connection closed.
 
 mod support;
 
@@ -12,6 +12,7 @@
 use std::time::{Duration, Instant};
 
 use mimosagap_soak::standins::store::StoreStandin;
+use rstest::rstest;
 use serde_json::json;
 use support::{Scene, read_head, run, send_request};
 
@@ -68,9 +69,11 @@
                 }
                 return;
             }
+            let body = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
             let response = format!(
                 "HTTP/1.1 200 OK\r\nx-attempt-id: {id}\r\nx-server-signature: signed\r\n\
-                 content-length: 2\r\n\r\nok"
+                 content-length: {}\r\n\r\n{body}",
+                body.len()
             );
             if stream.write_all(response.as_bytes()).is_err() {
                 return;
@@ -88,27 +91,43 @@
 }
 
 fn prepare_store(store: &Rc<StoreStandin>, second: SocketAddr) {
-    let entry = json!({
-        "service": "plain", "address": second.to_string(), "zone": "z1", "version": "v1",
-        "slots": 200, "cold_remaining_ms": 0, "state": "ready", "sequence": 1, "born": 1,
-    });
-    store.put("servers/i-plain-2", &entry);
+    for service in ["plain", "model"] {
+        let entry = json!({
+            "service": service, "address": second.to_string(), "zone": "z1", "version": "v1",
+            "slots": 200, "cold_remaining_ms": 0, "state": "ready", "sequence": 1, "born": 1,
+        });
+        store.put(&format!("servers/i-{service}-2"), &entry);
+    }
+    let route = |prefix: &str, kind: &str, service: &str| {
+        json!({
+            "name": prefix, "hostname": "soak.example", "path_prefix": prefix, "route_kind": kind,
+            "timeout_ms": 3500, "target_latency_ms": 300, "priority": 1, "service": service,
+            "max_attempts": 2, "target_gap_ms": 200, "public": true, "resumable": true,
+        })
+    };
     let config = json!({
         "version": 2,
-        "routes": [{
-            "name": "lookup", "hostname": "soak.example", "path_prefix": "/safe/",
-            "route_kind": "safe", "timeout_ms": 3500, "target_latency_ms": 300, "priority": 1,
-            "service": "plain", "max_attempts": 2, "public": true,
-        }],
-        "services": [{"name": "plain"}],
+        "routes": [route("/safe/", "safe", "plain"), route("/stream/", "streaming", "model")],
+        "services": [
+            {"name": "plain"},
+            {"name": "model", "engine": {"slots": 200, "kv_capacity": 300_000, "stride": 4}},
+        ],
         "limits": {"max_header_bytes": 16384, "max_body_bytes": 65536, "idle_timeout_ms": 15000},
         "tenants": [],
     });
     store.put("op/config", &config);
 }
 
-/// Starts a gateway with a limit on hedges before two targets and lets it learn.
-async fn start_scene(base_port: u16, targets: &Arc<Targets>) -> Scene {
+/// A limit on hedges.
+const LIMIT: &str = "\n[hedging]\nmax_extra_ratio = 0.3\n";
+
+/// Starts a gateway with these further settings before two targets and lets it learn.
+async fn start_scene(
+    base_port: u16,
+    targets: &Arc<Targets>,
+    path: &'static str,
+    further_settings: &str,
+) -> Scene {
     let (first, second) = (targets.start(), targets.start());
     let mut scene = Scene::start(first, base_port, |store| prepare_store(store, second)).await;
     scene.gateway.kill();
@@ -118,13 +137,13 @@
         .open(settings_path)
         .expect("the gateway has settings");
     settings
-        .write_all(b"\n[hedging]\nmax_extra_ratio = 0.3\n")
+        .write_all(further_settings.as_bytes())
         .expect("the file can be written");
     scene.gateway.spawn().expect("the gateway starts again");
     // The share of the retry slack is known after three seconds.
     tokio::time::sleep(Duration::from_secs(4)).await;
     for _ in 0..WARM_UP_CALLS {
-        let response = scene.exchange("/safe/x", "w1").await;
+        let response = scene.exchange(path, "w1").await;
         assert!(response.starts_with("HTTP/1.1 200"), "{response}");
     }
     scene
@@ -144,13 +163,18 @@
 
 /// Guards against a call that waits for a silent target until its deadline, and against a first
 /// attempt that runs on after the second has won.
-#[test]
-fn a_call_to_a_silent_target_is_answered_by_another_and_cancelled() {
+#[rstest]
+#[case::call("/safe/x", 27_400)]
+#[case::stream("/stream/x", 27_420)]
+fn a_request_to_a_silent_target_is_answered_by_another_and_cancelled(
+    #[case] path: &'static str,
+    #[case] base_port: u16,
+) {
     let targets = Arc::new(Targets::default());
     run(async {
-        let scene = start_scene(27_400, &targets).await;
+        let scene = start_scene(base_port, &targets, path, LIMIT).await;
         targets.silent_calls.store(1, Ordering::SeqCst);
-        let response = scene.exchange("/safe/x", "a1").await;
+        let response = scene.exchange(path, "a1").await;
         assert!(response.starts_with("HTTP/1.1 200"), "{response}");
         targets.wait_for_closed(1).await;
         assert_eq!(outcomes(&scene, "a1").await, ["won"]);
@@ -158,15 +182,20 @@
 }
 
 /// Guards against attempts that run on when nobody waits for them: both, not only the first.
-#[test]
-fn both_attempts_are_cancelled_when_the_caller_leaves() {
+#[rstest]
+#[case::call("/safe/x", 27_440)]
+#[case::stream("/stream/x", 27_460)]
+fn both_attempts_are_cancelled_when_the_caller_leaves(
+    #[case] path: &'static str,
+    #[case] base_port: u16,
+) {
     let targets = Arc::new(Targets::default());
     run(async {
-        let scene = start_scene(27_450, &targets).await;
+        let scene = start_scene(base_port, &targets, path, LIMIT).await;
         targets.silent_calls.store(2, Ordering::SeqCst);
         let mut caller =
             TcpStream::connect(scene.gateway.client_address).expect("the gateway listens");
-        send_request(&mut caller, "/safe/x", "a1");
+        send_request(&mut caller, path, "a1");
         let began_at = Instant::now();
         while targets.silent_calls.load(Ordering::SeqCst) > 0 {
             assert!(began_at.elapsed() < NOTICE_TIME, "the call was not hedged");
@@ -177,3 +206,20 @@
         assert_eq!(outcomes(&scene, "a1").await, ["abandoned"]);
     });
 }
+
+/// Guards today's behaviour without a limit: one hedge of an idempotent call at 0.75 of its latency
+/// objective of 300 ms, without a line in the log.
+#[test]
+fn a_call_without_a_limit_is_hedged_as_before() {
+    let targets = Arc::new(Targets::default());
+    run(async {
+        let scene = start_scene(27_480, &targets, "/safe/x", "").await;
+        targets.silent_calls.store(1, Ordering::SeqCst);
+        let began_at = Instant::now();
+        let response = scene.exchange("/safe/x", "a1").await;
+        assert!(response.starts_with("HTTP/1.1 200"), "{response}");
+        assert!(began_at.elapsed() >= Duration::from_millis(225));
+        targets.wait_for_closed(1).await;
+        assert!(outcomes(&scene, "a1").await.is_empty());
+    });
+}
