fix(gateway): count rejections of second attempts against hedging

Cause: only the rejection of a first attempt at an engine kept further hedges back.

Change: a rejected second attempt of a stream counts, too.

--- a/crates/mimosagap-gateway/src/streams.rs
+++ b/crates/mimosagap-gateway/src/streams.rs
@@ -465,11 +465,17 @@
             HEDGE_ATTEMPT,
         );
         let result = attempt.await;
-        if let Err(ExchangeError::RateLimited) = result {
-            gateway.refund_retry(&request.service);
-            if let Some(record) = record.take() {
-                record.refund(HedgeDenial::RateLimited);
+        match result {
+            Err(ExchangeError::RateLimited) => {
+                gateway.refund_retry(&request.service);
+                if let Some(record) = record.take() {
+                    record.refund(HedgeDenial::RateLimited);
+                }
+            }
+            Err(ExchangeError::Rejected | ExchangeError::InBackoff) => {
+                hedging::record_rejection(gateway, request);
             }
+            Ok(_) | Err(_) => {}
         }
         return (target, result);
     }
--- a/crates/mimosagap-routing/tests/hedging_replay.rs
+++ b/crates/mimosagap-routing/tests/hedging_replay.rs
@@ -80,7 +80,7 @@
     let load = load(1, rate, share);
     let (none, learned) = (run(HedgePolicy::None, load), run(LEARNED, load));
     let reduction = 1.0 - p99(&learned) / p99(&none);
-    assert!(reduction >= 0.33, "{reduction}");
+    assert!(reduction >= 1.0 / 3.0, "{reduction}");
     assert!(learned.iter().all(|report| report.extra_ratio() <= RATIO));
     assert!(others_p99(&learned) <= others_p99(&none));
 }
