--- a/crates/mimosagap-gateway/src/calls.rs
+++ b/crates/mimosagap-gateway/src/calls.rs
@@ -13,6 +13,7 @@
 use http::response::Parts;
 use mimosagap_routing::hedging::{HedgeDenial, HedgePlan};
 use mimosagap_routing::refusal::RefusalReason;
+use mimosagap_routing::residency::PermittedTarget;
 use mimosagap_routing::retry_budget::RetryPurpose;
 use mimosagap_routing::targets::{TargetKey, TargetOutcome};
 
@@ -28,6 +29,7 @@
 use crate::reach;
 use crate::relay::relay_request;
 use crate::request::RoutedRequest;
+use crate::residency;
 use crate::response::{ResponseBody, forwarded_head, full_body, refusal_response};
 use crate::state::{SharedGateway, millis};
 use crate::suspicion;
@@ -147,6 +149,38 @@
             gateway.refund_retry(&request.service);
         }
     }
+
+    /// Records an attempt without a response. Returns whether another attempt may follow.
+    fn record_error(
+        &mut self,
+        gateway: &SharedGateway,
+        request: &RoutedRequest,
+        attempt: u32,
+        error: ExchangeError,
+    ) -> bool {
+        match error {
+            ExchangeError::Unreachable
+            | ExchangeError::OutsideRegions
+            | ExchangeError::Evacuated => {
+                self.executions -= 1;
+                true
+            }
+            ExchangeError::Rejected | ExchangeError::InBackoff => {
+                self.executions -= 1;
+                self.was_rejected = true;
+                hedging::record_rejection(gateway, request);
+                true
+            }
+            ExchangeError::RateLimited => {
+                self.undo_send(gateway, request, attempt);
+                true
+            }
+            ExchangeError::Aborted | ExchangeError::LimitExceeded => {
+                self.was_aborted = true;
+                request.route.kind.is_idempotent()
+            }
+        }
+    }
 }
 
 /// Sends a call to targets until one responds, and returns the response for the caller.
@@ -204,24 +238,11 @@
                         }
                         return forward_response(gateway, request, target, response);
                     }
-                    Err(ExchangeError::Unreachable) => {
-                        progress.executions -= 1;
-                        true
-                    }
-                    Err(ExchangeError::Rejected | ExchangeError::InBackoff) => {
-                        progress.executions -= 1;
-                        progress.was_rejected = true;
-                        hedging::record_rejection(gateway, request);
-                        true
-                    }
-                    Err(ExchangeError::RateLimited) => {
-                        progress.undo_send(gateway, request, attempt.attempt);
-                        hedge.refund_unsent(target);
-                        true
-                    }
-                    Err(ExchangeError::Aborted | ExchangeError::LimitExceeded) => {
-                        progress.was_aborted = true;
-                        is_idempotent
+                    Err(error) => {
+                        if error == ExchangeError::RateLimited {
+                            hedge.refund_unsent(target);
+                        }
+                        progress.record_error(gateway, request, attempt.attempt, error)
                     }
                 };
                 if should_retry && running.is_empty() {
@@ -301,7 +322,8 @@
     if progress.sends >= MAX_SENDS || progress.executions >= request.route.max_attempts {
         return None;
     }
-    let target = hedging::choose_call_target(gateway, request, &progress.tried)?;
+    let permitted = hedging::choose_call_target(gateway, request, &progress.tried)?;
+    let target = permitted.key();
     if progress.sends == 0 {
         if progress.rate_limited_attempts == 0 {
             gateway.count_request(&request.service);
@@ -324,7 +346,7 @@
         attempt,
         started_at: gateway.now(),
         future: Box::pin(async move {
-            let result = run_attempt(gateway, request, target, attempt, max_permit_wait).await;
+            let result = run_attempt(gateway, request, permitted, attempt, max_permit_wait).await;
             AttemptResult {
                 target,
                 attempt,
@@ -347,11 +369,13 @@
     let max_wait = objective
         .mul_f64(PERMIT_WAIT_FRACTION)
         .saturating_sub(waited);
+    let policy = residency::policy(gateway, request);
     let has_alternative = gateway.with_state(|state| {
         let mut others = state.targets.of_service(&request.service);
         others.any(|(key, target)| {
             !tried.contains(&key)
                 && target.is_available(now)
+                && policy.allows(&state.targets, target)
                 && target.rate.per_second(now).is_none()
         })
     });
@@ -404,18 +428,19 @@
 async fn run_attempt(
     gateway: &SharedGateway,
     request: &RoutedRequest,
-    target: TargetKey,
+    permitted: PermittedTarget,
     attempt: u32,
     max_permit_wait: Duration,
 ) -> Result<BufferedResponse, ExchangeError> {
     let started_at = gateway.now();
+    let target = permitted.key();
     let reservation = LoadReservation::for_call(gateway, target);
     let options = SendOptions {
         attempt,
         max_permit_wait,
         ..SendOptions::default()
     };
-    let exchange = send_request(gateway, request, target, options).await?;
+    let exchange = send_request(gateway, request, permitted, options).await?;
     let body = match read_to_end(gateway, exchange.body, ResponsePace::DeadlineOnly).await {
         Ok(body) => body,
         Err(cause) => {
@@ -466,7 +491,7 @@
     }
     let reason = if progress.was_aborted {
         RefusalReason::TargetAborted
-    } else if progress.rate_limited_attempts > 0 || gateway.is_held_back(&request.service) {
+    } else if progress.rate_limited_attempts > 0 || gateway.is_held_back(request) {
         RefusalReason::RateLimited
     } else if progress.was_rejected {
         RefusalReason::TargetsRejected
--- a/crates/mimosagap-gateway/src/hedging.rs
+++ b/crates/mimosagap-gateway/src/hedging.rs
@@ -7,11 +7,13 @@
     HedgeConditions, HedgeDenial, HedgePlan, HedgePlanner, HedgeTrigger, ServiceUse, SizeClass,
 };
 use mimosagap_routing::placement::place_call;
+use mimosagap_routing::residency::PermittedTarget;
 use mimosagap_routing::retry_budget::{RetryBudget, capacity};
 use mimosagap_routing::targets::TargetKey;
 
 use crate::log::LogEvent;
 use crate::request::RoutedRequest;
+use crate::residency;
 use crate::state::{Gateway, GatewayState, SharedGateway, millis};
 
 /// Whether the operators' limit allows hedges of the request's route.
@@ -58,14 +60,15 @@
     gateway: &Gateway,
     request: &RoutedRequest,
     tried: &[TargetKey],
-) -> Option<TargetKey> {
+) -> Option<PermittedTarget> {
     let now = gateway.now();
+    let policy = residency::policy(gateway, request);
     let service = &request.service;
     gateway.with_state(|state| match state.hedge_planners.get(service) {
         Some(planner) if is_enabled(gateway, request) => {
-            planner.choose_target(&state.targets, service, tried, now)
+            planner.choose_target(&state.targets, service, tried, &policy, now)
         }
-        _ => place_call(&state.targets, service, tried, now),
+        _ => place_call(&state.targets, service, tried, &policy, now),
     })
 }
 
@@ -112,15 +115,16 @@
     let bounds = gateway.retry_bounds();
     let limits = &gateway.settings.hedging;
     let size = size_class(request);
+    let policy = residency::policy(gateway, request);
     let decision = gateway.with_state(|state| {
         let service = &request.service;
-        let queue = state.wait_queues.get(service);
+        let mut queues = state.wait_queues.iter();
         let retry_budget = state.retry_budgets.get(service);
         let conditions = HedgeConditions {
             route,
             trigger: plan.trigger,
-            has_queue: queue.is_some_and(|queue| !queue.is_empty()),
-            service_use: ServiceUse::of(&state.targets, service, now),
+            has_queue: queues.any(|((queued, _), queue)| queued == service && !queue.is_empty()),
+            service_use: ServiceUse::of(&state.targets, service, &policy, now),
             retry_credit: retry_budget.map_or(0.0, RetryBudget::credit),
             retry_capacity: capacity(&bounds, state.sharing_hosts(now)),
         };
--- a/crates/mimosagap-gateway/src/log.rs
+++ b/crates/mimosagap-gateway/src/log.rs
@@ -120,6 +120,17 @@
         /// no limit any more.
         per_second: Option<f64>,
     },
+    /// An engine is cold, of which a service bounds the rate.
+    TargetCold {
+        /// Instance name of the target.
+        target: &'a str,
+        /// How this host learned of it.
+        source: &'a str,
+        /// Milliseconds for which it counts as cold.
+        remaining_ms: u64,
+        /// Requests per second that its keeper grants to all hosts together.
+        per_second: f64,
+    },
     /// A target sent a header that was not read; logged once per target.
     HeaderUnread {
         /// Instance name of the target.
@@ -143,6 +154,15 @@
         /// Whether the store lists it.
         listed: bool,
     },
+    /// Nothing was heard from a listed host for long, or something was heard again.
+    HostSilent {
+        /// Name of the host.
+        name: &'a str,
+        /// Whether its address is left out of lookups.
+        silent: bool,
+        /// Milliseconds since something was heard from it.
+        silent_ms: u64,
+    },
     /// A target crashed while it ran requests.
     TargetCrashed {
         /// Instance name of the target.
@@ -163,6 +183,19 @@
         /// The era before.
         previous: u64,
     },
+    /// The evacuation of a zone began or ended, or is held although the store lost its key.
+    ZoneEvacuation {
+        /// Name of the zone.
+        zone: &'a str,
+        /// What changed; `unknown_zone` if the fleet has no zone of this name.
+        change: &'a str,
+        /// How this host learned of it.
+        source: &'a str,
+        /// Milliseconds since the state of the store was confirmed.
+        config_age_ms: u64,
+        /// Whether that is recent enough for the operators' bound on evacuations.
+        is_current: bool,
+    },
     /// A configuration of the store was not taken.
     ConfigSkipped {
         /// Its version.
@@ -333,6 +366,32 @@
         /// Milliseconds that the other host took.
         after_ms: u64,
     },
+    /// A decision for a request that is restricted to regions.
+    Residency {
+        /// Attempt id, set by the caller anew for each retry.
+        id: &'a str,
+        /// Service of the request.
+        service: &'a str,
+        /// The allowed regions, with commas between them; empty if none is.
+        regions: String,
+        /// What was decided.
+        result: &'a str,
+        /// Instance name of the target or name of the host; empty if there is none.
+        target: &'a str,
+        /// Region of the target; empty if there is none.
+        region: &'a str,
+        /// Version of the configuration in force.
+        config_version: u64,
+    },
+    /// A list of regions in the configuration names a region that the settings do not.
+    RegionUnknown {
+        /// Version of the configuration.
+        version: u64,
+        /// The name, which allows nothing.
+        region: &'a str,
+        /// The route or team whose list it is in.
+        list: &'a str,
+    },
     /// This host refused a request that another one relays, which tells its caller.
     RelayRefused {
         /// Attempt id, set by the caller anew for each retry.
@@ -361,6 +420,47 @@
         /// Milliseconds since the process started.
         up_ms: u64,
     },
+    /// Another host was asked for the credit of one retry.
+    RetryLoan {
+        /// Service whose budget is used.
+        service: &'a str,
+        /// Name of the host that was asked.
+        lender: &'a str,
+        /// Whether it gave the credit; `false` also if it did not respond.
+        granted: bool,
+    },
+    /// The memory budget for requests refused a request or evicted one. The request gets a line of
+    /// its own.
+    RequestMemory {
+        /// Attempt id, set by the caller anew for each retry.
+        id: &'a str,
+        /// `refused` or `evicted`.
+        action: &'a str,
+        /// Why.
+        cause: &'a str,
+        /// Bytes of the body that had arrived.
+        received_bytes: usize,
+        /// Bytes that were charged to an evicted request.
+        held_bytes: usize,
+        /// Milliseconds since the last progress of an evicted request.
+        stalled_ms: u64,
+        /// Bytes that requests hold.
+        used_bytes: usize,
+        /// Bytes that they may hold.
+        capacity_bytes: usize,
+    },
+    /// A client's connection was closed or not accepted, because of the bound on connections or of
+    /// the limit on heads.
+    ConnectionClosed {
+        /// Kind of the clients.
+        listener: &'a str,
+        /// IP address of the client.
+        address: String,
+        /// Why.
+        cause: &'a str,
+        /// Milliseconds for which it had been silent, idle or in its head.
+        after_ms: u64,
+    },
     /// A late request was sent to a second target, and how that ended, or why it was not.
     Hedge {
         /// Attempt id, set by the caller anew for each retry.
@@ -549,20 +649,24 @@
             | Self::TargetLeaving { .. }
             | Self::TargetPauses { .. }
             | Self::TargetRateLimit { .. }
+            | Self::TargetCold { .. }
             | Self::HeaderUnread { .. } => (7, "target"),
             Self::EntryUnreadable { .. } | Self::ConfigUnreadable { .. } => (8, "unreadable"),
             Self::Trouble { .. } => (9, "trouble"),
             Self::RatePermit { .. } => (10, "rate_permit"),
-            Self::Retry { .. } => (11, "retry"),
+            Self::Retry { .. } | Self::RetryLoan { .. } => (11, "retry"),
             Self::Relayed { .. } | Self::RelayRefused { .. } => (12, "relayed"),
-            Self::Hedge { .. } => (13, "hedge"),
-            _ => (14, "state"),
+            Self::Residency { .. } => (14, "residency"),
+            Self::RequestMemory { .. } => (15, "request_memory"),
+            Self::ConnectionClosed { .. } => (16, "connection_closed"),
+            Self::Hedge { .. } => (17, "hedge"),
+            _ => (13, "state"),
         }
     }
 }
 
 /// Number of kinds that [`LogEvent::kind`] distinguishes.
-const KIND_COUNT: usize = 15;
+const KIND_COUNT: usize = 18;
 
 #[derive(Serialize)]
 struct LogLine<'a> {
--- a/crates/mimosagap-gateway/src/metrics.rs
+++ b/crates/mimosagap-gateway/src/metrics.rs
@@ -12,6 +12,9 @@
 
 const RELAYS_HELP: &str = "Requests handed to other hosts because this one reaches no target";
 
+const RESIDENCY_NAME: &str = "mimosagap_residency_decisions_total";
+const RESIDENCY_HELP: &str = "Decisions for requests that are restricted to regions";
+
 /// Upper bounds of the latency buckets, in seconds.
 const LATENCY_BUCKETS: [f64; 10] = [0.02, 0.05, 0.1, 0.2, 0.3, 0.6, 1.2, 1.8, 5.0, 20.0];
 
@@ -72,6 +75,16 @@
     Ok(counters)
 }
 
+fn register_gauge(
+    registry: &Registry,
+    name: &str,
+    help: &str,
+) -> Result<IntGauge, prometheus::Error> {
+    let gauge = IntGauge::new(name, help)?;
+    registry.register(Box::new(gauge.clone()))?;
+    Ok(gauge)
+}
+
 /// Metrics of what targets say in headers: their rate limits, and what was not read.
 #[derive(Clone)]
 pub struct SignalMetrics {
@@ -192,6 +205,133 @@
     }
 }
 
+/// The retry budget of this host.
+#[derive(Clone)]
+pub struct RetryMetrics {
+    decisions: IntCounterVec,
+    /// Requests to other hosts for the credit of one retry, by result.
+    pub loans: IntCounterVec,
+}
+
+impl RetryMetrics {
+    fn new(registry: &Registry) -> Result<Self, prometheus::Error> {
+        Ok(Self {
+            decisions: register_counters(
+                registry,
+                "mimosagap_repeats_total",
+                "Sends after the first one that the budget allowed or denied",
+                &["result"],
+            )?,
+            loans: register_counters(
+                registry,
+                "mimosagap_retry_loans_total",
+                "Requests to other hosts for the credit of one retry",
+                &["result"],
+            )?,
+        })
+    }
+}
+
+/// Metrics of zones, targets and hosts that are left out or spared.
+#[derive(Clone)]
+pub struct ExclusionMetrics {
+    /// Changes of evacuations, by kind.
+    pub evacuation_changes: IntCounterVec,
+    /// Number of evacuated zones.
+    pub evacuated_zones: IntGauge,
+    /// Asks for permits of engines that may be cold, by result.
+    pub cold_permits: IntCounterVec,
+    /// Number of engines that count as cold.
+    pub cold_targets: IntGauge,
+    /// Number of listed hosts from which nothing is heard.
+    pub silent_hosts: IntGauge,
+}
+
+impl ExclusionMetrics {
+    fn new(registry: &Registry) -> Result<Self, prometheus::Error> {
+        Ok(Self {
+            evacuation_changes: register_counters(
+                registry,
+                "mimosagap_evacuation_changes_total",
+                "Changes of evacuated zones",
+                &["change"],
+            )?,
+            evacuated_zones: register_gauge(
+                registry,
+                "mimosagap_evacuated_zones",
+                "Evacuated zones",
+            )?,
+            cold_permits: register_counters(
+                registry,
+                "mimosagap_cold_permits_total",
+                "Asks for permits of engines that may be cold",
+                &["result"],
+            )?,
+            cold_targets: register_gauge(registry, "mimosagap_cold_targets", "Cold engines")?,
+            silent_hosts: register_gauge(registry, "mimosagap_silent_hosts", "Silent hosts")?,
+        })
+    }
+}
+
+/// Metrics of the memory of requests and of the connections of clients.
+#[derive(Clone)]
+pub struct RequestMemoryMetrics {
+    /// Bytes by part of the memory of requests and responses, and the limits on them.
+    pub bytes: IntGaugeVec,
+    /// Requests that were refused or evicted, by action and cause.
+    pub decisions: IntCounterVec,
+    /// Open connections of clients, by listener.
+    pub connections: IntGaugeVec,
+    /// Connections that were closed or not accepted, by listener and cause.
+    pub closed_connections: IntCounterVec,
+}
+
+impl RequestMemoryMetrics {
+    fn new(registry: &Registry) -> Result<Self, prometheus::Error> {
+        let register_gauges = |name: &str, help: &str, label: &str| {
+            let gauges = IntGaugeVec::new(Opts::new(name, help), &[label])?;
+            registry.register(Box::new(gauges.clone()))?;
+            Ok::<_, prometheus::Error>(gauges)
+        };
+        Ok(Self {
+            bytes: register_gauges(
+                "mimosagap_request_memory_bytes",
+                "Memory of requests, responses and connections by part",
+                "part",
+            )?,
+            decisions: register_counters(
+                registry,
+                "mimosagap_request_memory_decisions_total",
+                "Requests that were refused or evicted for lack of memory",
+                &["action", "cause"],
+            )?,
+            connections: register_gauges(
+                "mimosagap_client_connections",
+                "Open connections of clients",
+                "listener",
+            )?,
+            closed_connections: register_counters(
+                registry,
+                "mimosagap_closed_connections_total",
+                "Connections of clients that were closed or not accepted",
+                &["listener", "cause"],
+            )?,
+        })
+    }
+
+    /// Sets the size of a part.
+    pub fn set_bytes(&self, part: &str, bytes: usize) {
+        let gauge = self.bytes.with_label_values(&[part]);
+        gauge.set(i64::try_from(bytes).unwrap_or(i64::MAX));
+    }
+
+    /// Sets the number of connections of a listener.
+    pub fn set_connections(&self, listener: &str, count: usize) {
+        let gauge = self.connections.with_label_values(&[listener]);
+        gauge.set(i64::try_from(count).unwrap_or(i64::MAX));
+    }
+}
+
 /// All metrics of the gateway. [`LabelLimit`] bounds the number of series.
 #[derive(Clone)]
 pub struct GatewayMetrics {
@@ -202,12 +342,15 @@
     latencies: HistogramVec,
     wait_times: HistogramVec,
     longest_gaps: HistogramVec,
-    retries: IntCounterVec,
+    /// Retries and loans of credit for them.
+    pub retries: RetryMetrics,
     hedges: HedgeMetrics,
     config_age: IntGauge,
     resident_memory: IntGauge,
     /// Requests handed to other hosts, by result.
     pub relays: IntCounterVec,
+    /// Decisions for requests that are restricted to regions, by result.
+    pub residency_decisions: IntCounterVec,
     /// Responses of the gateway itself, by reason.
     pub refusals: IntCounterVec,
     /// Attempts without a response, by cause.
@@ -222,10 +365,14 @@
     pub target_signals: SignalMetrics,
     /// Streams that callers resume.
     pub resumptions: ResumptionMetrics,
+    /// Memory of requests and connections of clients.
+    pub request_memory: RequestMemoryMetrics,
     /// Requests in flight.
     pub in_flight: IntGauge,
     /// Open connections of callers.
     pub caller_connections: IntGauge,
+    /// Zones, targets and hosts that are left out or spared.
+    pub exclusions: ExclusionMetrics,
     /// Version of the configuration in force.
     pub config_version: IntGauge,
     /// Known targets and hosts, by `what`.
@@ -242,11 +389,7 @@
         let register_counters = |name: &str, help: &str, labels: &[&str]| {
             register_counters(&registry, name, help, labels)
         };
-        let register_gauge = |name: &str, help: &str| {
-            let gauge = IntGauge::new(name, help)?;
-            registry.register(Box::new(gauge.clone()))?;
-            Ok::<_, prometheus::Error>(gauge)
-        };
+        let register_gauge = |name: &str, help: &str| register_gauge(&registry, name, help);
         let responses =
             register_counters("mimosagap_answers_total", "Answers", &["route", "status"])?;
         let refusals = register_counters("mimosagap_refusals_total", "Own answers", &["reason"])?;
@@ -269,6 +412,7 @@
         )?;
         let target_signals = SignalMetrics::new(&registry)?;
         let resumptions = ResumptionMetrics::new(&registry)?;
+        let exclusions = ExclusionMetrics::new(&registry)?;
         let in_flight = register_gauge("mimosagap_in_flight", "Requests in flight")?;
         let config_version = register_gauge("mimosagap_config_version", "Configuration in force")?;
         let known_members =
@@ -298,12 +442,9 @@
             &GAP_BUCKETS,
             &["route"],
         )?;
-        let retries = register_counters(
-            "mimosagap_repeats_total",
-            "Sends after the first one that the budget allowed or denied",
-            &["result"],
-        )?;
+        let retries = RetryMetrics::new(&registry)?;
         let relays = register_counters("mimosagap_relays_total", RELAYS_HELP, &["result"])?;
+        let residency_decisions = register_counters(RESIDENCY_NAME, RESIDENCY_HELP, &["result"])?;
         let config_age = register_gauge(
             "mimosagap_config_age_milliseconds",
             "Time since the configuration was proved to be the newest",
@@ -315,6 +456,8 @@
         )?;
         Ok(Self {
             hedges: HedgeMetrics::new(&registry)?,
+            exclusions,
+            request_memory: RequestMemoryMetrics::new(&registry)?,
             registry,
             routes: LabelLimit::new(MAX_ROUTE_LABELS),
             teams: LabelLimit::new(MAX_TEAM_LABELS),
@@ -324,6 +467,7 @@
             longest_gaps,
             retries,
             relays,
+            residency_decisions,
             config_age,
             resident_memory,
             refusals,
@@ -368,7 +512,7 @@
     /// Counts a send after the first one of a request, allowed or denied by the retry budget.
     pub fn count_retry(&self, is_allowed: bool) {
         let result = if is_allowed { "allowed" } else { "denied" };
-        self.retries.with_label_values(&[result]).inc();
+        self.retries.decisions.with_label_values(&[result]).inc();
     }
 
     /// Counts a late request, by the outcome of its hedge or the cause of its denial.
--- a/crates/mimosagap-gateway/src/registration.rs
+++ b/crates/mimosagap-gateway/src/registration.rs
@@ -3,8 +3,12 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use mimosagap_platform::settings::{HostSettings, PLACES_CONTRACT};
 use mimosagap_platform::store::{StoreCall, StoreStatusError};
+use mimosagap_routing::credit_lending::LOAN_FEATURE;
+use mimosagap_routing::host_liveness::LIVENESS_FEATURE;
 use mimosagap_routing::hosts::{HostCapacity, HostRecord};
+use mimosagap_routing::residency::RESIDENCY_FEATURE;
 
 use crate::lease::{HeldLease, grant_lease, renew_lease};
 use crate::log::LogEvent;
@@ -24,6 +28,18 @@
 /// this host's readers do not report it.
 const OUTAGE_RENEWAL_INTERVAL: Duration = Duration::from_secs(4);
 
+/// What other hosts may rely on. Reports of idle hosts cost traffic, so they are sent only where
+/// the rules on zones and addresses are in force.
+fn features(settings: &HostSettings) -> Vec<String> {
+    let liveness = settings
+        .has_contract(PLACES_CONTRACT)
+        .then_some(LIVENESS_FEATURE);
+    let features = [RESIDENCY_FEATURE, LOAN_FEATURE]
+        .into_iter()
+        .chain(liveness);
+    features.map(str::to_owned).collect()
+}
+
 /// Keeps this host's record in the store until the process stops, and writes pending records.
 pub async fn maintain_registration(gateway: SharedGateway, client: StoreClient) {
     let settings = &gateway.settings;
@@ -36,6 +52,7 @@
             cpu_millicores: settings.cpu_millicores,
             link_mbps: settings.link_mbps,
         },
+        features: features(settings),
     };
     let value = serde_json::to_vec(&record).unwrap_or_default();
     let key = format!("{HOSTS_PREFIX}{}", settings.host);
--- a/crates/mimosagap-gateway/src/request.rs
+++ b/crates/mimosagap-gateway/src/request.rs
@@ -1,5 +1,6 @@
 //! A request that passed admission and can be sent to a target.
 
+use std::cell::OnceCell;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -8,8 +9,11 @@
 use mimosagap_platform::request::RequestHead;
 use mimosagap_routing::config::{Route, Team};
 use mimosagap_routing::quarantine::RequestTraits;
+use mimosagap_routing::residency::AllowedRegions;
 use mimosagap_types::prelude::*;
 
+use crate::request_body::RequestLease;
+
 /// Time past a request's deadline during which a response that is on its way is still awaited.
 const RESPONSE_MARGIN: Duration = Duration::from_millis(120);
 
@@ -25,6 +29,9 @@
     pub head: RequestHead,
     /// Complete body, kept for further attempts.
     pub body: Bytes,
+    /// Share of the memory budget that the request holds until it ends, as it may be sent again.
+    #[expect(dead_code, reason = "dropping it releases the memory")]
+    pub memory: RequestLease,
     /// Route that matches host and path.
     pub route: Arc<Route>,
     /// Service picked from the route's weighted services.
@@ -41,6 +48,10 @@
     pub is_relayed: bool,
     /// Whether the request runs to find out if the verdict against it still holds.
     pub is_trial: bool,
+    /// Regions to which the host that relays the request restricts it.
+    pub relayed_regions: AllowedRegions,
+    /// The restriction with which the stream began; unset before its first event.
+    pub began_with: OnceCell<AllowedRegions>,
 }
 
 impl RoutedRequest {
--- a/crates/mimosagap-gateway/src/state.rs
+++ b/crates/mimosagap-gateway/src/state.rs
@@ -1,21 +1,27 @@
 //! State of the gateway, shared by all tasks of its single thread.
 
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
 use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
 use std::time::Duration;
 
-use mimosagap_platform::settings::HostSettings;
+use mimosagap_platform::settings::{HEALTH_CONTRACT, HostSettings};
 use mimosagap_routing::buffer_budget::BufferBudget;
+use mimosagap_routing::cold_rate::ColdBound;
 use mimosagap_routing::config::FleetConfig;
 use mimosagap_routing::config_state::{ConfigState, StalenessBounds};
+use mimosagap_routing::evacuation::Evacuations;
 use mimosagap_routing::hashing::stable_hash;
 use mimosagap_routing::hedging::HedgePlanner;
+use mimosagap_routing::host_liveness::HostLiveness;
 use mimosagap_routing::hosts::HostTable;
 use mimosagap_routing::output_length::LengthEstimator;
 use mimosagap_routing::quarantine::Quarantine;
 use mimosagap_routing::relay_selection::RelaySelector;
+use mimosagap_routing::request_budget::RequestBudget;
+use mimosagap_routing::residency::AllowedRegions;
 use mimosagap_routing::retry_budget::{
     FleetSize, RetryBounds, RetryBudget, RetryPurpose, capacity,
 };
@@ -33,6 +39,8 @@
 use rand::rngs::SmallRng;
 use tokio::sync::Notify;
 
+use crate::client_connections::ConnectionTable;
+use crate::credit_loans::LoanClient;
 use crate::header_audit::HeaderAudit;
 use crate::log::{EventLog, LogEvent};
 use crate::metrics::GatewayMetrics;
@@ -42,6 +50,8 @@
 use crate::rate_permits::PermitClient;
 use crate::remote_placement::PlacementClient;
 use crate::request::RoutedRequest;
+use crate::request_body::BodyReaders;
+use crate::residency;
 use crate::resumption::OriginReader;
 use crate::store::StoreClient;
 use crate::suspicion::SuspicionExchange;
@@ -56,8 +66,14 @@
     pub config: ConfigState,
     /// Known targets with their load and health.
     pub targets: TargetTable,
+    /// Zones that operators evacuated.
+    pub evacuations: Evacuations,
+    /// Zones without a known name whose evacuation was logged.
+    pub unknown_evacuations: HashSet<ZoneName>,
     /// Hosts that the store lists.
     pub hosts: HostTable,
+    /// When this host last heard from each of them.
+    pub host_liveness: HostLiveness,
     /// Requests and parts of prompts that are suspected of crashing targets.
     pub quarantine: Quarantine,
     /// Estimators of the time per output token, by service.
@@ -74,8 +90,9 @@
     pub target_reach: HashMap<DeploymentName, TargetReach>,
     /// Which hosts served requests that this one could not send to a target.
     pub relay_selector: RelaySelector,
-    /// Generations that wait for an engine, by service.
-    pub wait_queues: HashMap<DeploymentName, WaitQueue>,
+    /// Generations that wait for an engine, by service and allowed regions: one that waits for a few
+    /// regions must not hold up others, for which engines elsewhere have capacity.
+    pub wait_queues: HashMap<(DeploymentName, AllowedRegions), WaitQueue>,
     /// Idle connections to targets.
     pub connection_pool: ConnectionPool,
     /// Random number generator for weighted choices and jitter.
@@ -97,6 +114,8 @@
     pub last_ticket: u64,
     /// Memory budget of responses that are still being read.
     pub buffer_budget: BufferBudget,
+    /// Memory budget of requests.
+    pub request_budget: RequestBudget,
     /// At which version each stream began.
     pub stream_origins: StreamOrigins,
     /// Whether this host knows all versions at which streams can have begun.
@@ -148,10 +167,18 @@
     pub placer_rpc: PlacementClient,
     /// Headers of targets that were reported as unread.
     pub header_audit: HeaderAudit,
+    /// Client for loans of retry credit.
+    pub loan_client: LoanClient,
     /// Client for permits of targets that name a rate limit, and what this host granted.
     pub permit_client: PermitClient,
     /// Number of requests in flight.
     pub in_flight: Cell<u32>,
+    /// Connections that clients opened.
+    pub client_connections: ConnectionTable,
+    /// Requests whose bodies are being read.
+    pub body_readers: BodyReaders,
+    /// Bytes of complete responses that are not yet sent to their callers.
+    pub unsent_response_bytes: Arc<AtomicUsize>,
     state: RefCell<GatewayState>,
     clock: SystemClock,
     /// When the process started, as time since boot.
@@ -176,10 +203,15 @@
         };
         let mut targets = TargetTable::with_regions(settings.zone_regions.clone());
         targets.set_drain_timeout(settings.bounds.drain_timeout);
+        targets.set_cold_bound(ColdBound {
+            overshoot: settings.bounds.cold_overshoot,
+            slack: settings.bounds.cold_slack,
+        });
         *targets.versions_mut() = VersionRegistry::new(clock.since_boot());
         let store_client = StoreClient::new(settings.store_address, metrics.store_calls.clone());
         let origin_reader = OriginReader::new(store_client);
         let buffer_budget = BufferBudget::with_memory(settings.memory_bytes);
+        let request_budget = RequestBudget::new(settings.request_memory.budget);
         Self {
             host_hash: stable_hash(&[settings.host.as_bytes()]),
             settings,
@@ -199,12 +231,19 @@
             target_notices: NoticeQueue::default(),
             placer_rpc: PlacementClient::default(),
             header_audit: HeaderAudit::default(),
+            loan_client: LoanClient::new(clock.since_boot()),
             permit_client: PermitClient::new(clock.since_boot()),
             in_flight: Cell::new(0),
+            client_connections: ConnectionTable::default(),
+            body_readers: BodyReaders::default(),
+            unsent_response_bytes: Arc::default(),
             state: RefCell::new(GatewayState {
                 config: ConfigState::new(bounds),
                 targets,
+                evacuations: Evacuations::default(),
+                unknown_evacuations: HashSet::new(),
                 hosts: HostTable::default(),
+                host_liveness: HostLiveness::new(clock.since_boot()),
                 quarantine: Quarantine::new(clock.since_boot()),
                 token_time_estimators: HashMap::new(),
                 length_estimators: HashMap::new(),
@@ -224,6 +263,7 @@
                 mirror: StoreMirror::default(),
                 last_ticket: 0,
                 buffer_budget,
+                request_budget,
                 stream_origins: StreamOrigins::default(),
                 version_history: VersionHistory::default(),
             }),
@@ -322,6 +362,27 @@
         is_allowed
     }
 
+    /// Whether targets of this deployment may fail in ways that their health does not show. Hosts
+    /// then lend each other retry credit.
+    pub fn has_unreliable_targets(&self) -> bool {
+        self.settings.has_contract(HEALTH_CONTRACT)
+    }
+
+    /// Gives another host the credit for one retry at a service. Returns whether there is enough.
+    pub fn try_lend_retry(&self, service: &DeploymentName) -> bool {
+        let (now, bounds) = (self.now(), self.retry_bounds());
+        self.with_state(|state| {
+            let sharing_hosts = state.sharing_hosts(now);
+            let budget = self.retry_budget(state, service);
+            budget.try_lend(now, &bounds, sharing_hosts)
+        })
+    }
+
+    /// Adds the credit for one retry at a service that another host lent.
+    pub fn add_retry_loan(&self, service: &DeploymentName) {
+        self.with_state(|state| self.retry_budget(state, service).add_loan());
+    }
+
     /// The retry budget of a service, which begins with the process.
     fn retry_budget<'a>(
         &self,
@@ -332,10 +393,11 @@
         budget.or_insert_with(|| RetryBudget::new(self.started_at))
     }
 
-    /// Whether the rate limit of a target keeps this host from using it for requests of a service.
-    pub fn is_held_back(&self, service: &DeploymentName) -> bool {
+    /// Whether the rate limit of a target keeps this host from using it for a request.
+    pub fn is_held_back(&self, request: &RoutedRequest) -> bool {
         let now = self.now();
-        self.with_state(|state| state.targets.is_held_back(service, now))
+        let policy = residency::policy(self, request);
+        self.with_state(|state| state.targets.is_held_back(&request.service, &policy, now))
     }
 
     /// Returns a retry to the budget of a service, because the request was not sent.
--- a/crates/mimosagap-gateway/src/store_sync.rs
+++ b/crates/mimosagap-gateway/src/store_sync.rs
@@ -15,8 +15,10 @@
 use rand::Rng;
 
 use crate::change_feed::{FeedClient, FeedError, FeedResponse};
+use crate::evacuation;
 use crate::log::LogEvent;
 use crate::mirror::KEPT_VALUE_REVISION;
+use crate::residency;
 use crate::state::{Gateway, STORE_UNREACHABLE, SharedGateway};
 use crate::store::{StoreClient, StoreError};
 use crate::store_era::{
@@ -111,6 +113,7 @@
             _ => self.poll_store().await,
         }
         recheck_restored_entries(&self.gateway);
+        evacuation::end_holds(&self.gateway);
     }
 
     async fn poll_reader(&mut self, reader: &ReaderHost, after: StoreRevision) {
@@ -239,6 +242,7 @@
     let keys: HashSet<String> = items.iter().map(|change| change.key.clone()).collect();
     let outcome = dispatch_changes(gateway, items, revision.era);
     remove_unlisted(gateway, &keys);
+    evacuation::apply_listing(gateway, &keys, revision.era);
     gateway.with_state(|state| {
         let kept = outcome.kept_config(state.mirror.value(names::CONFIG_KEY));
         let mirrored = without_stream_records(items);
@@ -408,6 +412,8 @@
     for change in changes {
         if change.key == names::CONFIG_KEY {
             outcome = apply_config(gateway, change, era);
+        } else if let Some(zone) = names::evacuated_zone(&change.key) {
+            evacuation::apply_key(gateway, zone, change.value.is_some(), era);
         } else if let Some(instance) = entry::instance_from_key(&change.key) {
             apply_target(gateway, instance, change.value.as_deref());
         } else if let Some(name) = change.key.strip_prefix(HOSTS_PREFIX) {
@@ -478,10 +484,17 @@
                 .services()
                 .filter_map(|service| service.engine.map(|engine| (service.name.clone(), engine)))
                 .collect();
+            // Plain targets do not become cold; a bound would slow them down for good.
+            let cold_specs: HashMap<_, _> = fleet_config
+                .services()
+                .filter(|service| service.engine.is_some())
+                .filter_map(|service| Some((service.name.clone(), service.cold?)))
+                .collect();
             let is_new = gateway.with_state(|state| {
                 let is_new = state.config.apply(revision, fleet_config);
                 if is_new {
                     state.targets.set_engine_specs(engines);
+                    state.targets.set_cold_specs(cold_specs);
                 }
                 is_new
             });
@@ -494,6 +507,11 @@
                     version,
                     revision: revision.number,
                 });
+                if version_in_force != Some(version)
+                    && let Some(config) = gateway.config()
+                {
+                    residency::log_unknown_regions(gateway, &config);
+                }
             }
             ConfigOutcome::InForce
         }
@@ -532,16 +550,28 @@
         });
         return;
     }
-    let (is_draining, address) = (entry.is_draining, entry.address);
+    let (is_draining, address, cold) = (entry.is_draining, entry.address, entry.cold);
     let version = entry.version.clone();
-    let (_, is_changed) = gateway.with_state(|state| {
+    let (key, is_changed, is_new_claim) = gateway.with_state(|state| {
         let targets = &mut state.targets;
+        // A renewed entry repeats what the target said before.
+        let known = targets
+            .find_instance(instance)
+            .and_then(|key| targets.get(key));
+        let is_new_claim = known.is_none_or(|known| known.entry.cold != cold);
         let locality = targets.locality_between(&gateway.settings.zone, &entry.zone);
-        targets.upsert(entry, locality, now)
+        let (key, is_changed) = targets.upsert(entry, locality, now);
+        (key, is_changed, is_new_claim)
     });
+    if is_new_claim {
+        target_notices::record_cold_claim(gateway, key, cold, "entry");
+    }
     if !is_changed {
         return;
     }
+    if !is_draining {
+        target_notices::log_cold(gateway, key, "listed");
+    }
     if is_draining {
         announce_leaving(gateway, instance, "draining");
     } else {
@@ -575,13 +605,18 @@
     let removed_at = removal_time(gateway, hosts::OUTAGE_GRACE);
     let listed = record.is_some();
     gateway.with_state(|state| match record {
-        Some(record) => state.hosts.upsert(name, record, revision),
+        Some(record) => {
+            let now = gateway.now();
+            state.host_liveness.record_listed(record.peer_address, now);
+            state.hosts.upsert(name, record, revision);
+        }
         None => state.hosts.mark_removed(name, removed_at),
     });
     gateway.log.event(&LogEvent::Host { name, listed });
     if listed && name != gateway.settings.host {
         target_notices::announce_rate_limits(gateway);
         suspicion::announce_verdicts(gateway);
+        evacuation::announce_held(gateway);
     }
 }
 
--- a/crates/mimosagap-gateway/src/stream_relay.rs
+++ b/crates/mimosagap-gateway/src/stream_relay.rs
@@ -12,6 +12,7 @@
 use tokio::sync::oneshot;
 
 use crate::crash_probe::{self, AnswerProgress};
+use crate::credit_loans;
 use crate::event_source::{EventSource, SourceItem};
 use crate::exchange::{preconnect, release_connection, sleep_unless_zero};
 use crate::handover::{
@@ -22,6 +23,7 @@
 use crate::log::{LogEvent, STREAM_COMPLETE};
 use crate::reach;
 use crate::request::RoutedRequest;
+use crate::residency;
 use crate::resumption;
 use crate::sse::StreamEvent;
 use crate::standby::{
@@ -41,6 +43,10 @@
 /// Delay before another copy is attempted after one failed or found no engine.
 const COPY_RETRY_DELAY: Duration = Duration::from_millis(150);
 
+/// Delay before the retry budget is asked again after it denied a move. Loans of other hosts take a
+/// few milliseconds, and a stream has an event about every 30 ms.
+const MOVE_RETRY_DELAY: Duration = Duration::from_millis(40);
+
 /// Copy in progress. Yields `None` if no engine took it.
 type CopyReceiver = oneshot::Receiver<Option<StandbyCopy>>;
 
@@ -85,6 +91,8 @@
     standby: Option<StandbyCopy>,
     copy_task: Option<CopyReceiver>,
     next_copy_at: Duration,
+    /// When the retry budget may be asked again for a move.
+    next_move_at: Duration,
     handover: Option<HandoverTask>,
     /// The engine that the handover goes to.
     next_target: Option<TargetKey>,
@@ -162,6 +170,7 @@
             standby: None,
             copy_task: None,
             next_copy_at: Duration::ZERO,
+            next_move_at: Duration::ZERO,
             handover: None,
             next_target: None,
             source_stop: None,
@@ -344,13 +353,15 @@
             return;
         }
         let standby_target = self.standby.as_ref().map(|copy| copy.target);
-        let is_leaving = |key| {
-            self.gateway
-                .with_state(|state| state.targets.is_leaving(key, now))
+        let is_unusable = |key| {
+            self.gateway.with_state(|state| {
+                state.targets.is_leaving(key, now) || state.targets.is_evacuated(key)
+            })
         };
-        if standby_target.is_some_and(is_leaving) {
+        if standby_target.is_some_and(is_unusable) {
             self.standby = None;
         }
+        self.release_denied_standby();
         let generation = self.generation_state();
         let step = self
             .gateway
@@ -364,10 +375,25 @@
                     preconnect(&self.gateway, target);
                 }
             }
+            MigrationStep::HandOver(_) if now < self.next_move_at => {}
             MigrationStep::HandOver(target) => self.stop_source(target),
         }
     }
 
+    /// Releases the copy if its engine is in a region that is not allowed any longer.
+    fn release_denied_standby(&mut self) {
+        let Some(target) = self.standby.as_ref().map(|copy| copy.target) else {
+            return;
+        };
+        if residency::permit_target(&self.gateway, &self.request, target).is_none() {
+            let policy = residency::policy(&self.gateway, &self.request);
+            residency::log_target(&self.gateway, &self.request, &policy, "denied", target);
+            if let Some(copy) = self.standby.take() {
+                release_standby(&self.gateway, copy);
+            }
+        }
+    }
+
     fn generation_state(&self) -> GenerationState {
         let kv_copy = self.standby.as_ref().map(|copy| KvCopy {
             target: copy.target,
@@ -470,16 +496,23 @@
 
     /// Asks the engine to stop, because another one is to go on.
     fn stop_source(&mut self, next: TargetKey) {
+        let Some(permitted) = residency::permit_target(&self.gateway, &self.request, next) else {
+            return;
+        };
         // The budget has to allow the handover before the engine stops.
         if !self
             .gateway
             .try_spend_retry(&self.request, RetryPurpose::Move)
         {
+            if self.gateway.has_unreliable_targets() {
+                self.next_move_at = self.gateway.now() + MOVE_RETRY_DELAY;
+                credit_loans::start_borrowing(&self.gateway, &self.request.service);
+            }
             return;
         }
         let now = self.gateway.now();
         let id = &self.request.head.attempt_id;
-        let order = stop_source(&self.gateway, id, self.reservation.target, next);
+        let order = stop_source(&self.gateway, id, self.reservation.target, permitted);
         self.next_target = Some(next);
         self.stop_order = Some(order);
         self.stop_request = StopRequest::Asked;
@@ -644,10 +677,20 @@
     /// Starts to resume from the standby copy. The retry budget was asked before the engine was asked
     /// to stop; without that it is asked now.
     fn hand_over_to_standby(&mut self) -> Option<HandoverTask> {
-        self.standby.as_ref()?;
+        self.release_denied_standby();
+        let target = self.standby.as_ref()?.target;
+        if self
+            .gateway
+            .with_state(|state| state.targets.is_evacuated(target))
+        {
+            release_standby(&self.gateway, self.standby.take()?);
+            return None;
+        }
+        let permitted = residency::permit_target(&self.gateway, &self.request, target)?;
         let is_paid = self.source_stop.is_some();
         let purpose = RetryPurpose::Move;
-        if !is_paid && !self.gateway.try_spend_retry(&self.request, purpose) {
+        let is_paid = is_paid || self.gateway.try_spend_retry(&self.request, purpose);
+        if !is_paid && !self.gateway.has_unreliable_targets() {
             return None;
         }
         let StandbyCopy {
@@ -667,18 +710,15 @@
         if self.source.is_none() {
             // An engine that lost the connection may still run the generation.
             let id = &self.request.head.attempt_id;
-            stop_source(
-                &self.gateway,
-                id,
-                self.reservation.target,
-                reservation.target,
-            );
-        }
-        Some(Box::pin(resume_stream(
-            self.next_handover_job(),
-            reservation,
-            Some(kv_source),
-        )))
+            stop_source(&self.gateway, id, self.reservation.target, permitted);
+        }
+        let job = self.next_handover_job();
+        Some(Box::pin(async move {
+            if !is_paid && !borrow_for_move(&job).await {
+                return None;
+            }
+            resume_stream(job, reservation, Some(kv_source)).await
+        }))
     }
 
     fn next_handover_job(&mut self) -> HandoverJob {
@@ -709,6 +749,13 @@
     }
 }
 
+/// Borrows the credit for a move and spends it. Returns whether the budget allows the move.
+async fn borrow_for_move(job: &HandoverJob) -> bool {
+    let (gateway, request) = (&job.gateway, &job.request);
+    credit_loans::borrow(gateway, &request.service).await
+        && gateway.try_spend_retry(request, RetryPurpose::Move)
+}
+
 #[expect(
     clippy::cast_possible_truncation,
     clippy::cast_sign_loss,
--- a/crates/mimosagap-gateway/tests/log.rs
+++ b/crates/mimosagap-gateway/tests/log.rs
@@ -160,6 +160,12 @@
             source: "answer",
             per_second: Some(3.7),
         },
+        LogEvent::TargetCold {
+            target: "t",
+            source: "entry",
+            remaining_ms: 8000,
+            per_second: 22.0,
+        },
         LogEvent::HeaderUnread {
             target: "t",
             header: "h",
@@ -206,6 +212,18 @@
 fn belief_events() -> Vec<LogEvent<'static>> {
     let empty = String::new;
     vec![
+        LogEvent::HostSilent {
+            name: "h",
+            silent: true,
+            silent_ms: 6000,
+        },
+        LogEvent::ZoneEvacuation {
+            zone: "z",
+            change: "started",
+            source: "store",
+            config_age_ms: 40,
+            is_current: true,
+        },
         LogEvent::StoreEra {
             era: 2,
             previous: 1,
@@ -235,6 +253,11 @@
             hosts: 1,
             up_ms: 1,
         },
+        LogEvent::RetryLoan {
+            service: "s",
+            lender: "h",
+            granted: true,
+        },
         LogEvent::Hedge {
             id: "a",
             route: "r",
@@ -267,6 +290,42 @@
             id: "a",
             what: empty(),
         },
+        LogEvent::Residency {
+            id: "a",
+            service: "s",
+            regions: empty(),
+            result: "sent",
+            target: "i-1",
+            region: "r1",
+            config_version: 1,
+        },
+        LogEvent::RegionUnknown {
+            version: 1,
+            region: "r9",
+            list: "route a",
+        },
+    ]
+}
+
+/// One event of each kind that concerns the limits on clients.
+fn limit_events() -> Vec<LogEvent<'static>> {
+    vec![
+        LogEvent::RequestMemory {
+            id: "a",
+            action: "evicted",
+            cause: "stalled",
+            received_bytes: 1,
+            held_bytes: 2,
+            stalled_ms: 1_000,
+            used_bytes: 3,
+            capacity_bytes: 4,
+        },
+        LogEvent::ConnectionClosed {
+            listener: "callers",
+            address: String::new(),
+            cause: "silent",
+            after_ms: 1,
+        },
     ]
 }
 
@@ -402,6 +461,7 @@
     let events: Vec<LogEvent<'_>> = state_events()
         .into_iter()
         .chain(belief_events())
+        .chain(limit_events())
         .chain(request_events())
         .collect();
     for event in &events {
--- a/crates/mimosagap-routing/src/hedging.rs
+++ b/crates/mimosagap-routing/src/hedging.rs
@@ -20,6 +20,7 @@
 use mimosagap_types::prelude::*;
 
 use crate::placement::place_call;
+use crate::residency::{PermittedTarget, ResidencyPolicy};
 use crate::targets::{Locality, TargetKey, TargetTable};
 
 /// Fraction of the latency objective after which a request is late even if its response times are
@@ -205,7 +206,7 @@
     pub trigger: HedgeTrigger,
     /// Whether a request waits for the service at this host.
     pub has_queue: bool,
-    /// The available targets of the service.
+    /// The available targets of the service that the request may use.
     pub service_use: ServiceUse,
     /// Retries that this host may still spend.
     pub retry_credit: f64,
@@ -225,12 +226,17 @@
 }
 
 impl ServiceUse {
-    /// Sums up the available targets of a service.
+    /// Sums up the available targets of a service that `policy` allows.
     #[must_use]
-    pub fn of(targets: &TargetTable, service: &DeploymentName, now: Duration) -> Self {
+    pub fn of(
+        targets: &TargetTable,
+        service: &DeploymentName,
+        policy: &ResidencyPolicy,
+        now: Duration,
+    ) -> Self {
         let mut sum = Self::default();
         for (_, target) in targets.of_service(service) {
-            if target.is_available(now) {
+            if target.is_available(now) && policy.allows(targets, target) {
                 sum.target_count += 1;
                 sum.used_slots += target.load(now).requests;
                 sum.total_slots += target.entry.slots.max(1);
@@ -459,17 +465,18 @@
     }
 
     /// Chooses the target of a call: the one that [`place_call`] prefers, or if that responds slowly
-    /// another one that does not, is in the same region and has free slots.
+    /// another one that `policy` allows, that does not, is in the same region and has free slots.
     #[must_use]
     pub fn choose_target(
         &self,
         targets: &TargetTable,
         service: &DeploymentName,
         tried: &[TargetKey],
+        policy: &ResidencyPolicy,
         now: Duration,
-    ) -> Option<TargetKey> {
-        let preferred = place_call(targets, service, tried, now)?;
-        if !self.is_slow(preferred, now) {
+    ) -> Option<PermittedTarget> {
+        let preferred = place_call(targets, service, tried, policy, now)?;
+        if !self.is_slow(preferred.key(), now) {
             return Some(preferred);
         }
         let slow_targets = self
@@ -478,10 +485,13 @@
             .filter(|(_, speed)| speed.is_slow(now))
             .map(|(key, _)| *key);
         let excluded: Vec<TargetKey> = tried.iter().copied().chain(slow_targets).collect();
-        let max_locality = targets.get(preferred)?.locality.max(Locality::SameRegion);
-        place_call(targets, service, &excluded, now)
+        let max_locality = targets
+            .get(preferred.key())?
+            .locality
+            .max(Locality::SameRegion);
+        place_call(targets, service, &excluded, policy, now)
             .filter(|other| {
-                targets.get(*other).is_some_and(|target| {
+                targets.get(other.key()).is_some_and(|target| {
                     let requests = f64::from(target.load(now).requests);
                     target.locality <= max_locality
                         && requests < BUSY_FRACTION * f64::from(target.entry.slots)
--- a/crates/mimosagap-routing/src/lib.rs
+++ b/crates/mimosagap-routing/src/lib.rs
@@ -7,12 +7,17 @@
 
 pub mod buffer_budget;
 pub mod change_source;
+pub mod cold_rate;
 pub mod config;
 pub mod config_state;
+pub mod connection_bound;
+pub mod credit_lending;
 pub mod discovery;
 pub mod drain_time;
+pub mod evacuation;
 pub mod hashing;
 pub mod hedging;
+pub mod host_liveness;
 pub mod hosts;
 pub mod keeper_selection;
 pub mod migration;
@@ -24,7 +29,10 @@
 pub mod rate_keeper;
 pub mod rate_limit;
 pub mod refusal;
+pub mod region_contention;
 pub mod relay_selection;
+pub mod request_budget;
+pub mod residency;
 pub mod retry_budget;
 pub mod shutdown;
 pub mod store_revision;
--- a/crates/mimosagap-routing/src/targets.rs
+++ b/crates/mimosagap-routing/src/targets.rs
@@ -1,16 +1,19 @@
 //! Table of the targets of all services: their store entries, their load and their recent failures.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use mimosagap_types::prelude::*;
 use slotmap::{SlotMap, new_key_type};
 
+use crate::cold_rate::{ColdBound, ColdClaim, ColdSpec, ColdState};
 use crate::config::EngineSpec;
 use crate::drain_time::DrainTimes;
 use crate::rate_keeper::RateKeeper;
 use crate::rate_limit::{RateChange, RateStatement, TargetRate};
+use crate::region_contention::RegionContention;
+use crate::residency::{ResidencyPolicy, UNRESTRICTED};
 use crate::target_backoff::TargetBackoff;
 use crate::version_registry::{RegistryStep, VersionRegistry};
 
@@ -84,6 +87,8 @@
     pub is_draining: bool,
     /// When its process started, in milliseconds since the Unix epoch; 0 if the entry has no time.
     pub started_unix_ms: u64,
+    /// For how long it says that it stays cold.
+    pub cold: ColdClaim,
 }
 
 /// Network distance of a target, nearest first.
@@ -162,6 +167,8 @@
     pub draining_since: Option<Duration>,
     /// Time from which it counts as removed, if its entry has vanished.
     pub removed_at: Option<Duration>,
+    /// Whether operators evacuated its zone.
+    pub is_evacuated: bool,
     /// Load caused by this host.
     pub local_load: TargetLoad,
     peer_loads: HashMap<u64, (Duration, TargetLoad)>,
@@ -176,6 +183,8 @@
     pub backoff: TargetBackoff,
     /// The rate limit that it names for all hosts together.
     pub rate: TargetRate,
+    /// The rate at which it may be sent requests because it may be cold.
+    pub cold: ColdState,
     /// Slots that this host grants for it, if hosts ask this one.
     pub keeper: Option<Box<RateKeeper>>,
 }
@@ -188,6 +197,7 @@
             listed_at: now,
             draining_since: None,
             removed_at: None,
+            is_evacuated: false,
             local_load: TargetLoad::default(),
             peer_loads: HashMap::new(),
             reservations: Vec::new(),
@@ -198,6 +208,7 @@
             next_pause: FIRST_PAUSE,
             backoff: TargetBackoff::default(),
             rate: TargetRate::default(),
+            cold: ColdState::default(),
             keeper: None,
         }
     }
@@ -218,20 +229,52 @@
     #[must_use]
     pub fn is_available_within(&self, max_wait: Duration, now: Duration) -> bool {
         self.draining_since.is_none()
+            && !self.is_evacuated
             && self.removed_at.is_none_or(|at| now < at)
             && now >= self.paused_until
             && !self.backoff.is_active(now)
-            && self.rate.hold_time(now) <= max_wait
+            && self.hold_time(now) <= max_wait
     }
 
     /// Whether it is draining and new requests may be sent to it otherwise.
     #[must_use]
     pub fn is_available_while_draining(&self, now: Duration) -> bool {
         self.draining_since.is_some()
+            && !self.is_evacuated
             && self.removed_at.is_none()
             && now >= self.paused_until
             && !self.backoff.is_active(now)
-            && self.rate.hold_time(now).is_zero()
+            && self.hold_time(now).is_zero()
+    }
+
+    /// Requests per second that all hosts together may send; `None` if there is no limit.
+    #[must_use]
+    pub fn permit_rate(&self, now: Duration) -> Option<f64> {
+        let named = self.rate.per_second(now);
+        let cold = self.cold.per_second();
+        named.into_iter().chain(cold).reduce(f64::min)
+    }
+
+    /// Time until this host may ask for a permit; zero if it may ask now or needs none.
+    #[must_use]
+    pub fn hold_time(&self, now: Duration) -> Duration {
+        self.rate.hold_time(now).max(self.cold.hold_time(now))
+    }
+
+    /// Records that no permit was given and the next one may be asked for after `ask_in`.
+    pub fn hold(&mut self, ask_in: Duration, overload: f64, now: Duration) {
+        if self.rate.per_second(now).is_some() {
+            self.rate.hold(ask_in, overload, now);
+        }
+        self.cold.hold(ask_in, overload, now);
+    }
+
+    /// Sets the rate of its service while it is cold. Slots that were granted without it are void.
+    fn set_cold_spec(&mut self, spec: Option<ColdSpec>, bound: &ColdBound) {
+        if self.cold.set_spec(spec, bound) {
+            self.keeper = None;
+            self.cold.record_start(self.listed_at);
+        }
     }
 
     /// Whether its entry has vanished.
@@ -305,6 +348,12 @@
     max_drain_use: Duration,
     /// Software versions at which streams may begin.
     versions: VersionRegistry,
+    /// Regions in which restricted requests lack capacity.
+    contention: RegionContention,
+    /// Zones that operators evacuated.
+    evacuated_zones: BTreeSet<ZoneName>,
+    cold_specs: HashMap<DeploymentName, ColdSpec>,
+    cold_bound: ColdBound,
 }
 
 impl TargetTable {
@@ -328,6 +377,23 @@
         &mut self.versions
     }
 
+    /// Regions in which restricted requests lack capacity.
+    #[must_use]
+    pub fn contention(&self) -> &RegionContention {
+        &self.contention
+    }
+
+    /// Regions in which restricted requests lack capacity, to change them.
+    pub fn contention_mut(&mut self) -> &mut RegionContention {
+        &mut self.contention
+    }
+
+    /// The region of a zone; `None` if it is unknown.
+    #[must_use]
+    pub fn zone_region(&self, zone: &ZoneName) -> Option<&RegionName> {
+        self.regions.get(zone)
+    }
+
     /// Compares the admitted versions with the listed engines. Returns what is due.
     pub fn update_versions(&mut self, now: Duration) -> Vec<RegistryStep> {
         let mut versions = std::mem::take(&mut self.versions);
@@ -364,12 +430,16 @@
                 && target.entry.version == entry.version
                 && target.entry.service == entry.service;
             if is_same_process {
+                if target.is_removed(now) {
+                    target.cold.record_start(now);
+                }
                 target.removed_at = None;
                 // Draining is final for a process, so an entry that arrives late does not undo it.
                 let starts_draining = entry.is_draining && target.draining_since.is_none();
                 if starts_draining {
                     target.draining_since = Some(now);
                 }
+                target.is_evacuated = self.evacuated_zones.contains(&entry.zone);
                 target.entry = entry;
                 return (key, starts_draining);
             }
@@ -378,6 +448,9 @@
         let instance = entry.instance.clone();
         let service = entry.service.clone();
         let mut target = Target::new(entry, locality, now);
+        target.is_evacuated = self.evacuated_zones.contains(&target.entry.zone);
+        let cold_spec = self.cold_specs.get(&target.entry.service).copied();
+        target.set_cold_spec(cold_spec, &self.cold_bound);
         if target.entry.is_draining {
             target.draining_since = Some(now);
         }
@@ -456,12 +529,19 @@
         self.targets.get_mut(key)
     }
 
-    /// Whether a target of a service that does not leave cannot be used now because of its rate
-    /// limit.
+    /// Whether a target of a service that may serve the request and does not leave cannot be used
+    /// now because of its rate limit.
     #[must_use]
-    pub fn is_held_back(&self, service: &DeploymentName, now: Duration) -> bool {
+    pub fn is_held_back(
+        &self,
+        service: &DeploymentName,
+        policy: &ResidencyPolicy,
+        now: Duration,
+    ) -> bool {
         self.of_service(service)
-            .any(|(_, target)| !target.is_leaving(now) && !target.rate.hold_time(now).is_zero())
+            .filter(|(_, target)| policy.allows(self, target))
+            .filter(|(_, target)| !target.is_leaving(now) && !target.is_evacuated)
+            .any(|(_, target)| !target.hold_time(now).is_zero())
     }
 
     /// Demand of all hosts for the limited targets of a service, as a multiple of their rates; 1 if
@@ -469,8 +549,8 @@
     #[must_use]
     pub fn rate_overload(&self, service: &DeploymentName, now: Duration) -> f64 {
         self.of_service(service)
-            .filter(|(_, target)| target.rate.per_second(now).is_some())
-            .map(|(_, target)| target.rate.overload())
+            .filter(|(_, target)| target.permit_rate(now).is_some())
+            .map(|(_, target)| target.rate.overload().max(target.cold.overload()))
             .fold(1.0, f64::max)
     }
 
@@ -487,15 +567,22 @@
         &self,
         service: &DeploymentName,
         now: Duration,
+    ) -> Option<Duration> {
+        self.time_until_permitted(service, &UNRESTRICTED, now)
+    }
+
+    /// Like [`Self::time_until_available`], for the targets that may serve a request.
+    #[must_use]
+    pub fn time_until_permitted(
+        &self,
+        service: &DeploymentName,
+        policy: &ResidencyPolicy,
+        now: Duration,
     ) -> Option<Duration> {
         self.of_service(service)
-            .filter(|(_, target)| !target.is_leaving(now))
-            .map(|(_, target)| {
-                target
-                    .backoff
-                    .remaining(now)
-                    .max(target.rate.hold_time(now))
-            })
+            .filter(|(_, target)| policy.allows(self, target))
+            .filter(|(_, target)| !target.is_leaving(now) && !target.is_evacuated)
+            .map(|(_, target)| target.backoff.remaining(now).max(target.hold_time(now)))
             .min()
             .filter(|remaining| !remaining.is_zero())
     }
@@ -529,6 +616,50 @@
         }
     }
 
+    /// Sets the bound on requests that reach a cold engine.
+    pub fn set_cold_bound(&mut self, bound: ColdBound) {
+        self.cold_bound = bound;
+    }
+
+    /// Replaces the rates of cold engines of all services.
+    pub fn set_cold_specs(&mut self, cold_specs: HashMap<DeploymentName, ColdSpec>) {
+        for target in self.targets.values_mut() {
+            let spec = cold_specs.get(&target.entry.service).copied();
+            target.set_cold_spec(spec, &self.cold_bound);
+        }
+        self.cold_specs = cold_specs;
+    }
+
+    /// Replaces the zones whose targets receive nothing new.
+    pub fn set_evacuated_zones(&mut self, zones: BTreeSet<ZoneName>) {
+        for target in self.targets.values_mut() {
+            target.is_evacuated = zones.contains(&target.entry.zone);
+        }
+        self.evacuated_zones = zones;
+    }
+
+    /// Whether a zone of the fleet has this name.
+    #[must_use]
+    pub fn has_zone(&self, zone: &ZoneName) -> bool {
+        self.regions.contains_key(zone)
+    }
+
+    /// Whether operators evacuated the zone of a target.
+    #[must_use]
+    pub fn is_evacuated(&self, key: TargetKey) -> bool {
+        self.get(key).is_some_and(|target| target.is_evacuated)
+    }
+
+    /// Whether a service has targets that do not leave, all of them in evacuated zones.
+    #[must_use]
+    pub fn has_only_evacuated(&self, service: &DeploymentName, now: Duration) -> bool {
+        let mut staying = self
+            .of_service(service)
+            .filter(|(_, target)| !target.is_leaving(now))
+            .peekable();
+        staying.peek().is_some() && staying.all(|(_, target)| target.is_evacuated)
+    }
+
     /// Sets the time after its notice from which an engine must receive no more requests.
     pub fn set_drain_timeout(&mut self, drain_timeout: Duration) {
         self.max_drain_use = drain_timeout.mul_f64(DRAIN_USE_FRACTION);
--- a/crates/mimosagap-routing/tests/hedging.rs
+++ b/crates/mimosagap-routing/tests/hedging.rs
@@ -1,10 +1,15 @@
 //! When a late request may be sent to a second target, and after which time it is late.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
+use mimosagap_routing::cold_rate::ColdClaim;
 use mimosagap_routing::hedging::{
     HedgeConditions, HedgeDenial, HedgeLimits, HedgePlanner, HedgeTrigger, ServiceUse, SizeClass,
 };
+use mimosagap_routing::residency::{
+    AllowedRegions, PermittedTarget, ResidencyPolicy, UNRESTRICTED,
+};
 use mimosagap_routing::targets::{Locality, TargetEntry, TargetKey, TargetTable};
 use mimosagap_types::prelude::*;
 use rstest::rstest;
@@ -17,21 +22,28 @@
     DeploymentName::new("plain")
 }
 
+fn entry(number: u16, zone: &str) -> TargetEntry {
+    TargetEntry {
+        instance: format!("p-{number}"),
+        service: service(),
+        address: ([10, 0, 0, 2], 9000 + number).into(),
+        zone: ZoneName::new(zone),
+        version: SoftwareVersion::new("v1"),
+        slots: 6,
+        is_draining: false,
+        started_unix_ms: 1,
+        cold: ColdClaim::Unstated,
+    }
+}
+
 /// A table with idle targets of one zone.
 fn idle_targets(count: u16) -> (TargetTable, Vec<TargetKey>) {
     let mut targets = TargetTable::default();
     let mut insert = |number| {
-        let entry = TargetEntry {
-            instance: format!("p-{number}"),
-            service: service(),
-            address: ([10, 0, 0, 2], 9000 + number).into(),
-            zone: ZoneName::new("a"),
-            version: SoftwareVersion::new("v1"),
-            slots: 6,
-            is_draining: false,
-            started_unix_ms: 1,
-        };
-        targets.upsert(entry, Locality::SameZone, Duration::ZERO).0
+        let locality = Locality::SameZone;
+        targets
+            .upsert(entry(number, "a"), locality, Duration::ZERO)
+            .0
     };
     let keys = (0..count).map(&mut insert).collect();
     (targets, keys)
@@ -201,7 +213,8 @@
     let (targets, keys) = idle_targets(2);
     let choose = |slow: &[TargetKey], now| {
         let planner = planner(slow, 150);
-        planner.choose_target(&targets, &service(), &[], now)
+        let chosen = planner.choose_target(&targets, &service(), &[], &UNRESTRICTED, now);
+        chosen.map(PermittedTarget::key)
     };
     assert_eq!(choose(&[], NOW), Some(keys[0]));
     assert_eq!(choose(&keys[..1], NOW), Some(keys[1]));
@@ -211,3 +224,50 @@
         Some(keys[0])
     );
 }
+
+/// Guards against a hedge outside the allowed regions because the targets within them are slow or
+/// tried, and against the capacity of other regions counting for a restricted request.
+#[test]
+fn hedges_stay_in_the_allowed_regions() {
+    let (near, far) = (RegionName::new("r1"), RegionName::new("r2"));
+    let zone_regions = BTreeMap::from([
+        (ZoneName::new("a"), near.clone()),
+        (ZoneName::new("b"), far.clone()),
+    ]);
+    let mut targets = TargetTable::with_regions(zone_regions);
+    let mut insert = |number: u16, zone: &str, locality| {
+        targets
+            .upsert(entry(number, zone), locality, Duration::ZERO)
+            .0
+    };
+    let near_keys = [0, 1].map(|number| insert(number, "a", Locality::SameZone));
+    let far_keys = [2, 3].map(|number| insert(number, "b", Locality::OtherRegion));
+    for _ in 0..6 {
+        targets.add_request(far_keys[0], 0, 0, 0);
+    }
+    let policy = |region: &RegionName| {
+        let list = AllowedRegions::only([region.clone()]);
+        ResidencyPolicy::new([&list], |_| true)
+    };
+    let choose = |slow: &[TargetKey], tried: &[TargetKey], policy: &ResidencyPolicy| {
+        let planner = planner(slow, 150);
+        let chosen = planner.choose_target(&targets, &service(), tried, policy, NOW);
+        chosen.map(PermittedTarget::key)
+    };
+    let (near_policy, far_policy) = (policy(&near), policy(&far));
+    assert_eq!(choose(&[], &near_keys, &near_policy), None);
+    assert_eq!(choose(&[], &near_keys, &UNRESTRICTED), Some(far_keys[1]));
+    assert_eq!(
+        choose(&near_keys[1..], &near_keys[..1], &near_policy),
+        Some(near_keys[1])
+    );
+    assert_eq!(choose(&[], &[], &far_policy), Some(far_keys[1]));
+    assert_eq!(choose(&far_keys[1..], &[], &far_policy), Some(far_keys[1]));
+    let service_use = |policy| {
+        let sum = ServiceUse::of(&targets, &service(), policy, NOW);
+        (sum.target_count, sum.used_slots, sum.total_slots)
+    };
+    assert_eq!(service_use(&UNRESTRICTED), (4, 6, 24));
+    assert_eq!(service_use(&near_policy), (2, 0, 12));
+    assert_eq!(service_use(&far_policy), (2, 6, 12));
+}
--- a/crates/mimosagap-routing/tests/support/hedge_simulation.rs
+++ b/crates/mimosagap-routing/tests/support/hedge_simulation.rs
@@ -4,10 +4,12 @@
 use std::collections::{BinaryHeap, VecDeque};
 use std::time::Duration;
 
+use mimosagap_routing::cold_rate::ColdClaim;
 use mimosagap_routing::hedging::{
     HedgeConditions, HedgeLimits, HedgePlan, HedgePlanner, HedgeTrigger, ServiceUse, SizeClass,
 };
 use mimosagap_routing::placement::place_call;
+use mimosagap_routing::residency::UNRESTRICTED;
 use mimosagap_routing::retry_budget::{RetryBounds, RetryBudget, RetryPurpose, capacity};
 use mimosagap_routing::targets::{Locality, TargetEntry, TargetKey, TargetTable};
 use mimosagap_types::prelude::*;
@@ -313,6 +315,7 @@
         slots: SLOTS,
         is_draining: false,
         started_unix_ms: 1,
+        cold: ColdClaim::Unstated,
     }
 }
 
@@ -394,11 +397,11 @@
         let chosen = match self.policy {
             HedgePolicy::Learned(_) => {
                 let planner = &known.planner;
-                planner.choose_target(&known.targets, &service(), &state.tried, now)
+                planner.choose_target(&known.targets, &service(), &state.tried, &UNRESTRICTED, now)
             }
-            _ => place_call(&known.targets, &service(), &state.tried, now),
+            _ => place_call(&known.targets, &service(), &state.tried, &UNRESTRICTED, now),
         };
-        let key = chosen.expect("six targets are available");
+        let key = chosen.expect("six targets are available").key();
         let target = self.keys.iter().position(|other| *other == key).unwrap();
         known.targets.add_request(key, 0, 0, 0);
         let is_counted = now_ms >= self.load.warm_up_ms();
@@ -552,7 +555,7 @@
                 route: &self.route,
                 trigger: plan.trigger,
                 has_queue: false,
-                service_use: ServiceUse::of(&known.targets, &service(), now),
+                service_use: ServiceUse::of(&known.targets, &service(), &UNRESTRICTED, now),
                 retry_credit: known.retry_budget.credit(),
                 retry_capacity: capacity(&RETRY_BOUNDS, sharing_hosts),
             };
--- a/crates/mimosagap-routing/tests/support/mod.rs
+++ b/crates/mimosagap-routing/tests/support/mod.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 
+use mimosagap_routing::cold_rate::ColdClaim;
 use mimosagap_routing::config::EngineSpec;
 use mimosagap_routing::placement::GenerationDemand;
 use mimosagap_routing::targets::{Locality, TargetEntry, TargetKey, TargetTable};
@@ -38,6 +39,7 @@
         slots: 24,
         is_draining: false,
         started_unix_ms: 1,
+        cold: ColdClaim::Unstated,
     }
 }
 
@@ -48,9 +50,9 @@
         .into()
 }
 
-/// A table with one idle engine per zone name, all with the locality of the same zone.
-pub fn engines(zones: &[&str]) -> (TargetTable, Vec<TargetKey>) {
-    let mut targets = TargetTable::with_regions(regions());
+/// A table for engines of one version in these regions.
+pub fn empty_table(regions: BTreeMap<ZoneName, RegionName>) -> TargetTable {
+    let mut targets = TargetTable::with_regions(regions);
     targets.set_engine_specs(HashMap::from([(
         service(),
         EngineSpec {
@@ -64,6 +66,12 @@
     let version = SoftwareVersion::new("v1");
     let versions = targets.versions_mut();
     versions.admit((service(), version), Duration::ZERO);
+    targets
+}
+
+/// A table with one idle engine per zone name, all with the locality of the same zone.
+pub fn engines(zones: &[&str]) -> (TargetTable, Vec<TargetKey>) {
+    let mut targets = empty_table(regions());
     let keys = zones
         .iter()
         .zip(0..)
