--- a/crates/mimosagap-gateway/src/calls.rs
+++ b/crates/mimosagap-gateway/src/calls.rs
@@ -15,6 +15,7 @@
 use mimosagap_routing::refusal::RefusalReason;
 use mimosagap_routing::residency::PermittedTarget;
 use mimosagap_routing::retry_budget::RetryPurpose;
+use mimosagap_routing::retry_value::RetryCause;
 use mimosagap_routing::targets::{TargetKey, TargetOutcome};
 
 use crate::body_reader::{ResponsePace, read_to_end};
@@ -127,6 +128,7 @@
 }
 
 /// Progress of a call over its attempts.
+#[derive(Default)]
 struct CallProgress {
     tried: Vec<TargetKey>,
     sends: u32,
@@ -137,6 +139,8 @@
     /// Attempts that were not sent because of the rate limit of their target.
     rate_limited_attempts: u32,
     error_response: Option<(TargetKey, BufferedResponse)>,
+    /// What led to the last retry; `None` for a first attempt and a hedge.
+    retry_cause: Option<RetryCause>,
 }
 
 impl CallProgress {
@@ -195,15 +199,7 @@
     if reach::is_isolated(gateway, &request.service) {
         return relay_or_refuse(gateway, request).await;
     }
-    let mut progress = CallProgress {
-        tried: Vec::new(),
-        sends: 0,
-        executions: 0,
-        was_rejected: false,
-        was_aborted: false,
-        rate_limited_attempts: 0,
-        error_response: None,
-    };
+    let mut progress = CallProgress::default();
     let mut running: Vec<RunningAttempt<'_>> = Vec::new();
     start_attempt(gateway, request, &mut progress, &mut running);
     let deadline = sleep_unless_zero(request.response_time_left(gateway.now()));
@@ -221,9 +217,11 @@
         tokio::select! {
             attempt = next_finished(&mut running) => {
                 let target = attempt.target;
+                record_retry(gateway, request, &mut progress, &attempt);
                 let should_retry = match attempt.result {
                     Ok(response) if is_idempotent && response.head.status.is_server_error() => {
                         progress.error_response = Some((target, response));
+                        progress.retry_cause = Some(RetryCause::ErrorResponse);
                         true
                     }
                     Ok(response) => {
@@ -328,7 +326,11 @@
         if progress.rate_limited_attempts == 0 {
             gateway.count_request(&request.service);
         }
-    } else if !gateway.try_spend_retry(request, RetryPurpose::Attempt) {
+    } else if progress
+        .retry_cause
+        .is_some_and(|cause| !gateway.is_retry_worthwhile(request, cause))
+        || !gateway.try_spend_retry(request, RetryPurpose::Attempt)
+    {
         return None;
     }
     progress.tried.push(target);
@@ -357,6 +359,27 @@
     Some(target)
 }
 
+/// Records whether a retry helped, and assumes that the next one follows an attempt without a
+/// response. An attempt that was not sent says nothing.
+fn record_retry(
+    gateway: &SharedGateway,
+    request: &RoutedRequest,
+    progress: &mut CallProgress,
+    attempt: &AttemptResult,
+) {
+    let has_helped = match &attempt.result {
+        Err(ExchangeError::RateLimited | ExchangeError::InBackoff) => return,
+        Err(_) => false,
+        Ok(response) => !response.head.status.is_server_error(),
+    };
+    let cause = progress.retry_cause.replace(RetryCause::NoResponse);
+    if let Some(cause) = cause
+        && attempt.attempt > 1
+    {
+        gateway.record_retry(request, cause, has_helped);
+    }
+}
+
 /// How long a call can wait for the rate limit of the target that was chosen last.
 fn max_permit_wait(
     gateway: &SharedGateway,
--- a/crates/mimosagap-gateway/src/metrics.rs
+++ b/crates/mimosagap-gateway/src/metrics.rs
@@ -98,6 +98,8 @@
     /// Verdicts against requests or parts of prompts under which targets crashed, by how this host
     /// learned of them.
     pub quarantine_verdicts: IntCounterVec,
+    /// Steps of suspecting targets that hang, by name.
+    pub suspicions: IntCounterVec,
 }
 
 impl SignalMetrics {
@@ -118,6 +120,12 @@
                 &["source"],
             )?,
             limits,
+            suspicions: register_counters(
+                registry,
+                "mimosagap_target_suspicions_total",
+                "Steps of suspecting targets that hang",
+                &["step"],
+            )?,
             quarantine_verdicts: register_counters(
                 registry,
                 "mimosagap_quarantine_verdicts_total",
@@ -515,6 +523,11 @@
         self.retries.decisions.with_label_values(&[result]).inc();
     }
 
+    /// Counts a retry that was not sent because it seldom helps and credit is short.
+    pub fn count_skipped_retry(&self) {
+        self.retries.decisions.with_label_values(&["skipped"]).inc();
+    }
+
     /// Counts a late request, by the outcome of its hedge or the cause of its denial.
     pub fn count_hedge(&self, route: &str, outcome: &str) {
         let route = self.routes.label(route);
--- a/crates/mimosagap-gateway/tests/log.rs
+++ b/crates/mimosagap-gateway/tests/log.rs
@@ -212,18 +212,6 @@
 fn belief_events() -> Vec<LogEvent<'static>> {
     let empty = String::new;
     vec![
-        LogEvent::HostSilent {
-            name: "h",
-            silent: true,
-            silent_ms: 6000,
-        },
-        LogEvent::ZoneEvacuation {
-            zone: "z",
-            change: "started",
-            source: "store",
-            config_age_ms: 40,
-            is_current: true,
-        },
         LogEvent::StoreEra {
             era: 2,
             previous: 1,
@@ -307,6 +295,48 @@
     ]
 }
 
+/// One event of each kind that concerns targets, zones and hosts that are avoided, and retries that
+/// are not sent.
+fn avoidance_events() -> Vec<LogEvent<'static>> {
+    vec![
+        LogEvent::HostSilent {
+            name: "h",
+            silent: true,
+            silent_ms: 6000,
+        },
+        LogEvent::ZoneEvacuation {
+            zone: "z",
+            change: "started",
+            source: "store",
+            config_age_ms: 40,
+            is_current: true,
+        },
+        LogEvent::RetrySkipped {
+            id: "a",
+            route: "r",
+            cause: "error_response",
+            value: 0.3,
+            credit: 1.2,
+        },
+        LogEvent::TargetSuspected {
+            target: "t",
+            source: "wait",
+            evidence: "silent",
+            step: "suspected",
+            waited_ms: 900,
+        },
+        LogEvent::SuspicionCleared {
+            target: "t",
+            source: "event",
+            after_ms: 700,
+        },
+        LogEvent::SuspicionWithheld {
+            target: "t",
+            waited_ms: 900,
+        },
+    ]
+}
+
 /// One event of each kind that concerns the limits on clients.
 fn limit_events() -> Vec<LogEvent<'static>> {
     vec![
@@ -461,6 +491,7 @@
     let events: Vec<LogEvent<'_>> = state_events()
         .into_iter()
         .chain(belief_events())
+        .chain(avoidance_events())
         .chain(limit_events())
         .chain(request_events())
         .collect();
--- a/crates/mimosagap-routing/src/placement.rs
+++ b/crates/mimosagap-routing/src/placement.rs
@@ -18,6 +18,7 @@
 
 use crate::hashing::stable_hash;
 use crate::residency::{PermittedTarget, ResidencyPolicy};
+use crate::target_suspicion::SuspicionPolicy;
 use crate::targets::{Locality, Target, TargetKey, TargetTable};
 
 /// Fraction of an engine's KV capacity that the expected sizes of its generations may fill. It
@@ -269,9 +270,12 @@
     } else {
         MAX_KV_FILL - URGENT_KV_RESERVE
     };
+    let may_repeat = options.restart_time.is_some();
+    let suspicion = SuspicionPolicy::new(targets, options.service, &demand, may_repeat, now);
     targets
         .of_service(options.service)
         .filter(|(key, target)| may_use(*key, target))
+        .filter(|(_, target)| suspicion.admits(target))
         .filter(|(_, target)| may_place_on(targets, options, target, now))
         .filter(|(_, target)| {
             let partition_host = options
@@ -300,6 +304,7 @@
                     + FAILURE_COST.mul_f64(target.failure_rate(now))
                     + peer_backoff_cost(target, now)
                     + contention_cost(targets, options, target, now)
+                    + suspicion.cost(target)
                     + options.cost_jitter.mul_f64(random.random());
                 Placement {
                     target: permitted,
--- a/crates/mimosagap-soak/src/process.rs
+++ b/crates/mimosagap-soak/src/process.rs
@@ -152,6 +152,18 @@
         Ok(())
     }
 
+    /// Kills the process and starts it again with settings that list these contracts as well.
+    ///
+    /// # Errors
+    /// If the settings cannot be changed or the program cannot be started.
+    pub fn restart_with_contracts(&mut self, contracts: &[&str]) -> std::io::Result<()> {
+        self.kill();
+        let text = std::fs::read_to_string(&self.settings_path)?;
+        let text = format!("contracts = {contracts:?}\n{text}");
+        std::fs::write(&self.settings_path, text)?;
+        self.spawn()
+    }
+
     /// Sets the program that the next [`Self::spawn`] starts, as an upgrade does.
     pub fn set_program(&mut self, program: &Path) {
         program.clone_into(&mut self.program);
