--- a/crates/mimosagap-gateway/src/lib.rs
+++ b/crates/mimosagap-gateway/src/lib.rs
@@ -21,6 +21,7 @@
 mod hang_watch;
 pub mod head_limit;
 mod header_audit;
+mod hedging;
 mod ingress;
 mod lease;
 mod listeners;
--- a/crates/mimosagap-gateway/src/log.rs
+++ b/crates/mimosagap-gateway/src/log.rs
@@ -505,6 +505,25 @@
         /// Retries that this process may still send.
         credit: f64,
     },
+    /// A late request was sent to a second target, and how that ended, or why it was not.
+    Hedge {
+        /// Attempt id, set by the caller anew for each retry.
+        id: &'a str,
+        /// Name of the route.
+        route: &'a str,
+        /// Instance name of the second target, or of the late one if the hedge was denied.
+        target: &'a str,
+        /// `won`, `lost`, `failed`, `abandoned` or `denied`.
+        outcome: &'a str,
+        /// Why the hedge was denied; empty otherwise.
+        cause: &'a str,
+        /// What the delay was derived from.
+        trigger: &'a str,
+        /// Milliseconds after the first send at which the request was late.
+        delay_ms: u64,
+        /// Milliseconds since the request arrived.
+        after_ms: u64,
+    },
     /// The gateway itself rejected a request.
     Refused {
         /// Attempt id, set by the caller anew for each retry.
@@ -689,13 +708,14 @@
             Self::Residency { .. } => (14, "residency"),
             Self::RequestMemory { .. } => (15, "request_memory"),
             Self::ConnectionClosed { .. } => (16, "connection_closed"),
+            Self::Hedge { .. } => (17, "hedge"),
             _ => (13, "state"),
         }
     }
 }
 
 /// Number of kinds that [`LogEvent::kind`] distinguishes.
-const KIND_COUNT: usize = 17;
+const KIND_COUNT: usize = 18;
 
 #[derive(Serialize)]
 struct LogLine<'a> {
--- a/crates/mimosagap-routing/tests/residency.rs
+++ b/crates/mimosagap-routing/tests/residency.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use mimosagap_routing::discovery::host_addresses;
+use mimosagap_routing::hedging::{HedgePlanner, SizeClass};
 use mimosagap_routing::hosts::{HostCapacity, HostRecord, HostTable};
 use mimosagap_routing::migration::choose_destination;
 use mimosagap_routing::placement::{PlacementOptions, may_place_on, place_call, place_generation};
@@ -157,6 +158,28 @@
     hosts
 }
 
+/// A planner that knows some of the targets as slow.
+fn slow_target_planner(
+    targets: &TargetTable,
+    service: &DeploymentName,
+    rng: &mut SmallRng,
+) -> HedgePlanner {
+    let (route, size) = (ClassName::new("lookup"), SizeClass::new(100));
+    let mut planner = HedgePlanner::default();
+    for _ in 0..100 {
+        let elapsed = Duration::from_millis(20);
+        planner.record_response(&route, size, TargetKey::default(), elapsed, NOW);
+    }
+    for (key, _) in targets.of_service(service) {
+        if rng.random_bool(0.5) {
+            for _ in 0..2 {
+                planner.record_speed(&route, size, key, Duration::from_millis(200), NOW);
+            }
+        }
+    }
+    planner
+}
+
 /// The targets that all decisions for one request name, which runs at the target `source`, without
 /// and with each partition of the engines of other regions.
 fn chosen_targets(
@@ -198,6 +221,13 @@
         tried.push(target.key());
     }
     chosen.extend(tried);
+    // Attempts and hedges that avoid slow targets.
+    let planner = slow_target_planner(targets, &service, rng);
+    let mut tried = Vec::new();
+    while let Some(target) = planner.choose_target(targets, &service, &tried, policy, NOW) {
+        tried.push(target.key());
+    }
+    chosen.extend(tried);
     // A running generation is copied.
     if let Some(source_target) = targets.get(source) {
         let destination =
