perf(gateway): only cold engines need a permit

Cause: a permit for every request to a service with cold engines costs a round trip and, without a keeper, the region. Change: an engine needs a permit while it counts as cold: after it was listed, by its entry or a response, and now also for 3 s after its zone is back in service.

--- a/crates/mimosagap-gateway/src/evacuation.rs
+++ b/crates/mimosagap-gateway/src/evacuation.rs
@@ -126,7 +126,7 @@
         let zones = state.evacuations.zones();
         let count = i64::try_from(zones.len()).unwrap_or(i64::MAX);
         gateway.metrics.exclusions.evacuated_zones.set(count);
-        state.targets.set_evacuated_zones(zones);
+        state.targets.set_evacuated_zones(zones, now);
         state.config.confirmation_age(now)
     });
     for (zone, change) in changes {
--- a/crates/mimosagap-gateway/src/exchange.rs
+++ b/crates/mimosagap-gateway/src/exchange.rs
@@ -192,10 +192,10 @@
         max_wait: options.max_permit_wait,
     };
     let must_be_fresh = !request.route.kind.is_idempotent();
-    // The permit of an engine that may be cold does not last until a connection is open.
+    // The permit of a cold engine does not last until a connection is open.
     let may_be_cold = gateway.with_state(|state| {
         let target = state.targets.get(key);
-        target.is_some_and(|target| target.cold.spec.is_some())
+        target.is_some_and(|target| target.cold.is_cold(now))
     });
     let mut ready_connection = if may_be_cold {
         Some(acquire_connection(gateway, key, entry.address, must_be_fresh).await?)
--- a/crates/mimosagap-gateway/src/rate_permits.rs
+++ b/crates/mimosagap-gateway/src/rate_permits.rs
@@ -186,7 +186,7 @@
     let limit = gateway.with_state(|state| {
         let target = state.targets.get(key)?;
         target.permit_rate(now)?;
-        Some((target.hold_time(now), target.cold.spec.is_some()))
+        Some((target.hold_time(now), target.cold.is_cold(now)))
     });
     let Some((hold, may_be_cold)) = limit else {
         return Ok(Permit { valid_until: None });
@@ -313,7 +313,7 @@
         let region = state.targets.region_of(key);
         let selector = client.selector.borrow();
         let target = state.targets.get(key)?;
-        let (name, record) = if target.cold.spec.is_some() {
+        let (name, record) = if target.cold.is_cold(now) {
             selector.select_among(
                 DEPUTY_COUNT + 1,
                 COLD_PERMIT_FEATURE,
--- a/crates/mimosagap-routing/src/cold_rate.rs
+++ b/crates/mimosagap-routing/src/cold_rate.rs
@@ -2,8 +2,12 @@
 //!
 //! Load pattern: an engine that has just started under traffic sustains a few requests per second
 //! from all hosts together and crashes well above that. All engines of a zone may return cold at
-//! once, empty and therefore the cheapest choice of every host. An engine may also become cold
-//! without notice, so the rate holds for all engines of a service that names one, cold or not.
+//! once, empty and therefore the cheapest choice of every host. An engine counts as cold after it was
+//! listed, after its zone is back in service, and for as long as its entry or a response says so. One
+//! that becomes cold while it serves is told within an interval of its entry; until then it gets what
+//! a loaded engine gets, a tenth of its rate at the load of the deployments. Permits for warm engines
+//! were measured and cost more than they protect: a round trip for each request, and a whole region
+//! without its keeper.
 //!
 //! One host per region, the keeper, grants the slots of an engine, one interval apart and without a
 //! burst. At 79 hosts and more an equal share of the rate is less than one request per second and
@@ -58,6 +62,10 @@
 /// Time for which an engine is cold if its service names none.
 const DEFAULT_COLD_TIME: Duration = Duration::from_secs(30);
 
+/// Least time for which an engine counts as cold after its zone is back in service: two intervals at
+/// which engines renew their entries, and some time for a late one.
+const MIN_RETURN_TIME: Duration = Duration::from_secs(3);
+
 /// Longest time for which an engine is cold after its start.
 const MAX_COLD_TIME: Duration = Duration::from_hours(1);
 
@@ -204,6 +212,14 @@
         }
     }
 
+    /// Records that the zone of the target is back in service.
+    pub fn record_return(&mut self, now: Duration) {
+        if let Some(spec) = self.spec {
+            let cold_time = spec.cold_time.max(MIN_RETURN_TIME);
+            self.cold_until = self.cold_until.max(now + cold_time);
+        }
+    }
+
     /// Records what the target said. Returns whether it was warm before and is cold now.
     pub fn record_claim(&mut self, claim: ColdClaim, now: Duration) -> bool {
         let Some(spec) = self.spec else {
--- a/crates/mimosagap-routing/src/targets.rs
+++ b/crates/mimosagap-routing/src/targets.rs
@@ -255,7 +255,7 @@
     #[must_use]
     pub fn permit_rate(&self, now: Duration) -> Option<f64> {
         let named = self.rate.per_second(now);
-        let cold = self.cold.per_second();
+        let cold = self.cold.per_second().filter(|_| self.cold.is_cold(now));
         named.into_iter().chain(cold).reduce(f64::min)
     }
 
@@ -635,9 +635,14 @@
     }
 
     /// Replaces the zones whose targets receive nothing new.
-    pub fn set_evacuated_zones(&mut self, zones: BTreeSet<ZoneName>) {
+    pub fn set_evacuated_zones(&mut self, zones: BTreeSet<ZoneName>, now: Duration) {
         for target in self.targets.values_mut() {
+            let was_evacuated = target.is_evacuated;
             target.is_evacuated = zones.contains(&target.entry.zone);
+            if was_evacuated && !target.is_evacuated {
+                // It may come back cold, empty, and with an entry of before.
+                target.cold.record_return(now);
+            }
         }
         self.evacuated_zones = zones;
     }
