--- a/crates/mimosagap-routing/src/cold_rate.rs
+++ b/crates/mimosagap-routing/src/cold_rate.rs
@@ -44,7 +44,7 @@
 /// Fraction of the rate that a host grants which may not be the only one.
 pub const COLD_DEPUTY_FRACTION: f64 = 0.2;
 
-/// Time by which permits that are used late and requests on a slow path bunch up: the life of a
+/// Time by which late permits and slow links shorten the distance between requests: the life of a
 /// permit and one trip between regions, in seconds.
 const BUNCHING_SECS: f64 = 0.13;
 
--- a/crates/mimosagap-routing/src/connection_bound.rs
+++ b/crates/mimosagap-routing/src/connection_bound.rs
@@ -66,7 +66,7 @@
 const UNSENT_MEMORY_DIVISOR: usize = 8;
 
 /// Time for which a caller takes nothing of a response until its connection may be closed for it:
-/// several of the longest round trips of 60 ms. With 1 s, a crowd of 40 responses of 1 MiB a second
+/// several of the longest round trips of 60 ms. With 1 s, 40 concurrent responses of 1 MiB a second
 /// exceeded a machine of 48 MiB.
 const MIN_BLOCKED_TIME: Duration = Duration::from_millis(300);
 
--- a/crates/mimosagap-routing/src/credit_lending.rs
+++ b/crates/mimosagap-routing/src/credit_lending.rs
@@ -4,8 +4,8 @@
 //! host's share of the retry credit covers one or two moves, so some hosts run out of it and lose
 //! generations whose copies are complete, while the others hold credit that they do not need. A host
 //! that runs out asks others of its region for the credit of one retry, one after the other. Lending
-//! moves credit between hosts and adds none, so the bound of the fleet holds as before; credit whose
-//! transfer is lost on the way is lost to both hosts.
+//! moves credit between hosts and adds none, so the bound of the fleet holds as before; credit in a
+//! lost datagram is not recovered.
 
 use std::collections::HashMap;
 use std::time::Duration;
--- a/crates/mimosagap-routing/src/host_liveness.rs
+++ b/crates/mimosagap-routing/src/host_liveness.rs
@@ -1,12 +1,12 @@
 //! Which hosts are silent, so that callers are not given their addresses.
 //!
-//! Load pattern: a host is killed or loses power while the store is away or pauses its leases. Its
+//! Load pattern: a host is killed or loses power while the store is unavailable or pauses leases. Its
 //! record stays, every lookup lists its address, and callers wait for connections that nobody
 //! accepts. Hosts send each other load reports, and an empty one when they have nothing to report,
 //! see [`LIVENESS_INTERVAL`]. A host from which nothing arrived for [`SILENCE_TIME`] is left out,
 //! whatever the store says, until something arrives again.
 //!
-//! A host that hears from nobody leaves nobody out, because its own link is the likelier fault, and
+//! A host that receives no datagrams leaves none out: its own link is the likelier fault. And
 //! a host that did not run for a while first gives the others time to be heard. Hosts of an earlier
 //! build are silent when idle; their records say so, and they are not judged.
 
--- a/crates/mimosagap-routing/src/retry_budget.rs
+++ b/crates/mimosagap-routing/src/retry_budget.rs
@@ -190,8 +190,8 @@
         can_lend
     }
 
-    /// Adds the credit for one retry that another host gave. It is lost if this host holds as much
-    /// as it can.
+    /// Adds the credit for one retry that another host gave. The next update cuts what exceeds the
+    /// capacity of this host.
     pub fn add_loan(&mut self) {
         self.credit += LOAN;
     }
