--- a/crates/mimosagap-gateway/src/stream_relay.rs
+++ b/crates/mimosagap-gateway/src/stream_relay.rs
@@ -365,14 +365,20 @@
             return;
         }
         let standby_target = self.standby.as_ref().map(|copy| copy.target);
-        let is_unusable = |key| {
-            self.gateway.with_state(|state| {
-                state.targets.is_leaving(key, now) || state.targets.is_evacuated(key)
-            })
+        let is_leaving = |key| {
+            self.gateway
+                .with_state(|state| state.targets.is_leaving(key, now))
+        };
+        let is_evacuated = |key| {
+            self.gateway
+                .with_state(|state| state.targets.is_evacuated(key))
         };
-        if standby_target.is_some_and(is_unusable)
+        if standby_target.is_some_and(is_leaving) {
+            self.standby = None;
+        } else if standby_target.is_some_and(is_evacuated)
             && let Some(copy) = self.standby.take()
         {
+            // Its engine runs on and would keep the memory of the copy.
             release_standby(&self.gateway, copy);
         }
         self.release_denied_standby();
