review: show that relayed requests are handled by an older configuration

Cause: a gateway that reaches no target hands requests to other gateways without the version of its configuration, and they route by their own.

--- a/review/standins-2/src/fleet.rs
+++ b/review/standins-2/src/fleet.rs
@@ -5,7 +5,7 @@
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicU8, Ordering};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -278,18 +278,10 @@
     ]
 }
 
-/// How a link treats connections.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum LinkMode {
-    Open = 0,
-    /// Connections are reset, new ones too.
-    Resets = 1,
-}
-
 /// A link to a server for one gateway.
 pub struct Link {
     pub address: SocketAddr,
-    mode: Arc<AtomicU8>,
+    is_cut: Arc<AtomicBool>,
     streams: Arc<Mutex<Vec<TcpStream>>>,
 }
 
@@ -298,14 +290,14 @@
     pub fn open(target: SocketAddr) -> io::Result<Self> {
         let listener = TcpListener::bind("127.0.0.1:0")?;
         let address = listener.local_addr()?;
-        let mode = Arc::new(AtomicU8::new(LinkMode::Open as u8));
+        let is_cut = Arc::new(AtomicBool::new(false));
         let streams: Arc<Mutex<Vec<TcpStream>>> = Arc::default();
-        let (own_mode, own_streams) = (Arc::clone(&mode), Arc::clone(&streams));
+        let (own_cut, own_streams) = (Arc::clone(&is_cut), Arc::clone(&streams));
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
-                if own_mode.load(Ordering::SeqCst) == LinkMode::Resets as u8 {
-                    reset(&stream);
-                    continue;
+                if own_cut.load(Ordering::SeqCst) {
+                    // Without its listener, the address refuses connections.
+                    return;
                 }
                 let Ok(server) = TcpStream::connect(target) else {
                     continue;
@@ -325,18 +317,18 @@
         });
         Ok(Self {
             address,
-            mode,
+            is_cut,
             streams,
         })
     }
 
-    /// Changes how the link treats connections; open ones end unless it is open.
-    pub fn set(&self, mode: LinkMode) {
-        self.mode.store(mode as u8, Ordering::SeqCst);
-        if mode != LinkMode::Open {
-            for stream in self.streams.lock().unwrap().drain(..) {
-                reset(&stream);
-            }
+    /// Cuts the link for good: open connections are reset, new ones are refused.
+    pub fn cut(&self) {
+        self.is_cut.store(true, Ordering::SeqCst);
+        // Wakes the listener, which then closes.
+        drop(TcpStream::connect(self.address));
+        for stream in self.streams.lock().unwrap().drain(..) {
+            reset(&stream);
         }
     }
 }
--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -8,6 +8,7 @@
 mod quotes;
 mod slow_answer;
 mod slow_stop;
+mod stale_relay;
 mod store;
 mod wire;
 
@@ -35,6 +36,7 @@
     match case {
         "slow-stop" => slow_stop::play(record),
         "slow-answer" => slow_answer::play(record),
+        "stale-relay" => stale_relay::play(record),
         _ => Err(io::Error::other(format!("there is no case {case}"))),
     }
 }
