review: show that slow readers of complete answers are cut off

Cause: once complete answers hold an eighth of the memory, connections are closed whose client took nothing for 0.3 s. A full connection takes bytes in pieces of 85 KB, so steady clients below some 300 KB/s count as such.

--- a/review/standins-2/src/fleet.rs
+++ b/review/standins-2/src/fleet.rs
@@ -16,10 +16,7 @@
     fn kill(pid: i32, signal: i32) -> i32;
 }
 
-pub const SIGKILL: i32 = 9;
 pub const SIGTERM: i32 = 15;
-pub const SIGSTOP: i32 = 19;
-pub const SIGCONT: i32 = 18;
 
 /// A free port of the loopback interface, and `count - 1` ports after it.
 pub fn free_ports(count: u16) -> u16 {
@@ -46,7 +43,6 @@
     child: Child,
     pub callers: SocketAddr,
     pub ready: SocketAddr,
-    pub log: PathBuf,
 }
 
 impl Gateway {
@@ -96,7 +92,6 @@
             child,
             callers: SocketAddr::from(([127, 0, 0, 1], port)),
             ready: SocketAddr::from(([127, 0, 0, 1], port + 1)),
-            log,
         };
         let until = Instant::now() + Duration::from_secs(10);
         while !gateway.is_ready() {
@@ -152,7 +147,6 @@
 pub struct Run {
     pub server: String,
     pub attempt: String,
-    pub target: String,
     pub at: Instant,
     /// When the server had written its whole answer.
     pub ended_at: Option<Instant>,
@@ -257,7 +251,6 @@
             runs.push(Run {
                 server: id.to_owned(),
                 attempt,
-                target: request.target().to_owned(),
                 at: Instant::now(),
                 ended_at: None,
             });
--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -7,6 +7,7 @@
 mod fleet;
 mod quotes;
 mod slow_answer;
+mod slow_crowd;
 mod slow_stop;
 mod stale_relay;
 mod store;
@@ -36,6 +37,7 @@
     match case {
         "slow-stop" => slow_stop::play(record),
         "slow-answer" => slow_answer::play(record),
+        "slow-crowd" => slow_crowd::play(record),
         "stale-relay" => stale_relay::play(record),
         _ => Err(io::Error::other(format!("there is no case {case}"))),
     }
--- a/review/standins-2/src/store.rs
+++ b/review/standins-2/src/store.rs
@@ -152,24 +152,6 @@
         self.changed.notify_all();
     }
 
-    /// Removes a key.
-    pub fn delete(&self, key: &str) {
-        let mut state = self.state.lock().unwrap();
-        state.revision += 1;
-        state.remove(key);
-        self.changed.notify_all();
-    }
-
-    /// Number of keys with a prefix.
-    pub fn count(&self, prefix: &str) -> usize {
-        let state = self.state.lock().unwrap();
-        state
-            .items
-            .keys()
-            .filter(|key| key.starts_with(prefix))
-            .count()
-    }
-
     /// Opens a listener. `view` changes what readers there see of a value.
     pub fn open(
         self: &Arc<Self>,
