review: show that streams are joined from two software versions

Cause: where a stream may go on is decided by the versions that the store listed last, however long ago it answered.

Case: review/6 upgrades two engines in place, one after the other, while the store does not answer the gateway.

--- a/review/standins-2/src/fleet.rs
+++ b/review/standins-2/src/fleet.rs
@@ -340,7 +340,7 @@
 const SO_LINGER: i32 = 13;
 
 /// Closes a connection so that its peer sees a reset.
-fn reset(stream: &TcpStream) {
+pub fn reset(stream: &TcpStream) {
     use std::os::fd::AsRawFd;
     let linger = Linger {
         is_on: 1,
--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -10,6 +10,7 @@
 mod slow_crowd;
 mod slow_stop;
 mod stale_relay;
+mod stale_version;
 mod store;
 mod wire;
 
@@ -38,6 +39,7 @@
         "slow-stop" => slow_stop::play(record),
         "slow-answer" => slow_answer::play(record),
         "slow-crowd" => slow_crowd::play(record),
+        "stale-version" => stale_version::play(record),
         "stale-relay" => stale_relay::play(record),
         _ => Err(io::Error::other(format!("there is no case {case}"))),
     }
