review: show the joined streams without an outage of the store

Cause: a target that refused connections is used again after a pause, by the version that the store lists, although another process may have its id.

Case: review/6 restarts two engines under their ids with the next version, 0.8 s apart; each writes its entry a second after its start. The store answers.

--- a/review/standins-2/src/stale_version.rs
+++ b/review/standins-2/src/stale_version.rs
@@ -1,4 +1,5 @@
-//! Engines are upgraded in place, one after the other, while the store does not answer the gateway.
+//! Engines are upgraded in place, one after the other, and are listed with their new version a
+//! heartbeat after they start.
 
 use std::io::{self, BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -15,13 +16,21 @@
 use crate::store::Store;
 use crate::wire::{read_request, write_response};
 
-const CLIENTS: usize = 16;
+/// Clients before the first engine starts again, and all.
+const EARLY_CLIENTS: usize = 2;
+const CLIENTS: usize = 18;
 /// Time between two requests.
 const SPACING: Duration = Duration::from_millis(30);
 
 const EVENTS: u64 = 60;
 const EVENT_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Time from the end of an engine's process until the next one accepts connections.
+const DOWN_TIME: Duration = Duration::from_millis(300);
+
+/// Time from there until the engine writes its entry; `heartbeat_ms` is 1,200.
+const FIRST_HEARTBEAT: Duration = Duration::from_millis(1000);
+
 /// The rule allows two streams from two versions.
 const ALLOWED: usize = 2;
 
@@ -30,6 +39,7 @@
     id: &'static str,
     address: SocketAddr,
     version: AtomicU32,
+    starts: AtomicU32,
     is_down: AtomicBool,
     streams: Mutex<Vec<TcpStream>>,
     /// What it ran: attempt, version, and the event after which it began.
@@ -43,6 +53,7 @@
             id,
             address: listener.local_addr()?,
             version: AtomicU32::new(1),
+            starts: AtomicU32::new(1),
             is_down: AtomicBool::new(false),
             streams: Mutex::default(),
             runs: Mutex::default(),
@@ -70,27 +81,34 @@
 
     fn entry(&self) -> String {
         let version = self.version.load(Ordering::SeqCst);
+        let starts = self.starts.load(Ordering::SeqCst);
         format!(
             "{{\"service\":\"{QUOTES}\",\"address\":\"{}\",\"zone\":\"z1\",\"version\":\"v{version}\",\
              \"slots\":24,\"state\":\"ready\",\"cold_remaining_ms\":0,\"sequence\":1,\
-             \"born\":170000000{version}000}}",
+             \"born\":170000000{starts}000}}",
             self.address
         )
     }
 
-    /// Ends the process and starts the next version under the same id and address.
-    fn upgrade(self: &Arc<Self>, store: &Store) -> io::Result<()> {
+    /// Ends the process and starts it again under the same id and address, with this version. The
+    /// engine writes its entry with its first heartbeat.
+    fn restart(self: &Arc<Self>, store: &Arc<Store>, version: u32) -> io::Result<()> {
         self.is_down.store(true, Ordering::SeqCst);
         drop(TcpStream::connect(self.address));
         for stream in self.streams.lock().unwrap().drain(..) {
             reset(&stream);
         }
-        thread::sleep(Duration::from_millis(300));
-        self.version.fetch_add(1, Ordering::SeqCst);
+        thread::sleep(DOWN_TIME);
+        self.version.store(version, Ordering::SeqCst);
+        self.starts.fetch_add(1, Ordering::SeqCst);
         let listener = TcpListener::bind(self.address)?;
         self.is_down.store(false, Ordering::SeqCst);
         self.accept(listener);
-        store.write(&format!("servers/{}", self.id), &self.entry());
+        let (engine, store) = (Arc::clone(self), Arc::clone(store));
+        thread::spawn(move || {
+            thread::sleep(FIRST_HEARTBEAT);
+            store.write(&format!("servers/{}", engine.id), &engine.entry());
+        });
         Ok(())
     }
 
@@ -167,29 +185,38 @@
     thread::sleep(Duration::from_millis(5500));
     let started_at = Instant::now();
     let ms = || started_at.elapsed().as_millis();
-    if record.has_trouble {
-        door.is_silent.store(true, Ordering::SeqCst);
-        record.add(format!("{} ms: the store is silent to edge-z1-1", ms()));
+    let next_version = if record.has_trouble { 2 } else { 1 };
+    let mut clients = Vec::new();
+    let mut start = |record: &mut Record, number: usize| {
+        let address = gateway.callers;
+        let attempt = format!("9c41d07be2a35f{number:02x}");
+        record.add(format!("{} ms: {attempt}: sent to {address}", ms()));
+        clients.push(thread::spawn(move || {
+            ask(address, &attempt, number).unwrap_or_else(|error| Outcome::failed(&attempt, &error))
+        }));
+        thread::sleep(SPACING);
+    };
+    for number in 0..EARLY_CLIENTS {
+        start(record, number);
     }
-    thread::sleep(Duration::from_millis(300));
-    engines[1].upgrade(&store)?;
-    record.add(format!("{} ms: {} runs version v2", ms(), engines[1].id));
-    thread::sleep(Duration::from_millis(700));
-    let clients: Vec<_> = (0..CLIENTS)
-        .map(|number| {
-            let address = gateway.callers;
-            let attempt = format!("9c41d07be2a35f{number:02x}");
-            record.add(format!("{} ms: {attempt}: sent to {address}", ms()));
-            thread::sleep(SPACING);
-            thread::spawn(move || {
-                ask(address, &attempt, number)
-                    .unwrap_or_else(|error| Outcome::failed(&attempt, &error))
-            })
-        })
-        .collect();
-    thread::sleep(Duration::from_millis(100));
-    engines[0].upgrade(&store)?;
-    record.add(format!("{} ms: {} runs version v2", ms(), engines[0].id));
+    thread::sleep(Duration::from_millis(200));
+    let [last, first] = &engines;
+    first.restart(&store, next_version)?;
+    let version = next_version;
+    record.add(format!(
+        "{} ms: {} has started with v{version}",
+        ms(),
+        first.id
+    ));
+    for number in EARLY_CLIENTS..CLIENTS {
+        start(record, number);
+    }
+    last.restart(&store, next_version)?;
+    record.add(format!(
+        "{} ms: {} has started with v{version}",
+        ms(),
+        last.id
+    ));
     let mut joined = 0;
     for client in clients {
         let outcome = client.join().unwrap_or_default();
