--- a/review/standins-2/src/client.rs
+++ b/review/standins-2/src/client.rs
@@ -1,5 +1,6 @@
 //! Clients: requests on connections of their own, read at a chosen pace.
 
+use std::ffi::c_void;
 use std::io::{self, BufReader, Read, Write};
 use std::net::{SocketAddr, SocketAddrV4, TcpStream};
 use std::os::fd::FromRawFd;
@@ -19,7 +20,7 @@
 unsafe extern "C" {
     fn socket(domain: i32, kind: i32, protocol: i32) -> i32;
     fn connect(fd: i32, address: *const SockAddrIn, length: u32) -> i32;
-    fn setsockopt(fd: i32, level: i32, name: i32, value: *const i32, length: u32) -> i32;
+    fn setsockopt(fd: i32, level: i32, name: i32, value: *const c_void, length: u32) -> i32;
 }
 
 const AF_INET: i32 = 2;
@@ -39,7 +40,7 @@
             return Err(io::Error::last_os_error());
         }
         let stream = TcpStream::from_raw_fd(fd);
-        setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &bytes, 4);
+        setsockopt(fd, SOL_SOCKET, SO_RCVBUF, (&raw const bytes).cast(), 4);
         let name = raw_address(address);
         if connect(fd, &name, size_of::<SockAddrIn>() as u32) < 0 {
             return Err(io::Error::last_os_error());
--- a/review/standins-2/src/fleet.rs
+++ b/review/standins-2/src/fleet.rs
@@ -1,5 +1,6 @@
 //! Gateways as processes, servers, and links between them that can be cut.
 
+use std::ffi::c_void;
 use std::fs::{self, File};
 use std::io::{self, BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
@@ -333,7 +334,7 @@
 }
 
 unsafe extern "C" {
-    fn setsockopt(fd: i32, level: i32, name: i32, value: *const Linger, length: u32) -> i32;
+    fn setsockopt(fd: i32, level: i32, name: i32, value: *const c_void, length: u32) -> i32;
 }
 
 const SOL_SOCKET: i32 = 1;
@@ -347,7 +348,15 @@
         seconds: 0,
     };
     // SAFETY: the descriptor is open, and the value is a linger structure of the given length.
-    unsafe { setsockopt(stream.as_raw_fd(), SOL_SOCKET, SO_LINGER, &linger, 8) };
+    unsafe {
+        setsockopt(
+            stream.as_raw_fd(),
+            SOL_SOCKET,
+            SO_LINGER,
+            (&raw const linger).cast(),
+            8,
+        )
+    };
     let _ = stream.shutdown(Shutdown::Both);
 }
 
