review: show that a revoked key is accepted after a drill

Cause: a process that starts after the store came back from an older copy takes the configuration of the copy as proof that no key was revoked.

--- a/review/standins-2/src/config.rs
+++ b/review/standins-2/src/config.rs
@@ -23,6 +23,16 @@
 /// Builds the configuration as the operator writes it. Services whose names begin with `llm` are
 /// those of model engines.
 pub fn config(version: u64, routes: &[Route<'_>], services: &[&str]) -> String {
+    config_with_keys(version, routes, services, &[KEY])
+}
+
+/// Like [`config`], with these keys of the tenant.
+pub fn config_with_keys(
+    version: u64,
+    routes: &[Route<'_>],
+    services: &[&str],
+    keys: &[&str],
+) -> String {
     let routes: Vec<String> = routes
         .iter()
         .map(|route| {
@@ -69,9 +79,10 @@
     format!(
         "{{\"version\":{version},\"routes\":[{}],\"services\":[{}],\"limits\":{{\
          \"max_header_bytes\":16384,\"max_body_bytes\":4194304,\"header_timeout_ms\":3000,\
-         \"idle_timeout_ms\":15000}},\"tenants\":[{{\"name\":\"huka270\",\"api_keys\":[\"{KEY}\"],\
+         \"idle_timeout_ms\":15000}},\"tenants\":[{{\"name\":\"huka270\",\"api_keys\":[\"{}\"],\
          \"priority\":1}}]}}",
         routes.join(","),
-        services.join(",")
+        services.join(","),
+        keys.join("\",\"")
     )
 }
--- a/review/standins-2/src/fleet.rs
+++ b/review/standins-2/src/fleet.rs
@@ -41,6 +41,9 @@
 
 /// A gateway process, killed when this is dropped.
 pub struct Gateway {
+    name: String,
+    directory: PathBuf,
+    metrics_port: u16,
     child: Child,
     pub callers: SocketAddr,
     pub ready: SocketAddr,
@@ -78,30 +81,41 @@
             port + 2,
         );
         fs::write(&settings, text)?;
-        let log = directory.join(format!("{name}.log"));
-        let child = Command::new(repository().join("target/release/mimosagapd"))
-            .args(["gateway", "--metrics-port", &(port + 7).to_string()])
-            .current_dir(repository())
-            .env_clear()
-            .env("PATH", std::env::var_os("PATH").unwrap_or_default())
-            .env("MIMOSAGAP_SETTINGS", &settings)
-            .stdin(Stdio::null())
-            .stdout(File::create(&log)?)
-            .stderr(File::create(directory.join(format!("{name}.err")))?)
-            .spawn()?;
+        let metrics_port = port + 7;
         let gateway = Self {
-            child,
+            name: (*name).to_owned(),
+            directory: directory.to_owned(),
+            metrics_port,
+            child: spawn(directory, name, metrics_port)?,
             callers: SocketAddr::from(([127, 0, 0, 1], port)),
             ready: SocketAddr::from(([127, 0, 0, 1], port + 1)),
         };
+        gateway.await_ready()?;
+        Ok(gateway)
+    }
+
+    /// Kills the process.
+    pub fn kill(&mut self) -> io::Result<()> {
+        self.child.kill()?;
+        self.child.wait().map(drop)
+    }
+
+    /// Starts the process again with the settings that it had.
+    pub fn start_again(&mut self) -> io::Result<()> {
+        self.child = spawn(&self.directory, &self.name, self.metrics_port)?;
+        self.await_ready()
+    }
+
+    fn await_ready(&self) -> io::Result<()> {
         let until = Instant::now() + Duration::from_secs(10);
-        while !gateway.is_ready() {
+        while !self.is_ready() {
             if Instant::now() > until {
+                let name = &self.name;
                 return Err(io::Error::other(format!("{name} does not get ready")));
             }
-            thread::sleep(Duration::from_millis(50));
+            thread::sleep(Duration::from_millis(20));
         }
-        Ok(gateway)
+        Ok(())
     }
 
     /// Whether the gateway answers the platform's question with 200.
@@ -129,6 +143,24 @@
     }
 }
 
+/// Starts the command of the deploy file with the settings of a gateway.
+fn spawn(directory: &Path, name: &str, metrics_port: u16) -> io::Result<Child> {
+    let output = |extension| {
+        let path = directory.join(format!("{name}.{extension}"));
+        File::options().create(true).append(true).open(path)
+    };
+    Command::new(repository().join("target/release/mimosagapd"))
+        .args(["gateway", "--metrics-port", &metrics_port.to_string()])
+        .current_dir(repository())
+        .env_clear()
+        .env("PATH", std::env::var_os("PATH").unwrap_or_default())
+        .env("MIMOSAGAP_SETTINGS", directory.join(format!("{name}.toml")))
+        .stdin(Stdio::null())
+        .stdout(output("log")?)
+        .stderr(output("err")?)
+        .spawn()
+}
+
 impl Drop for Gateway {
     fn drop(&mut self) {
         let _ = self.child.kill();
--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -6,6 +6,7 @@
 mod config;
 mod fleet;
 mod quotes;
+mod revoked_key;
 mod slow_answer;
 mod slow_crowd;
 mod slow_stop;
@@ -40,6 +41,7 @@
         "slow-answer" => slow_answer::play(record),
         "slow-crowd" => slow_crowd::play(record),
         "stale-version" => stale_version::play(record),
+        "revoked-key" => revoked_key::play(record),
         "stale-relay" => stale_relay::play(record),
         _ => Err(io::Error::other(format!("there is no case {case}"))),
     }
--- a/review/standins-2/src/store.rs
+++ b/review/standins-2/src/store.rs
@@ -12,6 +12,7 @@
     Json, Message, decode_base64, encode_base64, read_request, unescape, write_response,
 };
 
+#[derive(Clone)]
 struct Item {
     value: Vec<u8>,
     revision: u64,
@@ -33,6 +34,20 @@
     /// When each lease ends, and its time to live.
     leases: HashMap<u64, (Instant, Duration)>,
     next_lease: u64,
+    /// Watches from an earlier revision get status 410.
+    floor: u64,
+    /// How often the store came back from a copy, and one.
+    era: u64,
+    /// Whether all calls get status 503.
+    is_away: bool,
+}
+
+/// What the store holds, from which it can come back.
+pub struct StoreCopy {
+    revision: u64,
+    items: BTreeMap<String, Item>,
+    leases: HashMap<u64, Duration>,
+    next_lease: u64,
 }
 
 /// The store, shared by all its listeners.
@@ -119,6 +134,9 @@
             events: Vec::new(),
             leases: HashMap::new(),
             next_lease: 1,
+            floor: 0,
+            era: 1,
+            is_away: false,
         };
         let store = Arc::new(Self {
             state: Mutex::new(state),
@@ -152,6 +170,41 @@
         self.changed.notify_all();
     }
 
+    /// Copies what the store holds.
+    pub fn copy(&self) -> StoreCopy {
+        let state = self.state.lock().unwrap();
+        let leases = state.leases.iter();
+        StoreCopy {
+            revision: state.revision,
+            items: state.items.clone(),
+            leases: leases.map(|(lease, (_, time))| (*lease, *time)).collect(),
+            next_lease: state.next_lease,
+        }
+    }
+
+    /// Takes the store away: all calls get status 503.
+    pub fn leave(&self) {
+        self.state.lock().unwrap().is_away = true;
+        self.changed.notify_all();
+    }
+
+    /// Comes back from a copy, in the next era.
+    pub fn come_back(&self, copy: StoreCopy) {
+        let mut state = self.state.lock().unwrap();
+        let now = Instant::now();
+        state.revision = copy.revision;
+        state.floor = copy.revision;
+        state.items = copy.items;
+        state.events.clear();
+        let leases = copy.leases.into_iter();
+        state.leases = leases
+            .map(|(lease, time)| (lease, (now + time, time)))
+            .collect();
+        state.next_lease = copy.next_lease;
+        state.era += 1;
+        state.is_away = false;
+    }
+
     /// Opens a listener. `view` changes what readers there see of a value.
     pub fn open(
         self: &Arc<Self>,
@@ -194,7 +247,11 @@
             if silent.load(Ordering::SeqCst) {
                 thread::sleep(Duration::from_secs(600));
             }
-            let headers = [("Content-Type", "application/json")];
+            let era = self.state.lock().unwrap().era.to_string();
+            let headers = [
+                ("Content-Type", "application/json"),
+                ("Store-Era", era.as_str()),
+            ];
             write_response(&mut writer, status, &headers, body.as_bytes())?;
         }
         Ok(())
@@ -217,6 +274,9 @@
                 .map(|(_, value)| unescape(value));
             value.last().unwrap_or_default()
         };
+        if self.state.lock().unwrap().is_away {
+            return ("503 Service Unavailable", "{}".to_owned());
+        }
         match (request.method(), path) {
             ("GET", "/kv-range") => {
                 self.range(&parameter("path_prefix"), &parameter("after"), view)
@@ -294,6 +354,12 @@
         let until = Instant::now() + wait;
         let mut state = self.state.lock().unwrap();
         loop {
+            if state.is_away {
+                return ("503 Service Unavailable", "{}".to_owned());
+            }
+            if after > state.revision || after < state.floor {
+                return ("410 Gone", "{}".to_owned());
+            }
             let matching = state
                 .events
                 .iter()
