--- a/review/standins-2/src/fleet.rs
+++ b/review/standins-2/src/fleet.rs
@@ -4,6 +4,7 @@
 use std::fs::{self, File};
 use std::io::{self, BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -15,8 +16,12 @@
 
 unsafe extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
+    fn prctl(option: i32, signal: u64) -> i32;
 }
 
+const PR_SET_PDEATHSIG: i32 = 1;
+const SIGKILL: u64 = 9;
+
 pub const SIGTERM: i32 = 15;
 
 /// A free port of the loopback interface, and `count - 1` ports after it.
@@ -149,7 +154,8 @@
         let path = directory.join(format!("{name}.{extension}"));
         File::options().create(true).append(true).open(path)
     };
-    Command::new(repository().join("target/release/mimosagapd"))
+    let mut command = Command::new(repository().join("target/release/mimosagapd"));
+    command
         .args(["gateway", "--metrics-port", &metrics_port.to_string()])
         .current_dir(repository())
         .env_clear()
@@ -157,8 +163,16 @@
         .env("MIMOSAGAP_SETTINGS", directory.join(format!("{name}.toml")))
         .stdin(Stdio::null())
         .stdout(output("log")?)
-        .stderr(output("err")?)
-        .spawn()
+        .stderr(output("err")?);
+    // A gateway ends with this process, however that ends.
+    // SAFETY: the call is safe between fork and exec, and takes plain numbers.
+    unsafe {
+        command.pre_exec(|| {
+            prctl(PR_SET_PDEATHSIG, SIGKILL);
+            Ok(())
+        });
+    }
+    command.spawn()
 }
 
 impl Drop for Gateway {
