--- a/review/standins-2/src/fleet.rs
+++ b/review/standins-2/src/fleet.rs
@@ -22,6 +22,7 @@
 const PR_SET_PDEATHSIG: i32 = 1;
 const SIGKILL: u64 = 9;
 
+pub const SIGHUP: i32 = 1;
 pub const SIGTERM: i32 = 15;
 
 /// A free port of the loopback interface, and `count - 1` ports after it.
@@ -142,6 +143,15 @@
         unsafe { kill(self.child.id() as i32, signal) };
     }
 
+    /// Adds a field to the settings, as the platform may, and tells the process.
+    pub fn change_settings(&self) -> io::Result<()> {
+        let path = self.directory.join(format!("{}.toml", self.name));
+        let mut file = File::options().append(true).open(path)?;
+        file.write_all(b"new_field = 1\n")?;
+        self.signal(SIGHUP);
+        Ok(())
+    }
+
     /// Whether the process has ended.
     pub fn has_ended(&mut self) -> bool {
         matches!(self.child.try_wait(), Ok(Some(_)))
@@ -182,11 +192,11 @@
     }
 }
 
-/// Root of the repository, two folders above this package.
+/// Root of the repository; the program lies in `target/review-2/release`.
 pub fn repository() -> PathBuf {
-    let package = Path::new(env!("CARGO_MANIFEST_DIR"));
-    let root = package.parent().and_then(Path::parent);
-    root.expect("the package lies in the repository").to_owned()
+    let program = std::env::current_exe().expect("the program has a path");
+    let root = program.ancestors().nth(4);
+    root.expect("the program lies in the repository").to_owned()
 }
 
 /// One run of a request at a server.
--- a/review/standins-2/src/slow_answer.rs
+++ b/review/standins-2/src/slow_answer.rs
@@ -1,4 +1,5 @@
-//! Clients with small receive buffers stop reading a stream for six seconds and then go on.
+//! Clients with small receive buffers stop reading a stream for six seconds and then go on. The
+//! gateway was told before that its settings have changed.
 
 use std::io;
 use std::thread;
@@ -26,8 +27,8 @@
 /// The pause begins when this many bytes of events were read.
 const PAUSE_AT_BYTES: usize = 5000;
 
-/// The rule allows three closed connections.
-const ALLOWED: usize = 3;
+/// Time from the signal until the requests, which are sent within `config_apply_ms` of it.
+const SENT_AFTER: Duration = Duration::from_millis(300);
 
 pub fn play(record: &mut Record) -> io::Result<bool> {
     let store = Store::new();
@@ -42,6 +43,9 @@
     let gateway = Gateway::start(&record.directory, &place, door.address)?;
     // A machine is in touch `contact_ms` after its start.
     thread::sleep(Duration::from_millis(5500));
+    gateway.change_settings()?;
+    record.add("the settings file has changed, SIGHUP");
+    thread::sleep(SENT_AFTER);
     let has_pause = record.has_trouble;
     let clients: Vec<_> = (0..CLIENTS)
         .map(|number| {
@@ -77,8 +81,8 @@
         broken += usize::from(run.is_some() && !is_whole);
     }
     record.add(format!(
-        "{broken} of {CLIENTS} requests were passed on and their connection closed without the \
-         whole answer; the rule allows {ALLOWED}"
+        "{broken} of {CLIENTS} requests were passed on and their connection ended without a \
+         complete answer"
     ));
-    Ok(broken > ALLOWED)
+    Ok(broken > 0)
 }
--- a/review/standins-2/src/stale_relay.rs
+++ b/review/standins-2/src/stale_relay.rs
@@ -1,5 +1,5 @@
 //! A gateway that reaches no server hands requests to other gateways, one of which has an older
-//! configuration because the store turns it away.
+//! configuration because it is partitioned from the store.
 
 use std::io;
 use std::net::{SocketAddr, TcpStream};
@@ -112,7 +112,7 @@
     if record.has_trouble {
         stale_door.is_silent.store(true, Ordering::SeqCst);
         record.add(format!(
-            "{} ms: the store is silent to edge-z1-2",
+            "{} ms: edge-z1-2 is partitioned from the store",
             ms(started_at)
         ));
     }
